--- a/topology.go
+++ b/topology.go
@@ -35,7 +35,7 @@
 	connections int
 }
 
-// NewGroup returns a group whose databases each take at most connections
+// NewGroup returns a group whose databases each take at most this number of
 // connections from all hosts together.
 func NewGroup(name string, connections int, upstreams ...Upstream) Group {
 	return Group{
