route: choose databases by token, age and domain

Adds core/stmt, which classifies statements by first keyword, and core/route, which chooses among readings. A parser was ruled out: a replica refuses what writes before running it, so a wrong guess costs a round trip and no promise.

--- /dev/null
+++ b/core/route/route_test.go
@@ -0,0 +1,87 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"coltsfootloft"
+	_ "coltsfootloft/stand/seed"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func at(term, offset uint64) coltsfootloft.Position {
+	return coltsfootloft.NewPosition(coltsfootloft.NewTerm(term, "p"), offset)
+}
+
+func draw(t *rapid.T) []Candidate {
+	n := rapid.IntRange(1, 5).Draw(t, "databases")
+	primary := rapid.IntRange(-1, n-1).Draw(t, "primary")
+	all := make([]Candidate, n)
+	for i := range all {
+		p := at(rapid.Uint64Range(1, 3).Draw(t, "term"), rapid.Uint64Range(0, 5).Draw(t, "offset"))
+		role := coltsfootloft.Replica
+		if i == primary {
+			role = coltsfootloft.Primary
+		}
+		all[i] = Candidate{
+			Upstream:  coltsfootloft.NewUpstream(fmt.Sprint("db", i), rapid.SampledFrom([]string{"x", "y"}).Draw(t, "domain"), ""),
+			Reading:   coltsfootloft.NewReading(role, p.Term(), p, p),
+			IsPrimary: i == primary,
+			Leaving:   rapid.Bool().Draw(t, "leaving"),
+			Age:       time.Duration(rapid.IntRange(0, 5).Draw(t, "age")) * time.Second,
+			Aged:      rapid.Bool().Draw(t, "aged"),
+			Load:      rapid.IntRange(0, 2).Draw(t, "load"),
+		}
+	}
+	return all
+}
+
+// TestAgainstNaive checks every choice against the plain list of databases that
+// may serve, computed one condition at a time.
+func TestAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := draw(t)
+		n := Need{
+			Write:    rapid.Bool().Draw(t, "write"),
+			Position: at(rapid.Uint64Range(0, 3).Draw(t, "term"), rapid.Uint64Range(0, 5).Draw(t, "offset")),
+			MaxAge:   time.Duration(rapid.IntRange(0, 3).Draw(t, "max age")) * time.Second,
+			Domain:   "x",
+		}
+		c := Pick(n, all)
+		serving, near := map[string]bool{}, map[string]bool{}
+		for _, d := range all {
+			ok := !d.IsPrimary && !d.Leaving && d.Reading.Applied().Compare(n.Position) >= 0
+			if n.MaxAge > 0 {
+				ok = ok && d.Aged && d.Age <= n.MaxAge
+			}
+			if ok && !n.Write {
+				serving[d.Upstream.Name()] = true
+				near[d.Upstream.Name()] = d.Upstream.Domain() == n.Domain
+			}
+		}
+		if len(serving) == 0 {
+			assert.Assert(t, c.Verdict() != ToReplica)
+			return
+		}
+		assert.Equal(t, c.Verdict(), ToReplica)
+		assert.Assert(t, serving[c.Database()])
+		for _, isNear := range near {
+			if isNear {
+				assert.Assert(t, c.IsLocal())
+			}
+		}
+	})
+}
+
+func TestOldPrimaryDoesNotServeNewerToken(t *testing.T) {
+	old := Candidate{
+		Upstream:  coltsfootloft.NewUpstream("db0", "x", ""),
+		Reading:   coltsfootloft.NewReading(coltsfootloft.Primary, at(1, 0).Term(), at(1, 90), at(1, 90)),
+		IsPrimary: true,
+	}
+	c := Pick(Need{Position: at(2, 10)}, []Candidate{old})
+	assert.Equal(t, c.Verdict(), NoPrimary)
+}
--- /dev/null
+++ b/core/stmt/scan.go
@@ -0,0 +1,130 @@
+package stmt
+
+import "strings"
+
+// split cuts the text at semicolons outside of quotes, comments and dollar
+// quotes, and drops parts that hold nothing but space and comments.
+func split(sql string) []string {
+	var parts []string
+	start := 0
+	for i := 0; i < len(sql); {
+		if sql[i] == ';' {
+			parts = appendPart(parts, sql[start:i])
+			i++
+			start = i
+			continue
+		}
+		i = skipToken(sql, i)
+	}
+	return appendPart(parts, sql[start:])
+}
+
+func appendPart(parts []string, part string) []string {
+	part = trim(part)
+	if part == "" {
+		return parts
+	}
+	return append(parts, part)
+}
+
+// skipToken returns the index after the token at i: a quoted string, a comment,
+// or a single byte.
+func skipToken(sql string, i int) int {
+	switch c := sql[i]; {
+	case c == '\'' && i > 0 && (sql[i-1] == 'e' || sql[i-1] == 'E'):
+		return skipEscaped(sql, i)
+	case c == '\'' || c == '"':
+		return skipPast(sql, i+1, string(c))
+	case c == '$':
+		return skipDollar(sql, i)
+	case strings.HasPrefix(sql[i:], "--"):
+		return skipPast(sql, i+2, "\n")
+	case strings.HasPrefix(sql[i:], "/*"):
+		return skipComment(sql, i)
+	}
+	return i + 1
+}
+
+func skipPast(sql string, i int, end string) int {
+	j := strings.Index(sql[i:], end)
+	if j < 0 {
+		return len(sql)
+	}
+	return i + j + len(end)
+}
+
+func skipEscaped(sql string, i int) int {
+	for i++; i < len(sql); i++ {
+		switch sql[i] {
+		case '\\':
+			i++
+		case '\'':
+			return i + 1
+		}
+	}
+	return len(sql)
+}
+
+func skipDollar(sql string, i int) int {
+	j := i + 1
+	for j < len(sql) && isWord(sql[j]) {
+		j++
+	}
+	isQuote := j < len(sql) && sql[j] == '$' && (j == i+1 || !isDigit(sql[i+1]))
+	if !isQuote {
+		return j
+	}
+	return skipPast(sql, j+1, sql[i:j+1])
+}
+
+func skipComment(sql string, i int) int {
+	depth := 0
+	for i < len(sql) {
+		switch {
+		case strings.HasPrefix(sql[i:], "/*"):
+			depth++
+			i += 2
+		case strings.HasPrefix(sql[i:], "*/"):
+			depth--
+			i += 2
+			if depth == 0 {
+				return i
+			}
+		default:
+			i++
+		}
+	}
+	return len(sql)
+}
+
+// trim drops space and comments from both ends of a statement.
+func trim(sql string) string {
+	for {
+		sql = strings.TrimSpace(sql)
+		switch {
+		case strings.HasPrefix(sql, "--"):
+			sql = sql[skipPast(sql, 2, "\n"):]
+		case strings.HasPrefix(sql, "/*"):
+			sql = sql[skipComment(sql, 0):]
+		default:
+			return sql
+		}
+	}
+}
+
+// word returns the first word of sql in upper case and what follows it.
+func word(sql string) (first, rest string) {
+	sql = trim(sql)
+	i := 0
+	for i < len(sql) && isWord(sql[i]) {
+		i++
+	}
+	return strings.ToUpper(sql[:i]), sql[i:]
+}
+
+func isWord(c byte) bool {
+	isLetter := c|0x20 >= 'a' && c|0x20 <= 'z'
+	return isLetter || isDigit(c) || c == '_' || c >= 0x80
+}
+
+func isDigit(c byte) bool { return c >= '0' && c <= '9' }
--- /dev/null
+++ b/core/stmt/stmt.go
@@ -0,0 +1,195 @@
+package stmt
+
+import "strings"
+
+// Prefix starts the names of the settings that the proxy itself takes.
+const Prefix = "coltsfootloft."
+
+// Statement is one classified statement.
+type Statement struct {
+	kind  Kind
+	name  string
+	value string
+	text  string
+}
+
+// Kind tells how the statement is routed.
+func (s Statement) Kind() Kind { return s.kind }
+
+// Name is the lower-case name of the setting that a Set, Reset or Show is about.
+func (s Statement) Name() string { return s.name }
+
+// Value is what a Set of a proxy setting assigns, without quotes.
+func (s Statement) Value() string { return s.value }
+
+// Text is the statement without surrounding space, comments and semicolon.
+func (s Statement) Text() string { return s.text }
+
+// IsProxy reports whether the statement sets, resets or shows a setting of the
+// proxy itself.
+func (s Statement) IsProxy() bool {
+	return strings.HasPrefix(s.name, Prefix)
+}
+
+// Script is the classified text of one simple query or prepared statement.
+type Script struct {
+	statements []Statement
+}
+
+// Parse classifies sql.
+func Parse(sql string) Script {
+	parts := split(sql)
+	s := Script{statements: make([]Statement, 0, len(parts))}
+	for _, p := range parts {
+		s.statements = append(s.statements, classify(p))
+	}
+	return s
+}
+
+// Statements returns the statements in order. The slice must not be changed.
+func (s Script) Statements() []Statement { return s.statements }
+
+// Len is the number of statements.
+func (s Script) Len() int { return len(s.statements) }
+
+// Only returns the statement of a script that has exactly one.
+func (s Script) Only() (Statement, bool) {
+	if len(s.statements) != 1 {
+		return Statement{}, false
+	}
+	return s.statements[0], true
+}
+
+// IsRead reports whether a replica may be tried: no statement is known to write.
+func (s Script) IsRead() bool {
+	for _, t := range s.statements {
+		if t.kind != Read && t.kind != Show {
+			return false
+		}
+	}
+	return true
+}
+
+// Has reports whether any statement is of the kind.
+func (s Script) Has(k Kind) bool {
+	for _, t := range s.statements {
+		if t.kind == k {
+			return true
+		}
+	}
+	return false
+}
+
+func classify(text string) Statement {
+	first, rest := word(text)
+	s := Statement{
+		kind: kindOf(first, rest),
+		text: text,
+	}
+	switch s.kind {
+	case Set:
+		s.name, s.value = assignment(rest)
+	case Reset, Show:
+		s.name, _ = dotted(rest)
+	default:
+	}
+	return s
+}
+
+func kindOf(first, rest string) Kind {
+	switch first {
+	case "SELECT", "VALUES", "TABLE", "WITH", "EXPLAIN":
+		return readKind(rest)
+	case "":
+		return readKind(rest)
+	case "BEGIN", "START":
+		return beginKind(rest)
+	case "COMMIT", "END":
+		return Commit
+	case "ROLLBACK", "ABORT":
+		return rollbackKind(rest)
+	case "SAVEPOINT", "RELEASE":
+		return Savepoint
+	case "SET":
+		return setKind(rest)
+	case "RESET":
+		return Reset
+	case "DISCARD":
+		return Discard
+	case "SHOW":
+		return Show
+	case "COPY":
+		return Copy
+	case "LISTEN", "UNLISTEN", "NOTIFY", "PREPARE", "EXECUTE", "DEALLOCATE", "LOAD":
+		return Unsupported
+	}
+	return Write
+}
+
+// readKind tells apart reads that hold state of one server's session.
+func readKind(rest string) Kind {
+	if strings.Contains(rest, "pg_advisory") || strings.Contains(rest, "pg_try_advisory") {
+		return Unsupported
+	}
+	return Read
+}
+
+func beginKind(rest string) Kind {
+	if strings.Contains(strings.ToUpper(rest), "READ ONLY") {
+		return BeginReadOnly
+	}
+	return Begin
+}
+
+func rollbackKind(rest string) Kind {
+	upper := strings.ToUpper(rest)
+	if strings.Contains(upper, "PREPARED") {
+		return Unsupported
+	}
+	for _, f := range strings.Fields(upper) {
+		if f == "TO" {
+			return Savepoint
+		}
+	}
+	return Rollback
+}
+
+func setKind(rest string) Kind {
+	first, _ := word(rest)
+	switch first {
+	case "LOCAL", "TRANSACTION", "CONSTRAINTS":
+		return SetLocal
+	}
+	return Set
+}
+
+// assignment reads "[SESSION] name = value" or "name TO value".
+func assignment(rest string) (name, value string) {
+	if first, after := word(rest); first == "SESSION" {
+		rest = after
+	}
+	name, rest = dotted(rest)
+	rest = strings.TrimSpace(rest)
+	if after, ok := strings.CutPrefix(rest, "="); ok {
+		rest = after
+	} else if first, after := word(rest); first == "TO" {
+		rest = after
+	}
+	return name, unquote(strings.TrimSpace(rest))
+}
+
+func dotted(rest string) (name, after string) {
+	rest = trim(rest)
+	i := 0
+	for i < len(rest) && (isWord(rest[i]) || rest[i] == '.' || rest[i] == '"') {
+		i++
+	}
+	return strings.ToLower(strings.ReplaceAll(rest[:i], `"`, "")), rest[i:]
+}
+
+func unquote(s string) string {
+	if len(s) < 2 || s[0] != '\'' || s[len(s)-1] != '\'' {
+		return s
+	}
+	return strings.ReplaceAll(s[1:len(s)-1], "''", "'")
+}
--- /dev/null
+++ b/core/stmt/stmt_test.go
@@ -0,0 +1,79 @@
+package stmt
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestKinds(t *testing.T) {
+	tests := map[string]Kind{
+		"select 1": Read,
+		"  -- note\n/* a /* nested */ */ SELECT 1": Read,
+		"(select 1) union (select 2)":              Read,
+		"with x as (select 1) select * from x":     Read,
+		"select pg_advisory_lock(1)":               Unsupported,
+		"insert into t values (1)":                 Write,
+		"create table t (a int)":                   Write,
+		"begin":                                    Begin,
+		"BEGIN ISOLATION LEVEL SERIALIZABLE":       Begin,
+		"start transaction read only":              BeginReadOnly,
+		"commit":                                   Commit,
+		"end":                                      Commit,
+		"rollback":                                 Rollback,
+		"rollback to savepoint a":                  Savepoint,
+		"rollback prepared 'x'":                    Unsupported,
+		"set local a = 1":                          SetLocal,
+		"set a = 1":                                Set,
+		"copy t from stdin":                        Copy,
+		"listen x":                                 Unsupported,
+		"discard all":                              Discard,
+	}
+	for sql, want := range tests {
+		s, ok := Parse(sql).Only()
+		assert.Assert(t, ok, sql)
+		assert.Equal(t, s.Kind(), want, sql)
+	}
+}
+
+func TestSplit(t *testing.T) {
+	sql := `select ';'; select e'\';' ; select $$;$$; select $a$;$$;$a$;; select "a;b" /* ; */ -- ;
+; insert into t values ($1)`
+	s := Parse(sql)
+	assert.Equal(t, s.Len(), 6)
+	assert.Assert(t, !s.IsRead())
+	assert.Equal(t, s.Statements()[5].Text(), "insert into t values ($1)")
+}
+
+func TestAssignments(t *testing.T) {
+	tests := []struct{ sql, name, value string }{
+		{"SET coltsfootloft.token = 'news=1@a:3'", "coltsfootloft.token", "news=1@a:3"},
+		{"set session Coltsfootloft.Request_ID to 'it''s'", "coltsfootloft.request_id", "it's"},
+		{"set search_path=a", "search_path", "a"},
+	}
+	for _, tt := range tests {
+		s, _ := Parse(tt.sql).Only()
+		assert.Equal(t, s.Name(), tt.name)
+		assert.Equal(t, s.Value(), tt.value)
+		assert.Equal(t, s.IsProxy(), strings.HasPrefix(tt.name, Prefix))
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add("select $1; insert into t values ('a;b')")
+	f.Add("/* $$ e'\\")
+	f.Add("set a to 'b'")
+	f.Fuzz(func(t *testing.T, sql string) {
+		for _, s := range Parse(sql).Statements() {
+			assert.Assert(t, s.Text() != "")
+			assert.Assert(t, strings.Contains(sql, s.Text()))
+		}
+	})
+}
+
+func BenchmarkParse(b *testing.B) {
+	for b.Loop() {
+		Parse("SELECT body, filed_at FROM notices WHERE branch = $1 ORDER BY filed_at DESC LIMIT 10")
+	}
+}
