--- a/core/token/token.go
+++ b/core/token/token.go
@@ -65,6 +65,14 @@
 	return Token{positions: m}
 }
 
+// Merge returns a token that covers both.
+func (t Token) Merge(o Token) Token {
+	for g, p := range o.positions {
+		t = t.Advance(g, p)
+	}
+	return t
+}
+
 // String returns group=counter@proposer:offset entries, sorted and joined by
 // commas.
 func (t Token) String() string {
--- /dev/null
+++ b/io/caller/batch.go
@@ -0,0 +1,157 @@
+package caller
+
+import (
+	"coltsfootloft/core/stmt"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// step is one message of a batch, or one answer that the host gives itself.
+type step struct {
+	// ends is the reply that ends the step.
+	ends ending
+	// message is what is sent, encoded; nil for a local step.
+	message []byte
+	// local answers the step without the upstream.
+	local func(o *output) error
+	// needs is the statement that must be prepared before.
+	needs *statement
+	// adds is the statement that the step itself prepares.
+	adds *statement
+	// script is what an execution runs.
+	script stmt.Script
+	// hidden steps are the host's own.
+	hidden bool
+	// row takes the rows of a hidden step.
+	row func(values [][]byte)
+	// optional hidden steps may fail.
+	optional bool
+}
+
+// batch is what a caller sends up to a Sync or a Flush, or one simple query.
+type batch struct {
+	steps []step
+	// cost is the number of statements that it runs.
+	cost int
+	// writes is set unless it is known to read only.
+	writes bool
+	// only is the single statement it runs, if it runs just one.
+	only stmt.Statement
+	// simple batches are one simple query.
+	simple bool
+	// open batches end in a Flush, with the Sync to come.
+	open bool
+	// refused is why the batch can't be run.
+	refused error
+}
+
+// runs notes that a step of the batch executes the script.
+func (b *batch) runs(s stmt.Script) {
+	b.cost += max(1, s.Len())
+	if !s.IsRead() {
+		b.writes = true
+	}
+	if t, ok := s.Only(); ok && b.cost == 1 {
+		b.only = t
+	} else {
+		b.only = stmt.Statement{}
+	}
+	b.check(s)
+}
+
+// check refuses what can't be carried before any of the batch is sent.
+func (b *batch) check(s stmt.Script) {
+	for _, t := range s.Statements() {
+		switch {
+		case t.Kind() == stmt.Copy:
+			b.refused = unsupported("COPY")
+		case t.Kind() == stmt.Unsupported:
+			b.refused = unsupported("a statement that needs a server session of its own")
+		case t.IsProxy() && s.Len() > 1:
+			b.refused = unsupported("a setting of the proxy among several statements")
+		}
+	}
+}
+
+// has reports whether any executed script has a statement of the kind.
+func (b *batch) has(k stmt.Kind) bool {
+	for _, t := range b.steps {
+		if t.script.Has(k) {
+			return true
+		}
+	}
+	return false
+}
+
+// isOnly reports whether the batch runs nothing but one statement of a kind.
+func (b *batch) isOnly(kinds ...stmt.Kind) bool {
+	if b.cost != 1 || b.only.Text() == "" {
+		return false
+	}
+	for _, k := range kinds {
+		if b.only.Kind() == k {
+			return true
+		}
+	}
+	return false
+}
+
+// isLocal reports whether the host answers every step itself.
+func (b *batch) isLocal() bool {
+	for _, t := range b.steps {
+		if t.message != nil && t.ends != atSync {
+			return false
+		}
+	}
+	return true
+}
+
+func encode(m pgproto3.FrontendMessage) []byte {
+	b, err := m.Encode(nil)
+	if err != nil {
+		return nil
+	}
+	return b
+}
+
+// encoded is a message that is already in its wire form.
+type encoded []byte
+
+// Decode is never called: encoded messages are only sent.
+func (encoded) Decode([]byte) error { return nil }
+
+// Encode appends the wire form to dst.
+func (e encoded) Encode(dst []byte) ([]byte, error) { return append(dst, e...), nil }
+
+// Frontend marks the message as one of a frontend.
+func (encoded) Frontend() {}
+
+// ending is the reply that ends a step.
+type ending uint8
+
+const (
+	atParse ending = iota
+	atBind
+	atDescribe
+	atExecute
+	atClose
+	atSync
+	atQuery
+)
+
+// String returns the name of the reply.
+func (e ending) String() string {
+	names := [...]string{
+		atParse:    "ParseComplete",
+		atBind:     "BindComplete",
+		atDescribe: "RowDescription",
+		atExecute:  "CommandComplete",
+		atClose:    "CloseComplete",
+		atSync:     "ReadyForQuery",
+		atQuery:    "ReadyForQuery",
+	}
+	if int(e) < len(names) {
+		return names[e]
+	}
+	return "invalid ending"
+}
--- /dev/null
+++ b/io/caller/env.go
@@ -0,0 +1,59 @@
+package caller
+
+import (
+	"time"
+
+	"coltsfootloft"
+	"coltsfootloft/core/conf"
+	"coltsfootloft/io/pool"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+)
+
+// Env is what all sessions of a host share. Its fields are set before the first
+// session runs.
+type Env struct {
+	// Domain is the host's own failure domain.
+	Domain string
+	// Groups knows the databases' readings.
+	Groups coltsfootloft.Groups
+	// Members knows which upstreams leave.
+	Members coltsfootloft.Members
+	// Shares admits statements.
+	Shares coltsfootloft.Shares
+	// Fleet returns the settings in force.
+	Fleet func() *conf.Fleet
+	// Pool returns the connections of a database.
+	Pool func(database string) (*pool.Pool, bool)
+	// Retry spends from the client account's retry budget.
+	Retry Budget
+	// Journal takes decisions for explanations; nil drops them.
+	Journal func(session uint32, event, detail string)
+	// Clock tells the time.
+	Clock clockwork.Clock
+	// Log takes events.
+	Log logr.Logger
+}
+
+// Budget bounds the repeats of each client account.
+type Budget interface {
+	// Succeed notes a request that was answered.
+	Succeed(account string)
+	// Spend reports whether one more repeat is within the budget.
+	Spend(account string) bool
+}
+
+func (e *Env) note(session uint32, event, detail string) {
+	if e.Journal != nil {
+		e.Journal(session, event, detail)
+	}
+}
+
+func (e *Env) ackTimeout(group string) time.Duration {
+	g, ok := e.Fleet().Group(group)
+	if !ok {
+		return conf.DefaultAckTimeout
+	}
+	return g.AckTimeout()
+}
--- /dev/null
+++ b/io/caller/extended.go
@@ -0,0 +1,152 @@
+package caller
+
+import (
+	"coltsfootloft/core/stmt"
+
+	"coltsfootloft"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// maxStatements bounds the prepared statements of one session.
+const maxStatements = 4096
+
+// addParse takes a Parse into the batch.
+func (s *Session) addParse(m *pgproto3.Parse) {
+	if _, ok := s.prepared[m.Name]; !ok && len(s.prepared) >= maxStatements {
+		s.batch.refused = coltsfootloft.Refuse("53400", "too many prepared statements in one session")
+		return
+	}
+	t := newStatement(m)
+	s.batch.check(t.script)
+	s.prepared[m.Name] = t
+	if isHostStatement(t.script) {
+		s.batch.steps = append(s.batch.steps, answer(atParse, &pgproto3.ParseComplete{}))
+		return
+	}
+	s.batch.steps = append(s.batch.steps, step{
+		ends:    atParse,
+		message: t.parse(),
+		adds:    t,
+	})
+}
+
+// addBind takes a Bind into the batch.
+func (s *Session) addBind(m *pgproto3.Bind) {
+	t, ok := s.prepared[m.PreparedStatement]
+	if !ok {
+		s.batch.refused = unknownStatement(m.PreparedStatement)
+		return
+	}
+	s.portals[m.DestinationPortal] = t
+	if isHostStatement(t.script) {
+		s.batch.steps = append(s.batch.steps, answer(atBind, &pgproto3.BindComplete{}))
+		return
+	}
+	s.batch.steps = append(s.batch.steps, step{
+		ends:    atBind,
+		message: t.bind(m),
+		needs:   t,
+	})
+}
+
+// addDescribe takes a Describe into the batch.
+func (s *Session) addDescribe(m *pgproto3.Describe) {
+	t, ok := s.portals[m.Name]
+	if m.ObjectType == 'S' {
+		t, ok = s.prepared[m.Name]
+	}
+	if !ok {
+		s.batch.refused = unknownStatement(m.Name)
+		return
+	}
+	if isHostStatement(t.script) {
+		s.batch.steps = append(s.batch.steps, s.describeLocal(t, m.ObjectType))
+		return
+	}
+	d := step{
+		ends:    atDescribe,
+		message: encode(m),
+	}
+	if m.ObjectType == 'S' {
+		d.message = t.describe()
+		d.needs = t
+	}
+	s.batch.steps = append(s.batch.steps, d)
+}
+
+// addExecute takes an Execute into the batch.
+func (s *Session) addExecute(m *pgproto3.Execute) {
+	t, ok := s.portals[m.Portal]
+	if !ok {
+		s.batch.refused = coltsfootloft.Refuse("34000", "portal "+quote(m.Portal)+" does not exist")
+		return
+	}
+	s.batch.runs(t.script)
+	if isHostStatement(t.script) {
+		only, _ := t.script.Only()
+		s.batch.steps = append(s.batch.steps, step{
+			ends:   atExecute,
+			script: t.script,
+			local:  func(o *output) error { return s.runLocal(o, only, false) },
+		})
+		return
+	}
+	s.batch.steps = append(s.batch.steps, step{
+		ends:    atExecute,
+		message: encode(m),
+		script:  t.script,
+	})
+}
+
+// addClose takes a Close into the batch. Statements stay prepared upstream, for
+// other sessions.
+func (s *Session) addClose(m *pgproto3.Close) {
+	if m.ObjectType == 'S' {
+		delete(s.prepared, m.Name)
+		s.batch.steps = append(s.batch.steps, answer(atClose, &pgproto3.CloseComplete{}))
+		return
+	}
+	t, ok := s.portals[m.Name]
+	delete(s.portals, m.Name)
+	if !ok || isHostStatement(t.script) || s.pinned == nil && len(s.batch.steps) == 0 {
+		s.batch.steps = append(s.batch.steps, answer(atClose, &pgproto3.CloseComplete{}))
+		return
+	}
+	s.batch.steps = append(s.batch.steps, step{
+		ends:    atClose,
+		message: encode(m),
+	})
+}
+
+// addSync ends the batch.
+func (s *Session) addSync() {
+	s.batch.steps = append(s.batch.steps, step{
+		ends:    atSync,
+		message: encode(&pgproto3.Sync{}),
+	})
+}
+
+// isHostStatement reports whether the host runs the statement itself.
+func isHostStatement(p stmt.Script) bool {
+	t, ok := p.Only()
+	return ok && t.IsProxy()
+}
+
+func answer(e ending, messages ...pgproto3.BackendMessage) step {
+	return step{
+		ends: e,
+		local: func(o *output) error {
+			for _, m := range messages {
+				if err := o.add(m); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	}
+}
+
+func unknownStatement(name string) error {
+	return coltsfootloft.Refuse("26000", "prepared statement "+quote(name)+" does not exist")
+}
--- /dev/null
+++ b/io/caller/local.go
@@ -0,0 +1,108 @@
+package caller
+
+import (
+	"strings"
+
+	"coltsfootloft"
+	"coltsfootloft/core/stmt"
+	"coltsfootloft/core/token"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// Names of the settings that the proxy itself takes.
+const (
+	// TokenName carries the session's token.
+	TokenName = stmt.Prefix + "token"
+	// RequestName makes the next write idempotent.
+	RequestName = stmt.Prefix + "request_id"
+	// HostName shows the entry host that serves the session.
+	HostName = stmt.Prefix + "host"
+)
+
+// textOID is the type of shown settings.
+const textOID = 25
+
+// maxRequestID is the longest request id, in bytes.
+const maxRequestID = 128
+
+// runLocal runs a statement about the proxy's own settings.
+func (s *Session) runLocal(o *output, t stmt.Statement, describe bool) error {
+	if t.Kind() != stmt.Show {
+		if err := s.assign(t.Name(), t.Value()); err != nil {
+			return err
+		}
+		return o.add(&pgproto3.CommandComplete{CommandTag: []byte(strings.ToUpper(t.Kind().String()))})
+	}
+	value, err := s.show(t.Name())
+	if err != nil {
+		return err
+	}
+	if describe {
+		if err := o.add(shown(t.Name())); err != nil {
+			return err
+		}
+	}
+	if err := o.add(&pgproto3.DataRow{Values: [][]byte{[]byte(value)}}); err != nil {
+		return err
+	}
+	return o.add(&pgproto3.CommandComplete{CommandTag: []byte("SHOW")})
+}
+
+func (s *Session) assign(name, value string) error {
+	switch name {
+	case TokenName:
+		t, err := token.Parse(value)
+		if err != nil {
+			return coltsfootloft.Refuse("22023", err.Error())
+		}
+		s.Token = s.Token.Merge(t)
+		return nil
+	case RequestName:
+		if len(value) > maxRequestID {
+			return coltsfootloft.Refuse("22023", "request id is too long")
+		}
+		s.request = value
+		return nil
+	}
+	return unknownSetting(name)
+}
+
+func (s *Session) show(name string) (string, error) {
+	switch name {
+	case TokenName:
+		return s.Token.String(), nil
+	case RequestName:
+		return s.request, nil
+	case HostName:
+		return s.Host, nil
+	}
+	return "", unknownSetting(name)
+}
+
+func (s *Session) describeLocal(t *statement, object byte) step {
+	var messages []pgproto3.BackendMessage
+	if object == 'S' {
+		messages = append(messages, &pgproto3.ParameterDescription{})
+	}
+	only, _ := t.script.Only()
+	if only.Kind() == stmt.Show {
+		messages = append(messages, shown(only.Name()))
+	} else {
+		messages = append(messages, &pgproto3.NoData{})
+	}
+	return answer(atDescribe, messages...)
+}
+
+func shown(name string) *pgproto3.RowDescription {
+	return &pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{
+		Name:         []byte(name),
+		DataTypeOID:  textOID,
+		DataTypeSize: -1,
+		TypeModifier: -1,
+	}}}
+}
+
+func unknownSetting(name string) error {
+	return coltsfootloft.Refuse("42704", "unrecognized setting "+quote(name))
+}
--- /dev/null
+++ b/io/caller/place.go
@@ -0,0 +1,140 @@
+package caller
+
+import (
+	"context"
+	"time"
+
+	"coltsfootloft"
+	"coltsfootloft/core/quorum"
+	"coltsfootloft/core/route"
+	"coltsfootloft/io/pool"
+
+	"github.com/pkg/errors"
+)
+
+// need is what the batch asks of a database.
+func (s *Session) need(ctx context.Context, write bool) (route.Need, error) {
+	n := route.Need{
+		Write:  write,
+		MaxAge: s.Route.MaxAge(),
+		Domain: s.Env.Domain,
+		Last:   s.last,
+		Avoid:  make(map[string]bool),
+	}
+	p, ok := s.Token.Position(s.Route.Group())
+	if ok || n.MaxAge > 0 {
+		n.Position = p
+		return n, nil
+	}
+	p, err := s.Env.Groups.Barrier(ctx, s.Route.Group())
+	if err != nil {
+		return n, coltsfootloft.Refuse(coltsfootloft.CodeUnavailable, "no majority of group "+s.Route.Group()+" can be reached")
+	}
+	s.Token = s.Token.Advance(s.Route.Group(), p)
+	n.Position = p
+	return n, nil
+}
+
+// place finds a database for the need and a connection to it.
+func (s *Session) place(ctx context.Context, n *route.Need) (*pool.Conn, error) {
+	started := s.Env.Clock.Now()
+	for {
+		changed := s.Env.Groups.Changed(s.Route.Group())
+		c := s.choose(*n, s.Env.Clock.Since(started))
+		switch c.Verdict() {
+		case route.ToReplica, route.ToPrimary:
+			conn, err := s.acquire(ctx, c.Database())
+			if err == nil {
+				s.Env.note(s.ID, c.Verdict().String(), c.Database())
+				return conn, nil
+			}
+			if ctx.Err() != nil || !isElsewhere(err) {
+				return nil, err
+			}
+			n.Avoid[c.Database()] = true
+		default:
+			if err := s.await(ctx, changed, c.Verdict(), started); err != nil {
+				return nil, err
+			}
+			if c.Verdict() == route.NoPrimary {
+				clear(n.Avoid)
+			}
+		}
+	}
+}
+
+// choose picks a database, the primary once reads have waited long enough.
+func (s *Session) choose(n route.Need, waited time.Duration) route.Choice {
+	all := s.candidates()
+	c := route.Pick(n, all)
+	if c.Verdict() == route.Behind && waited >= s.Env.Fleet().Defaults().ReadWait() {
+		f := route.Fallback(n, all)
+		if f.Verdict() == route.ToPrimary {
+			return f
+		}
+	}
+	return c
+}
+
+// await waits for the group to change.
+func (s *Session) await(ctx context.Context, changed <-chan struct{}, v route.Verdict, started time.Time) error {
+	wait := s.Env.Fleet().Defaults().ReadWait() - s.Env.Clock.Since(started)
+	if v == route.NoPrimary || wait <= 0 {
+		wait = s.Env.Fleet().Defaults().QueueWait()
+	}
+	timer := s.Env.Clock.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.Chan():
+	case <-ctx.Done():
+		return coltsfootloft.Refuse(coltsfootloft.CodeUnavailable, "no database of group "+s.Route.Group()+" could serve in time: "+v.String())
+	}
+	return nil
+}
+
+func (s *Session) acquire(ctx context.Context, database string) (*pool.Conn, error) {
+	p, ok := s.Env.Pool(database)
+	if !ok {
+		return nil, coltsfootloft.Refuse(coltsfootloft.CodeUnavailable, "database "+database+" is not in the settings")
+	}
+	return p.Acquire(ctx, s.Account)
+}
+
+// candidates describes the databases of the group as they are known now.
+func (s *Session) candidates() []route.Candidate {
+	g, ok := s.Env.Fleet().Group(s.Route.Group())
+	if !ok {
+		return nil
+	}
+	readings := s.Env.Groups.Readings(s.Route.Group())
+	primary, hasPrimary := quorum.Primary(readings)
+	upstreams := g.Group().Upstreams()
+	all := make([]route.Candidate, 0, len(upstreams))
+	for _, u := range upstreams {
+		r, ok := readings[u.Name()]
+		if !ok {
+			continue
+		}
+		c := route.Candidate{
+			Upstream:  u,
+			Reading:   r,
+			IsPrimary: hasPrimary && u.Name() == primary,
+			Leaving:   s.Env.Members.Leaving(u.Name()),
+		}
+		if s.Route.MaxAge() > 0 {
+			c.Age, c.Aged = s.Env.Groups.Age(s.Route.Group(), u.Name())
+		}
+		if p, ok := s.Env.Pool(u.Name()); ok {
+			c.Load = p.Load()
+		}
+		all = append(all, c)
+	}
+	return all
+}
+
+// isElsewhere reports whether another database may serve what this one can't.
+func isElsewhere(err error) bool {
+	var r *coltsfootloft.RefusalError
+	return errors.As(err, &r) && r.Code() == coltsfootloft.CodeUnavailable
+}
--- /dev/null
+++ b/io/caller/refuse.go
@@ -0,0 +1,41 @@
+package caller
+
+import (
+	"coltsfootloft"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
+)
+
+// response turns an error into the message that the caller sees. Its DETAIL
+// tells the outcome.
+func response(err error) *pgproto3.ErrorResponse {
+	var r *coltsfootloft.RefusalError
+	if !errors.As(err, &r) {
+		r = coltsfootloft.Unsure("the connection to the database was lost")
+	}
+	return &pgproto3.ErrorResponse{
+		Severity:            "ERROR",
+		SeverityUnlocalized: "ERROR",
+		Code:                r.Code(),
+		Message:             r.Message(),
+		Detail:              r.Outcome().String(),
+		Hint:                r.Hint(),
+	}
+}
+
+// Farewell is the last message of a session that the host ends between requests.
+func Farewell(message string) *pgproto3.ErrorResponse {
+	return &pgproto3.ErrorResponse{
+		Severity:            "FATAL",
+		SeverityUnlocalized: "FATAL",
+		Code:                coltsfootloft.CodeShutdown,
+		Message:             message,
+		Detail:              coltsfootloft.NotRun.String(),
+		Hint:                "connect again; nothing of this session was lost",
+	}
+}
+
+func unsupported(what string) error {
+	return coltsfootloft.Refuse(coltsfootloft.CodeUnsupported, what+" is not carried by this proxy")
+}
--- /dev/null
+++ b/io/pool/pool.go
@@ -0,0 +1,297 @@
+package pool
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"coltsfootloft"
+	"coltsfootloft/core/fair"
+
+	"github.com/go-logr/logr"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+)
+
+// Defaults of a pool.
+const (
+	// DefaultConnectTimeout bounds the opening of a connection.
+	DefaultConnectTimeout = 2 * time.Second
+	// rightWait is how long one attempt waits for a right to connect.
+	rightWait = 250 * time.Millisecond
+	// retryPause keeps failing attempts from following each other at once.
+	retryPause = 20 * time.Millisecond
+	// maxOpening bounds the connections being opened at once.
+	maxOpening = 4
+)
+
+// Pool lends connections to one upstream. Its exported fields are set before the
+// first Acquire.
+type Pool struct {
+	// Upstream is the database.
+	Upstream coltsfootloft.Upstream
+	// Login opens connections.
+	Login Login
+	// Shares grants the rights to connect.
+	Shares coltsfootloft.Shares
+	// Clock tells the time; nil means the real one.
+	Clock clockwork.Clock
+	// Log takes connection events.
+	Log logr.Logger
+	// ConnectTimeout bounds the opening of a connection; 0 means
+	// DefaultConnectTimeout.
+	ConnectTimeout time.Duration
+	// Weight returns the weight of a client account among waiters; nil means
+	// that all weigh the same.
+	Weight func(account string) int
+
+	mu      sync.Mutex
+	idle    []*Conn
+	waiters fair.Queue[*waiter]
+	open    int
+	lent    int
+	opening int
+	closed  bool
+}
+
+type waiter struct {
+	result chan result
+}
+
+type ticket = fair.Ticket[*waiter]
+
+type result struct {
+	conn *Conn
+	err  error
+}
+
+// Acquire lends a connection to a session of the client account. It waits until
+// ctx ends; every error means that nothing was sent to the upstream.
+func (p *Pool) Acquire(ctx context.Context, account string) (*Conn, error) {
+	c, t, err := p.takeOrWait(account)
+	if c != nil || err != nil {
+		return c, err
+	}
+	select {
+	case r := <-t.Item().result:
+		return r.conn, r.err
+	case <-ctx.Done():
+		p.abandon(t)
+		return nil, coltsfootloft.Refuse(coltsfootloft.CodeConnections, "no connection to "+p.Upstream.Name()+" came free in time")
+	}
+}
+
+func (p *Pool) takeOrWait(account string) (*Conn, *ticket, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, nil, unavailable(p.Upstream.Name(), "is no longer in use")
+	}
+	if n := len(p.idle); n > 0 {
+		c := p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		p.lent++
+		return c, nil, nil
+	}
+	w := &waiter{result: make(chan result, 1)}
+	t, ok := p.waiters.Push(account, p.weight(account), w)
+	if !ok {
+		return nil, nil, coltsfootloft.Refuse(coltsfootloft.CodeConnections, "too many requests wait for "+p.Upstream.Name())
+	}
+	p.openMore()
+	return nil, t, nil
+}
+
+func (p *Pool) weight(account string) int {
+	if p.Weight == nil {
+		return 1
+	}
+	return p.Weight(account)
+}
+
+// abandon withdraws a waiter; a connection that was handed to it meanwhile goes
+// to the next.
+func (p *Pool) abandon(t *ticket) {
+	p.mu.Lock()
+	p.waiters.Remove(t)
+	p.mu.Unlock()
+	select {
+	case r := <-t.Item().result:
+		if r.conn != nil {
+			r.conn.Release()
+		}
+	default:
+	}
+}
+
+// Load is the number of connections lent out and of waiters.
+func (p *Pool) Load() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lent + p.waiters.Len()
+}
+
+// Stats returns the number of open, lent and idle connections and of waiters.
+func (p *Pool) Stats() Stats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return Stats{
+		open:    p.open,
+		lent:    p.lent,
+		idle:    len(p.idle),
+		waiting: p.waiters.Len(),
+	}
+}
+
+// Reclaim closes an idle connection, so that its right can go to another host.
+// It reports whether there was one.
+func (p *Pool) Reclaim() bool {
+	p.mu.Lock()
+	if len(p.idle) == 0 || p.waiters.Len() > 0 {
+		p.mu.Unlock()
+		return false
+	}
+	c := p.idle[0]
+	p.idle = p.idle[1:]
+	p.open--
+	p.mu.Unlock()
+	c.close()
+	return true
+}
+
+// Close closes idle connections at once and lent ones when they come back.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	idle := p.idle
+	p.idle = nil
+	p.open -= len(idle)
+	p.failAll(unavailable(p.Upstream.Name(), "is no longer in use"))
+	p.mu.Unlock()
+	for _, c := range idle {
+		c.close()
+	}
+}
+
+func (p *Pool) put(c *Conn) {
+	p.mu.Lock()
+	p.lent--
+	if c.broken.Load() || p.closed {
+		p.open--
+		p.mu.Unlock()
+		c.close()
+		p.mu.Lock()
+		p.openMore()
+		p.mu.Unlock()
+		return
+	}
+	p.hand(c)
+	p.mu.Unlock()
+}
+
+// hand gives a free connection to the next waiter. The lock is held.
+func (p *Pool) hand(c *Conn) {
+	w, _, ok := p.waiters.Pop()
+	if !ok {
+		p.idle = append(p.idle, c)
+		return
+	}
+	p.lent++
+	w.result <- result{conn: c}
+}
+
+// openMore starts to open connections for waiters. The lock is held.
+func (p *Pool) openMore() {
+	for p.opening < maxOpening && p.opening < p.waiters.Len() && !p.closed {
+		p.opening++
+		go p.openOne()
+	}
+}
+
+// openOne opens connections until no waiter needs another.
+func (p *Pool) openOne() {
+	for {
+		c, err := p.connect()
+		p.mu.Lock()
+		p.settle(c, err)
+		if p.closed || p.opening > p.waiters.Len() {
+			p.opening--
+			p.mu.Unlock()
+			return
+		}
+		p.mu.Unlock()
+		if err != nil {
+			p.clock().Sleep(retryPause)
+		}
+	}
+}
+
+// settle hands on a new connection or fails waiters that none can come for. The
+// lock is held.
+func (p *Pool) settle(c *Conn, err error) {
+	switch {
+	case c != nil && p.closed:
+		go c.close()
+	case c != nil:
+		p.open++
+		p.hand(c)
+	case isUnreachable(err):
+		p.Log.V(1).Info("upstream can't be reached", "upstream", p.Upstream.Name(), "error", err.Error())
+		p.failAll(unavailable(p.Upstream.Name(), "can't be reached"))
+	}
+}
+
+func (p *Pool) failAll(err error) {
+	for {
+		w, _, ok := p.waiters.Pop()
+		if !ok {
+			return
+		}
+		w.result <- result{err: err}
+	}
+}
+
+func (p *Pool) connect() (*Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), rightWait)
+	release, err := p.Shares.Connect(ctx, p.Upstream.Name())
+	cancel()
+	if err != nil {
+		return nil, errNoRight
+	}
+	c, err := p.Login.dial(context.Background(), p.Upstream.Address(), p.timeout())
+	if err != nil {
+		release()
+		return nil, err
+	}
+	c.pool = p
+	c.release = release
+	return c, nil
+}
+
+func (p *Pool) timeout() time.Duration {
+	if p.ConnectTimeout == 0 {
+		return DefaultConnectTimeout
+	}
+	return p.ConnectTimeout
+}
+
+func (p *Pool) clock() clockwork.Clock {
+	if p.Clock == nil {
+		return clockwork.NewRealClock()
+	}
+	return p.Clock
+}
+
+func unavailable(database, what string) error {
+	return coltsfootloft.Refuse(coltsfootloft.CodeUnavailable, "database "+database+" "+what)
+}
+
+// isUnreachable tells a database that can't be reached from one that is full.
+func isUnreachable(err error) bool {
+	if err == nil || errors.Is(err, errNoRight) {
+		return false
+	}
+	var p *pgconn.PgError
+	return !errors.As(err, &p) || p.Code != coltsfootloft.CodeConnections
+}
