--- /dev/null
+++ b/core/conf/group.go
@@ -0,0 +1,148 @@
+package conf
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"coltsfootloft"
+)
+
+const (
+	// DefaultAckTimeout is how long a write waits for a majority.
+	DefaultAckTimeout = 5 * time.Second
+	// DefaultConnectTimeout is how long opening a connection to a database may
+	// take.
+	DefaultConnectTimeout = 2 * time.Second
+)
+
+const (
+	maxDatabases     = 9
+	maxConnections   = 100_000
+	maxSlots         = 100
+	acceptedDatabase = "a database name of 1 to 63 characters without control characters"
+)
+
+// Group is a database group with the settings that belong to it alone.
+type Group struct {
+	group          coltsfootloft.Group
+	slots          int
+	ackTimeout     time.Duration
+	connectTimeout time.Duration
+	database       string
+	places         map[string]place
+	domains        map[string]place
+	at             place
+}
+
+// Group is the part that other packages share.
+func (g Group) Group() coltsfootloft.Group { return g.group }
+
+// Name is unique in the fleet.
+func (g Group) Name() string { return g.group.Name() }
+
+// Slots is the number of replication slots of the primary, and so the greatest
+// number of replicas.
+func (g Group) Slots() int { return g.slots }
+
+// AckTimeout is how long a write waits until a majority has received it.
+func (g Group) AckTimeout() time.Duration { return g.ackTimeout }
+
+// ConnectTimeout is how long opening a connection to a database may take.
+func (g Group) ConnectTimeout() time.Duration { return g.connectTimeout }
+
+// UpstreamDatabase is the database name in the startup message to an upstream.
+func (g Group) UpstreamDatabase() string { return g.database }
+
+func parseGroup(l location, o *object) value {
+	g := Group{
+		ackTimeout:     take(o, duration("ack_timeout", 10*time.Millisecond, 5*time.Minute).or(DefaultAckTimeout)),
+		connectTimeout: take(o, duration("connect_timeout", 10*time.Millisecond, time.Minute).or(DefaultConnectTimeout)),
+		database:       take(o, text("upstream_database", acceptedDatabase, parseDatabase).or(l.name)),
+		places:         make(map[string]place),
+		domains:        make(map[string]place),
+		at:             o.doc.place(o.offset),
+	}
+	connections := take(o, integer("connections", 1, maxConnections).require())
+	ups := g.parseDatabases(o)
+	g.slots = take(o, integer("slots", 0, maxSlots).or(len(ups)-1))
+	if g.slots < len(ups)-1 {
+		o.doc.reportAt(o.at("slots"), fmt.Sprintf("%d slots for %d replicas", g.slots, len(ups)-1),
+			"a slot of the primary for each other database")
+	}
+	g.group = coltsfootloft.NewGroup(l.name, connections, ups...)
+	return g
+}
+
+// parseDatabases reads the members in the order of the settings.
+func (g *Group) parseDatabases(o *object) []coltsfootloft.Upstream {
+	o.known = append(o.known, "databases")
+	accepted := fmt.Sprintf("\"databases\": an object of 1 to %d databases by name, each with address and domain", maxDatabases)
+	v, ok := o.members["databases"]
+	if !ok {
+		o.doc.report(o.offset, "no \"databases\"", accepted)
+		return nil
+	}
+	all := o.doc.object(v)
+	if all == nil {
+		return nil
+	}
+	if len(all.order) < 1 || len(all.order) > maxDatabases {
+		o.doc.report(v.StartOffset, fmt.Sprintf("%d databases", len(all.order)), accepted)
+	}
+	ups := make([]coltsfootloft.Upstream, 0, len(all.order))
+	for _, m := range all.order {
+		if !nameForm.MatchString(m.name) {
+			o.doc.report(m.offset, "database "+strconv.Quote(m.name), acceptedName)
+		}
+		one := o.doc.object(all.members[m.name])
+		if one == nil {
+			continue
+		}
+		domain := refer(one, name("domain").require())
+		ups = append(ups, coltsfootloft.NewUpstream(m.name, domain.name, take(one, address("address").require())))
+		g.places[m.name] = o.doc.place(m.offset)
+		g.domains[m.name] = domain.at
+		one.done()
+	}
+	return ups
+}
+
+func (g Group) join(f *Fleet) Problems {
+	var p Problems
+	for _, u := range g.group.Upstreams() {
+		if _, ok := f.Domain(u.Domain()); !ok {
+			p = append(p, g.domains[u.Name()].problem("failure domain "+f.absent("fleet/domains", u.Domain()),
+				"a name under fleet/domains"))
+		}
+		if owner, doubled := f.owners[u.Name()]; doubled {
+			p = append(p, g.places[u.Name()].problem("database "+strconv.Quote(u.Name())+" that group "+owner+" has too",
+				"a name unique in the fleet"))
+		}
+		if owner, doubled := f.owners[u.Address()]; doubled {
+			p = append(p, g.places[u.Name()].problem("address "+u.Address()+" that group "+owner+" has too",
+				"an address unique in the fleet"))
+		}
+	}
+	if len(p) > 0 {
+		return p
+	}
+	for _, u := range g.group.Upstreams() {
+		f.owners[u.Name()] = g.Name()
+		f.owners[u.Address()] = g.Name()
+	}
+	f.groups = append(f.groups, g)
+	return nil
+}
+
+func parseDatabase(s string) (string, bool) {
+	if len(s) < 1 || len(s) > 63 {
+		return s, false
+	}
+	for _, r := range s {
+		if r < ' ' || r == 0x7f {
+			return s, false
+		}
+	}
+	return s, true
+}
