io/watch: held, barrier and readings of groups by direct observation

Callers need the majority's verdict on a write as soon as a reading shows it. core/quorum decides from readings (a ledger keeps each database's count, which stays true once seen); io/watch polls every database and releases waiters on each reading. Barriers share the probe that follows them.

--- /dev/null
+++ b/io/watch/group.go
@@ -0,0 +1,147 @@
+package watch
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	"coltsfootloft"
+	"coltsfootloft/core/quorum"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// group is what this host knows of one database group.
+type group struct {
+	settings coltsfootloft.Group
+	size     quorum.Size
+	clock    clockwork.Clock
+	probes   map[string]chan struct{}
+
+	mu       sync.Mutex
+	readings map[string]coltsfootloft.Reading
+	answered map[string]time.Time
+	changed  chan struct{}
+	ledger   *quorum.Ledger
+	waiters  map[*waiter]struct{}
+	asked    uint64
+	rounds   map[string]probed
+	barriers map[*pending]struct{}
+}
+
+// waiter is a caller that waits for a write to be held.
+type waiter struct {
+	position coltsfootloft.Position
+	result   chan error
+}
+
+func newGroup(s coltsfootloft.Group, clock clockwork.Clock) *group {
+	upstreams := s.Upstreams()
+	size := quorum.Size(len(upstreams))
+	g := &group{
+		settings: s,
+		size:     size,
+		clock:    clock,
+		probes:   make(map[string]chan struct{}, size),
+		readings: make(map[string]coltsfootloft.Reading, size),
+		answered: make(map[string]time.Time, size),
+		changed:  make(chan struct{}),
+		ledger:   quorum.NewLedger(size),
+		waiters:  make(map[*waiter]struct{}),
+		rounds:   make(map[string]probed, size),
+		barriers: make(map[*pending]struct{}),
+	}
+	for _, u := range upstreams {
+		g.probes[u.Name()] = make(chan struct{}, 1)
+	}
+	return g
+}
+
+// apply takes in the newest reading of a database.
+func (g *group) apply(database string, r coltsfootloft.Reading) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.answered[database] = g.clock.Now()
+	g.note(database, r)
+	old, ok := g.readings[database]
+	if ok && old == r {
+		return
+	}
+	g.readings[database] = r
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// note takes in a reading that may be older than the newest one. The lock is
+// held.
+func (g *group) note(database string, r coltsfootloft.Reading) {
+	g.ledger.Note(database, r)
+	for w := range g.waiters {
+		if done, err := g.verdict(w.position); done {
+			delete(g.waiters, w)
+			w.result <- err
+		}
+	}
+}
+
+// verdict tells whether the wait for p is over. The lock is held.
+func (g *group) verdict(p coltsfootloft.Position) (done bool, err error) {
+	if g.ledger.Held(p) {
+		return true, nil
+	}
+	if g.ledger.Lost(p) {
+		return true, coltsfootloft.Unsure("a later primary took over before a majority was seen to hold the write")
+	}
+	return false, nil
+}
+
+func (g *group) held(ctx context.Context, p coltsfootloft.Position) error {
+	g.mu.Lock()
+	if done, err := g.verdict(p); done {
+		g.mu.Unlock()
+		return err
+	}
+	w := &waiter{
+		position: p,
+		result:   make(chan error, 1),
+	}
+	g.waiters[w] = struct{}{}
+	g.mu.Unlock()
+	select {
+	case err := <-w.result:
+		return err
+	case <-ctx.Done():
+	}
+	g.mu.Lock()
+	delete(g.waiters, w)
+	g.mu.Unlock()
+	select {
+	case err := <-w.result:
+		return err
+	default:
+		return coltsfootloft.Unsure("no majority was seen to hold the write in time")
+	}
+}
+
+func (g *group) snapshot() map[string]coltsfootloft.Reading {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return maps.Clone(g.readings)
+}
+
+func (g *group) next() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.changed
+}
+
+func (g *group) silent(database string) (time.Duration, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	t, ok := g.answered[database]
+	return g.clock.Since(t), ok
+}
+
+// age isn't bounded yet.
+func (*group) age(string) (time.Duration, bool) { return 0, false }
--- /dev/null
+++ b/io/watch/watch.go
@@ -0,0 +1,227 @@
+// Package watch keeps this host's knowledge of all database groups current.
+//
+// # Observation
+//
+// Each database is observed by a long poll: it answers as soon as its reading
+// changes, so an acknowledgement waits for one network trip and never for a
+// timer. A reading is applied to the group's state under one lock, which releases
+// the callers whose write it shows as held.
+//
+// # Barriers
+//
+// A barrier needs readings that were all taken after it was asked for. Every
+// database has one prober; all barriers asked while its request is on the way
+// share the next one.
+package watch
+
+import (
+	"context"
+	"io"
+	"slices"
+	"sync"
+	"time"
+
+	"coltsfootloft"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+)
+
+// Watcher implements [coltsfootloft.Groups]. The fields are set before Run.
+type Watcher struct {
+	// Clock is the real clock if nil.
+	Clock clockwork.Clock
+	// Log takes one event a line.
+	Log logr.Logger
+	// Self is this host.
+	Self coltsfootloft.HostRecord
+	// Members and Peers reach the other hosts. Without them this host observes
+	// every database itself.
+	Members coltsfootloft.Members
+	Peers   coltsfootloft.Peers
+	// Open returns the platform's interface to a database. It must not block. If
+	// the result is an io.Closer, it is closed once no longer needed.
+	Open func(coltsfootloft.Upstream) coltsfootloft.Database
+
+	mu     sync.Mutex
+	groups map[string]*group
+	kick   chan struct{}
+}
+
+var _ coltsfootloft.Groups = (*Watcher)(nil)
+
+// Configure replaces the groups that are watched. It may be called at any time
+// and doesn't block.
+func (w *Watcher) Configure(groups []coltsfootloft.Group) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	next := make(map[string]*group, len(groups))
+	for _, s := range groups {
+		g := w.groups[s.Name()]
+		if g == nil || !equal(g.settings, s) {
+			g = newGroup(s, w.clock())
+		}
+		next[s.Name()] = g
+	}
+	w.groups = next
+	select {
+	case w.kicked() <- struct{}{}:
+	default:
+	}
+}
+
+// Run observes the configured groups until ctx ends.
+func (w *Watcher) Run(ctx context.Context) error {
+	running := make(map[*group]func())
+	defer func() {
+		for _, stop := range running {
+			stop()
+		}
+	}()
+	w.mu.Lock()
+	kick := w.kicked()
+	w.mu.Unlock()
+	for {
+		w.reconcile(ctx, running)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-kick:
+		}
+	}
+}
+
+// Readings returns the newest known reading of each database in the group.
+func (w *Watcher) Readings(name string) map[string]coltsfootloft.Reading {
+	g := w.group(name)
+	if g == nil {
+		return nil
+	}
+	return g.snapshot()
+}
+
+// Changed returns a channel that is closed at the next change of the group. For a
+// group that isn't configured it is closed already.
+func (w *Watcher) Changed(name string) <-chan struct{} {
+	g := w.group(name)
+	if g == nil {
+		c := make(chan struct{})
+		close(c)
+		return c
+	}
+	return g.next()
+}
+
+// Barrier returns a position that covers every write acknowledged before the
+// call. It waits for a majority until ctx ends; the error is a
+// *coltsfootloft.RefusalError that is NotRun.
+func (w *Watcher) Barrier(ctx context.Context, name string) (coltsfootloft.Position, error) {
+	g := w.group(name)
+	if g == nil {
+		return coltsfootloft.Position{}, errNoGroup(name)
+	}
+	return g.barrier(ctx)
+}
+
+// Held waits until a majority holds the record at p for good. It fails when ctx
+// ends, or earlier when a later term shows that this can't be learned any more;
+// the error is a *coltsfootloft.RefusalError that is Unknown.
+func (w *Watcher) Held(ctx context.Context, name string, p coltsfootloft.Position) error {
+	g := w.group(name)
+	if g == nil {
+		return coltsfootloft.Unsure("database group " + name + " is no longer configured")
+	}
+	return g.held(ctx, p)
+}
+
+// Age bounds how old reads at the database are; ok is false if unknown.
+func (w *Watcher) Age(name, database string) (age time.Duration, ok bool) {
+	g := w.group(name)
+	if g == nil {
+		return 0, false
+	}
+	return g.age(database)
+}
+
+// Silent returns how long ago the database last answered this host; ok is false
+// if it never has.
+func (w *Watcher) Silent(name, database string) (silence time.Duration, ok bool) {
+	g := w.group(name)
+	if g == nil {
+		return 0, false
+	}
+	return g.silent(database)
+}
+
+func (w *Watcher) group(name string) *group {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.groups[name]
+}
+
+func (w *Watcher) clock() clockwork.Clock {
+	if w.Clock == nil {
+		return clockwork.NewRealClock()
+	}
+	return w.Clock
+}
+
+// kicked returns the channel that wakes Run. The lock is held.
+func (w *Watcher) kicked() chan struct{} {
+	if w.kick == nil {
+		w.kick = make(chan struct{}, 1)
+	}
+	return w.kick
+}
+
+// reconcile starts and stops observation so that it matches the settings.
+func (w *Watcher) reconcile(ctx context.Context, running map[*group]func()) {
+	w.mu.Lock()
+	wanted := make(map[*group]bool, len(w.groups))
+	for _, g := range w.groups {
+		wanted[g] = true
+	}
+	w.mu.Unlock()
+	for g, stop := range running {
+		if !wanted[g] {
+			stop()
+			delete(running, g)
+		}
+	}
+	for g := range wanted {
+		if running[g] == nil {
+			running[g] = w.observe(ctx, g)
+		}
+	}
+}
+
+// observe starts the observation of every database of g and returns what ends it.
+func (w *Watcher) observe(ctx context.Context, g *group) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	var wait sync.WaitGroup
+	for _, u := range g.settings.Upstreams() {
+		d := w.Open(u)
+		log := w.Log.WithValues("group", g.settings.Name(), "database", u.Name())
+		wait.Go(func() {
+			var duties sync.WaitGroup
+			duties.Go(func() { g.poll(ctx, log, u.Name(), d) })
+			duties.Go(func() { g.probe(ctx, u.Name(), d) })
+			duties.Wait()
+			if c, ok := d.(io.Closer); ok {
+				c.Close()
+			}
+		})
+	}
+	return func() {
+		cancel()
+		wait.Wait()
+	}
+}
+
+func equal(a, b coltsfootloft.Group) bool {
+	return a.Name() == b.Name() && slices.Equal(a.Upstreams(), b.Upstreams())
+}
+
+func errNoGroup(name string) error {
+	return coltsfootloft.Refuse(coltsfootloft.CodeUnavailable, "database group "+name+" is not configured")
+}
