--- /dev/null
+++ b/io/store/apply.go
@@ -0,0 +1,157 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"coltsfootloft"
+
+	"github.com/pkg/errors"
+)
+
+// operation is one part of a transaction, as Consul encodes it.
+type operation struct {
+	KV kvOperation
+}
+
+type kvOperation struct {
+	Verb    string
+	Key     string
+	Value   []byte `json:",omitempty"`
+	Index   uint64 `json:",omitempty"`
+	Session string `json:",omitempty"`
+}
+
+type txnAnswer struct {
+	Results []struct {
+		KV pair
+	}
+	Errors []txnError
+}
+
+type txnError struct {
+	OpIndex int
+	What    string
+}
+
+// Apply makes all changes or none and returns the index that they took. For
+// changes that only remove keys it asks the store for the index once more, and
+// returns 0 if that fails.
+func (c *Consul) Apply(ctx context.Context, changes []coltsfootloft.Change) (uint64, error) {
+	body, err := c.encode(changes)
+	if err != nil {
+		return 0, err
+	}
+	a, err := c.change(ctx, "/v1/txn", body)
+	if err != nil {
+		return 0, errors.Wrap(err, "apply")
+	}
+	var t txnAnswer
+	switch a.code {
+	case http.StatusOK, http.StatusConflict:
+		err = json.Unmarshal(a.body, &t)
+	default:
+		return 0, errors.Wrap(refused(a), "apply")
+	}
+	if err != nil {
+		return 0, errors.Wrapf(coltsfootloft.ErrUncertain, "apply: %v", err)
+	}
+	if len(t.Errors) > 0 {
+		return 0, conflict(changes, t.Errors)
+	}
+	return c.applied(ctx, changes, t), nil
+}
+
+// encode builds the transaction. A locked put is a version check and a lock.
+func (c *Consul) encode(changes []coltsfootloft.Change) ([]byte, error) {
+	var ops []operation
+	add := func(verb string, h coltsfootloft.Change, value []byte, index uint64, session string) {
+		ops = append(ops, operation{KV: kvOperation{
+			Verb:    verb,
+			Key:     c.Prefix + h.Key(),
+			Value:   value,
+			Index:   index,
+			Session: session,
+		}})
+	}
+	for _, h := range changes {
+		if len(h.Value()) > MaxValue {
+			return nil, errors.Errorf("apply: value of %s is over %d bytes", h.Key(), MaxValue)
+		}
+		if h.Kind() == coltsfootloft.ChangePut && h.Session() == "" {
+			add("cas", h, h.Value(), h.Version(), "")
+			continue
+		}
+		if h.Kind() == coltsfootloft.ChangeRemove && h.Version() != 0 {
+			add("delete-cas", h, nil, h.Version(), "")
+			continue
+		}
+		if h.Version() == 0 {
+			add("check-not-exists", h, nil, 0, "")
+		} else {
+			add("check-index", h, nil, h.Version(), "")
+		}
+		if h.Kind() == coltsfootloft.ChangePut {
+			add("lock", h, h.Value(), 0, h.Session())
+		}
+	}
+	if len(ops) > MaxChanges {
+		return nil, errors.Errorf("apply: %d operations, at most %d fit one transaction", len(ops), MaxChanges)
+	}
+	body, err := json.Marshal(ops)
+	return body, errors.Wrap(err, "apply")
+}
+
+func (c *Consul) applied(ctx context.Context, changes []coltsfootloft.Change, t txnAnswer) uint64 {
+	var index uint64
+	for _, r := range t.Results {
+		index = max(index, r.KV.ModifyIndex)
+	}
+	removed := ""
+	for _, h := range changes {
+		switch h.Kind() {
+		case coltsfootloft.ChangePut:
+			return index
+		case coltsfootloft.ChangeRemove:
+			removed = h.Key()
+		case coltsfootloft.ChangeRequire:
+		}
+	}
+	if removed == "" {
+		return index
+	}
+	_, index, err := c.List(ctx, removed)
+	if err != nil {
+		return 0
+	}
+	return index
+}
+
+// conflict tells an unknown session from a version that has moved on.
+func conflict(changes []coltsfootloft.Change, failed []txnError) error {
+	locked := make(map[string]bool)
+	for _, h := range changes {
+		if h.Session() != "" {
+			locked[h.Session()] = true
+		}
+	}
+	for _, e := range failed {
+		for s := range locked {
+			if e.What == "invalid session "+strconv.Quote(s) {
+				return errors.Wrapf(coltsfootloft.ErrNoSession, "apply: session %s", s)
+			}
+		}
+	}
+	return errors.Wrapf(coltsfootloft.ErrConflict, "apply: %s", failed[0].What)
+}
+
+// refused is the error of a change that was answered with an unexpected status. A
+// client error means that it was not run; a server error leaves it open.
+func refused(a answer) error {
+	if a.code < http.StatusInternalServerError {
+		return errors.Errorf("refused, nothing written: status %d: %s", a.code, a.text())
+	}
+	return errors.Wrapf(coltsfootloft.ErrUncertain, "status %d: %s", a.code, a.text())
+}
--- /dev/null
+++ b/stand/plat/catalog.go
@@ -0,0 +1,156 @@
+package plat
+
+import (
+	"encoding/json"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"coltsfootloft"
+)
+
+// ServiceName is the catalog service that carries the host list.
+const ServiceName = "coltsfootloft"
+
+// service is one line of a catalog service, as Consul encodes it.
+type service struct {
+	Node           string
+	Address        string
+	ServiceID      string
+	ServiceName    string
+	ServiceAddress string
+	ServicePort    int
+	ServiceMeta    map[string]string
+}
+
+type registration struct {
+	Node    string
+	Address string
+	Service struct {
+		Service string
+		Address string
+		Port    int
+		Meta    map[string]string
+	}
+}
+
+// catalog is the host list since one moment.
+type catalog struct {
+	since time.Time
+	hosts map[string]service
+}
+
+// Register adds the host to the list, or replaces its line, as a platform does
+// when it starts a host or announces that it will remove one.
+func (s *Server) Register(h coltsfootloft.HostRecord) {
+	host, p, err := net.SplitHostPort(h.Address())
+	if err != nil {
+		host = h.Address()
+	}
+	port, _ := strconv.Atoi(p)
+	kind, state := "entry", "live"
+	if h.Upstream() {
+		kind = "upstream"
+	}
+	if h.Leaving() {
+		state = "leaving"
+	}
+	s.list(h.Name(), &service{
+		Node:           h.Name(),
+		Address:        host,
+		ServiceID:      h.Name(),
+		ServiceName:    ServiceName,
+		ServiceAddress: host,
+		ServicePort:    port,
+		ServiceMeta: map[string]string{
+			"domain": h.Domain(),
+			"kind":   kind,
+			"state":  state,
+		},
+	})
+}
+
+// Deregister takes the host off the list.
+func (s *Server) Deregister(name string) { s.list(name, nil) }
+
+// list replaces one line of the host list; nil removes it.
+func (s *Server) list(name string, line *service) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.prepare()
+	now := s.clock().Now()
+	next := make(map[string]service)
+	if n := len(s.catalogs); n > 0 {
+		next = maps.Clone(s.catalogs[n-1].hosts)
+	}
+	delete(next, name)
+	if line != nil {
+		next[name] = *line
+	}
+	old := 0
+	for old+1 < len(s.catalogs) && now.Sub(s.catalogs[old+1].since) > historyAge {
+		old++
+	}
+	s.catalogs = append(s.catalogs[old:], catalog{
+		since: now,
+		hosts: next,
+	})
+}
+
+// hosts returns the list as it was before its lag.
+func (s *Server) hosts(name string) []service {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	when := s.clock().Now().Add(-s.faults.ListLag)
+	found := []service{}
+	for _, c := range slices.Backward(s.catalogs) {
+		if c.since.After(when) {
+			continue
+		}
+		for _, n := range slices.Sorted(maps.Keys(c.hosts)) {
+			if c.hosts[n].ServiceName == name {
+				found = append(found, c.hosts[n])
+			}
+		}
+		break
+	}
+	return found
+}
+
+func (s *Server) serveCatalog(w http.ResponseWriter, r *http.Request) {
+	name := strings.TrimPrefix(r.URL.Path, "/v1/catalog/service/")
+	if !s.admitRead(w, false) {
+		return
+	}
+	w.Header().Set(indexHeader, "1")
+	writeJSON(w, http.StatusOK, s.hosts(name))
+}
+
+// serveRegister takes Consul's catalog registrations; they count as no call,
+// because the platform makes them itself.
+func (s *Server) serveRegister(w http.ResponseWriter, r *http.Request) {
+	var q registration
+	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if strings.HasSuffix(r.URL.Path, "/deregister") {
+		s.Deregister(q.Node)
+		writeJSON(w, http.StatusOK, true)
+		return
+	}
+	s.list(q.Node, &service{
+		Node:           q.Node,
+		Address:        q.Address,
+		ServiceID:      q.Node,
+		ServiceName:    q.Service.Service,
+		ServiceAddress: q.Service.Address,
+		ServicePort:    q.Service.Port,
+		ServiceMeta:    q.Service.Meta,
+	})
+	writeJSON(w, http.StatusOK, true)
+}
--- /dev/null
+++ b/stand/plat/state.go
@@ -0,0 +1,153 @@
+package plat
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// historyAge is how far back reads of a past state can go.
+const historyAge = 2 * time.Minute
+
+// pair is one key as Consul encodes it in JSON.
+type pair struct {
+	LockIndex   uint64
+	Key         string
+	Flags       uint64
+	Value       []byte
+	CreateIndex uint64
+	ModifyIndex uint64
+	Session     string `json:",omitempty"`
+}
+
+// undo restores one key to what it was before a change.
+type undo struct {
+	when    time.Time
+	key     string
+	pair    *pair
+	index   uint64
+	removed uint64
+}
+
+// space is the key space at one moment. Pairs are replaced, never changed.
+type space struct {
+	index   uint64
+	pairs   map[string]*pair
+	removed map[string]uint64
+}
+
+func newSpace() space {
+	return space{
+		index:   1,
+		pairs:   make(map[string]*pair),
+		removed: make(map[string]uint64),
+	}
+}
+
+// list returns the pairs under prefix by key, and the index of the last change
+// under it.
+func (s *space) list(prefix string) ([]*pair, uint64) {
+	var found []*pair
+	var index uint64
+	for k, p := range s.pairs {
+		if strings.HasPrefix(k, prefix) {
+			found = append(found, p)
+			index = max(index, p.ModifyIndex)
+		}
+	}
+	for k, i := range s.removed {
+		if strings.HasPrefix(k, prefix) {
+			index = max(index, i)
+		}
+	}
+	if index == 0 {
+		index = s.index
+	}
+	slices.SortFunc(found, func(a, b *pair) int { return strings.Compare(a.Key, b.Key) })
+	return found, index
+}
+
+// get returns one pair or nil, and the index that a blocking query waits past.
+func (s *space) get(key string) (*pair, uint64) {
+	p := s.pairs[key]
+	if p == nil {
+		return nil, s.index
+	}
+	return p, p.ModifyIndex
+}
+
+// history is a key space with the undo log of its last changes.
+type history struct {
+	space
+	undos []undo
+}
+
+func (h *history) remember(now time.Time, key string) {
+	h.undos = append(h.undos, undo{
+		when:    now,
+		key:     key,
+		pair:    h.pairs[key],
+		index:   h.index,
+		removed: h.removed[key],
+	})
+	old := 0
+	for old < len(h.undos) && now.Sub(h.undos[old].when) > historyAge {
+		old++
+	}
+	h.undos = h.undos[old:]
+}
+
+// put stores a pair at the current index.
+func (h *history) put(now time.Time, p pair) *pair {
+	h.remember(now, p.Key)
+	old := h.pairs[p.Key]
+	p.CreateIndex = h.index
+	if old != nil {
+		p.CreateIndex = old.CreateIndex
+	}
+	p.ModifyIndex = h.index
+	h.pairs[p.Key] = &p
+	delete(h.removed, p.Key)
+	return &p
+}
+
+// remove deletes a key at the current index.
+func (h *history) remove(now time.Time, key string) {
+	if h.pairs[key] == nil {
+		return
+	}
+	h.remember(now, key)
+	delete(h.pairs, key)
+	h.removed[key] = h.index
+}
+
+// at returns the key space as it was at a past moment.
+func (h *history) at(when time.Time) space {
+	past := newSpace()
+	past.index = h.index
+	for k, p := range h.pairs {
+		past.pairs[k] = p
+	}
+	for k, i := range h.removed {
+		past.removed[k] = i
+	}
+	for _, u := range slices.Backward(h.undos) {
+		if !u.when.After(when) {
+			break
+		}
+		past.undo(u)
+	}
+	return past
+}
+
+func (s *space) undo(u undo) {
+	s.index = u.index - 1
+	delete(s.pairs, u.key)
+	delete(s.removed, u.key)
+	if u.pair != nil {
+		s.pairs[u.key] = u.pair
+	}
+	if u.removed != 0 {
+		s.removed[u.key] = u.removed
+	}
+}
