loan: one host's account of a limit, with loans

A book keeps what a host holds of a limit: own while the lease lasts, less lent, plus borrowed. A later ask replaces the loan, so that losing, delaying or doubling a message never lets two hosts use the same part; a borrower that keeps less says so in the ask, before the lender counts on it. Ruled out: loans that add up (a renewal then needs twice the part while both are out) and loans by fraction only (an idle burst could not be gathered by the host that needs it).

--- /dev/null
+++ b/core/loan/borrow.go
@@ -0,0 +1,99 @@
+package loan
+
+import "time"
+
+// Ask opens a request to a lender. The borrower keeps at most keep of the loan
+// from now on and sets room aside for tokens. The caller fills in Want, Tokens
+// and Returned. An ask that is still open is given up: its answer will not
+// be accepted.
+func (b *Book) Ask(now time.Time, lender string, keep Part, room float64) Ask {
+	l, ok := b.borrowed[lender]
+	if !ok {
+		l = &borrowing{}
+		if b.borrowed == nil {
+			b.borrowed = make(map[string]*borrowing)
+		}
+		b.borrowed[lender] = l
+	}
+	b.sequence++
+	l.part = l.current(now).Min(keep)
+	l.sequence = b.sequence
+	l.asked = now
+	l.room = room
+	b.dirty = true
+	return Ask{
+		Sequence: b.sequence,
+		Kept:     l.part,
+		Room:     room,
+	}
+}
+
+// Accept replaces the loan by the answer to an ask, and reports false, changing
+// nothing, if that ask is no longer open. The tokens of an accepted grant belong
+// to this host.
+func (b *Book) Accept(now time.Time, lender string, sequence uint64, g Grant) bool {
+	l, ok := b.borrowed[lender]
+	if !ok || l.sequence != sequence || l.asked.IsZero() {
+		return false
+	}
+	asked := l.asked
+	b.close(l)
+	l.part = g.Part
+	l.until = asked.Add(g.Period)
+	if !now.Before(l.until) {
+		delete(b.borrowed, lender)
+		return false
+	}
+	return true
+}
+
+// Abandon gives up an open ask.
+func (b *Book) Abandon(now time.Time, lender string, sequence uint64) {
+	l, ok := b.borrowed[lender]
+	if !ok || l.sequence != sequence {
+		return
+	}
+	b.close(l)
+	if l.current(now).IsZero() {
+		delete(b.borrowed, lender)
+	}
+}
+
+func (b *Book) close(l *borrowing) {
+	l.room = 0
+	l.asked = time.Time{}
+	b.dirty = true
+}
+
+// Loan returns what is borrowed from a lender, and until when.
+func (b *Book) Loan(now time.Time, lender string) (part Part, until time.Time) {
+	l, ok := b.borrowed[lender]
+	if !ok {
+		return Part{}, time.Time{}
+	}
+	return l.current(now), l.until
+}
+
+// Lenders returns the lenders of loans in force.
+func (b *Book) Lenders(now time.Time) []string {
+	var r []string
+	for k, l := range b.borrowed {
+		if !l.current(now).IsZero() {
+			r = append(r, k)
+		}
+	}
+	return r
+}
+
+// Yield lowers the loan from a lender to keep, on the lender's order, and returns
+// the sequence number of the loan and what is kept. Nothing is yielded while an
+// ask to that lender is open.
+func (b *Book) Yield(now time.Time, lender string, keep Part) (sequence uint64, kept Part, ok bool) {
+	l, found := b.borrowed[lender]
+	if !found || !l.asked.IsZero() {
+		return 0, Part{}, false
+	}
+	l.part = l.current(now).Min(keep)
+	b.dirty = true
+	return l.sequence, l.part, true
+}
--- /dev/null
+++ b/core/loan/lend.go
@@ -0,0 +1,130 @@
+package loan
+
+import "time"
+
+// Receive records an ask of one run of a borrower's process, before it is answered by Lend, and reports false for
+// one that came out of order, which must not be answered. The returned tokens of
+// an accepted ask belong to this host, as far as its burst has room.
+func (b *Book) Receive(now time.Time, borrower string, a Ask) bool {
+	l, ok := b.lent[borrower]
+	if !ok {
+		l = &lending{}
+		if b.lent == nil {
+			b.lent = make(map[string]*lending)
+		}
+		b.lent[borrower] = l
+	}
+	if a.Sequence <= l.sequence {
+		return false
+	}
+	l.kept = l.reserve(now).Min(a.Kept)
+	l.keptUntil = later(l.keptUntil, l.until)
+	l.part = Part{}
+	l.sequence = a.Sequence
+	l.want = a.Want
+	b.dirty = true
+	b.sweep(now)
+	return true
+}
+
+// Lendable is the most that can be lent to a borrower: what is owned and not lent
+// to others.
+func (b *Book) Lendable(now time.Time, borrower string) Part {
+	return b.Owned(now).Minus(b.reserved(now, borrower))
+}
+
+// Wanted sums what all other borrowers want, as of their last asks.
+func (b *Book) Wanted(now time.Time, except string) Part {
+	var sum Part
+	for k, l := range b.lent {
+		if k != except && now.Before(later(l.until, l.keptUntil)) {
+			sum = sum.Plus(l.want)
+		}
+	}
+	return sum
+}
+
+// Borrowers returns the borrowers that may still use a part, with that part.
+func (b *Book) Borrowers(now time.Time) map[string]Part {
+	r := make(map[string]Part)
+	for k, l := range b.lent {
+		if p := l.reserve(now); !p.IsZero() {
+			r[k] = p
+		}
+	}
+	return r
+}
+
+// Lend answers the last ask received from a borrower with a part of at most
+// Lendable and reports how much the loan has grown. The period is cut to what is
+// left of the lease.
+func (b *Book) Lend(now time.Time, borrower string, part Part, period Period) (g Grant, growth Part) {
+	l := b.lent[borrower]
+	left := b.until.Sub(now)
+	left -= left / driftDivisor
+	period = min(period, left)
+	if period <= 0 {
+		return Grant{}, Part{}
+	}
+	part = part.Min(b.Lendable(now, borrower))
+	before := l.reserve(now)
+	l.part = part
+	l.until = now.Add(period + period/driftDivisor)
+	b.dirty = true
+	g = Grant{
+		Part:   part,
+		Period: period,
+	}
+	return g, part.Minus(before)
+}
+
+// LongestLoan is when the last loan ends that is still out, or the zero time.
+func (b *Book) LongestLoan(now time.Time) time.Time {
+	var t time.Time
+	for _, l := range b.lent {
+		if !l.reserve(now).IsZero() {
+			t = later(t, later(l.until, l.keptUntil))
+		}
+	}
+	return t
+}
+
+// Recalled records that a borrower has given up part of its loan: it keeps at
+// most this, and answered an order that carried the sequence number of the loan.
+func (b *Book) Recalled(now time.Time, borrower string, sequence uint64, kept Part) {
+	l, ok := b.lent[borrower]
+	if !ok || l.sequence != sequence {
+		return
+	}
+	l.kept = l.reserve(now).Min(kept)
+	l.keptUntil = later(l.keptUntil, l.until)
+	l.part = l.kept
+	b.dirty = true
+}
+
+// LoanSequence is the sequence number of the last ask of a borrower.
+func (b *Book) LoanSequence(borrower string) uint64 {
+	if l, ok := b.lent[borrower]; ok {
+		return l.sequence
+	}
+	return 0
+}
+
+// sweepAfter keeps the sequence numbers of a borrower for late asks.
+const sweepAfter = time.Minute
+
+func (b *Book) sweep(now time.Time) {
+	for k, l := range b.lent {
+		end := later(l.until, l.keptUntil)
+		if !end.IsZero() && now.Sub(end) > sweepAfter {
+			delete(b.lent, k)
+		}
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
