--- a/core/stmt/stmt.go
+++ b/core/stmt/stmt.go
@@ -34,12 +34,16 @@
 // Script is the classified text of one simple query or prepared statement.
 type Script struct {
 	statements []Statement
+	taints     bool
 }
 
 // Parse classifies sql.
 func Parse(sql string) Script {
 	parts := split(sql)
-	s := Script{statements: make([]Statement, 0, len(parts))}
+	s := Script{
+		statements: make([]Statement, 0, len(parts)),
+		taints:     strings.Contains(sql, "set_config"),
+	}
 	for _, p := range parts {
 		s.statements = append(s.statements, classify(p))
 	}
@@ -70,6 +74,10 @@
 	return true
 }
 
+// Taints reports whether the script may change settings of its connection in a
+// way that its statements' kinds do not show.
+func (s Script) Taints() bool { return s.taints }
+
 // Has reports whether any statement is of the kind.
 func (s Script) Has(k Kind) bool {
 	for _, t := range s.statements {
--- a/io/caller/batch.go
+++ b/io/caller/batch.go
@@ -1,6 +1,8 @@
 package caller
 
 import (
+	"strings"
+
 	"coltsfootloft/core/stmt"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -24,8 +26,6 @@
 	hidden bool
 	// row takes the rows of a hidden step.
 	row func(values [][]byte)
-	// optional hidden steps may fail.
-	optional bool
 }
 
 // batch is what a caller sends up to a Sync or a Flush, or one simple query.
@@ -67,7 +67,7 @@
 			b.refused = unsupported("COPY")
 		case t.Kind() == stmt.Unsupported:
 			b.refused = unsupported("a statement that needs a server session of its own")
-		case t.IsProxy() && s.Len() > 1:
+		case t.IsProxy() && (s.Len() > 1 || b.cost > 1):
 			b.refused = unsupported("a setting of the proxy among several statements")
 		}
 	}
@@ -83,6 +83,19 @@
 	return false
 }
 
+// touches reports whether an executed statement that changes settings or opens a
+// transaction names the words, in any case.
+func (b *batch) touches(words string) bool {
+	for _, t := range b.steps {
+		for _, u := range t.script.Statements() {
+			if u.Kind() != stmt.Read && strings.Contains(strings.ToLower(u.Text()), strings.ToLower(words)) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // isOnly reports whether the batch runs nothing but one statement of a kind.
 func (b *batch) isOnly(kinds ...stmt.Kind) bool {
 	if b.cost != 1 || b.only.Text() == "" {
@@ -137,6 +150,7 @@
 	atClose
 	atSync
 	atQuery
+	atFlush
 )
 
 // String returns the name of the reply.
@@ -149,6 +163,7 @@
 		atClose:    "CloseComplete",
 		atSync:     "ReadyForQuery",
 		atQuery:    "ReadyForQuery",
+		atFlush:    "Flush",
 	}
 	if int(e) < len(names) {
 		return names[e]
--- a/io/caller/place.go
+++ b/io/caller/place.go
@@ -108,8 +108,8 @@
 		return nil
 	}
 	readings := s.Env.Groups.Readings(s.Route.Group())
-	primary, hasPrimary := quorum.Primary(readings)
 	upstreams := g.Group().Upstreams()
+	primary, _, hasPrimary := quorum.Size(len(upstreams)).Primary(readings)
 	all := make([]route.Candidate, 0, len(upstreams))
 	for _, u := range upstreams {
 		r, ok := readings[u.Name()]
--- a/io/caller/refuse.go
+++ b/io/caller/refuse.go
@@ -39,3 +39,21 @@
 func unsupported(what string) error {
 	return coltsfootloft.Refuse(coltsfootloft.CodeUnsupported, what+" is not carried by this proxy")
 }
+
+// callerLostError is a failure of the caller's own connection; it ends the session.
+type callerLostError struct{ error }
+
+// Unwrap returns the cause.
+func (f callerLostError) Unwrap() error { return f.error }
+
+func callerError(err error) error {
+	if err == nil {
+		return nil
+	}
+	return callerLostError{error: err}
+}
+
+func isCallerError(err error) bool {
+	var f callerLostError
+	return errors.As(err, &f)
+}
