core/conf: process settings, and proofs that a bad value spoils no other

TestMergeIsAlwaysWhole draws changes, good and bad, and compares what is in force with a fresh reading of it.

--- a/core/conf/document.go
+++ b/core/conf/document.go
@@ -106,7 +106,10 @@
 			continue
 		}
 		r.members[name] = m.Value
-		r.order = append(r.order, member{name: name, offset: m.Name.StartOffset})
+		r.order = append(r.order, member{
+			name:   name,
+			offset: m.Name.StartOffset,
+		})
 	}
 	return r
 }
--- /dev/null
+++ b/core/conf/host.go
@@ -0,0 +1,111 @@
+package conf
+
+// Host is what one process is told about itself: its addresses, its failure
+// domain and where to find the rest. It is read by a [Loader].
+type Host struct {
+	name          string
+	domain        string
+	listen        string
+	peer          string
+	admin         string
+	store         string
+	storeToken    string
+	peers         []string
+	upstreamUser  string
+	upstreamPass  string
+	callerTLS     Files
+	requireTLS    bool
+	upstreamTLS   Files
+	peerTLS       Files
+	logFormat     string
+	logLevel      string
+	trace         string
+	traceFraction float64
+}
+
+// Files names the files of one TLS role, in PEM.
+type Files struct {
+	certificate string
+	key         string
+	authorities string
+}
+
+// NewFiles returns the names of a certificate chain, its key, and the authorities
+// that the other side's certificate must come from. Each may be empty.
+func NewFiles(certificate, key, authorities string) Files {
+	return Files{
+		certificate: certificate,
+		key:         key,
+		authorities: authorities,
+	}
+}
+
+// Certificate is the file of the own certificate chain; empty without one.
+func (f Files) Certificate() string { return f.certificate }
+
+// Key is the file of the own private key; empty without a certificate.
+func (f Files) Key() string { return f.key }
+
+// Authorities is the file of the certificates that the other side's must be
+// signed by; empty to check none.
+func (f Files) Authorities() string { return f.authorities }
+
+// IsZero reports whether the role has no TLS.
+func (f Files) IsZero() bool { return f == Files{} }
+
+// Name is unique in the fleet.
+func (h *Host) Name() string { return h.name }
+
+// Domain is the failure domain.
+func (h *Host) Domain() string { return h.domain }
+
+// Listen is the IP:port for callers. Port 0 takes a free one.
+func (h *Host) Listen() string { return h.listen }
+
+// Peer is the IP:port for other hosts, as they reach it. Port 0 takes a free one.
+func (h *Host) Peer() string { return h.peer }
+
+// Admin is the IP:port for operators and monitoring. Port 0 takes a free one.
+func (h *Host) Admin() string { return h.admin }
+
+// Store is the base URL of the platform's store.
+func (h *Host) Store() string { return h.store }
+
+// StoreTokenFile holds the token sent to the store; empty for none.
+func (h *Host) StoreTokenFile() string { return h.storeToken }
+
+// Peers are peer addresses of other hosts, as IP:port, to ask for settings when
+// the store can't be reached at the start.
+func (h *Host) Peers() []string { return h.peers }
+
+// UpstreamUser is the user name for databases.
+func (h *Host) UpstreamUser() string { return h.upstreamUser }
+
+// UpstreamPasswordFile holds the password for databases; empty for none.
+func (h *Host) UpstreamPasswordFile() string { return h.upstreamPass }
+
+// CallerTLS are the files for connections from callers.
+func (h *Host) CallerTLS() Files { return h.callerTLS }
+
+// RequireTLS reports whether callers without TLS are refused.
+func (h *Host) RequireTLS() bool { return h.requireTLS }
+
+// UpstreamTLS are the files for connections to databases.
+func (h *Host) UpstreamTLS() Files { return h.upstreamTLS }
+
+// PeerTLS are the files for connections between hosts, in both directions.
+func (h *Host) PeerTLS() Files { return h.peerTLS }
+
+// LogFormat is text or json.
+func (h *Host) LogFormat() string { return h.logFormat }
+
+// LogLevel is error, info or debug.
+func (h *Host) LogLevel() string { return h.logLevel }
+
+// Trace is where spans go: a file as file:PATH, an OTLP receiver as its base URL,
+// or nowhere if empty.
+func (h *Host) Trace() string { return h.trace }
+
+// TraceFraction is the part of statements that are traced without a caller's
+// asking, from 0 to 1.
+func (h *Host) TraceFraction() float64 { return h.traceFraction }
--- /dev/null
+++ b/core/conf/hostset.go
@@ -0,0 +1,241 @@
+package conf
+
+import (
+	"net/netip"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// hostSetting is one process setting. Its flag has - for _, its environment
+// variable is upper-case with a prefix, its field in a file has the name itself.
+type hostSetting struct {
+	name     string
+	usage    string
+	accepted string
+	missing  string
+	required bool
+	list     bool
+	set      func(h *Host, values []string) bool
+}
+
+const (
+	acceptedListen = "an IP number and port, such as \"10.0.0.1:5432\", or port 0 for a free one"
+	acceptedFile   = "the name of a file"
+	acceptedStore  = "a URL with an IP number and port, such as \"http://10.0.0.1:8500\""
+	acceptedTrace  = "\"file:PATH\", or a URL with an IP number and port, such as \"http://10.0.0.1:4318\", or nothing"
+	acceptedUser   = "a user name of 1 to 63 characters without control characters"
+)
+
+// hostSettings are in the order in which they are listed to operators.
+var hostSettings = []hostSetting{
+	{
+		name:     "name",
+		usage:    "name of this host, unique in the fleet",
+		accepted: acceptedName,
+		required: true,
+		set: one(func(h *Host, s string) bool {
+			h.name = s
+			return nameForm.MatchString(s)
+		}),
+	},
+	{
+		name:     "domain",
+		usage:    "failure domain of this host",
+		accepted: acceptedName,
+		required: true,
+		set: one(func(h *Host, s string) bool {
+			h.domain = s
+			return nameForm.MatchString(s)
+		}),
+	},
+	{
+		name:     "listen",
+		usage:    "IP:port for callers",
+		accepted: acceptedListen,
+		required: true,
+		set: one(func(h *Host, s string) bool {
+			h.listen = s
+			return isListen(s)
+		}),
+	},
+	{
+		name:     "peer",
+		usage:    "IP:port for other hosts, as they reach it",
+		accepted: acceptedListen + "; not 0.0.0.0 or ::",
+		required: true,
+		set: one(func(h *Host, s string) bool {
+			h.peer = s
+			return isListen(s) && !isUnspecified(s)
+		}),
+	},
+	{
+		name:     "admin",
+		usage:    "IP:port for operators and monitoring",
+		accepted: acceptedListen,
+		missing:  "127.0.0.1:9080",
+		set: one(func(h *Host, s string) bool {
+			h.admin = s
+			return isListen(s)
+		}),
+	},
+	{
+		name:     "store",
+		usage:    "base URL of the platform's store",
+		accepted: acceptedStore,
+		required: true,
+		set: one(func(h *Host, s string) bool {
+			h.store = strings.TrimSuffix(s, "/")
+			return isURL(s)
+		}),
+	},
+	{
+		name:     "store_token_file",
+		usage:    "file with the token for the store",
+		accepted: acceptedFile,
+		set: one(func(h *Host, s string) bool {
+			h.storeToken = s
+			return true
+		}),
+	},
+	{
+		name:     "peers",
+		usage:    "peer addresses of other hosts, asked while the store is down",
+		accepted: "a list of " + acceptedAddress,
+		list:     true,
+		set: func(h *Host, values []string) bool {
+			h.peers = values
+			return !slices.ContainsFunc(values, func(s string) bool {
+				_, ok := parseAddress(s)
+				return !ok
+			})
+		},
+	},
+	{
+		name:     "upstream_user",
+		usage:    "user name for databases",
+		accepted: acceptedUser,
+		missing:  "coltsfootloft",
+		set: one(func(h *Host, s string) bool {
+			h.upstreamUser = s
+			_, ok := parseDatabase(s)
+			return ok
+		}),
+	},
+	{
+		name:     "upstream_password_file",
+		usage:    "file with the password for databases",
+		accepted: acceptedFile,
+		set: one(func(h *Host, s string) bool {
+			h.upstreamPass = s
+			return true
+		}),
+	},
+	file("caller_cert", "certificate chain shown to callers",
+		func(h *Host) *string { return &h.callerTLS.certificate }),
+	file("caller_key", "private key of caller_cert",
+		func(h *Host) *string { return &h.callerTLS.key }),
+	{
+		name:     "require_tls",
+		usage:    "refuse callers without TLS",
+		accepted: "true or false",
+		missing:  "false",
+		set: one(func(h *Host, s string) bool {
+			h.requireTLS = s == "true"
+			return s == "true" || s == "false"
+		}),
+	},
+	file("upstream_ca", "authorities of the databases' certificates; TLS to databases if set",
+		func(h *Host) *string { return &h.upstreamTLS.authorities }),
+	file("upstream_cert", "certificate chain shown to databases",
+		func(h *Host) *string { return &h.upstreamTLS.certificate }),
+	file("upstream_key", "private key of upstream_cert",
+		func(h *Host) *string { return &h.upstreamTLS.key }),
+	file("peer_ca", "authorities of the hosts' certificates",
+		func(h *Host) *string { return &h.peerTLS.authorities }),
+	file("peer_cert", "certificate chain shown to other hosts",
+		func(h *Host) *string { return &h.peerTLS.certificate }),
+	file("peer_key", "private key of peer_cert",
+		func(h *Host) *string { return &h.peerTLS.key }),
+	{
+		name:     "log_format",
+		usage:    "text or json",
+		accepted: "text or json",
+		missing:  "text",
+		set: one(func(h *Host, s string) bool {
+			h.logFormat = s
+			return s == "text" || s == "json"
+		}),
+	},
+	{
+		name:     "log_level",
+		usage:    "error, info or debug",
+		accepted: "error, info or debug",
+		missing:  "info",
+		set: one(func(h *Host, s string) bool {
+			h.logLevel = s
+			return slices.Contains([]string{"error", "info", "debug"}, s)
+		}),
+	},
+	{
+		name:     "trace",
+		usage:    "where spans go: file:PATH or the base URL of an OTLP receiver",
+		accepted: acceptedTrace,
+		set: one(func(h *Host, s string) bool {
+			h.trace = s
+			return isTrace(s)
+		}),
+	},
+	{
+		name:     "trace_fraction",
+		usage:    "part of statements that are traced unasked, 0 to 1",
+		accepted: "a number from 0 to 1",
+		missing:  "0.01",
+		set: one(func(h *Host, s string) bool {
+			n, err := strconv.ParseFloat(s, 64)
+			h.traceFraction = n
+			return err == nil && n >= 0 && n <= 1
+		}),
+	},
+}
+
+func file(name, usage string, to func(h *Host) *string) hostSetting {
+	return hostSetting{
+		name:     name,
+		usage:    "file in PEM: " + usage,
+		accepted: acceptedFile,
+		set: one(func(h *Host, s string) bool {
+			*to(h) = s
+			return true
+		}),
+	}
+}
+
+func one(set func(h *Host, s string) bool) func(h *Host, values []string) bool {
+	return func(h *Host, values []string) bool { return len(values) == 1 && set(h, values[0]) }
+}
+
+func isListen(s string) bool {
+	_, err := netip.ParseAddrPort(s)
+	return err == nil
+}
+
+func isUnspecified(s string) bool {
+	a, err := netip.ParseAddrPort(s)
+	return err == nil && a.Addr().IsUnspecified()
+}
+
+func isURL(s string) bool {
+	u, err := url.Parse(s)
+	if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.User != nil || u.RawQuery != "" {
+		return false
+	}
+	_, ok := parseAddress(u.Host)
+	return ok
+}
+
+func isTrace(s string) bool {
+	f, ok := strings.CutPrefix(s, "file:")
+	return s == "" || ok && f != "" || isURL(s)
+}
--- a/core/conf/merge.go
+++ b/core/conf/merge.go
@@ -121,3 +121,13 @@
 	kindKey:      parseKey,
 	kindRoute:    parseRoute,
 }
+
+// Entries returns the values that are in force, by path. They must not be
+// changed.
+func (f *Fleet) Entries() map[string][]byte {
+	r := make(map[string][]byte, len(f.parsed))
+	for p, v := range f.parsed {
+		r[p] = v.source
+	}
+	return r
+}
--- /dev/null
+++ b/core/conf/merge_test.go
@@ -0,0 +1,93 @@
+package conf_test
+
+import (
+	"maps"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"coltsfootloft/core/conf"
+	_ "coltsfootloft/stand/seed"
+)
+
+func TestMergeKeepsTheLastGoodValue(t *testing.T) {
+	first, _ := conf.Parse(small())
+	bad := with(small(), map[string]string{
+		"teams/vans/accounts/drivers": `{"rate": "plenty"}`,
+		"teams/vans/accounts/office":  `{"rate": "2/s"}`,
+	})
+	second, problems := conf.Merge(first, bad)
+	assert.Equal(t, len(problems), 1)
+	a, _ := second.Account("vans/drivers")
+	assert.Equal(t, a.Rate(), 200.0)
+	a, _ = second.Account("vans/office")
+	assert.Equal(t, a.Rate(), 2.0)
+	third, problems := conf.Merge(second, bad)
+	assert.Equal(t, len(problems), 1)
+	assert.DeepEqual(t, outline(third), outline(second))
+}
+
+func TestMergeKeepsNothingThatWasRemoved(t *testing.T) {
+	first, _ := conf.Parse(small())
+	second, problems := conf.Merge(first, with(small(), map[string]string{"teams/vans/keys/tablet": ""}))
+	assert.Equal(t, len(problems), 0)
+	_, ok := second.Key("vans.tablet")
+	assert.Assert(t, !ok)
+	third, problems := conf.Merge(first, with(small(), map[string]string{"teams/vans/accounts/drivers": ""}))
+	assert.Equal(t, problems.String(),
+		`teams/vans/keys/tablet:1:13: found account "drivers" that is not set; accepted: a name under teams/vans/accounts`+"\n"+
+			`teams/vans/routes/stops:1:70: found account "drivers" that is not set; accepted: a name under teams/vans/accounts`)
+	_, ok = third.Key("vans.tablet")
+	assert.Assert(t, !ok)
+}
+
+func TestMergeDropsAnEarlierValueThatNoLongerFits(t *testing.T) {
+	first, _ := conf.Parse(small())
+	f, problems := conf.Merge(first, with(small(), map[string]string{
+		"fleet/teams/vans":        `{"groups": ["stock"]}`,
+		"teams/vans/routes/stops": `{"group": 1}`,
+	}))
+	assert.Equal(t, len(problems), 3)
+	assert.Equal(t, len(f.Routes()), 0)
+}
+
+// Whatever is put at whichever paths, what Merge brings into force is right as a
+// whole: parsed again from nothing it has no problem and means the same. Nothing
+// that was removed is in it, and each value held over is named by a problem.
+func TestMergeIsAlwaysWhole(t *testing.T) {
+	values := map[string][]string{
+		"fleet/domains/a":             {`{"region": "valley", "seats": 2}`, `{"region": "valley"}`},
+		"fleet/groups/stock":          {`{"databases": {"s1": {"address": "10.0.0.2:5432", "domain": "a"}}, "connections": 5}`, `{`},
+		"fleet/groups/orders":         {`{"databases": {"s1": {"address": "10.0.0.7:5432", "domain": "b"}}, "connections": 9}`},
+		"fleet/teams/vans":            {`{"groups": ["stock"]}`, `{"groups": ["orders", "stock"]}`, `{"groups": 3}`},
+		"teams/vans/accounts/drivers": {`{"rate": "5/s"}`, `{"rate": 5}`},
+		"teams/vans/routes/orders":    {`{"group": "stock"}`, `{"group": "orders", "open": true, "account": "office"}`},
+		"teams/vans/keys/tablet":      {`{"account": "office", "verifier": "` + verifier + `"}`, `{"account": "office"}`},
+	}
+	paths := slices.Sorted(maps.Keys(values))
+	rapid.Check(t, func(t *rapid.T) {
+		var f *conf.Fleet
+		for range rapid.IntRange(1, 6).Draw(t, "changes") {
+			entries := small()
+			for _, p := range rapid.SliceOfDistinct(rapid.SampledFrom(paths), rapid.ID).Draw(t, "paths") {
+				v := rapid.SampledFrom(append(values[p], "")).Draw(t, "value")
+				entries = with(entries, map[string]string{p: v})
+			}
+			g, problems := conf.Merge(f, entries)
+			force := g.Entries()
+			whole, left := conf.Parse(force)
+			assert.Equal(t, left.String(), "")
+			assert.DeepEqual(t, outline(whole), outline(g))
+			for p, v := range force {
+				_, set := entries[p]
+				assert.Assert(t, set, "removed %s", p)
+				if string(v) != string(entries[p]) {
+					assert.Assert(t, slices.ContainsFunc(problems, func(q conf.Problem) bool { return q.Path() == p }), p)
+				}
+			}
+			f = g
+		}
+	})
+}
--- a/core/conf/unit.go
+++ b/core/conf/unit.go
@@ -100,7 +100,10 @@
 					return nil, false
 				}
 				seen[l.String()] = true
-				list = append(list, reference{name: l.String(), at: o.doc.place(e.StartOffset)})
+				list = append(list, reference{
+					name: l.String(),
+					at:   o.doc.place(e.StartOffset),
+				})
 			}
 			return list, true
 		},
