--- a/cmd/coltsfootloft/main.go
+++ b/cmd/coltsfootloft/main.go
@@ -13,6 +13,7 @@
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
+	subcommands.Register(&serveCommand{}, "hosts")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- /dev/null
+++ b/cmd/coltsfootloft/serve.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"coltsfootloft/core/conf"
+	"coltsfootloft/io/host"
+
+	"github.com/go-logr/zapr"
+	"github.com/google/subcommands"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+)
+
+// serveCommand runs one entry host.
+type serveCommand struct {
+	loader conf.Loader
+}
+
+// Name returns the name of the command.
+func (*serveCommand) Name() string { return "serve" }
+
+// Synopsis returns a line about the command.
+func (*serveCommand) Synopsis() string { return "run an entry host" }
+
+// Usage returns how to call the command.
+func (*serveCommand) Usage() string {
+	return `serve [flags]
+Runs an entry host until SIGTERM or SIGINT, which drain it: it takes no new callers,
+lets running transactions finish and then exits. A second signal ends it at once.
+Exit codes: 0 drained, 1 failed or not all sessions ended in time, 2 bad settings.
+`
+}
+
+// SetFlags adds the process settings.
+func (c *serveCommand) SetFlags(f *flag.FlagSet) { c.loader.SetFlags(f) }
+
+// Execute runs the host.
+func (c *serveCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	settings, problems := c.loader.Load()
+	if err := problems.Err(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitUsageError
+	}
+	z, err := zap.NewProduction()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	log := zapr.NewLogger(z)
+	h, err := host.Build(settings, clockwork.NewRealClock(), log)
+	if err != nil {
+		log.Error(err, "building the host")
+		return subcommands.ExitUsageError
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	context.AfterFunc(ctx, stop)
+	if err := h.Run(ctx); err != nil {
+		log.Error(err, "host ended")
+		return subcommands.ExitFailure
+	}
+	log.Info("host ended")
+	return subcommands.ExitSuccess
+}
--- a/io/caller/env.go
+++ b/io/caller/env.go
@@ -38,6 +38,8 @@
 
 // Budget bounds the repeats of each client account.
 type Budget interface {
+	// Offer notes the first attempt of a request.
+	Offer(account string)
 	// Succeed notes a request that was answered.
 	Succeed(account string)
 	// Spend reports whether one more repeat is within the budget.
--- a/io/caller/run.go
+++ b/io/caller/run.go
@@ -95,6 +95,7 @@
 	if err != nil {
 		return err
 	}
+	s.Env.Retry.Offer(s.Account)
 	for {
 		c, err := s.place(ctx, &n)
 		if err != nil {
--- /dev/null
+++ b/io/host/host.go
@@ -0,0 +1,195 @@
+package host
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"coltsfootloft"
+	"coltsfootloft/core/conf"
+	"coltsfootloft/io/front"
+	"coltsfootloft/io/share"
+	"coltsfootloft/io/watch"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+)
+
+// Source brings the entries of the settings to this host.
+type Source interface {
+	// Run follows the settings until ctx ends.
+	Run(ctx context.Context) error
+	// Snapshot returns the newest revision and its entries by path.
+	Snapshot() (revision uint64, entries map[string][]byte)
+	// Changed returns a channel that is closed at the next revision.
+	Changed() <-chan struct{}
+}
+
+// Host is one entry host. Build makes one; its fields are set before Run.
+type Host struct {
+	// Settings are the process's own.
+	Settings *conf.Host
+	// Clock tells the time.
+	Clock clockwork.Clock
+	// Log takes events.
+	Log logr.Logger
+	// Source brings the fleet's settings.
+	Source Source
+	// Watch observes the databases.
+	Watch *watch.Watcher
+	// Ledger holds this host's part of the limits.
+	Ledger *share.Ledger
+	// Front takes callers.
+	Front *front.Server
+
+	current *current
+	pools   *pools
+	ready   chan struct{}
+	address net.Addr
+
+	applying sync.Mutex
+}
+
+// duty is a goroutine of the host.
+type duty struct {
+	name string
+	run  func(ctx context.Context) error
+}
+
+// Run serves callers until ctx ends, and then until every transaction is over or
+// the drain wait has passed.
+func (h *Host) Run(ctx context.Context) error {
+	if err := h.startFront(ctx); err != nil {
+		return err
+	}
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var duties sync.WaitGroup
+	for _, d := range h.duties() {
+		duties.Go(func() { h.perform(running, d) })
+	}
+	h.awaitSettings(ctx)
+	callers := make(chan error, 1)
+	go func() { callers <- h.Front.Run(running) }()
+	close(h.ready)
+	h.Log.Info("serving", "host", h.Settings.Name(), "domain", h.Settings.Domain(), "callers", h.address.String())
+	<-ctx.Done()
+	err := h.drain()
+	stop()
+	duties.Wait()
+	h.pools.close()
+	<-callers
+	return err
+}
+
+func (h *Host) duties() []duty {
+	return []duty{
+		{
+			name: "settings",
+			run:  h.Source.Run,
+		},
+		{
+			name: "apply",
+			run:  h.followSettings,
+		},
+		{
+			name: "watch",
+			run:  h.Watch.Run,
+		},
+		{
+			name: "share",
+			run:  h.Ledger.Run,
+		},
+	}
+}
+
+func (h *Host) perform(ctx context.Context, d duty) {
+	if err := d.run(ctx); err != nil && ctx.Err() == nil {
+		h.Log.Error(err, "duty ended", "duty", d.name)
+	}
+}
+
+func (h *Host) startFront(ctx context.Context) error {
+	h.Ledger.OnReclaim(h.pools.reclaim)
+	a, err := h.Front.Start(ctx)
+	h.address = a
+	return errors.Wrap(err, "starting")
+}
+
+// Ready is closed once callers are served.
+func (h *Host) Ready() <-chan struct{} { return h.ready }
+
+// Address is where callers connect, once Ready.
+func (h *Host) Address() net.Addr { return h.address }
+
+// awaitSettings returns once a first revision is in force, or ctx ends.
+func (h *Host) awaitSettings(ctx context.Context) {
+	for {
+		changed := h.Source.Changed()
+		if revision, _ := h.Source.Snapshot(); revision > 0 {
+			h.apply()
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// followSettings brings each new revision into force.
+func (h *Host) followSettings(ctx context.Context) error {
+	for {
+		changed := h.Source.Changed()
+		h.apply()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// apply brings the newest revision into force in every duty.
+func (h *Host) apply() {
+	h.applying.Lock()
+	defer h.applying.Unlock()
+	revision, entries := h.Source.Snapshot()
+	if revision == 0 || revision == h.current.Fleet().Revision() {
+		return
+	}
+	f, problems := h.current.take(revision, entries)
+	for _, p := range problems {
+		h.Log.Info("setting not in force", "problem", p.String())
+	}
+	h.Watch.Configure(f.Groups())
+	h.Ledger.Configure(plan(f))
+	h.pools.configure(f)
+	h.Front.Refresh(f)
+	h.Log.Info("settings in force", "revision", revision)
+}
+
+func plan(f *conf.Fleet) share.Plan {
+	p := share.Plan{
+		Accounts: f.Accounts(),
+		Groups:   f.Groups(),
+	}
+	for _, d := range f.Domains() {
+		p.Domains = append(p.Domains, share.Domain{
+			Name:  d.Name(),
+			Seats: d.Seats(),
+		})
+	}
+	return p
+}
+
+func (h *Host) drain() error {
+	ctx, cancel := context.WithTimeout(context.Background(), h.current.Fleet().Defaults().DrainWait())
+	defer cancel()
+	h.Log.Info("draining", "sessions", h.Front.Sessions())
+	return h.Front.Drain(ctx)
+}
+
+var _ coltsfootloft.Shares = (*share.Ledger)(nil)
--- /dev/null
+++ b/io/host/pools.go
@@ -0,0 +1,84 @@
+package host
+
+import (
+	"sync"
+
+	"coltsfootloft"
+	"coltsfootloft/core/conf"
+	"coltsfootloft/io/pool"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+)
+
+// pools holds the connections to every database of the settings.
+type pools struct {
+	login  pool.Login
+	shares coltsfootloft.Shares
+	weight func(account string) int
+	clock  clockwork.Clock
+	log    logr.Logger
+
+	mu  sync.RWMutex
+	all map[string]*pool.Pool
+}
+
+// get returns the pool of a database.
+func (p *pools) get(database string) (*pool.Pool, bool) {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	found, ok := p.all[database]
+	return found, ok
+}
+
+// configure opens pools for new databases and closes those of databases that are
+// gone or have moved.
+func (p *pools) configure(f *conf.Fleet) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	next := make(map[string]*pool.Pool)
+	for _, g := range f.Groups() {
+		group, _ := f.Group(g.Name())
+		for _, u := range g.Upstreams() {
+			next[u.Name()] = p.keepOrOpen(group, u)
+		}
+	}
+	for name, old := range p.all {
+		if next[name] != old {
+			old.Close()
+		}
+	}
+	p.all = next
+}
+
+func (p *pools) keepOrOpen(g conf.Group, u coltsfootloft.Upstream) *pool.Pool {
+	if old, ok := p.all[u.Name()]; ok && old.Upstream == u && old.Login.Database == g.UpstreamDatabase() {
+		return old
+	}
+	login := p.login
+	login.Database = g.UpstreamDatabase()
+	return &pool.Pool{
+		Upstream:       u,
+		Login:          login,
+		Shares:         p.shares,
+		Clock:          p.clock,
+		Log:            p.log,
+		ConnectTimeout: g.ConnectTimeout(),
+		Weight:         p.weight,
+	}
+}
+
+// reclaim gives up an idle connection of a database for another host.
+func (p *pools) reclaim(database string) bool {
+	found, ok := p.get(database)
+	return ok && found.Reclaim()
+}
+
+func (p *pools) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, o := range p.all {
+		o.Close()
+	}
+	p.all = nil
+}
--- /dev/null
+++ b/io/host/provide.go
@@ -0,0 +1,135 @@
+package host
+
+import (
+	"os"
+	"strings"
+
+	"coltsfootloft"
+	"coltsfootloft/core/conf"
+	"coltsfootloft/io/caller"
+	"coltsfootloft/io/dbops"
+	"coltsfootloft/io/front"
+	"coltsfootloft/io/pool"
+	"coltsfootloft/io/share"
+	"coltsfootloft/io/store"
+	"coltsfootloft/io/watch"
+
+	"github.com/go-logr/logr"
+	"github.com/google/wire"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+)
+
+// SettingsPrefix is where the store keeps the fleet's settings.
+const SettingsPrefix = "coltsfootloft/settings/"
+
+var providers = wire.NewSet(
+	provideStore,
+	provideSelf,
+	provideMembers,
+	provideSource,
+	provideCurrent,
+	provideWatch,
+	provideLedger,
+	provideLogin,
+	providePools,
+	provideRetries,
+	provideEnv,
+	provideFront,
+	provideHost,
+	wire.Bind(new(coltsfootloft.Store), new(*store.Consul)),
+)
+
+func provideStore(settings *conf.Host) (*store.Consul, error) {
+	return &store.Consul{Addresses: []string{settings.Store()}}, nil
+}
+
+func provideSelf(settings *conf.Host) coltsfootloft.HostRecord {
+	return coltsfootloft.NewHost(settings.Name(), settings.Domain(), settings.Peer())
+}
+
+func provideCurrent() *current { return &current{} }
+
+func provideWatch(clock clockwork.Clock, log logr.Logger, self coltsfootloft.HostRecord) *watch.Watcher {
+	return &watch.Watcher{
+		Clock: clock,
+		Log:   log.WithName("watch"),
+		Self:  self,
+		Open: func(u coltsfootloft.Upstream) coltsfootloft.Database {
+			return &dbops.Client{Address: u.Address()}
+		},
+	}
+}
+
+func provideLedger(clock clockwork.Clock, log logr.Logger) *share.Ledger {
+	return &share.Ledger{
+		Clock: clock,
+		Log:   log.WithName("share"),
+	}
+}
+
+func provideLogin(settings *conf.Host) (pool.Login, error) {
+	l := pool.Login{User: settings.UpstreamUser()}
+	if settings.UpstreamPasswordFile() == "" {
+		return l, nil
+	}
+	b, err := os.ReadFile(settings.UpstreamPasswordFile())
+	l.Password = strings.TrimSpace(string(b))
+	return l, errors.Wrap(err, "upstream password")
+}
+
+func providePools(c *current, login pool.Login, ledger *share.Ledger, clock clockwork.Clock, log logr.Logger) *pools {
+	return &pools{
+		login:  login,
+		shares: ledger,
+		weight: func(account string) int { return c.Fleet().Weight(account) },
+		clock:  clock,
+		log:    log.WithName("pool"),
+	}
+}
+
+func provideRetries(c *current, clock clockwork.Clock) *retries {
+	return &retries{
+		clock: clock,
+		share: func() float64 { return c.Fleet().Defaults().RetryBudget() },
+	}
+}
+
+func provideEnv(settings *conf.Host, c *current, w *watch.Watcher, m coltsfootloft.Members, l *share.Ledger, p *pools, r *retries, clock clockwork.Clock, log logr.Logger) *caller.Env {
+	return &caller.Env{
+		Domain:  settings.Domain(),
+		Groups:  w,
+		Members: m,
+		Shares:  l,
+		Fleet:   c.Fleet,
+		Pool:    p.get,
+		Retry:   r,
+		Clock:   clock,
+		Log:     log.WithName("caller"),
+	}
+}
+
+func provideFront(settings *conf.Host, env *caller.Env, clock clockwork.Clock, log logr.Logger) *front.Server {
+	return &front.Server{
+		Name:   settings.Name(),
+		Listen: settings.Listen(),
+		Env:    env,
+		Clock:  clock,
+		Log:    log.WithName("front"),
+	}
+}
+
+func provideHost(settings *conf.Host, clock clockwork.Clock, log logr.Logger, source Source, w *watch.Watcher, l *share.Ledger, f *front.Server, c *current, p *pools) *Host {
+	return &Host{
+		Settings: settings,
+		Clock:    clock,
+		Log:      log,
+		Source:   source,
+		Watch:    w,
+		Ledger:   l,
+		Front:    f,
+		current:  c,
+		pools:    p,
+		ready:    make(chan struct{}),
+	}
+}
--- /dev/null
+++ b/test/fleet_test.go
@@ -0,0 +1,213 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"coltsfootloft"
+	"coltsfootloft/core/keys"
+	"coltsfootloft/io/host"
+	"coltsfootloft/io/store"
+
+	"github.com/jackc/pgx/v5"
+	"gotest.tools/v3/assert"
+)
+
+// layout is what a fleet under test consists of.
+type layout struct {
+	domains  int
+	hosts    int
+	groups   int
+	lag      time.Duration
+	delay    time.Duration
+	conns    int
+	settings map[string]string
+}
+
+// fleet is a running deployment.
+type fleet struct {
+	t         testing.TB
+	layout    layout
+	platform  *process
+	store     *store.Consul
+	databases map[string]*database
+	hosts     []*entry
+	secrets   map[string]string
+}
+
+// database is one upstream, with its stand-in.
+type database struct {
+	process   *process
+	name      string
+	address   string
+	replicate string
+	args      []string
+}
+
+// entry is one entry host.
+type entry struct {
+	process *process
+	name    string
+	address string
+	admin   string
+	args    []string
+}
+
+// newFleet starts the platform, the databases and the hosts.
+func newFleet(t testing.TB, l layout) *fleet {
+	t.Helper()
+	f := &fleet{
+		t:         t,
+		layout:    l,
+		databases: make(map[string]*database),
+		secrets:   make(map[string]string),
+	}
+	p := ports(t, 2)
+	f.platform = start(t, "platform", "standin", "platform listening", "platform", "-listen", p[0], "-control", p[1])
+	f.store = &store.Consul{Addresses: []string{"http://" + p[0]}}
+	for g := range l.groups {
+		f.startGroup(fmt.Sprint("g", g+1))
+	}
+	f.writeSettings()
+	for i := range l.hosts {
+		f.hosts = append(f.hosts, f.startHost(i))
+	}
+	return f
+}
+
+func (f *fleet) startGroup(group string) {
+	f.t.Helper()
+	const size = 3
+	p := ports(f.t, 2*size)
+	for i := range size {
+		d := &database{
+			name:      fmt.Sprint(group, "-", i+1),
+			address:   p[2*i],
+			replicate: p[2*i+1],
+		}
+		f.databases[d.name] = d
+		d.args = []string{
+			"database", "-name", d.name, "-listen", d.address, "-replicate", d.replicate,
+			"-initial", group + "-1", "-lag", f.layout.lag.String(), "-connect-delay", f.layout.delay.String(),
+			"-max-conns", fmt.Sprint(f.connections()), "-dir", f.t.TempDir(),
+		}
+		for j := range size {
+			if j != i {
+				d.args = append(d.args, "-peer", fmt.Sprint(group, "-", j+1, "=", p[2*j+1]))
+			}
+		}
+		f.startDatabase(d)
+	}
+}
+
+func (f *fleet) startDatabase(d *database) {
+	f.t.Helper()
+	d.process = start(f.t, d.name, "standin", "listening on", d.args...)
+}
+
+func (f *fleet) connections() int {
+	if f.layout.conns == 0 {
+		return 35
+	}
+	return f.layout.conns
+}
+
+func (f *fleet) domain(i int) string { return fmt.Sprint("d", i%f.layout.domains+1) }
+
+// writeSettings puts the fleet's settings into the store.
+func (f *fleet) writeSettings() {
+	f.t.Helper()
+	all := make(map[string]string)
+	for d := range f.layout.domains {
+		all["fleet/domains/"+f.domain(d)] = fmt.Sprintf(`{"region": "r1", "seats": %d}`, max(1, f.layout.hosts/f.layout.domains))
+	}
+	names := make([]string, 0, f.layout.groups)
+	for g := range f.layout.groups {
+		group := fmt.Sprint("g", g+1)
+		names = append(names, `"`+group+`"`)
+		all["fleet/groups/"+group] = f.groupSettings(group)
+		all["teams/alpha/routes/"+group] = fmt.Sprintf(`{"group": %q}`, group)
+	}
+	all["fleet/teams/alpha"] = fmt.Sprintf(`{"groups": [%s]}`, strings.Join(names, ", "))
+	all["teams/alpha/accounts/main"] = `{"rate": "20000/s", "burst": 20000}`
+	all["teams/alpha/keys/app"] = f.newKey("alpha.app", "main")
+	maps.Copy(all, f.layout.settings)
+	f.apply(all)
+}
+
+func (f *fleet) groupSettings(group string) string {
+	var parts []string
+	for i := range 3 {
+		name := fmt.Sprint(group, "-", i+1)
+		parts = append(parts, fmt.Sprintf(`%q: {"address": %q, "domain": %q}`, name, f.databases[name].address, f.domain(i)))
+	}
+	return fmt.Sprintf(`{"databases": {%s}, "connections": %d, "slots": 2, "upstream_database": "main"}`,
+		strings.Join(parts, ", "), f.connections())
+}
+
+// newKey issues a key and returns its settings.
+func (f *fleet) newKey(name, account string) string {
+	f.t.Helper()
+	secret, v, err := keys.Issue()
+	assert.NilError(f.t, err)
+	f.secrets[name] = secret
+	return fmt.Sprintf(`{"account": %q, "verifier": %q}`, account, v.String())
+}
+
+// apply writes settings over whatever the store holds.
+func (f *fleet) apply(all map[string]string) {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	var changes []coltsfootloft.Change
+	for _, path := range slices.Sorted(maps.Keys(all)) {
+		key := host.SettingsPrefix + path
+		old, err := f.store.Read(ctx, key)
+		assert.NilError(f.t, err)
+		changes = append(changes, coltsfootloft.Put(key, []byte(all[path]), old.Version()))
+	}
+	_, err := f.store.Apply(ctx, changes)
+	assert.NilError(f.t, err)
+}
+
+func (f *fleet) startHost(i int) *entry {
+	f.t.Helper()
+	p := ports(f.t, 3)
+	e := &entry{
+		name:    fmt.Sprint("h", i+1),
+		address: p[0],
+		admin:   p[2],
+	}
+	e.args = []string{
+		"serve", "-name", e.name, "-domain", f.domain(i), "-listen", p[0], "-peer", p[1], "-admin", p[2],
+		"-store", f.store.Addresses[0], "-log-level", "debug",
+	}
+	f.runHost(e)
+	return e
+}
+
+func (f *fleet) runHost(e *entry) {
+	f.t.Helper()
+	e.process = start(f.t, e.name, "coltsfootloft", "serving", e.args...)
+}
+
+// dsn is how a caller with the key reaches a route on the host.
+func (f *fleet) dsn(e *entry, key, route string) string {
+	return fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable", key, f.secrets[key], e.address, route)
+}
+
+// connect opens a session.
+func (f *fleet) connect(e *entry) *pgx.Conn {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	c, err := pgx.Connect(ctx, f.dsn(e, "alpha.app", "g1"))
+	assert.NilError(f.t, err)
+	f.t.Cleanup(func() { c.Close(context.Background()) })
+	return c
+}
