dbase: stand-in for one database of a group, and its platform operations

The path needs databases before anything else can be tried. dbase speaks the PostgreSQL protocol over an SQL engine, ships its log to replicas, and keeps fence terms; dbops carries the platform's operations to it; standin runs it as a process.

--- /dev/null
+++ b/cmd/standin/database.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/go-logr/stdr"
+	"github.com/google/subcommands"
+	"github.com/pkg/errors"
+
+	"coltsfootloft/stand/dbase"
+)
+
+// databaseCommand runs one database of a group.
+type databaseCommand struct {
+	server  dbase.Server
+	peers   peerFlag
+	verbose bool
+}
+
+// Name is the word on the command line.
+func (*databaseCommand) Name() string { return "database" }
+
+// Synopsis is the line in the list of commands.
+func (*databaseCommand) Synopsis() string { return "run one database of a group" }
+
+// Usage is the text of its help.
+func (*databaseCommand) Usage() string {
+	return "standin database -name NAME -listen IP:PORT -replicate IP:PORT [-peer NAME=IP:PORT]... -initial NAME [flags]\n" +
+		"Prints \"database NAME listening on IP:PORT replicating on IP:PORT\" once it takes connections.\n"
+}
+
+// SetFlags declares the flags.
+func (c *databaseCommand) SetFlags(f *flag.FlagSet) {
+	s := &c.server
+	f.StringVar(&s.Name, "name", "a", "name among its peers")
+	f.StringVar(&s.Listen, "listen", "127.0.0.1:0", "IP:port for the PostgreSQL protocol")
+	f.StringVar(&s.ReplicateListen, "replicate", "127.0.0.1:0", "IP:port where replicas fetch the log")
+	f.Var(&c.peers, "peer", "name=IP:port of another database's -replicate; may be repeated")
+	f.StringVar(&s.Initial, "initial", "", "name of the primary of the first term")
+	f.IntVar(&s.MaxConns, "max-conns", 100, "limit of connections, without the platform's")
+	f.DurationVar(&s.ConnectDelay, "connect-delay", 12*time.Millisecond, "time that a new connection takes")
+	f.DurationVar(&s.Lag, "lag", 0, "time from receiving to applying a record")
+	f.StringVar(&s.Dir, "dir", "", "directory for log and terms; empty keeps them in memory")
+	f.StringVar(&s.User, "user", "", "user that callers log in as")
+	f.StringVar(&s.Password, "password", "", "password of callers and the platform; empty lets all in")
+	f.BoolVar(&s.Cleartext, "cleartext", false, "ask for the password itself instead of SCRAM-SHA-256")
+	f.BoolVar(&c.verbose, "v", false, "log to standard error")
+}
+
+// Execute runs the database until a signal ends it.
+func (c *databaseCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	s := &c.server
+	s.Peers = c.peers
+	s.Log = logger(c.verbose)
+	go func() {
+		select {
+		case <-s.Ready():
+			fmt.Printf("database %s listening on %s replicating on %s\n", s.Name, s.Addr(), s.ReplicateAddr())
+		case <-ctx.Done():
+		}
+	}()
+	if err := s.Run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+// logger writes to standard error, or nowhere.
+func logger(verbose bool) logr.Logger {
+	if !verbose {
+		return logr.Discard()
+	}
+	stdr.SetVerbosity(1)
+	return stdr.New(nil)
+}
+
+// peerFlag collects name=IP:port.
+type peerFlag map[string]string
+
+// String lists the peers.
+func (p *peerFlag) String() string {
+	var parts []string
+	for k, v := range *p {
+		parts = append(parts, k+"="+v)
+	}
+	return strings.Join(parts, ",")
+}
+
+// Set adds one peer.
+func (p *peerFlag) Set(s string) error {
+	name, address, ok := strings.Cut(s, "=")
+	if !ok || name == "" || address == "" {
+		return errors.New("want name=IP:port")
+	}
+	if *p == nil {
+		*p = make(peerFlag)
+	}
+	(*p)[name] = address
+	return nil
+}
--- /dev/null
+++ b/io/dbops/dbops_test.go
@@ -0,0 +1,91 @@
+package dbops_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"coltsfootloft"
+	"coltsfootloft/io/dbops"
+	"coltsfootloft/stand/dbase"
+)
+
+func open(t *testing.T) (*dbase.Server, *dbops.Database) {
+	t.Helper()
+	s := &dbase.Server{
+		Name:     "a",
+		Initial:  "a",
+		Password: "secret",
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	<-s.Ready()
+	d := &dbops.Database{
+		Address:  s.Addr().String(),
+		Password: "secret",
+	}
+	t.Cleanup(func() {
+		d.Close()
+		cancel()
+		assert.NilError(t, <-done)
+	})
+	return s, d
+}
+
+func TestOperations(t *testing.T) {
+	_, d := open(t)
+	r, err := d.Status(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, r.Role(), coltsfootloft.Primary)
+	assert.Equal(t, r.Received(), coltsfootloft.NewPosition(dbase.Bootstrap, 1))
+	next := dbase.Bootstrap.Next("host's")
+	r, err = d.Fence(t.Context(), next)
+	assert.NilError(t, err)
+	assert.Equal(t, r.Fence(), next)
+	_, err = d.Promote(t.Context(), dbase.Bootstrap)
+	assert.Assert(t, errors.Is(err, coltsfootloft.ErrFenced))
+	r, err = d.Promote(t.Context(), next)
+	assert.NilError(t, err)
+	assert.Equal(t, r.Applied(), coltsfootloft.NewPosition(next, 2))
+}
+
+func TestAwaitWakesOnChange(t *testing.T) {
+	_, d := open(t)
+	r, err := d.Status(t.Context())
+	assert.NilError(t, err)
+	short, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	same, err := d.Await(short, r.Version())
+	assert.NilError(t, err)
+	assert.Equal(t, same.Version(), r.Version())
+	woken := make(chan coltsfootloft.Reading, 1)
+	go func() {
+		a, _ := d.Await(context.Background(), r.Version())
+		woken <- a
+	}()
+	next := dbase.Bootstrap.Next("host")
+	_, err = d.Fence(t.Context(), next)
+	assert.NilError(t, err)
+	a := <-woken
+	assert.Equal(t, a.Fence(), next)
+}
+
+func TestAbandonedAnswerIsNeverTaken(t *testing.T) {
+	_, d := open(t)
+	r, err := d.Status(t.Context())
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	_, err = d.Await(ctx, r.Version())
+	assert.Assert(t, err != nil)
+	next := dbase.Bootstrap.Next("host")
+	_, err = d.Fence(t.Context(), next)
+	assert.NilError(t, err)
+	a, err := d.Await(t.Context(), r.Version())
+	assert.NilError(t, err)
+	assert.Equal(t, a.Fence(), next)
+}
--- /dev/null
+++ b/stand/dbase/greet.go
@@ -0,0 +1,319 @@
+package dbase
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/tls"
+	"encoding/binary"
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
+	"github.com/xdg-go/scram"
+)
+
+// scramIterations is the cost of the password's SCRAM verifier.
+const scramIterations = 4096
+
+// reported are the settings whose values callers are told, with their defaults.
+var reported = []struct {
+	name  string
+	value string
+}{
+	{name: "application_name", value: ""},
+	{name: "client_encoding", value: "UTF8"},
+	{name: "DateStyle", value: "ISO, MDY"},
+	{name: "default_transaction_read_only", value: "off"},
+	{name: "integer_datetimes", value: "on"},
+	{name: "IntervalStyle", value: "postgres"},
+	{name: "is_superuser", value: "off"},
+	{name: "server_encoding", value: "UTF8"},
+	{name: "server_version", value: "16.4"},
+	{name: "session_authorization", value: ""},
+	{name: "standard_conforming_strings", value: "on"},
+	{name: "TimeZone", value: "UTC"},
+}
+
+// greet runs the start of the protocol and reports whether a session began.
+func (x *session) greet(ctx context.Context) bool {
+	for {
+		m, err := x.backend.ReceiveStartupMessage()
+		if err != nil {
+			return false
+		}
+		switch m := m.(type) {
+		case *pgproto3.SSLRequest:
+			if !x.offerTLS(ctx) {
+				return false
+			}
+		case *pgproto3.GSSEncRequest:
+			if _, err := x.conn.Write([]byte{'N'}); err != nil {
+				return false
+			}
+		case *pgproto3.CancelRequest:
+			x.server.cancel(m.ProcessID, m.SecretKey)
+			return false
+		case *pgproto3.StartupMessage:
+			if err := x.startUp(ctx, m); err != nil {
+				x.fatal(err)
+				return false
+			}
+			return x.ready(ctx)
+		}
+	}
+}
+
+func (x *session) offerTLS(ctx context.Context) bool {
+	if x.server.TLS == nil {
+		_, err := x.conn.Write([]byte{'N'})
+		return err == nil
+	}
+	if _, err := x.conn.Write([]byte{'S'}); err != nil {
+		return false
+	}
+	c := tls.Server(x.conn, x.server.TLS)
+	if c.HandshakeContext(ctx) != nil {
+		return false
+	}
+	x.useConn(c)
+	return true
+}
+
+func (x *session) startUp(ctx context.Context, m *pgproto3.StartupMessage) error {
+	x.user = m.Parameters["user"]
+	x.platform = x.user == PlatformUser
+	x.database = m.Parameters["database"]
+	if err := x.authenticate(); err != nil {
+		return err
+	}
+	if err := x.server.register(x); err != nil {
+		return err
+	}
+	x.startup = startupSettings(m.Parameters)
+	x.startup["session_authorization"] = x.user
+	x.resetSettings()
+	x.backend.Send(&pgproto3.AuthenticationOk{})
+	for _, p := range reported {
+		x.report(p.name)
+	}
+	x.backend.Send(&pgproto3.BackendKeyData{
+		ProcessID: x.pid,
+		SecretKey: x.secret,
+	})
+	return ctx.Err()
+}
+
+// startupSettings reads the settings of a startup message: its own parameters
+// and those in options.
+func startupSettings(parameters map[string]string) map[string]string {
+	out := make(map[string]string)
+	for k, v := range parameters {
+		switch k {
+		case "user", "database", "replication":
+		case "options":
+			for name, value := range parseOptions(v) {
+				out[name] = value
+			}
+		default:
+			out[strings.ToLower(k)] = v
+		}
+	}
+	return out
+}
+
+// parseOptions reads -c name=value and --name=value.
+func parseOptions(s string) map[string]string {
+	out := make(map[string]string)
+	for _, f := range strings.Fields(strings.ReplaceAll(s, "-c ", "-c")) {
+		f = strings.TrimPrefix(strings.TrimPrefix(f, "--"), "-c")
+		if name, value, ok := strings.Cut(f, "="); ok {
+			out[strings.ToLower(name)] = value
+		}
+	}
+	return out
+}
+
+// register admits a session, or refuses it above the limits.
+func (s *Server) register(x *session) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !x.platform && s.ledger.applied < s.syncTo {
+		return failure(codeStarting, "the database system is starting up")
+	}
+	limit := s.MaxConns
+	if limit == 0 {
+		limit = 100
+	}
+	if x.platform {
+		limit = platformConns
+	}
+	n := 0
+	for _, y := range s.sessions {
+		if y.platform == x.platform {
+			n++
+		}
+	}
+	if n >= limit {
+		return failure(codeConnections, "sorry, too many clients already")
+	}
+	s.pid++
+	x.pid = s.pid
+	x.secret = binary.BigEndian.AppendUint32(nil, randomSecret())
+	s.sessions[x.pid] = x
+	return nil
+}
+
+func randomSecret() uint32 {
+	var b [4]byte
+	_, _ = rand.Read(b[:])
+	return binary.BigEndian.Uint32(b[:])
+}
+
+func (s *Server) unregister(x *session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.sessions, x.pid)
+}
+
+// cancel ends the running statement of the session with this key.
+func (s *Server) cancel(pid uint32, secret []byte) {
+	s.mu.Lock()
+	x := s.sessions[pid]
+	s.mu.Unlock()
+	if x != nil && bytes.Equal(x.secret, secret) {
+		x.interrupt()
+	}
+}
+
+// authenticate checks the password, if the database has one.
+func (x *session) authenticate() error {
+	s := x.server
+	if s.Password == "" {
+		return nil
+	}
+	if s.Cleartext {
+		return x.cleartext()
+	}
+	if x.user != s.User && !x.platform {
+		return x.refuse()
+	}
+	ok, err := x.scram()
+	if err != nil {
+		return failure(codePassword, "authentication failed: %v", err)
+	}
+	if !ok {
+		return x.refuse()
+	}
+	return nil
+}
+
+func (x *session) refuse() error {
+	return failure(codePassword, "password authentication failed for user %q", x.user)
+}
+
+func (x *session) cleartext() error {
+	x.backend.Send(&pgproto3.AuthenticationCleartextPassword{})
+	if err := x.backend.Flush(); err != nil {
+		return errors.Wrap(err, "authenticate")
+	}
+	if err := x.backend.SetAuthType(pgproto3.AuthTypeCleartextPassword); err != nil {
+		return errors.Wrap(err, "authenticate")
+	}
+	m, err := x.backend.Receive()
+	if err != nil {
+		return errors.Wrap(err, "authenticate")
+	}
+	p, ok := m.(*pgproto3.PasswordMessage)
+	if !ok || p.Password != x.server.Password || x.user != x.server.User && !x.platform {
+		return x.refuse()
+	}
+	return nil
+}
+
+// credentials returns what SCRAM-SHA-256 needs to check the password.
+func credentials(password string) (scram.StoredCredentials, error) {
+	c, err := scram.HashGeneratorFcn(sha256.New).NewClient("", password, "")
+	if err != nil {
+		return scram.StoredCredentials{}, errors.Wrap(err, "scram")
+	}
+	salt := make([]byte, 16)
+	_, _ = rand.Read(salt)
+	stored, err := c.GetStoredCredentialsWithError(scram.KeyFactors{
+		Salt:  string(salt),
+		Iters: scramIterations,
+	})
+	return stored, errors.Wrap(err, "scram")
+}
+
+// scram runs SCRAM-SHA-256 and reports whether the password was right.
+func (x *session) scram() (bool, error) {
+	lookup := func(string) (scram.StoredCredentials, error) { return x.server.stored, nil }
+	server, err := scram.HashGeneratorFcn(sha256.New).NewServer(lookup)
+	if err != nil {
+		return false, errors.Wrap(err, "scram")
+	}
+	conversation := server.NewConversation()
+	x.backend.Send(&pgproto3.AuthenticationSASL{
+		AuthMechanisms: []string{"SCRAM-SHA-256"},
+	})
+	data, err := x.saslFirst()
+	if err != nil {
+		return false, err
+	}
+	reply, err := conversation.Step(data)
+	if err != nil {
+		return false, errors.Wrap(err, "scram")
+	}
+	x.backend.Send(&pgproto3.AuthenticationSASLContinue{
+		Data: []byte(reply),
+	})
+	data, err = x.saslNext()
+	if err != nil {
+		return false, err
+	}
+	reply, err = conversation.Step(data)
+	if err != nil || !conversation.Valid() {
+		return false, nil //nolint:nilerr // A wrong password is an answer.
+	}
+	x.backend.Send(&pgproto3.AuthenticationSASLFinal{
+		Data: []byte(reply),
+	})
+	return true, nil
+}
+
+func (x *session) saslFirst() (string, error) {
+	m, err := x.receiveAuth(pgproto3.AuthTypeSASL)
+	if err != nil {
+		return "", err
+	}
+	first, ok := m.(*pgproto3.SASLInitialResponse)
+	if !ok || first.AuthMechanism != "SCRAM-SHA-256" {
+		return "", errors.New("no SCRAM-SHA-256 response")
+	}
+	return string(first.Data), nil
+}
+
+func (x *session) saslNext() (string, error) {
+	m, err := x.receiveAuth(pgproto3.AuthTypeSASLContinue)
+	if err != nil {
+		return "", err
+	}
+	r, ok := m.(*pgproto3.SASLResponse)
+	if !ok {
+		return "", errors.New("no SCRAM-SHA-256 response")
+	}
+	return string(r.Data), nil
+}
+
+func (x *session) receiveAuth(kind uint32) (pgproto3.FrontendMessage, error) {
+	if err := x.backend.Flush(); err != nil {
+		return nil, errors.Wrap(err, "authenticate")
+	}
+	if err := x.backend.SetAuthType(kind); err != nil {
+		return nil, errors.Wrap(err, "authenticate")
+	}
+	m, err := x.backend.Receive()
+	return m, errors.Wrap(err, "authenticate")
+}
--- /dev/null
+++ b/stand/dbase/parse.go
@@ -0,0 +1,256 @@
+package dbase
+
+import (
+	"strconv"
+	"strings"
+)
+
+// verb is what a statement asks for, as far as the stand-in tells them apart.
+type verb uint8
+
+const (
+	verbQuery verb = iota
+	verbCall
+	verbBegin
+	verbCommit
+	verbRollback
+	verbSavepoint
+	verbRelease
+	verbRollbackTo
+	verbSet
+	verbShow
+	verbDiscard
+	verbDeallocate
+	verbCopy
+)
+
+// statement is one parsed statement.
+type statement struct {
+	verb verb
+	// tag is the first word in upper case.
+	tag string
+	// source is the text as the caller wrote it.
+	source string
+	// text is what the engine runs.
+	text   string
+	tokens []token
+	// casts holds the types that the text gives to parameters.
+	casts map[int]uint32
+}
+
+// param is a parameter of an engine statement.
+type param struct {
+	number int
+}
+
+func parseParam(name string) param {
+	n, _ := strconv.Atoi(strings.TrimPrefix(name, "$"))
+	return param{
+		number: n,
+	}
+}
+
+// verbs maps first words to verbs; the rest are queries.
+var verbs = map[string]verb{
+	"BEGIN":      verbBegin,
+	"START":      verbBegin,
+	"COMMIT":     verbCommit,
+	"END":        verbCommit,
+	"ROLLBACK":   verbRollback,
+	"ABORT":      verbRollback,
+	"SAVEPOINT":  verbSavepoint,
+	"RELEASE":    verbRelease,
+	"SET":        verbSet,
+	"RESET":      verbSet,
+	"SHOW":       verbShow,
+	"DISCARD":    verbDiscard,
+	"DEALLOCATE": verbDeallocate,
+	"COPY":       verbCopy,
+}
+
+// parse cuts text into statements.
+func parse(text string) []*statement {
+	var out []*statement
+	for _, p := range split(lex(text)) {
+		out = append(out, parseOne(p))
+	}
+	return out
+}
+
+func parseOne(tokens []token) *statement {
+	w := words(tokens)
+	s := &statement{
+		tag:    strings.ToUpper(w[0].text),
+		source: join(tokens),
+		tokens: w,
+		casts:  make(map[int]uint32),
+	}
+	s.verb = verbs[s.tag]
+	switch {
+	case s.verb == verbRollback && isRollbackTo(w):
+		s.verb = verbRollbackTo
+	case s.verb == verbQuery && isCall(w):
+		s.verb = verbCall
+	case s.verb == verbQuery:
+		s.text = join(s.rewrite(tokens))
+	}
+	return s
+}
+
+func isRollbackTo(w []token) bool {
+	for _, t := range w[1:] {
+		if t.is("to") {
+			return true
+		}
+	}
+	return false
+}
+
+// isCall reports whether the statement is only a call of one of the stand-in's
+// own functions: SELECT f(...) or SELECT * FROM f(...).
+func isCall(w []token) bool {
+	i := callName(w)
+	return i > 0 && i+1 < len(w) && w[i+1].is("(") && w[len(w)-1].is(")") && calls[strings.ToLower(w[i].text)] != nil
+}
+
+// callName is the place of the function's name in a call, or 0.
+func callName(w []token) int {
+	if len(w) < 4 || !w[0].is("select") {
+		return 0
+	}
+	if w[1].is("*") && w[2].is("from") {
+		return 3
+	}
+	return 1
+}
+
+// call returns the function's lower-case name and its arguments; parameters are
+// taken from args.
+func (s *statement) call(args []any) (name string, values []string) {
+	i := callName(s.tokens)
+	for _, t := range s.tokens[i+2 : len(s.tokens)-1] {
+		switch t.kind {
+		case tokenString, tokenNumber:
+			values = append(values, unquote(t))
+		case tokenParam:
+			values = append(values, argumentText(t, args))
+		default:
+		}
+	}
+	return strings.ToLower(s.tokens[i].text), values
+}
+
+func argumentText(t token, args []any) string {
+	n := parseParam(t.text).number
+	if n < 1 || n > len(args) {
+		return ""
+	}
+	switch v := args[n-1].(type) {
+	case string:
+		return v
+	case int64:
+		return strconv.FormatInt(v, 10)
+	case float64:
+		return strconv.FormatFloat(v, 'g', -1, 64)
+	}
+	return ""
+}
+
+// changesSchema reports whether the statement changes tables.
+func (s *statement) changesSchema() bool {
+	return s.tag == "CREATE" || s.tag == "DROP" || s.tag == "ALTER"
+}
+
+// params is the highest parameter number in the statement.
+func (s *statement) params() int {
+	most := 0
+	for _, t := range s.tokens {
+		if t.kind == tokenParam {
+			most = max(most, parseParam(t.text).number)
+		}
+	}
+	return most
+}
+
+// currentTime is the engine's expression for now(), as timestamptz text.
+const currentTime = "(strftime('%Y-%m-%d %H:%M:%f+00','now'))"
+
+// rewrite turns PostgreSQL's spelling into the engine's, where they differ.
+func (s *statement) rewrite(tokens []token) []token {
+	var out []token
+	for i := 0; i < len(tokens); i++ {
+		t := tokens[i]
+		switch {
+		case t.is("::"):
+			i = s.cast(out, tokens, i)
+		case t.is("public") && i+1 < len(tokens) && tokens[i+1].is("."):
+			i++
+		case t.is("now") && hasEmptyCall(tokens[i+1:]):
+			out = append(out, wordOf(currentTime))
+			i += 2
+		case t.is("current_timestamp"):
+			out = append(out, wordOf(currentTime))
+		case t.is("serial") || t.is("bigserial"):
+			out = append(out, wordOf("INTEGER"))
+		case t.is("key") && s.tag == "CREATE" && followsSerial(words(tokens[:i])):
+			out = append(out, t, wordOf(" AUTOINCREMENT"))
+		case t.is("for") && s.tag == "SELECT" && isLocking(words(tokens[i:])):
+			return out
+		case t.is("truncate") && len(out) == 0:
+			out = append(out, wordOf("DELETE FROM"))
+			i = skipWord(tokens, i, "table")
+		default:
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+func wordOf(s string) token {
+	return token{
+		kind: tokenWord,
+		text: s,
+	}
+}
+
+// cast skips the type name after :: and returns the place of its last token.
+func (s *statement) cast(before, tokens []token, i int) int {
+	if i+1 >= len(tokens) {
+		return i
+	}
+	name := tokens[i+1].text
+	if w := words(before); len(w) > 0 && w[len(w)-1].kind == tokenParam {
+		s.casts[parseParam(w[len(w)-1].text).number] = typeOf(name)
+	}
+	i++
+	if strings.EqualFold(name, "double") {
+		i = skipWord(tokens, i, "precision")
+	}
+	if i+3 < len(tokens) && tokens[i+1].is("(") && tokens[i+3].is(")") {
+		i += 3
+	}
+	return i
+}
+
+// skipWord returns the place of word if it comes next after i, else i.
+func skipWord(tokens []token, i int, word string) int {
+	j := i + 1
+	for j < len(tokens) && tokens[j].kind == tokenSpace {
+		j++
+	}
+	if j < len(tokens) && tokens[j].is(word) {
+		return j
+	}
+	return i
+}
+
+func hasEmptyCall(t []token) bool { return len(t) > 1 && t[0].is("(") && t[1].is(")") }
+
+func followsSerial(w []token) bool {
+	n := len(w)
+	return n > 1 && w[n-1].is("primary") && (w[n-2].is("serial") || w[n-2].is("bigserial"))
+}
+
+func isLocking(w []token) bool {
+	return len(w) > 1 && (w[1].is("update") || w[1].is("share") || w[1].is("no") || w[1].is("key"))
+}
--- /dev/null
+++ b/stand/dbase/pull.go
@@ -0,0 +1,173 @@
+package dbase
+
+import (
+	"bufio"
+	"context"
+	"encoding/gob"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// redialDelay is the pause between tries to reach the followed primary.
+const redialDelay = 20 * time.Millisecond
+
+// pull fetches the log from the followed primary, whoever it is.
+func (s *Server) pull(ctx context.Context) error {
+	for ctx.Err() == nil {
+		primary, epoch, changed := s.source()
+		if primary == "" {
+			select {
+			case <-ctx.Done():
+			case <-changed:
+			}
+			continue
+		}
+		if err := s.pullFrom(ctx, primary, epoch); err != nil {
+			s.Log.V(1).Info("replication ended", "name", s.Name, "primary", primary, "cause", err.Error())
+		}
+		_ = s.sleep(ctx, redialDelay)
+	}
+	return nil
+}
+
+// source returns the primary to pull from, or an empty name.
+func (s *Server) source() (primary string, epoch uint64, changed <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.ledger.primary
+	if s.cuts[p] || s.lost || !s.ledger.replicates(s.ledger.epoch) {
+		p = ""
+	}
+	return p, s.ledger.epoch, s.changed
+}
+
+// pullFrom replicates until the connection or the epoch ends.
+func (s *Server) pullFrom(ctx context.Context, primary string, epoch uint64) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go s.endWithEpoch(ctx, cancel, primary, epoch)
+	d := net.Dialer{
+		Timeout: helloTimeout,
+	}
+	c, err := d.DialContext(ctx, "tcp", s.Peers[primary])
+	if err != nil {
+		return errors.Wrap(err, "replication")
+	}
+	defer c.Close()
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	defer stop()
+	dec := gob.NewDecoder(bufio.NewReaderSize(c, 1<<16))
+	a, err := s.introduce(c, dec)
+	if err != nil {
+		return err
+	}
+	if err := s.align(ctx, epoch, a); err != nil {
+		return err
+	}
+	for {
+		var batch shipment
+		if err := dec.Decode(&batch); err != nil {
+			return errors.Wrap(err, "replication")
+		}
+		if err := s.thaw(ctx); err != nil {
+			return err
+		}
+		if err := s.receive(epoch, primary, batch.Records); err != nil {
+			return err
+		}
+	}
+}
+
+// endWithEpoch cancels a replication that no longer counts.
+func (s *Server) endWithEpoch(ctx context.Context, cancel context.CancelFunc, primary string, epoch uint64) {
+	defer cancel()
+	for {
+		p, e, changed := s.source()
+		if p != primary || e != epoch {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+func (s *Server) introduce(c net.Conn, dec *gob.Decoder) (answer, error) {
+	s.mu.Lock()
+	h := hello{
+		Name: s.Name,
+		Term: s.ledger.followed.String(),
+		Runs: append([]run{}, s.ledger.runs...),
+	}
+	s.mu.Unlock()
+	var a answer
+	if err := gob.NewEncoder(c).Encode(&h); err != nil {
+		return a, errors.Wrap(err, "replication")
+	}
+	_ = c.SetReadDeadline(time.Now().Add(helloTimeout))
+	if err := dec.Decode(&a); err != nil {
+		return a, errors.Wrap(err, "replication")
+	}
+	if a.Refused != "" {
+		return a, errors.New(a.Refused)
+	}
+	return a, errors.Wrap(c.SetReadDeadline(time.Time{}), "replication")
+}
+
+// align cuts the log to what it shares with the primary's, and starts a new data
+// file where applied records go.
+func (s *Server) align(ctx context.Context, epoch uint64, a answer) error {
+	if err := s.lockWriter(ctx, nil); err != nil {
+		return err
+	}
+	defer s.unlockWriter()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.ledger.replicates(epoch) {
+		return errors.New("replication of an earlier term")
+	}
+	if a.Common == uint64(len(s.ledger.log)) {
+		return nil
+	}
+	if err := s.journal.cut(a.Common); err != nil {
+		return err
+	}
+	rebuild := s.ledger.cut(a.Common)
+	s.notify()
+	if !rebuild {
+		s.arrivals = s.arrivals[:a.Common-s.ledger.applied]
+		return nil
+	}
+	s.arrivals = make([]time.Time, a.Common)
+	s.syncTo = a.End
+	s.Log.Info("log parted, rebuilding", "name", s.Name, "common", a.Common, "end", a.End)
+	for _, x := range s.sessions {
+		if !x.platform {
+			go x.terminate()
+		}
+	}
+	s.ddl.Add(1)
+	return s.freshFile()
+}
+
+// receive takes records into the log.
+func (s *Server) receive(epoch uint64, primary string, records []*record) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Clock.Now()
+	for _, r := range records {
+		if s.cuts[primary] || !s.ledger.take(epoch, r) {
+			return errors.Errorf("record %d does not follow", r.Offset)
+		}
+		s.arrivals = append(s.arrivals, now)
+		if err := s.journal.record(r); err != nil {
+			return err
+		}
+	}
+	s.notify()
+	return nil
+}
--- /dev/null
+++ b/stand/dbase/ship.go
@@ -0,0 +1,154 @@
+package dbase
+
+import (
+	"bufio"
+	"context"
+	"encoding/gob"
+	"net"
+	"time"
+
+	"coltsfootloft"
+)
+
+// hello opens a replication connection.
+type hello struct {
+	Name string
+	// Ask wants only to know whether the peer has met Name.
+	Ask  bool
+	Term string
+	Runs []run
+}
+
+// answer replies to a hello. Records up to Common are shared; End is the end of
+// the primary's log.
+type answer struct {
+	Refused string
+	Met     bool
+	Common  uint64
+	End     uint64
+}
+
+// shipment carries records in the order of the log.
+type shipment struct {
+	Records []*record
+}
+
+// maxShip bounds the records of a shipment.
+const maxShip = 512
+
+// helloTimeout bounds the wait for a hello and its answer.
+const helloTimeout = 2 * time.Second
+
+// ship serves the log to one replica while the reign lasts that it asked for.
+func (s *Server) ship(ctx context.Context, c net.Conn) {
+	var h hello
+	if c.SetReadDeadline(time.Now().Add(helloTimeout)) != nil || gob.NewDecoder(c).Decode(&h) != nil {
+		return
+	}
+	if s.thaw(ctx) != nil {
+		return
+	}
+	w := bufio.NewWriterSize(c, 1<<16)
+	e := gob.NewEncoder(w)
+	reply, epoch := s.welcome(&h)
+	if e.Encode(&reply) != nil || w.Flush() != nil || reply.Refused != "" || h.Ask {
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go watchClose(c, cancel)
+	next := reply.Common
+	for {
+		records, changed, ok := s.after(next, epoch)
+		if !ok {
+			return
+		}
+		if len(records) == 0 {
+			select {
+			case <-ctx.Done():
+				return
+			case <-changed:
+			}
+			continue
+		}
+		if s.thaw(ctx) != nil {
+			return
+		}
+		if e.Encode(&shipment{Records: records}) != nil || w.Flush() != nil {
+			return
+		}
+		next += uint64(len(records))
+	}
+}
+
+// watchClose calls closed once the peer, which sends nothing more, has gone.
+func watchClose(c net.Conn, closed func()) {
+	defer closed()
+	_ = c.SetReadDeadline(time.Time{})
+	_, _ = c.Read(make([]byte, 1))
+}
+
+// welcome answers a hello and returns the epoch that the shipping lasts for.
+func (s *Server) welcome(h *hello) (answer, uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if h.Ask {
+		return answer{
+			Met: s.met[h.Name],
+		}, 0
+	}
+	term, err := coltsfootloft.ParseTerm(h.Term)
+	if err != nil || s.ledger.role != coltsfootloft.Primary || s.ledger.reign != term {
+		return answer{
+			Refused: "not the primary of term " + h.Term,
+		}, 0
+	}
+	s.met[h.Name] = true
+	return answer{
+		Common: common(s.ledger.runs, h.Runs),
+		End:    uint64(len(s.ledger.log)),
+	}, s.ledger.epoch
+}
+
+// after returns records past an offset. It is not ok once the database has
+// stopped to be the primary of this epoch's reign.
+func (s *Server) after(offset, epoch uint64) (records []*record, changed <-chan struct{}, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ledger.role != coltsfootloft.Primary || s.ledger.epoch != epoch {
+		return nil, nil, false
+	}
+	end := min(uint64(len(s.ledger.log)), offset+maxShip)
+	return s.ledger.log[offset:end], s.changed, true
+}
+
+// isKnown asks all peers whether one has met this database before.
+func (s *Server) isKnown(ctx context.Context) bool {
+	for _, address := range s.Peers {
+		if s.ask(ctx, address) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Server) ask(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout/4)
+	defer cancel()
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(helloTimeout / 4))
+	h := hello{
+		Name: s.Name,
+		Ask:  true,
+	}
+	var a answer
+	if gob.NewEncoder(c).Encode(&h) != nil || gob.NewDecoder(c).Decode(&a) != nil {
+		return false
+	}
+	return a.Met
+}
