--- a/cmd/coltsfootloft/serve.go
+++ b/cmd/coltsfootloft/serve.go
@@ -47,7 +47,11 @@
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
 	}
-	z, err := zap.NewProduction()
+	config := zap.NewProductionConfig()
+	if settings.LogLevel() == "debug" {
+		config.Level = zap.NewAtomicLevelAt(zap.DebugLevel)
+	}
+	z, err := config.Build()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
--- a/cmd/standin/platform.go
+++ b/cmd/standin/platform.go
@@ -49,6 +49,9 @@
 		WritesPerSecond: p.writes,
 		ReadsPerSecond:  p.reads,
 	}
+	go func() {
+		fmt.Printf("platform listening on %s\n", s.Addr())
+	}()
 	if err := s.Run(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -73,7 +73,7 @@
 		})
 	}
 	if x.commits {
-		x.hidden(dbops.CommitQuery, x.takeCommit)
+		x.hidden(dbops.CommitPosition, x.takeCommit)
 	}
 	return x
 }
@@ -339,10 +339,10 @@
 
 // takeCommit reads the position of the last commit on the connection.
 func (x *exchange) takeCommit(row [][]byte) {
-	if len(row) != 2 || len(row[0]) == 0 {
+	if len(row) != 2 {
 		return
 	}
-	p, err := dbops.ParsePosition(row[0], row[1])
+	p, err := dbops.ParseCommit(row[0], row[1])
 	if err == nil {
 		x.position = p
 	}
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -79,8 +79,7 @@
 	stop()
 	duties.Wait()
 	h.pools.close()
-	<-callers
-	return err
+	return errors.Wrap(firstError(err, <-callers), "draining")
 }
 
 func (h *Host) duties() []duty {
@@ -117,6 +116,15 @@
 	return errors.Wrap(err, "starting")
 }
 
+func firstError(all ...error) error {
+	for _, err := range all {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Ready is closed once callers are served.
 func (h *Host) Ready() <-chan struct{} { return h.ready }
 
--- a/io/host/provide.go
+++ b/io/host/provide.go
@@ -15,7 +15,6 @@
 	"coltsfootloft/io/watch"
 
 	"github.com/go-logr/logr"
-	"github.com/google/wire"
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 )
@@ -23,23 +22,6 @@
 // SettingsPrefix is where the store keeps the fleet's settings.
 const SettingsPrefix = "coltsfootloft/settings/"
 
-var providers = wire.NewSet(
-	provideStore,
-	provideSelf,
-	provideMembers,
-	provideSource,
-	provideCurrent,
-	provideWatch,
-	provideLedger,
-	provideLogin,
-	providePools,
-	provideRetries,
-	provideEnv,
-	provideFront,
-	provideHost,
-	wire.Bind(new(coltsfootloft.Store), new(*store.Consul)),
-)
-
 func provideStore(settings *conf.Host) (*store.Consul, error) {
 	return &store.Consul{Addresses: []string{settings.Store()}}, nil
 }
@@ -56,7 +38,7 @@
 		Log:   log.WithName("watch"),
 		Self:  self,
 		Open: func(u coltsfootloft.Upstream) coltsfootloft.Database {
-			return &dbops.Client{Address: u.Address()}
+			return &dbops.Database{Address: u.Address()}
 		},
 	}
 }
