--- /dev/null
+++ b/core/journ/journ_test.go
@@ -0,0 +1,86 @@
+package journ_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"coltsfootloft/core/journ"
+	_ "coltsfootloft/stand/seed"
+)
+
+func Example() {
+	j := &journ.Journal{Clock: clockwork.NewFakeClockAt(time.Unix(0, 0).UTC())}
+	j.Note(journ.Decided(journ.Promoted, "no progress of orders-1 for 900ms").Group("orders").Database("orders-2"))
+	j.Note(journ.Decided(journ.Routed, "replica covers the token").Session(7).Group("orders").Database("orders-3"))
+	for _, e := range j.Find(journ.Query{Group: "orders", Kind: "promoted"}) {
+		fmt.Println(e.Kind, e.Database, e.Reason)
+	}
+	// Output: promoted orders-2 no progress of orders-1 for 900ms
+}
+
+// The naive journal keeps every event; the real one must answer every query like
+// it, cut to the newest of each kind.
+func TestFindLikeAnUnboundedList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.IntRange(1, 5).Draw(t, "size")
+		j := &journ.Journal{
+			Size:  size,
+			Clock: clockwork.NewFakeClock(),
+		}
+		all := &journ.Journal{
+			Size:  1000,
+			Clock: j.Clock,
+		}
+		for range rapid.IntRange(0, 40).Draw(t, "events") {
+			e := journ.Decided(journ.Kind(rapid.IntRange(0, 6).Draw(t, "kind")), "why").
+				Session(uint64(rapid.IntRange(0, 2).Draw(t, "session"))).
+				Group(rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "group")).
+				Trace(rapid.SampledFrom([]string{"", "t"}).Draw(t, "trace"))
+			j.Note(e)
+			all.Note(e)
+		}
+		q := journ.Query{
+			Session: uint64(rapid.IntRange(0, 2).Draw(t, "asked session")),
+			Group:   rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "asked group"),
+			Limit:   rapid.IntRange(0, 9).Draw(t, "limit"),
+		}
+		kept := make(map[uint64]bool)
+		for _, k := range journ.KindNames() {
+			for _, e := range all.Find(journ.Query{Kind: k, Limit: size}) {
+				kept[e.Sequence] = true
+			}
+		}
+		var want []journ.View
+		for _, e := range all.Find(journ.Query{}) {
+			if kept[e.Sequence] && (q.Session == 0 || q.Session == e.Session) && (q.Group == "" || q.Group == e.Group) {
+				want = append(want, e)
+			}
+		}
+		if q.Limit > 0 && len(want) > q.Limit {
+			want = want[len(want)-q.Limit:]
+		}
+		assert.DeepEqual(t, j.Find(q), want)
+	})
+}
+
+func TestNilJournalDrops(t *testing.T) {
+	var j *journ.Journal
+	j.Note(journ.Decided(journ.Held, "x"))
+	assert.Equal(t, len(j.Find(journ.Query{})), 0)
+}
+
+func BenchmarkNote(b *testing.B) {
+	j := &journ.Journal{}
+	e := journ.Decided(journ.Routed, "replica covers the token").Session(7).Group("orders").Database("orders-3")
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			j.Note(e)
+		}
+	})
+}
