--- /dev/null
+++ b/core/conf/tree.go
@@ -0,0 +1,44 @@
+package conf
+
+import (
+	"io/fs"
+	"strings"
+)
+
+// TreeSuffix ends the names of files that hold a setting.
+const TreeSuffix = ".jsonc"
+
+const acceptedTree = "files named <path of the setting>" + TreeSuffix
+
+// ReadTree reads settings from a directory in which the path of each file,
+// without [TreeSuffix], is the path of the setting. Files and directories whose
+// name begins with a dot are passed over; any other file is a problem, and so is
+// one that can't be read, after which the rest is not read either.
+func ReadTree(root fs.FS) (map[string][]byte, Problems) {
+	entries := make(map[string][]byte)
+	var problems Problems
+	err := fs.WalkDir(root, ".", func(path string, d fs.DirEntry, err error) error {
+		hidden := strings.HasPrefix(path, ".") && path != "." || strings.Contains(path, "/.")
+		switch {
+		case err != nil:
+			return err
+		case hidden && d.IsDir():
+			return fs.SkipDir
+		case hidden || d.IsDir():
+			return nil
+		}
+		name, ok := strings.CutSuffix(path, TreeSuffix)
+		if !ok {
+			at := place{path: path}
+			problems = append(problems, at.problem("a file that is no setting", acceptedTree))
+			return nil
+		}
+		entries[name], err = fs.ReadFile(root, path)
+		return err
+	})
+	if err != nil {
+		at := place{path: "."}
+		problems = append(problems, at.problem("what can't be read ("+err.Error()+")", acceptedTree))
+	}
+	return entries, problems
+}
