share, seat: seats by lease, loans between hosts

First whole version of the peers' side: seats taken by compare-and-swap with a platform session, confirmation by mates, loans of rate, tokens and connection rights. It builds; its proofs are not written yet.

--- a/core/loan/book.go
+++ b/core/loan/book.go
@@ -39,6 +39,7 @@
 // borrowing is a loan as its borrower counts it.
 type borrowing struct {
 	part     Part
+	period   Period
 	until    time.Time
 	sequence uint64
 	asked    time.Time
@@ -68,29 +69,39 @@
 
 // Held returns the part that this host may use at now.
 func (b *Book) Held(now time.Time) Part {
-	if b.Settled(now) {
-		return b.held
-	}
-	b.dirty = false
-	b.next = now.Add(never)
-	b.held = b.Owned(now).Minus(b.reserved(now, ""))
-	b.event(now, b.until)
-	for _, l := range b.lent {
-		b.event(now, l.until)
-		b.event(now, l.keptUntil)
-	}
-	for _, l := range b.borrowed {
-		b.event(now, l.until)
-		b.held = b.held.Plus(l.current(now))
-		b.held.burst = max(b.held.burst-l.room, 0)
+	if !b.Settled(now) {
+		b.dirty = false
+		b.held, b.next = b.compute(now)
 	}
 	return b.held
 }
 
-func (b *Book) event(now, at time.Time) {
-	if at.After(now) && at.Before(b.next) {
-		b.next = at
+// Forecast returns the part that this host may use at a later time, if nothing
+// but the passing of time changes it.
+func (b *Book) Forecast(at time.Time) Part {
+	p, _ := b.compute(at)
+	return p
+}
+
+func (b *Book) compute(now time.Time) (held Part, next time.Time) {
+	next = now.Add(never)
+	event := func(at time.Time) {
+		if at.After(now) && at.Before(next) {
+			next = at
+		}
+	}
+	held = b.Owned(now).Minus(b.reserved(now, ""))
+	event(b.until)
+	for _, l := range b.lent {
+		event(l.until)
+		event(l.keptUntil)
+	}
+	for _, l := range b.borrowed {
+		event(l.until)
+		held = held.Plus(l.current(now))
+		held.burst = max(held.burst-l.room, 0)
 	}
+	return held, next
 }
 
 // reserved is what all borrowers but one may still use.
--- a/core/loan/borrow.go
+++ b/core/loan/borrow.go
@@ -39,6 +39,7 @@
 	asked := l.asked
 	b.close(l)
 	l.part = g.Part
+	l.period = g.Period
 	l.until = asked.Add(g.Period)
 	if !now.Before(l.until) {
 		delete(b.borrowed, lender)
@@ -74,6 +75,12 @@
 	return l.current(now), l.until
 }
 
+// Due reports whether a loan is in the second half of its period.
+func (b *Book) Due(now time.Time, lender string) bool {
+	l, ok := b.borrowed[lender]
+	return ok && l.until.Sub(now) < l.period/2
+}
+
 // Lenders returns the lenders of loans in force.
 func (b *Book) Lenders(now time.Time) []string {
 	var r []string
--- a/core/loan/rights.go
+++ b/core/loan/rights.go
@@ -30,6 +30,13 @@
 // number of connections that must be closed.
 func (r *Rights) Free(now time.Time) int { return r.Held(now) - r.used }
 
+// Excess is the number of connections that must be closed by a later time,
+// because a lease or loan ends until then and nothing has come in its place.
+func (r *Rights) Excess(now, at time.Time) int {
+	held := min(r.Held(now), whole(r.book.Forecast(at)))
+	return max(r.used-held, 0)
+}
+
 // Take uses one right, or reports false.
 func (r *Rights) Take(now time.Time) bool {
 	if r.Free(now) <= 0 {
--- a/io/share/admit.go
+++ b/io/share/admit.go
@@ -18,6 +18,9 @@
 
 	mutex   sync.Mutex
 	limit   coltsfootloft.Account
+	homes   []home
+	first   bool
+	rounds  rounds
 	rate    loan.Rate
 	waiters []*waiter
 	waiting float64
@@ -39,6 +42,7 @@
 		return nil
 	}
 	w, ok := e.enqueue(now, cost)
+	e.kick(now)
 	e.mutex.Unlock()
 	if !ok {
 		return e.refusal("too many statements wait for its rate")
@@ -93,7 +97,10 @@
 func (e *account) serve() {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	now := e.ledger.Clock.Now()
+	e.serveLocked(e.ledger.Clock.Now())
+}
+
+func (e *account) serveLocked(now time.Time) {
 	for len(e.waiters) > 0 && e.rate.Take(now, e.waiters[0].cost) {
 		w := e.waiters[0]
 		e.waiters = e.waiters[1:]
@@ -120,6 +127,55 @@
 	e.timer = e.ledger.Clock.AfterFunc(d, e.serve)
 }
 
+// ownWhole gives the whole limit to this host.
+func (e *account) ownWhole(now, until time.Time) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.rate.Own(now, loan.NewPart(e.limit.Rate(), e.limit.Burst()), until)
+	if e.first {
+		e.first = false
+		e.rate.Fill(now)
+	}
+	e.serveLocked(now)
+}
+
+// own gives this host the parts of the seats that it uses.
+func (e *account) own(now time.Time, u use) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	part := ownRate(e.limit, e.homes, u.domain)
+	var sum loan.Part
+	tokens := 0.0
+	for _, n := range u.seats {
+		if !e.isHome(u.domain, n) {
+			continue
+		}
+		sum = sum.Plus(part)
+		s := u.started[n]
+		tokens += s.tokens[e.limit.Name()]
+		if s.fresh && e.first {
+			tokens += part.Burst()
+		}
+	}
+	e.rate.Own(now, sum, u.until)
+	e.rate.Credit(now, tokens)
+	e.serveLocked(now)
+}
+
+// handBack takes the tokens that belong to a seat out of the bucket.
+func (e *account) handBack(now time.Time, domain string, n int) float64 {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	held := e.rate.Held(now).Burst()
+	if !e.isHome(domain, n) || held <= 0 {
+		return 0
+	}
+	part := ownRate(e.limit, e.homes, domain).Burst()
+	return e.rate.Debit(now, e.rate.Available(now)*min(part/held, 1))
+}
+
+func (e *account) isHome(domain string, n int) bool { return isHome(e.homes, domain, n) }
+
 func (e *account) refusal(why string) error {
 	return coltsfootloft.Refuse(
 		coltsfootloft.CodeRate,
--- /dev/null
+++ b/io/share/confirm.go
@@ -0,0 +1,145 @@
+package share
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"coltsfootloft"
+	"coltsfootloft/core/seat"
+	"coltsfootloft/io/share/sharepb"
+)
+
+// confirmTimeout bounds a question to a mate.
+const confirmTimeout = 400 * time.Millisecond
+
+// unreachableFor is how long a failed call of the store answers for others.
+const unreachableFor = time.Second
+
+// confirmDuty has mates confirm the seats while the lease isn't renewed.
+func (s *seating) confirmDuty(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.mutex.Lock()
+		needed := s.table.NeedsConfirm(s.ledger.Clock.Now())
+		s.mutex.Unlock()
+		if needed {
+			s.confirm(ctx)
+			s.ledger.apply()
+		}
+		s.ledger.pause(ctx, seat.ConfirmEvery)
+	}
+}
+
+func (s *seating) confirm(ctx context.Context) {
+	asked := s.ledger.Clock.Now()
+	question, session := s.question()
+	answers := s.askMates(ctx, question)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	renewed, ended, taken := false, false, false
+	for _, a := range answers {
+		renewed = renewed || a.GetRenewed()
+		ended = ended || a.GetEnded()
+		taken = taken || a.GetTaken()
+	}
+	switch {
+	case renewed:
+		s.table.Renewed(session, asked)
+	case ended:
+		s.table.Ended(session)
+	case !taken:
+		s.table.Confirmed(asked)
+	}
+}
+
+func (s *seating) question() (*sharepb.ConfirmRequest, string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	q := &sharepb.ConfirmRequest{Session: s.table.Session()}
+	for n, v := range s.table.Versions() {
+		q.Seats = append(q.Seats, &sharepb.Seat{
+			Number:  int64(n),
+			Version: v,
+		})
+	}
+	return q, q.GetSession()
+}
+
+// askMates returns the answers that came in time.
+func (s *seating) askMates(ctx context.Context, q *sharepb.ConfirmRequest) []*sharepb.ConfirmResponse {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	var mutex sync.Mutex
+	var answers []*sharepb.ConfirmResponse
+	var all sync.WaitGroup
+	for _, m := range s.mates() {
+		if m == s.table.Host {
+			continue
+		}
+		all.Go(func() {
+			r, err := s.ledger.call(ctx, m, &sharepb.Request{Confirm: q})
+			if err != nil {
+				return
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			answers = append(answers, r.GetConfirm())
+		})
+	}
+	all.Wait()
+	return answers
+}
+
+// confirmFor answers a mate's question.
+func (s *seating) confirmFor(ctx context.Context, q *sharepb.ConfirmRequest) *sharepb.ConfirmResponse {
+	s.mutex.Lock()
+	taken := false
+	for _, a := range q.GetSeats() {
+		taken = taken || s.table.KnowsLater(int(a.GetNumber()), a.GetVersion())
+	}
+	now := s.ledger.Clock.Now()
+	down := s.failed.After(s.reached) && now.Sub(s.failed) < unreachableFor
+	s.mutex.Unlock()
+	if taken || down {
+		return &sharepb.ConfirmResponse{Taken: taken}
+	}
+	err := s.reach(ctx, q.GetSession())
+	s.note(err)
+	return &sharepb.ConfirmResponse{
+		Renewed: err == nil,
+		Ended:   errors.Is(err, coltsfootloft.ErrNoSession),
+	}
+}
+
+// reach renews a mate's session, or finds out whether the store can be reached.
+func (s *seating) reach(ctx context.Context, session string) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	if session != "" {
+		return s.ledger.Store.RenewSession(ctx, session)
+	}
+	if _, err := s.ledger.Store.Read(ctx, s.table.Prefix+"layout"); err != nil {
+		return err
+	}
+	return coltsfootloft.ErrNoSession
+}
+
+// call sends one request to a host.
+func (l *Ledger) call(ctx context.Context, host string, q *sharepb.Request) (*sharepb.Response, error) {
+	body, err := proto.Marshal(q)
+	if err != nil {
+		return nil, err
+	}
+	body, err = l.Peers.Call(ctx, host, Duty, body)
+	if err != nil {
+		return nil, err
+	}
+	r := &sharepb.Response{}
+	if err := proto.Unmarshal(body, r); err != nil {
+		return nil, err
+	}
+	return r, nil
+}
--- a/io/share/ledger.go
+++ b/io/share/ledger.go
@@ -8,35 +8,51 @@
 
 	"github.com/go-logr/logr"
 	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/errgroup"
 
 	"coltsfootloft"
 	"coltsfootloft/core/loan"
 )
 
 const (
+	// Duty is the name of the ledger's duty on peer links.
+	Duty = "share"
+	// DefaultPrefix is where the store keeps the seats.
+	DefaultPrefix = "seats/"
 	// DefaultWait bounds how long a statement waits for tokens.
 	DefaultWait = 500 * time.Millisecond
 	// DefaultWaiters bounds the waiters of one account or database.
 	DefaultWaiters = 256
+	// DefaultHomes is the number of seats of a domain that own a limit's part.
+	DefaultHomes = 2
+	// forever is later than every lease.
+	forever = 100 * 365 * 24 * time.Hour
 )
 
-// forever is later than every lease.
-const forever = 100 * 365 * 24 * time.Hour
-
 // Ledger implements [coltsfootloft.Shares]. Set the exported fields, call
 // Configure, then Run. Admit and Connect may be called before Run, and refuse
-// what this host owns no part of.
+// what this host holds no part of.
 type Ledger struct {
 	// Clock is required.
 	Clock clockwork.Clock
 	// Log takes what happens to seats and loans.
 	Log logr.Logger
-	// Store holds the seats; nil makes this host the only one.
+	// Store holds the seats; nil makes this host the only one, which owns every
+	// limit whole.
 	Store coltsfootloft.Store
 	// Peers carries loans; needed with a Store.
 	Peers coltsfootloft.Peers
 	// Members tells the hosts of a domain; needed with a Store.
 	Members coltsfootloft.Members
+	// RunName names this run of the process, unique among all runs of a host; needed
+	// with a Store.
+	RunName string
+	// Prefix is where the store keeps the seats; empty means [DefaultPrefix].
+	Prefix string
+	// Homes is the number of seats of each domain that own the part of one
+	// account or database; zero means [DefaultHomes]. It must be the same on
+	// all hosts and never change while any of them runs.
+	Homes int
 	// Wait bounds how long a statement waits for tokens; zero means
 	// [DefaultWait].
 	Wait time.Duration
@@ -45,66 +61,47 @@
 	Waiters int
 
 	configure sync.Mutex
+	plan      Plan
 	accounts  atomic.Pointer[map[string]*account]
 	databases atomic.Pointer[map[string]*database]
 	reclaim   atomic.Pointer[func(string) bool]
+	revoke    atomic.Pointer[func(string, int)]
+
+	register sync.Once
+	seating  seating
+	lenders  lenders
+	kicks    chan borrower
+	tasks    sync.WaitGroup
 }
 
 var _ coltsfootloft.Shares = (*Ledger)(nil)
 
-// Configure takes new settings into force. It may be called at any time.
-func (l *Ledger) Configure(p Plan) {
-	l.configure.Lock()
-	defer l.configure.Unlock()
-	l.configureAccounts(p.Accounts)
-	l.configureDatabases(p.Groups)
-}
-
-func (l *Ledger) configureAccounts(all []coltsfootloft.Account) {
-	now := l.Clock.Now()
-	old := load(&l.accounts)
-	fresh := make(map[string]*account, len(all))
-	for _, a := range all {
-		e, known := old[a.Name()]
-		if !known {
-			e = &account{ledger: l}
-		}
-		e.mutex.Lock()
-		e.limit = a
-		e.rate.Own(now, loan.NewPart(a.Rate(), a.Burst()), now.Add(forever))
-		if !known && len(old) == 0 {
-			e.rate.Fill(now)
-		}
-		e.mutex.Unlock()
-		fresh[a.Name()] = e
+// Run does the duties of the ledger until ctx ends, and then hands the seats
+// back. It returns within about two seconds of that.
+func (l *Ledger) Run(ctx context.Context) error {
+	if l.Store == nil {
+		<-ctx.Done()
+		return nil
 	}
-	l.accounts.Store(&fresh)
-}
-
-func (l *Ledger) configureDatabases(groups []coltsfootloft.Group) {
-	now := l.Clock.Now()
-	old := load(&l.databases)
-	fresh := make(map[string]*database)
-	for _, g := range groups {
-		for _, u := range g.Upstreams() {
-			d, known := old[u.Name()]
-			if !known {
-				d = &database{ledger: l, name: u.Name()}
-			}
-			d.mutex.Lock()
-			d.limit = g.Connections()
-			d.rights.Own(d.limit, now.Add(forever))
-			d.mutex.Unlock()
-			fresh[u.Name()] = d
-		}
+	g, run := errgroup.WithContext(ctx)
+	duties := []func(context.Context){
+		l.seating.renewDuty,
+		l.seating.watchDuty,
+		l.seating.holdDuty,
+		l.seating.confirmDuty,
+		l.borrowDuty,
+		l.closeDuty,
 	}
-	l.databases.Store(&fresh)
-}
-
-// Run does the duties of the ledger until ctx ends.
-func (l *Ledger) Run(ctx context.Context) error {
-	<-ctx.Done()
-	return nil
+	for _, d := range duties {
+		g.Go(func() error {
+			d(run)
+			return nil
+		})
+	}
+	err := g.Wait()
+	l.tasks.Wait()
+	l.seating.leave(context.WithoutCancel(ctx))
+	return err
 }
 
 // Admit implements [coltsfootloft.Shares].
@@ -130,6 +127,41 @@
 // may call release of the connection that it closes.
 func (l *Ledger) OnReclaim(f func(database string) bool) { l.reclaim.Store(&f) }
 
+// OnRevoke sets what is told that the rights to this many connections of a
+// database end in about [RevokeAhead], because a lease or loan could not be
+// renewed. They must be closed at once, in use or not, and released.
+func (l *Ledger) OnRevoke(f func(database string, count int)) { l.revoke.Store(&f) }
+
+// Seats returns the seats that this host uses now and until when, for status
+// reports.
+func (l *Ledger) Seats() (numbers []int, until time.Time) {
+	if l.Store == nil {
+		return nil, l.Clock.Now().Add(forever)
+	}
+	return l.seating.held()
+}
+
+// Held returns this host's present part of an account's rate, in statements per
+// second, and burst, for status reports.
+func (l *Ledger) Held(name string) loan.Part {
+	e, ok := load(&l.accounts)[name]
+	if !ok {
+		return loan.Part{}
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.rate.Held(l.Clock.Now())
+}
+
+// spawn runs a task that ends with ctx, and that Run waits for.
+func (l *Ledger) spawn(f func()) {
+	l.tasks.Add(1)
+	go func() {
+		defer l.tasks.Done()
+		f()
+	}()
+}
+
 func (l *Ledger) wait() time.Duration {
 	if l.Wait <= 0 {
 		return DefaultWait
@@ -137,11 +169,15 @@
 	return l.Wait
 }
 
-func (l *Ledger) waiters() int {
-	if l.Waiters <= 0 {
-		return DefaultWaiters
+func (l *Ledger) waiters() int { return orDefault(l.Waiters, DefaultWaiters) }
+
+func (l *Ledger) homes() int { return orDefault(l.Homes, DefaultHomes) }
+
+func orDefault(n, standard int) int {
+	if n <= 0 {
+		return standard
 	}
-	return l.Waiters
+	return n
 }
 
 func load[T any](p *atomic.Pointer[map[string]T]) map[string]T {
--- a/io/share/plan.go
+++ b/io/share/plan.go
@@ -1,7 +1,11 @@
 package share
 
 import (
+	"slices"
+	"strconv"
+
 	"coltsfootloft"
+	"coltsfootloft/core/loan"
 )
 
 // Plan is the part of the settings that the ledger needs.
@@ -22,3 +26,154 @@
 	// usually the number of its entry hosts.
 	Seats int
 }
+
+// Configure takes new settings into force. It may be called at any time.
+//
+// Hosts take new settings at different times. A host's own part of a limit is at
+// most the larger of the old and the new, and loans made under the old limit
+// count against the new part, so the parts of all hosts never sum to more than
+// the larger limit.
+func (l *Ledger) Configure(p Plan) {
+	l.register.Do(l.start)
+	l.configure.Lock()
+	l.plan = p
+	l.configureAccounts(p.Accounts)
+	l.configureDatabases(p.Groups)
+	l.configure.Unlock()
+	if l.Store == nil {
+		l.ownAll()
+		return
+	}
+	l.seating.configure(p.Domains)
+	l.apply()
+}
+
+// start prepares what needs the exported fields.
+func (l *Ledger) start() {
+	l.kicks = make(chan borrower, maxKicks)
+	l.lenders.ledger = l
+	l.seating.ledger = l
+	if l.Store != nil {
+		l.seating.start()
+		l.Peers.Register(Duty, l.handle)
+	}
+}
+
+func (l *Ledger) configureAccounts(all []coltsfootloft.Account) {
+	old := load(&l.accounts)
+	fresh := make(map[string]*account, len(all))
+	for _, a := range all {
+		e, known := old[a.Name()]
+		if !known {
+			e = &account{
+				ledger: l,
+				first:  old == nil,
+			}
+		}
+		e.mutex.Lock()
+		e.limit = a
+		e.homes = l.homesOf("account/" + a.Name())
+		e.mutex.Unlock()
+		fresh[a.Name()] = e
+	}
+	l.accounts.Store(&fresh)
+}
+
+func (l *Ledger) configureDatabases(groups []coltsfootloft.Group) {
+	old := load(&l.databases)
+	fresh := make(map[string]*database)
+	for _, g := range groups {
+		for _, u := range g.Upstreams() {
+			d, known := old[u.Name()]
+			if !known {
+				d = &database{
+					ledger: l,
+					name:   u.Name(),
+				}
+			}
+			d.mutex.Lock()
+			d.limit = g.Connections()
+			d.homes = l.homesOf("database/" + u.Name())
+			d.mutex.Unlock()
+			fresh[u.Name()] = d
+		}
+	}
+	l.databases.Store(&fresh)
+}
+
+// home is the seats of one domain that own a limit's part of the domain.
+type home struct {
+	domain string
+	seats  []int
+}
+
+func (l *Ledger) homesOf(name string) []home {
+	r := make([]home, 0, len(l.plan.Domains))
+	for _, d := range l.plan.Domains {
+		r = append(r, home{
+			domain: d.Name,
+			seats:  loan.Homes(name, d.Name, d.Seats, l.homes()),
+		})
+	}
+	return r
+}
+
+// ownRate is the part of an account that one of its home seats owns.
+func ownRate(a coltsfootloft.Account, homes []home, domain string) loan.Part {
+	for _, h := range homes {
+		if h.domain == domain {
+			whole := loan.NewPart(a.Rate(), a.Burst())
+			return whole.Scale(1 / float64(len(homes)*len(h.seats)))
+		}
+	}
+	return loan.Part{}
+}
+
+// ownRights is the number of a database's connections that these seats own.
+func ownRights(name string, limit int, homes []home, domain string, held []int) int {
+	domains := make([]string, len(homes))
+	for i, h := range homes {
+		domains[i] = h.domain
+	}
+	i := slices.Index(domains, domain)
+	if i < 0 {
+		return 0
+	}
+	seats := make([]string, len(homes[i].seats))
+	for j, n := range homes[i].seats {
+		seats[j] = strconv.Itoa(n)
+	}
+	part := loan.Split(name, limit, domains)[domain]
+	shares := loan.Split(name+"/"+domain, part, seats)
+	sum := 0
+	for _, n := range held {
+		sum += shares[strconv.Itoa(n)]
+	}
+	return sum
+}
+
+// ownAll gives all limits to this host, which is the only one.
+func (l *Ledger) ownAll() {
+	now := l.Clock.Now()
+	end := now.Add(forever)
+	for _, e := range load(&l.accounts) {
+		e.ownWhole(now, end)
+	}
+	for _, d := range load(&l.databases) {
+		d.own(d.limit, end)
+	}
+}
+
+// apply gives the parts of the seats that this host may use now to all limits.
+func (l *Ledger) apply() {
+	l.configure.Lock()
+	defer l.configure.Unlock()
+	now := l.Clock.Now()
+	u := l.seating.use(now)
+	for _, e := range load(&l.accounts) {
+		e.own(now, u)
+	}
+	for _, d := range load(&l.databases) {
+		d.own(ownRights(d.name, d.limit, d.homes, u.domain, u.seats), u.until)
+	}
+}
--- /dev/null
+++ b/io/share/serve.go
@@ -0,0 +1,148 @@
+package share
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"coltsfootloft/core/loan"
+	"coltsfootloft/io/share/sharepb"
+)
+
+const (
+	// reclaimTime bounds the closing of unused connections for another host.
+	reclaimTime = 200 * time.Millisecond
+	// RevokeAhead is how long before rights end their connections are to be
+	// closed.
+	RevokeAhead = 150 * time.Millisecond
+	// closeEvery is the time between looks at rights that are about to end.
+	closeEvery = 50 * time.Millisecond
+)
+
+// handle answers the requests of other hosts.
+func (l *Ledger) handle(ctx context.Context, from string, body []byte) ([]byte, error) {
+	q := &sharepb.Request{}
+	if err := proto.Unmarshal(body, q); err != nil {
+		return nil, errors.Wrap(err, "share: request from "+from)
+	}
+	r := &sharepb.Response{}
+	switch {
+	case q.GetLoan() != nil:
+		r.Loan = l.lend(ctx, from, q.GetLoan())
+	case q.GetRecall() != nil:
+		r.Recall = l.yield(from, q.GetRecall())
+	case q.GetConfirm() != nil:
+		r.Confirm = l.seating.confirmFor(ctx, q.GetConfirm())
+	}
+	return proto.Marshal(r)
+}
+
+func (l *Ledger) lend(ctx context.Context, from string, q *sharepb.LoanRequest) *sharepb.LoanResponse {
+	ctx, cancel := context.WithTimeout(ctx, reclaimTime)
+	defer cancel()
+	borrower := from + "/" + q.GetRun()
+	r := &sharepb.LoanResponse{}
+	for _, a := range q.GetAccounts() {
+		var g loan.Grant
+		if e, ok := load(&l.accounts)[a.GetName()]; ok {
+			g = e.lend(borrower, decodeAsk(a))
+		}
+		r.Accounts = append(r.Accounts, encodeGrant(g))
+	}
+	for _, a := range q.GetDatabases() {
+		var g loan.Grant
+		if d, ok := load(&l.databases)[a.GetName()]; ok {
+			g = d.lend(ctx, borrower, decodeAsk(a), a.GetUrgent())
+		}
+		r.Databases = append(r.Databases, encodeGrant(g))
+	}
+	return r
+}
+
+// recall orders borrowers other than one to give back up to n rights in all that
+// they don't use.
+func (d *database) recall(ctx context.Context, except string, n int) {
+	d.mutex.Lock()
+	borrowers := d.rights.Book().Borrowers(d.ledger.Clock.Now())
+	d.mutex.Unlock()
+	var all sync.WaitGroup
+	for b, part := range borrowers {
+		if b == except || part.Burst() == 0 {
+			continue
+		}
+		all.Go(func() { d.recallFrom(ctx, b, n) })
+	}
+	all.Wait()
+}
+
+func (d *database) recallFrom(ctx context.Context, borrower string, n int) {
+	host := borrower[:strings.LastIndex(borrower, "/")]
+	r, err := d.ledger.call(ctx, host, &sharepb.Request{Recall: &sharepb.RecallRequest{
+		Database: d.name,
+		Count:    int64(n),
+	}})
+	if err != nil || r.GetRecall().GetSequence() == 0 {
+		return
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	kept := loan.NewPart(0, float64(r.GetRecall().GetKept()))
+	d.rights.Book().Recalled(d.ledger.Clock.Now(), borrower, r.GetRecall().GetSequence(), kept)
+}
+
+// yield gives rights back to their lender that this host doesn't use.
+func (l *Ledger) yield(lender string, q *sharepb.RecallRequest) *sharepb.RecallResponse {
+	d, ok := load(&l.databases)[q.GetDatabase()]
+	if !ok {
+		return &sharepb.RecallResponse{}
+	}
+	n := int(q.GetCount())
+	d.mutex.Lock()
+	free := d.rights.Free(l.Clock.Now())
+	d.owe(l.Clock.Now(), 1)
+	d.mutex.Unlock()
+	d.reclaim(n - max(free, 0))
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	sequence, kept, ok := d.rights.Yield(l.Clock.Now(), lender, n)
+	if !ok {
+		return &sharepb.RecallResponse{}
+	}
+	return &sharepb.RecallResponse{
+		Sequence: sequence,
+		Kept:     int64(kept),
+	}
+}
+
+// closeDuty has connections closed whose rights are about to end.
+func (l *Ledger) closeDuty(ctx context.Context) {
+	for ctx.Err() == nil {
+		l.pause(ctx, closeEvery)
+		for _, d := range load(&l.databases) {
+			d.closeExcess()
+		}
+	}
+}
+
+func (d *database) closeExcess() {
+	n := d.excess()
+	if n == 0 {
+		return
+	}
+	d.reclaim(n)
+	f := d.ledger.revoke.Load()
+	if n = d.excess(); n > 0 && f != nil {
+		(*f)(d.name, n)
+	}
+}
+
+func (d *database) excess() int {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := d.ledger.Clock.Now()
+	return d.rights.Excess(now, now.Add(RevokeAhead))
+}
