--- a/stand/memdb/memdb.go
+++ b/stand/memdb/memdb.go
@@ -2,8 +2,8 @@
 //
 // Its members keep terms and logs as the platform's databases do: a fence term
 // refuses everything below it, a promotion writes the first record of its term,
-// and a replica cuts back what its log doesn't share with the primary before it
-// receives more. Nothing moves by itself: a test ships each record with
+// and a replica cuts back what its log doesn't share with the primary in each
+// term before it receives more. Nothing moves by itself: a test ships each record with
 // [Group.Receive], or lets [Group.Run] do it. Faults are set by name: members
 // freeze and stop, and each direction between a host and a member, or between two
 // members, can be cut.
@@ -55,7 +55,7 @@
 	log     []record
 	applied int
 	primary string
-	synced  bool
+	synced  coltsfootloft.Term
 	version uint64
 	frozen  bool
 	stopped bool
@@ -127,7 +127,7 @@
 	return g.change(name, term, func(m *member) {
 		m.role = coltsfootloft.Replica
 		m.primary = primary
-		m.synced = false
+		m.synced = coltsfootloft.Term{}
 	})
 }
 
@@ -161,7 +161,7 @@
 	if m.down() || p.down() || g.cuts[link{from: m.primary, to: name}] {
 		return false
 	}
-	if !m.synced {
+	if m.synced != p.reign {
 		m.cutBack(p)
 		g.bump(m)
 		return true
@@ -264,5 +264,5 @@
 	}
 	m.log = slices.Clone(m.log[:n])
 	m.applied = min(m.applied, n)
-	m.synced = true
+	m.synced = p.reign
 }
