--- a/core/quorum/quorum.go
+++ b/core/quorum/quorum.go
@@ -71,6 +71,16 @@
 	return name, term, true
 }
 
+// Frontier returns the greatest offset of the term that the readings show a
+// majority to hold, 0 if none.
+func (s Size) Frontier(readings map[string]coltsfootloft.Reading, term coltsfootloft.Term) uint64 {
+	l := NewLedger(s)
+	for n, r := range readings {
+		l.Note(n, r)
+	}
+	return l.Frontier(term)
+}
+
 // Reigns reports whether the reading is of a primary in its own term, not fenced
 // by a higher one.
 func Reigns(r coltsfootloft.Reading) bool {
