--- a/core/elect/suspect.go
+++ b/core/elect/suspect.go
@@ -14,6 +14,8 @@
 	// longestCooling while the need lasts.
 	firstCooling   = 200 * time.Millisecond
 	longestCooling = 5 * time.Second
+	// holdPeriod is waited while another host vouches for the primary.
+	holdPeriod = 100 * time.Millisecond
 )
 
 // delays is how long a need must last before the first host in rank acts. The
@@ -41,6 +43,7 @@
 	if !need.same(s.need) {
 		s.need = need
 		s.since = now
+		s.until = time.Time{}
 		if need.kind == Nothing {
 			s.cooling = 0
 		}
@@ -59,6 +62,9 @@
 	s.until = now.Add(s.cooling)
 }
 
+// Hold keeps the host from acting again for a short while.
+func (s *Suspicion) Hold(now time.Time) { s.until = now.Add(holdPeriod) }
+
 // Progress measures how long a primary has been ahead of a majority that doesn't
 // move. The zero value is ready.
 type Progress struct {
--- a/stand/memdb/link.go
+++ b/stand/memdb/link.go
@@ -57,6 +57,15 @@
 	return g.calls
 }
 
+// Reaches reports whether a call from one side to the other would be answered at
+// this moment.
+func (g *Group) Reaches(from, to string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	cut := g.cuts[link{from: from, to: to}] || g.cuts[link{from: to, to: from}]
+	return !cut && !g.members[to].down()
+}
+
 func (g *Group) fault(f func()) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
