caller: idempotent writes by request id

The id is recorded in the transaction of the write, so the two commit or vanish together on whatever primary survives. A second arrival finds the record, waits until a majority holds it, and gets the first command tag with a notice. Ruled out: a record kept by the hosts, which share no state, and one in the platform's store, which would put its outages on the write path. With an id the host itself may repeat a write whose outcome is unknown.

--- a/io/caller/batch.go
+++ b/io/caller/batch.go
@@ -26,6 +26,8 @@
 	hidden bool
 	// row takes the rows of a hidden step.
 	row func(values [][]byte)
+	// refused takes the error of a hidden step; without it the attempt fails.
+	refused func(e *pgproto3.ErrorResponse)
 }
 
 // batch is what a caller sends up to a Sync or a Flush, or one simple query.
--- a/io/caller/env.go
+++ b/io/caller/env.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"sync/atomic"
 	"time"
 
 	"coltsfootloft"
@@ -34,6 +35,9 @@
 	Clock clockwork.Clock
 	// Log takes events.
 	Log logr.Logger
+
+	// purges counts recorded request ids, to remove old ones now and then.
+	purges atomic.Uint64
 }
 
 // Budget bounds the repeats of each client account.
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -36,6 +36,10 @@
 	movable bool
 	before  state
 
+	idempotent bool
+	recorded   error
+	tag        string
+
 	position     coltsfootloft.Position
 	stale        bool
 	refusedWrite bool
@@ -63,6 +67,7 @@
 			saved:    s.saved,
 		},
 	}
+	x.idempotent = s.request != "" && s.tx == txIdle && b.has(stmt.Write)
 	x.commits = s.onPrimary && !b.open && (s.tx == txIdle || b.has(stmt.Commit))
 	x.prefix(b)
 	x.steps = append(x.steps, b.steps...)
@@ -72,12 +77,19 @@
 			message: encode(&pgproto3.Flush{}),
 		})
 	}
-	if x.commits {
-		x.hidden(dbops.CommitPosition, x.takeCommit)
+	if x.commits && !x.idempotent {
+		x.askCommit()
 	}
 	return x
 }
 
+// askCommit asks for the position of the last commit on the connection. In a
+// failed transaction the answer is an error, and there was no commit.
+func (x *exchange) askCommit() {
+	x.hidden(dbops.CommitPosition, x.takeCommit)
+	x.steps[len(x.steps)-1].refused = func(*pgproto3.ErrorResponse) {}
+}
+
 // prefix adds the host's own steps that come before the caller's.
 func (x *exchange) prefix(b *batch) {
 	s := x.session
@@ -92,8 +104,15 @@
 	if !isLoneWrite && !x.conn.Verified().Covers(x.need.Position) {
 		x.hidden(dbops.StatusQuery, x.takeStatus)
 	}
-	if s.tx == txOpen && s.begin != "" {
+	switch {
+	case s.tx == txOpen && s.begin != "":
 		x.hidden(s.begin, nil)
+		if s.request != "" && !s.beginRead {
+			x.record()
+		}
+	case x.idempotent:
+		x.hidden("BEGIN", nil)
+		x.record()
 	}
 }
 
@@ -117,6 +136,14 @@
 	if err := x.receive(); err != nil {
 		return x.broke(err)
 	}
+	if x.recorded != nil {
+		return x.already(ctx)
+	}
+	if x.idempotent {
+		if err := x.finish(); err != nil {
+			return x.broke(err)
+		}
+	}
 	return x.settle(ctx)
 }
 
@@ -279,7 +306,8 @@
 	if x.commits {
 		x.session.out.hold()
 	}
-	if string(m.CommandTag) == "ROLLBACK" {
+	x.tag = string(m.CommandTag)
+	if x.tag == "ROLLBACK" {
 		x.rolledBack = true
 	}
 	if only, ok := t.script.Only(); ok {
@@ -313,7 +341,8 @@
 
 // refused takes an error of the database.
 func (x *exchange) refused(t *step, e *pgproto3.ErrorResponse) error {
-	if t.hidden && x.commits && t == &x.steps[len(x.steps)-1] {
+	if t.refused != nil {
+		t.refused(e)
 		return nil
 	}
 	if e.Code == "0A000" || e.Code == "26000" {
@@ -376,7 +405,11 @@
 		return answered, nil
 	}
 	x.conn.Committed(x.position)
-	return answered, x.acknowledge(ctx)
+	err := x.acknowledge(ctx)
+	if err != nil && x.idempotent {
+		return lost, err
+	}
+	return answered, err
 }
 
 // committed reports whether the attempt has made a commit.
--- a/io/caller/run.go
+++ b/io/caller/run.go
@@ -24,8 +24,11 @@
 	if b.open {
 		return s.out.flush()
 	}
-	if s.tx == txIdle && s.pinned != nil {
+	if s.tx == txIdle {
 		s.unpin()
+		if b.has(stmt.Write) || b.has(stmt.Commit) || b.has(stmt.Rollback) {
+			s.request = ""
+		}
 	}
 	return s.ready()
 }
@@ -89,15 +92,15 @@
 // onAny runs the batch on a connection chosen for it, and elsewhere again while
 // that is safe.
 func (s *Session) onAny(ctx context.Context, b *batch) error {
-	ctx, cancel := context.WithTimeout(ctx, s.Env.Fleet().Defaults().PoolWait())
+	waiting, cancel := context.WithTimeout(ctx, s.Env.Fleet().Defaults().PoolWait())
 	defer cancel()
-	n, err := s.need(ctx, s.needsPrimary(b))
+	n, err := s.need(waiting, s.needsPrimary(b))
 	if err != nil {
 		return err
 	}
 	s.Env.Retry.Offer(s.Account)
 	for {
-		c, err := s.place(ctx, &n)
+		c, err := s.place(waiting, &n)
 		if err != nil {
 			return err
 		}
@@ -105,7 +108,7 @@
 		if !again {
 			return err
 		}
-		if ctx.Err() != nil || !s.out.restart() {
+		if waiting.Err() != nil || !s.out.restart() {
 			return err
 		}
 	}
@@ -140,9 +143,9 @@
 	case lost:
 		s.unpin()
 		n.Avoid[c.Database()] = true
-		repeat := !n.Write && !s.onPrimary && s.Env.Retry.Spend(s.Account)
 		s.Env.note(s.ID, "connection lost", c.Database())
-		return repeat, err
+		isSafe := x.idempotent || !n.Write && !s.onPrimary
+		return isSafe && s.Env.Retry.Spend(s.Account), err
 	default:
 		s.Env.Retry.Succeed(s.Account)
 		return false, err
