--- a/stand/dbase/apply.go
+++ b/stand/dbase/apply.go
@@ -41,18 +41,18 @@
 
 // run repeats records in one engine transaction; done runs with its commit.
 func (s *Server) run(h *handle, records []*record, done func() error) error {
-	if _, err := h.exec("BEGIN IMMEDIATE", nil); err != nil {
+	if err := h.exec("BEGIN IMMEDIATE"); err != nil {
 		return errors.Wrap(err, "apply")
 	}
 	for _, r := range records {
 		for _, c := range r.Changes {
-			if _, err := h.exec(c.Text, c.Args); err != nil {
+			if err := h.exec(c.Text, c.Args...); err != nil {
 				s.Log.Error(err, "replica differs from its primary", "name", s.Name, "offset", r.Offset, "statement", c.Text)
 			}
 		}
 	}
 	if err := done(); err != nil {
-		_, _ = h.exec("ROLLBACK", nil)
+		_ = h.exec(tagRollback)
 		return err
 	}
 	return nil
@@ -165,7 +165,7 @@
 	return s.run(h, records, func() error {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		if _, err := h.exec("COMMIT", nil); err != nil {
+		if err := h.exec("COMMIT"); err != nil {
 			return errors.Wrap(err, "apply")
 		}
 		for _, r := range records {
--- /dev/null
+++ b/stand/dbase/bench_test.go
@@ -0,0 +1,115 @@
+package dbase_test
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"gotest.tools/v3/assert"
+
+	"coltsfootloft/stand/dbase"
+)
+
+// processor is the time that this process has spent, callers included.
+func processor() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// run spreads statements over 16 connections and reports rate and processor time.
+func run(b *testing.B, s *dbase.Server, statement func(c *pgx.Conn, n int64) error) {
+	b.Helper()
+	b.SetParallelism(2)
+	var n atomic.Int64
+	began, spent := time.Now(), processor()
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		c, err := pgx.Connect(context.Background(), url(s, "caroni"))
+		if err != nil {
+			b.Error(err)
+			return
+		}
+		defer c.Close(context.Background())
+		for pb.Next() {
+			if err := statement(c, n.Add(1)); err != nil {
+				b.Error(err)
+				return
+			}
+		}
+	})
+	b.StopTimer()
+	b.ReportMetric(float64(b.N)/time.Since(began).Seconds(), "statements/s")
+	b.ReportMetric(float64((processor()-spent).Microseconds())/float64(b.N), "cpu-us/statement")
+}
+
+func prepare(b *testing.B, s *dbase.Server) {
+	b.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	<-s.Ready()
+	b.Cleanup(func() {
+		cancel()
+		assert.NilError(b, <-done)
+	})
+	c, err := pgx.Connect(ctx, url(s, "caroni"))
+	assert.NilError(b, err)
+	defer c.Close(ctx)
+	_, err = c.Exec(ctx, createNotices)
+	assert.NilError(b, err)
+	for i := range 1000 {
+		_, err := c.Exec(ctx, "INSERT INTO notices (title, pages) VALUES ($1, $2)", fmt.Sprintf("first %d", i), i)
+		assert.NilError(b, err)
+	}
+}
+
+func server(b *testing.B, dir string) *dbase.Server {
+	b.Helper()
+	s := &dbase.Server{
+		Name:    "a",
+		Initial: "a",
+		Dir:     dir,
+	}
+	prepare(b, s)
+	return s
+}
+
+func insert(c *pgx.Conn, n int64) error {
+	_, err := c.Exec(context.Background(), "INSERT INTO notices (title, pages) VALUES ($1, $2)", fmt.Sprint(n), n)
+	return err
+}
+
+func BenchmarkCommits(b *testing.B) { run(b, server(b, ""), insert) }
+
+func BenchmarkCommitsWithDir(b *testing.B) { run(b, server(b, b.TempDir()), insert) }
+
+func BenchmarkReads(b *testing.B) {
+	run(b, server(b, ""), func(c *pgx.Conn, n int64) error {
+		var title string
+		return c.QueryRow(context.Background(), "SELECT title FROM notices WHERE id = $1", n%1000+1).Scan(&title)
+	})
+}
+
+func BenchmarkSimpleReads(b *testing.B) {
+	run(b, server(b, ""), func(c *pgx.Conn, n int64) error {
+		var title string
+		return c.QueryRow(context.Background(), "SELECT title FROM notices WHERE id = $1", pgx.QueryExecModeSimpleProtocol, n%1000+1).Scan(&title)
+	})
+}
+
+func BenchmarkConnect(b *testing.B) {
+	s := server(b, "")
+	b.ResetTimer()
+	for b.Loop() {
+		c, err := pgx.Connect(context.Background(), url(s, "caroni"))
+		assert.NilError(b, err)
+		assert.NilError(b, c.Close(context.Background()))
+	}
+}
--- a/stand/dbase/group.go
+++ b/stand/dbase/group.go
@@ -135,7 +135,7 @@
 		s.ledger.undo()
 		return coltsfootloft.Position{}, err
 	}
-	if _, err := h.exec("COMMIT", nil); err != nil {
+	if err := h.exec("COMMIT"); err != nil {
 		s.ledger.undo()
 		_ = s.journal.cut(r.Offset - 1)
 		return coltsfootloft.Position{}, errors.Wrap(err, "commit")
--- a/stand/dbase/infer.go
+++ b/stand/dbase/infer.go
@@ -60,23 +60,35 @@
 			names = append(names, strings.ToLower(unquote(w[i])))
 		}
 	}
-	depth, place := 0, 0
+	var v valueList
 	for _, t := range w[min(i+1, len(w)):] {
-		switch {
-		case t.is("("):
-			depth++
-			if depth == 1 {
-				place = 0
-			}
-		case t.is(")"):
-			depth--
-		case t.is(",") && depth == 1:
-			place++
-		case t.is("on"), t.is("returning"):
+		if t.is("on") || t.is("returning") {
 			return
-		case t.kind == tokenParam && depth == 1 && place < len(names):
-			set(t, types[names[place]])
 		}
+		v.next(t)
+		if t.kind == tokenParam && v.depth == 1 && v.place < len(names) {
+			set(t, types[names[v.place]])
+		}
+	}
+}
+
+// valueList tells which place of a list in parentheses a token is in.
+type valueList struct {
+	depth int
+	place int
+}
+
+func (v *valueList) next(t token) {
+	switch {
+	case t.is("("):
+		v.depth++
+		if v.depth == 1 {
+			v.place = 0
+		}
+	case t.is(")"):
+		v.depth--
+	case t.is(",") && v.depth == 1:
+		v.place++
 	}
 }
 
@@ -104,12 +116,15 @@
 	}
 }
 
+// operators are the symbols that may stand between a column and a parameter.
+const operators = "=<>!+-*/%(,|"
+
 func isOperator(t token) bool {
 	switch t.kind {
 	case tokenParam:
 		return true
 	case tokenSymbol:
-		return strings.Contains("=<>!+-*/%(,|", t.text)
+		return strings.Contains(operators, t.text)
 	case tokenWord:
 		return t.is("in") || t.is("like") || t.is("between") || t.is("is")
 	default:
@@ -136,8 +151,8 @@
 		if out[i].oid == 0 {
 			out[i].oid = pgtype.TextOID
 		}
-		if out[i].name != "" && strings.Contains(out[i].name, "(") {
-			out[i].name = strings.ToLower(out[i].name[:strings.Index(out[i].name, "(")])
+		if function, _, ok := strings.Cut(out[i].name, "("); ok {
+			out[i].name = strings.ToLower(function)
 		}
 	}
 	return out
@@ -176,6 +191,30 @@
 	return out
 }
 
+// wordTypes are the types of expressions that start with these words.
+var wordTypes = map[string]uint32{
+	"true":              pgtype.BoolOID,
+	"false":             pgtype.BoolOID,
+	"exists":            pgtype.BoolOID,
+	"not":               pgtype.BoolOID,
+	"count":             pgtype.Int8OID,
+	"length":            pgtype.Int8OID,
+	"sum":               pgtype.Int8OID,
+	"row_number":        pgtype.Int8OID,
+	"avg":               pgtype.Float8OID,
+	"random":            pgtype.Float8OID,
+	"current_timestamp": pgtype.TimestamptzOID,
+	"now":               pgtype.TimestamptzOID,
+}
+
+// sameType are functions whose result has the type of their first argument.
+var sameType = map[string]bool{
+	"max":      true,
+	"min":      true,
+	"coalesce": true,
+	"abs":      true,
+}
+
 // itemType guesses the type of an expression from its first token.
 func (s *statement) itemType(item []token, types map[string]uint32) uint32 {
 	if len(item) == 0 {
@@ -196,19 +235,12 @@
 	default:
 		return 0
 	}
-	switch strings.ToLower(t.text) {
-	case "true", "false", "exists", "not":
-		return pgtype.BoolOID
-	case "count", "length", "sum", "row_number":
-		return pgtype.Int8OID
-	case "avg", "random":
-		return pgtype.Float8OID
-	case "current_timestamp", "now":
-		return pgtype.TimestamptzOID
-	case "max", "min", "coalesce", "abs":
-		if len(item) > 2 {
-			return s.itemType(item[2:], types)
-		}
+	word := strings.ToLower(t.text)
+	if oid, ok := wordTypes[word]; ok {
+		return oid
+	}
+	if sameType[word] && len(item) > 2 {
+		return s.itemType(item[2:], types)
 	}
 	if len(item) == 1 || !item[1].is("(") {
 		return types[strings.ToLower(unquote(t))]
--- a/stand/dbase/journal.go
+++ b/stand/dbase/journal.go
@@ -81,7 +81,7 @@
 	for {
 		var e entry
 		if err := d.Decode(&e); err != nil {
-			return nil //nolint:nilerr // The end of the file, or a torn entry.
+			return nil // The end of the file, or a torn entry.
 		}
 		if err := l.repeat(&e); err != nil {
 			return errors.Wrapf(err, "journal %s", name)
--- a/stand/dbase/lex.go
+++ b/stand/dbase/lex.go
@@ -22,13 +22,10 @@
 
 // is reports whether the token is this lower-case word or symbol.
 func (t token) is(s string) bool {
-	switch t.kind {
-	case tokenWord:
+	if t.kind == tokenWord {
 		return strings.EqualFold(t.text, s)
-	case tokenSymbol:
-		return t.text == s
 	}
-	return false
+	return t.kind == tokenSymbol && t.text == s
 }
 
 // lex cuts SQL text into tokens. It never fails: the engine refuses what is wrong.
--- a/stand/dbase/lite.go
+++ b/stand/dbase/lite.go
@@ -52,7 +52,7 @@
 	}
 	lite.Xsqlite3_busy_timeout(h.tls, h.db, 10_000)
 	for _, q := range []string{"PRAGMA journal_mode=WAL", "PRAGMA synchronous=OFF", "PRAGMA temp_store=MEMORY", "PRAGMA foreign_keys=ON"} {
-		if _, err := h.exec(q, nil); err != nil {
+		if err := h.exec(q); err != nil {
 			h.close()
 			return nil, errors.Wrap(err, q)
 		}
@@ -134,27 +134,27 @@
 	return c, nil
 }
 
-// exec runs query to its end and returns the number of rows it changed.
-func (h *handle) exec(query string, args []any) (int64, error) {
+// exec runs query to its end.
+func (h *handle) exec(query string, args ...any) error {
 	c, err := h.prepare(query)
 	if err != nil || c == nil {
-		return 0, err
+		return err
 	}
 	defer c.release()
 	if err := c.bind(args); err != nil {
-		return 0, err
+		return err
 	}
-	for {
-		more, err := c.step()
-		if err != nil {
-			return 0, err
-		}
-		if !more {
-			return int64(lite.Xsqlite3_changes(h.tls, h.db)), nil
+	for more := true; more; {
+		if more, err = c.step(); err != nil {
+			return err
 		}
 	}
+	return nil
 }
 
+// changes is the number of rows that the last INSERT, UPDATE or DELETE changed.
+func (h *handle) changes() int64 { return int64(lite.Xsqlite3_changes(h.tls, h.db)) }
+
 // autocommit reports whether no engine transaction is open.
 func (h *handle) autocommit() bool {
 	return lite.Xsqlite3_get_autocommit(h.tls, h.db) != 0
--- a/stand/dbase/parse.go
+++ b/stand/dbase/parse.go
@@ -56,7 +56,7 @@
 	"START":      verbBegin,
 	"COMMIT":     verbCommit,
 	"END":        verbCommit,
-	"ROLLBACK":   verbRollback,
+	tagRollback:  verbRollback,
 	"ABORT":      verbRollback,
 	"SAVEPOINT":  verbSavepoint,
 	"RELEASE":    verbRelease,
@@ -183,29 +183,36 @@
 		switch {
 		case t.is("::"):
 			i = s.cast(out, tokens, i)
-		case t.is("public") && i+1 < len(tokens) && tokens[i+1].is("."):
+		case startWith(tokens[i:], "public", "."):
 			i++
-		case t.is("now") && hasEmptyCall(tokens[i+1:]):
+		case startWith(tokens[i:], "now", "(", ")"):
 			out = append(out, wordOf(currentTime))
 			i += 2
-		case t.is("current_timestamp"):
-			out = append(out, wordOf(currentTime))
-		case t.is("serial") || t.is("bigserial"):
-			out = append(out, wordOf("INTEGER"))
-		case t.is("key") && s.tag == "CREATE" && followsSerial(words(tokens[:i])):
-			out = append(out, t, wordOf(" AUTOINCREMENT"))
-		case t.is("for") && s.tag == "SELECT" && isLocking(words(tokens[i:])):
+		case s.tag == "SELECT" && isLocking(tokens[i:]):
 			return out
 		case t.is("truncate") && len(out) == 0:
 			out = append(out, wordOf("DELETE FROM"))
 			i = skipWord(tokens, i, "table")
+		case t.is("key") && followsSerial(words(tokens[:i])):
+			out = append(out, t, wordOf(" AUTOINCREMENT"))
 		default:
-			out = append(out, t)
+			out = append(out, replaceWord(t))
 		}
 	}
 	return out
 }
 
+// replaceWord replaces a word that stands alone.
+func replaceWord(t token) token {
+	switch {
+	case t.is("current_timestamp"):
+		return wordOf(currentTime)
+	case t.is("serial") || t.is("bigserial"):
+		return wordOf("INTEGER")
+	}
+	return t
+}
+
 func wordOf(s string) token {
 	return token{
 		kind: tokenWord,
@@ -244,13 +251,24 @@
 	return i
 }
 
-func hasEmptyCall(t []token) bool { return len(t) > 1 && t[0].is("(") && t[1].is(")") }
+func startWith(t []token, want ...string) bool {
+	for i, s := range want {
+		if i >= len(t) || !t[i].is(s) {
+			return false
+		}
+	}
+	return true
+}
 
 func followsSerial(w []token) bool {
 	n := len(w)
 	return n > 1 && w[n-1].is("primary") && (w[n-2].is("serial") || w[n-2].is("bigserial"))
 }
 
-func isLocking(w []token) bool {
+func isLocking(tokens []token) bool {
+	if !tokens[0].is("for") {
+		return false
+	}
+	w := words(tokens)
 	return len(w) > 1 && (w[1].is("update") || w[1].is("share") || w[1].is("no") || w[1].is("key"))
 }
--- a/stand/dbase/query.go
+++ b/stand/dbase/query.go
@@ -5,7 +5,6 @@
 	"strconv"
 
 	"github.com/jackc/pgx/v5/pgproto3"
-	lite "modernc.org/sqlite/lib"
 )
 
 // flushRows is the number of rows after which a long answer is sent on.
@@ -250,7 +249,7 @@
 	}
 	changed := p.sent
 	if p.columns == nil {
-		changed = int64(lite.Xsqlite3_changes(x.handle.tls, x.handle.db))
+		changed = x.handle.changes()
 	}
 	n := strconv.FormatInt(changed, 10)
 	s := p.statement
--- a/stand/dbase/server.go
+++ b/stand/dbase/server.go
@@ -237,7 +237,9 @@
 
 func (s *Server) cleanup() {
 	s.journal.close()
-	os.RemoveAll(s.tmp)
+	if err := os.RemoveAll(s.tmp); err != nil {
+		s.Log.Error(err, "cleanup", "name", s.Name)
+	}
 }
 
 func (s *Server) closeSessions() {
--- a/stand/dbase/ship.go
+++ b/stand/dbase/ship.go
@@ -7,6 +7,8 @@
 	"net"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"coltsfootloft"
 )
 
@@ -48,37 +50,60 @@
 	if s.thaw(ctx) != nil {
 		return
 	}
-	w := bufio.NewWriterSize(c, 1<<16)
-	e := gob.NewEncoder(w)
 	reply, epoch := s.welcome(&h)
-	if e.Encode(&reply) != nil || w.Flush() != nil || reply.Refused != "" || h.Ask {
+	o := newOutlet(c)
+	if o.send(&reply) != nil || reply.Refused != "" || h.Ask {
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go watchClose(c, cancel)
-	next := reply.Common
-	for {
-		records, changed, ok := s.after(next, epoch)
+	s.stream(ctx, o, reply.Common, epoch)
+}
+
+// stream sends the records past an offset as they come.
+func (s *Server) stream(ctx context.Context, o *outlet, offset, epoch uint64) {
+	for ctx.Err() == nil {
+		records, changed, ok := s.after(offset, epoch)
 		if !ok {
 			return
 		}
 		if len(records) == 0 {
 			select {
 			case <-ctx.Done():
-				return
 			case <-changed:
 			}
 			continue
 		}
-		if s.thaw(ctx) != nil {
-			return
+		batch := &shipment{
+			Records: records,
 		}
-		if e.Encode(&shipment{Records: records}) != nil || w.Flush() != nil {
+		if s.thaw(ctx) != nil || o.send(batch) != nil {
 			return
 		}
-		next += uint64(len(records))
+		offset += uint64(len(records))
+	}
+}
+
+// outlet sends values on one connection.
+type outlet struct {
+	buffer  *bufio.Writer
+	encoder *gob.Encoder
+}
+
+func newOutlet(c net.Conn) *outlet {
+	w := bufio.NewWriterSize(c, 1<<16)
+	return &outlet{
+		buffer:  w,
+		encoder: gob.NewEncoder(w),
+	}
+}
+
+func (o *outlet) send(v any) error {
+	if err := o.encoder.Encode(v); err != nil {
+		return errors.Wrap(err, "ship")
 	}
+	return errors.Wrap(o.buffer.Flush(), "ship")
 }
 
 // watchClose calls closed once the peer, which sends nothing more, has gone.
--- a/stand/dbase/txn.go
+++ b/stand/dbase/txn.go
@@ -39,6 +39,9 @@
 	changes int
 }
 
+// tagRollback ends a transaction, and is the tag of having done so.
+const tagRollback = "ROLLBACK"
+
 // Transaction states of ReadyForQuery.
 const (
 	statusIdle   byte = 'I'
@@ -83,7 +86,7 @@
 	if !x.tx.open || !x.tx.snapshot || x.tx.reading || x.tx.writing {
 		return nil
 	}
-	if _, err := x.handle.exec("BEGIN", nil); err != nil {
+	if err := x.handle.exec("BEGIN"); err != nil {
 		return err
 	}
 	x.tx.reading = true
@@ -116,7 +119,7 @@
 	if x.tx.reading {
 		return nil
 	}
-	if _, err := x.handle.exec("BEGIN IMMEDIATE", nil); err != nil {
+	if err := x.handle.exec("BEGIN IMMEDIATE"); err != nil {
 		x.stopWriting()
 		return err
 	}
@@ -144,7 +147,7 @@
 
 func (x *session) replayMarks() error {
 	for _, m := range x.tx.marks {
-		if _, err := x.handle.exec("SAVEPOINT "+m.name, nil); err != nil {
+		if err := x.handle.exec("SAVEPOINT " + m.name); err != nil {
 			return err
 		}
 	}
@@ -155,7 +158,7 @@
 func (x *session) rollback() {
 	x.closePortals()
 	if (x.tx.reading || x.tx.writing) && x.handle != nil && !x.handle.autocommit() {
-		if _, err := x.handle.exec("ROLLBACK", nil); err != nil {
+		if err := x.handle.exec(tagRollback); err != nil {
 			x.server.Log.Error(err, "rollback", "name", x.server.Name)
 		}
 	}
@@ -214,18 +217,18 @@
 	case verbCommit:
 		if x.tx.failed {
 			x.rollback()
-			return "ROLLBACK", nil
+			return tagRollback, nil
 		}
 		return "COMMIT", x.commit()
 	case verbRollback:
 		x.rollback()
-		return "ROLLBACK", nil
+		return tagRollback, nil
 	case verbSavepoint:
 		return "SAVEPOINT", x.savepoint(s)
 	case verbRelease:
 		return "RELEASE", x.release(s)
 	case verbRollbackTo:
-		return "ROLLBACK", x.rollbackTo(s)
+		return tagRollback, x.rollbackTo(s)
 	default:
 		return "", errors.Errorf("%s is not a transaction statement", s.tag)
 	}
@@ -332,6 +335,5 @@
 	if !x.tx.reading && !x.tx.writing {
 		return nil
 	}
-	_, err := x.handle.exec(text, nil)
-	return err
+	return x.handle.exec(text)
 }
