--- a/core/journ/journ_test.go
+++ b/core/journ/journ_test.go
@@ -17,7 +17,10 @@
 	j := &journ.Journal{Clock: clockwork.NewFakeClockAt(time.Unix(0, 0).UTC())}
 	j.Note(journ.Decided(journ.Promoted, "no progress of orders-1 for 900ms").Group("orders").Database("orders-2"))
 	j.Note(journ.Decided(journ.Routed, "replica covers the token").Session(7).Group("orders").Database("orders-3"))
-	for _, e := range j.Find(journ.Query{Group: "orders", Kind: "promoted"}) {
+	for _, e := range j.Find(journ.Query{
+		Group: "orders",
+		Kind:  "promoted",
+	}) {
 		fmt.Println(e.Kind, e.Database, e.Reason)
 	}
 	// Output: promoted orders-2 no progress of orders-1 for 900ms
@@ -51,7 +54,10 @@
 		}
 		kept := make(map[uint64]bool)
 		for _, k := range journ.KindNames() {
-			for _, e := range all.Find(journ.Query{Kind: k, Limit: size}) {
+			for _, e := range all.Find(journ.Query{
+				Kind:  k,
+				Limit: size,
+			}) {
 				kept[e.Sequence] = true
 			}
 		}
--- a/io/admin/server_test.go
+++ b/io/admin/server_test.go
@@ -84,7 +84,12 @@
 	assert.NilError(t, err)
 	s := &admin.Server{
 		Listener: l,
-		Status:   func(context.Context) admin.Status { return admin.Status{Host: "e1", At: time.Unix(0, 0)} },
+		Status: func(context.Context) admin.Status {
+			return admin.Status{
+				Host: "e1",
+				At:   time.Unix(0, 0),
+			}
+		},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error)
