share: lend single tokens to slow accounts, fullest lender first

Cause: on 15 hosts, 8 accounts of 5 to 400/s at 90% of their rates, an account of 5/s was refused 15.7% of the statements that one central bucket admits: single requests read as a high rate, whose loan kept others from it for 3 s, and unused tokens overflowed at one home while others were empty.

--- a/core/loan/meter.go
+++ b/core/loan/meter.go
@@ -7,14 +7,18 @@
 
 const (
 	// slowTau and fastTau are the time constants of the two averages.
-	slowTau = time.Second
+	slowTau = 2 * time.Second
 	fastTau = 200 * time.Millisecond
+	// significance is how many standard deviations the fast average must lie
+	// above zero; a single request is no rate.
+	significance = 2
 	// foldAfter is how long counts are gathered before an average is moved.
 	foldAfter = 10 * time.Millisecond
 )
 
 // meter estimates the demand for tokens as the larger of a slow and a fast
-// exponential average, so that it follows a rise at once and a fall slowly.
+// exponential average, so that it follows a rise at once and a fall slowly. Of the
+// fast one only what can't be chance counts.
 type meter struct {
 	count float64
 	at    time.Time
@@ -32,7 +36,9 @@
 // rate is in tokens per second.
 func (m *meter) rate(now time.Time) float64 {
 	m.fold(now)
-	return max(m.slow, m.fast)
+	n := m.fast * fastTau.Seconds()
+	sure := max(n-significance*math.Sqrt(n), 0) / fastTau.Seconds()
+	return max(m.slow, sure)
 }
 
 func (m *meter) fold(now time.Time) {
--- a/core/loan/part.go
+++ b/core/loan/part.go
@@ -66,6 +66,8 @@
 	Part Part
 	// Tokens come with it.
 	Tokens float64
+	// Left are the tokens that the lender still has.
+	Left float64
 	// Period is how long the loan lasts, from when the borrower asked.
 	Period Period
 }
--- a/core/loan/rate.go
+++ b/core/loan/rate.go
@@ -9,11 +9,17 @@
 
 const (
 	// headroom is how much more than its demand a host tries to hold.
-	headroom = 1.3
+	headroom = 1.5
 	// prefetch is the demand that a host wants tokens for at once.
 	prefetch = 100 * time.Millisecond
-	// least is the smallest part worth a loan, in tokens per second or tokens.
-	least = 0.01
+	// least is the smallest demand worth a loan of rate, in tokens over Period;
+	// below it single tokens are lent.
+	least = 15
+	// RatePeriod is the length of a loan of rate.
+	RatePeriod = 3 * time.Second
+	// TokenPeriod is the length of a loan of tokens alone, which are used at once;
+	// the lender's bucket fills again after it.
+	TokenPeriod = 120 * time.Millisecond
 )
 
 // Rate is one host's part of a client account's rate and burst: a book of the
@@ -80,16 +86,24 @@
 // Book gives access to the loans.
 func (r *Rate) Book() *Book { return &r.book }
 
-// Wanted is the part that callers' demand asks for; waiting is the cost of the
-// requests that wait for tokens.
+// Wanted is the part that callers' demand asks for, with some headroom; waiting
+// is the cost of the requests that wait for tokens.
 func (r *Rate) Wanted(now time.Time, waiting float64) Part {
 	d := r.meter.rate(now)
-	if d < least {
-		d = 0
+	if d*RatePeriod.Seconds() < least {
+		return NewPart(0, waiting)
 	}
 	return NewPart(d*headroom, d*prefetch.Seconds()*headroom+waiting)
 }
 
+// Short reports whether tokens are missing that requests wait for, and whether
+// the rate held is less than the demand.
+func (r *Rate) Short(now time.Time, waiting float64) (tokens, rate bool) {
+	tokens = r.Available(now) < waiting
+	rate = r.Held(now).rate*headroom < r.Wanted(now, 0).rate
+	return tokens, rate
+}
+
 // settle moves the bucket through every change of the held part up to now, so
 // that no rate counts for longer than it was held.
 func (r *Rate) settle(now time.Time) {
@@ -142,7 +156,7 @@
 // Lend answers an ask out of what this host owns. Where demand exceeds the part,
 // it is divided in proportion to what each asks for; waiting is the cost of this
 // host's own requests that wait for tokens.
-func (r *Rate) Lend(now time.Time, borrower string, a Ask, waiting float64, period Period) Grant {
+func (r *Rate) Lend(now time.Time, borrower string, a Ask, waiting float64) Grant {
 	r.settle(now)
 	if !r.book.Receive(now, borrower, a) {
 		return Grant{}
@@ -158,10 +172,15 @@
 	offer := divide(own, a.Want, all)
 	tokens := max(min(a.Tokens, r.bucket.Available(now)-mine.burst), 0)
 	offer.burst = max(offer.burst, a.Kept.burst, a.Kept.burst+tokens-a.Room)
+	period := RatePeriod
+	if offer.rate == 0 {
+		period = TokenPeriod
+	}
 	g, growth := r.book.Lend(now, borrower, offer, period)
 	surplus := r.bucket.Available(now) - r.book.Held(now).burst
 	g.Tokens = r.bucket.Debit(now, min(max(tokens, surplus), a.Room+growth.burst))
 	r.settle(now)
+	g.Left = max(r.bucket.Available(now)-mine.burst, 0)
 	return g
 }
 
--- a/io/share/admit.go
+++ b/io/share/admit.go
@@ -16,11 +16,15 @@
 type account struct {
 	ledger *Ledger
 
-	mutex   sync.Mutex
-	limit   coltsfootloft.Account
-	homes   []home
-	first   bool
-	rounds  rounds
+	mutex  sync.Mutex
+	limit  coltsfootloft.Account
+	homes  []home
+	first  bool
+	rounds rounds
+	// rateAfter is when a round for rate alone may begin.
+	rateAfter time.Time
+	// stocks is what lenders had left.
+	stocks  map[string]stock
 	rate    loan.Rate
 	waiters []*waiter
 	waiting float64
--- a/io/share/borrow.go
+++ b/io/share/borrow.go
@@ -9,14 +9,14 @@
 )
 
 const (
-	// ratePeriod is the length of a loan of rate.
-	ratePeriod = 3 * time.Second
 	// scanEvery is the time between looks at which loans are due for renewal.
 	scanEvery = 250 * time.Millisecond
 	// firstBackoff and lastBackoff bound the pause between rounds that did not
 	// find enough.
 	firstBackoff = 20 * time.Millisecond
 	lastBackoff  = 400 * time.Millisecond
+	// rateBackoff is the pause while the rate falls short and nothing waits.
+	rateBackoff = time.Second
 	// maxKicks bounds the rounds that wait to begin.
 	maxKicks = 1024
 	// negligible is a rate or number of tokens that is not worth a loan.
@@ -38,7 +38,8 @@
 	backoff time.Duration
 }
 
-// finish ends a round and returns the pause until the next if it fell short.
+// finish ends a round and returns the pause until the next if it fell short of
+// what callers wait for.
 func (r *rounds) finish(now time.Time, short bool) time.Duration {
 	r.running = false
 	if !short {
@@ -108,46 +109,61 @@
 func (e *account) begin(now time.Time) bool {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	due := e.short(now)
+	due, rate := e.rate.Short(now, e.waiting)
+	due = due || (rate && !now.Before(e.rateAfter))
 	for _, h := range e.rate.Book().Lenders(now) {
 		due = due || e.rate.Book().Due(now, h)
 	}
 	return due && e.rounds.start(now)
 }
 
-// short reports whether the part held is less than callers ask for.
-func (e *account) short(now time.Time) bool {
-	want := e.rate.Wanted(now, e.waiting)
-	if e.rate.Available(now) < e.waiting {
-		return true
-	}
-	return e.rate.Held(now).Rate()*demandSlack < want.Rate()-negligible
-}
-
-// demandSlack is how much less than wanted is held without a round: what is
-// wanted has some headroom over the demand.
-const demandSlack = 1.25
-
+// round asks for rate, tokens for the near future included, first from lenders
+// near by, and then lender by lender for the tokens that requests still wait for.
 func (e *account) round(ctx context.Context) {
 	name, homes := e.settings()
 	near, far := e.ledger.lendersOf(name, homes)
 	all := slices.Concat(near, far)
-	e.borrow(ctx, near, all)
-	e.borrow(ctx, far, far)
-	for _, h := range all {
-		if !e.isShort() {
-			break
-		}
-		e.borrow(ctx, []string{h}, []string{h})
+	if e.isBulk(len(all)) {
+		e.borrow(ctx, near, all)
+		e.borrow(ctx, far, far)
+	}
+	for len(all) > 0 && e.isShort() {
+		i := e.fullest(all)
+		h := all[i : i+1]
+		e.borrow(ctx, h, h)
+		all = slices.Delete(all, i, i+1)
 	}
 	now := e.ledger.Clock.Now()
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	if d := e.rounds.finish(now, e.short(now)); d > 0 && len(e.waiters) > 0 {
+	tokens, rate := e.rate.Short(now, e.waiting)
+	if rate {
+		e.rateAfter = now.Add(rateBackoff)
+	}
+	if d := e.rounds.finish(now, tokens); d > 0 {
 		e.ledger.Clock.AfterFunc(d, e.retry)
 	}
 }
 
+// isBulk reports whether a round is worth asking several lenders at once: for
+// rate, to renew or return loans, or for many tokens.
+func (e *account) isBulk(lenders int) bool {
+	now := e.ledger.Clock.Now()
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	_, rate := e.rate.Short(now, e.waiting)
+	if rate || e.waiting-e.rate.Available(now) > float64(lenders) {
+		return true
+	}
+	for _, h := range e.rate.Book().Lenders(now) {
+		p, _ := e.rate.Book().Loan(now, h)
+		if p.Rate() > 0 && e.rate.Book().Due(now, h) {
+			return true
+		}
+	}
+	return false
+}
+
 func (e *account) settings() (name string, homes []home) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
@@ -165,7 +181,8 @@
 func (e *account) isShort() bool {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	return e.short(e.ledger.Clock.Now())
+	tokens, _ := e.rate.Short(e.ledger.Clock.Now(), e.waiting)
+	return tokens
 }
 
 // borrow asks some lenders, side by side, for equal parts of what is missing when
@@ -182,11 +199,49 @@
 		if !ok || !e.rate.Accept(now, host, q.ask, g) {
 			e.rate.Abandon(now, host, q.ask)
 		}
+		e.note(now, host, g.Left)
 		e.serveLocked(now)
 		e.mutex.Unlock()
 	}
 }
 
+// stock is what a lender had left when it last answered.
+type stock struct {
+	tokens float64
+	at     time.Time
+}
+
+// note remembers what a lender has left. The mutex is held.
+func (e *account) note(now time.Time, host string, left float64) {
+	if e.stocks == nil {
+		e.stocks = make(map[string]stock)
+	}
+	e.stocks[host] = stock{
+		tokens: left,
+		at:     now,
+	}
+}
+
+// fullest returns the index of the lender that probably has most tokens: what it
+// had left, filled up since at its own rate; a lender not asked yet is full.
+func (e *account) fullest(hosts []string) int {
+	now := e.ledger.Clock.Now()
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	part := ownRate(e.limit, e.homes, e.homes[0].domain)
+	best, most := 0, -1.0
+	for i, h := range hosts {
+		n := part.Burst()
+		if s, ok := e.stocks[h]; ok {
+			n = min(n, s.tokens+part.Rate()*now.Sub(s.at).Seconds())
+		}
+		if n > most {
+			best, most = i, n
+		}
+	}
+	return best
+}
+
 // open sends the asks of borrow.
 func (e *account) open(ctx context.Context, from, without []string) map[string]*errand {
 	now := e.ledger.Clock.Now()
@@ -222,7 +277,7 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	now := e.ledger.Clock.Now()
-	g := e.rate.Lend(now, borrower, a, e.waiting, ratePeriod)
+	g := e.rate.Lend(now, borrower, a, e.waiting)
 	e.arm(now)
 	return g
 }
--- /dev/null
+++ b/io/share/fleet_test.go
@@ -0,0 +1,273 @@
+package share
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"coltsfootloft"
+)
+
+// fleet is a number of ledgers in one process, on the virtual time of a
+// synctest bubble, with a store and links that fail on demand.
+type fleet struct {
+	t      *testing.T
+	store  *fakeStore
+	plan   Plan
+	mutex  sync.Mutex
+	nodes  map[string]*node
+	dead   map[string]bool
+	random *rand.Rand
+	loss   float64
+	cut    map[string]bool
+	// unseen keeps dead hosts in the list of live ones, as the platform does.
+	unseen   time.Duration
+	diedAt   map[string]time.Time
+	messages int
+	bytes    int
+	runs     int
+	homes    int
+	all      sync.WaitGroup
+}
+
+// node is one host of the fleet.
+type node struct {
+	fleet  *fleet
+	record coltsfootloft.HostRecord
+	ledger *Ledger
+	peers  *peerView
+	cancel context.CancelFunc
+	done   chan struct{}
+
+	mutex   sync.Mutex
+	paused  chan struct{}
+	running bool
+	crashed bool
+}
+
+func newFleet(t *testing.T, plan Plan, seed uint64) *fleet {
+	random := rand.New(rand.NewPCG(seed, 1))
+	return &fleet{
+		t:      t,
+		store:  newFakeStore(random),
+		plan:   plan,
+		nodes:  map[string]*node{},
+		dead:   map[string]bool{},
+		diedAt: map[string]time.Time{},
+		random: random,
+		cut:    map[string]bool{},
+		unseen: time.Second,
+	}
+}
+
+// start starts all seats' worth of hosts: d1h1, d1h2, ..., d2h1, ...
+func (f *fleet) start() {
+	for _, d := range f.plan.Domains {
+		for i := range d.Seats {
+			f.add(fmt.Sprintf("%sh%d", d.Name, i+1), d.Name)
+		}
+	}
+}
+
+func (f *fleet) add(name, domain string) *node {
+	n := &node{
+		fleet:   f,
+		record:  coltsfootloft.NewHost(name, domain, "127.0.0.1:1"),
+		done:    make(chan struct{}),
+		running: true,
+	}
+	n.peers = &peerView{
+		fleet: f,
+		node:  n,
+	}
+	f.runs++
+	n.ledger = &Ledger{
+		Clock:   clockwork.NewRealClock(),
+		Store:   storeView{fakeStore: f.store, node: n},
+		Peers:   n.peers,
+		Members: n,
+		RunName: fmt.Sprint(f.runs),
+		Homes:   f.homes,
+	}
+	n.ledger.Configure(f.plan)
+	f.mutex.Lock()
+	f.nodes[name] = n
+	delete(f.diedAt, name)
+	f.mutex.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	f.all.Go(func() {
+		defer close(n.done)
+		_ = n.ledger.Run(ctx)
+	})
+	return n
+}
+
+// stop ends the whole fleet.
+func (f *fleet) stop() {
+	for _, n := range f.nodes {
+		n.resume()
+		n.cancel()
+	}
+	f.all.Wait()
+}
+
+func (f *fleet) node(name string) *node {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.nodes[name]
+}
+
+// names returns the hosts that run, in order.
+func (f *fleet) names() []string {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var r []string
+	for k, n := range f.nodes {
+		if n.isRunning() {
+			r = append(r, k)
+		}
+	}
+	slices.Sort(r)
+	return r
+}
+
+// travel takes the time of one way and reports whether the message arrives.
+func (f *fleet) travel(ctx context.Context, domain, host string) bool {
+	to := f.node(host)
+	delay := 200 * time.Microsecond
+	f.mutex.Lock()
+	lost := f.random.Float64() < f.loss
+	if to != nil && to.record.Domain() != domain {
+		delay = time.Millisecond
+		lost = lost || f.cut[domain] || f.cut[to.record.Domain()]
+	}
+	f.mutex.Unlock()
+	if lost {
+		<-ctx.Done()
+		return false
+	}
+	time.Sleep(delay)
+	return true
+}
+
+func (f *fleet) count(_ *node, size int) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.messages++
+	f.bytes += size
+}
+
+// cutDomain separates a failure domain from the others and from the store.
+func (f *fleet) cutDomain(domain string, cut bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.cut[domain] = cut
+}
+
+// kill ends a host without any of its duties to leave.
+func (f *fleet) kill(name string) {
+	n := f.node(name)
+	n.mutex.Lock()
+	n.running = false
+	n.crashed = true
+	n.mutex.Unlock()
+	f.mutex.Lock()
+	f.diedAt[name] = time.Now()
+	f.mutex.Unlock()
+	n.cancel()
+}
+
+// leave ends a host gracefully.
+func (f *fleet) leave(name string) {
+	n := f.node(name)
+	n.cancel()
+	<-n.done
+	n.mutex.Lock()
+	n.running = false
+	n.mutex.Unlock()
+	f.mutex.Lock()
+	delete(f.nodes, name)
+	f.mutex.Unlock()
+}
+
+// Self implements [coltsfootloft.Members].
+func (n *node) Self() coltsfootloft.HostRecord { return n.record }
+
+// Alive lists hosts that run, and dead ones for a while.
+func (n *node) Alive() []coltsfootloft.HostRecord {
+	f := n.fleet
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var r []coltsfootloft.HostRecord
+	for name, o := range f.nodes {
+		died, dead := f.diedAt[name]
+		if !dead || time.Since(died) < f.unseen {
+			r = append(r, o.record)
+		}
+	}
+	slices.SortFunc(r, func(a, b coltsfootloft.HostRecord) int {
+		if a.Name() < b.Name() {
+			return -1
+		}
+		return 1
+	})
+	return r
+}
+
+// Leaving implements [coltsfootloft.Members].
+func (n *node) Leaving(string) bool { return false }
+
+func (n *node) isRunning() bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.running
+}
+
+func (n *node) isCutFromStore() bool {
+	n.fleet.mutex.Lock()
+	cut := n.fleet.cut[n.record.Domain()]
+	n.fleet.mutex.Unlock()
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return cut || n.crashed
+}
+
+// gate blocks while the host is paused.
+func (n *node) gate() {
+	n.mutex.Lock()
+	p := n.paused
+	n.mutex.Unlock()
+	if p != nil {
+		<-p
+	}
+}
+
+func (n *node) pause() {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.paused == nil {
+		n.paused = make(chan struct{})
+	}
+}
+
+func (n *node) resume() {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.paused != nil {
+		close(n.paused)
+		n.paused = nil
+	}
+}
+
+func (n *node) isPaused() bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.paused != nil
+}
--- a/io/share/lenders.go
+++ b/io/share/lenders.go
@@ -192,6 +192,7 @@
 		Rate:               g.Part.Rate(),
 		Burst:              g.Part.Burst(),
 		Tokens:             g.Tokens,
+		Left:               g.Left,
 		PeriodMilliseconds: g.Period.Milliseconds(),
 	}
 }
@@ -200,6 +201,7 @@
 	return loan.Grant{
 		Part:   loan.NewPart(g.GetRate(), g.GetBurst()),
 		Tokens: g.GetTokens(),
+		Left:   g.GetLeft(),
 		Period: time.Duration(g.GetPeriodMilliseconds()) * time.Millisecond,
 	}
 }
--- /dev/null
+++ b/io/share/load_test.go
@@ -0,0 +1,155 @@
+package share
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"coltsfootloft"
+	"coltsfootloft/core/bucket"
+)
+
+// offer puts statements of one account to the fleet and compares what is
+// admitted with one central bucket.
+type offer struct {
+	fleet   *fleet
+	account coltsfootloft.Account
+	random  *rand.Rand
+	// factor is the offered load as a multiple of the account's rate.
+	factor float64
+	// spread names the hosts that a caller may reach; nil means all.
+	spread func() []string
+
+	mutex    sync.Mutex
+	central  bucket.Bucket
+	window   bucket.Bucket
+	excess   float64
+	offered  int
+	within   int
+	admitted int
+	wrongful int
+	waits    []time.Duration
+}
+
+func newOffer(f *fleet, account coltsfootloft.Account, factor float64, seed uint64) *offer {
+	return &offer{
+		fleet:   f,
+		account: account,
+		random:  rand.New(rand.NewPCG(seed, 2)),
+		factor:  factor,
+		central: bucket.New(account.Rate(), account.Burst(), time.Now()),
+		window:  bucket.New(account.Rate(), account.Burst(), time.Now()),
+	}
+}
+
+// run offers load for d.
+func (l *offer) run(d time.Duration) {
+	end := time.Now().Add(d)
+	var all sync.WaitGroup
+	for time.Now().Before(end) {
+		gap := l.random.ExpFloat64() / (l.account.Rate() * l.factor)
+		time.Sleep(time.Duration(gap * float64(time.Second)))
+		host := l.pick()
+		if host == nil {
+			continue
+		}
+		all.Go(func() { l.one(host) })
+	}
+	all.Wait()
+}
+
+// pick returns a host by a skewed choice that differs between accounts.
+func (l *offer) pick() *node {
+	names := l.fleet.names()
+	if l.spread != nil {
+		names = l.spread()
+	}
+	for range 20 {
+		i := int(float64(len(names)) * l.random.Float64() * l.random.Float64())
+		shift := len(l.account.Name()) + int(l.account.Rate())
+		n := l.fleet.node(names[(i+shift)%len(names)])
+		if n != nil && n.isRunning() && !n.isPaused() {
+			return n
+		}
+	}
+	return nil
+}
+
+func (l *offer) one(n *node) {
+	start := time.Now()
+	l.mutex.Lock()
+	l.offered++
+	within := l.central.Take(start, 1)
+	if within {
+		l.within++
+	}
+	l.mutex.Unlock()
+	err := n.ledger.Admit(context.Background(), l.account.Name(), 1)
+	now := time.Now()
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if err != nil {
+		if within {
+			l.wrongful++
+		}
+		return
+	}
+	l.admitted++
+	l.waits = append(l.waits, now.Sub(start))
+	l.spend(now)
+}
+
+// spend checks an admission against every window: the whole limit as one bucket,
+// full at first, has a token for each, or else there is a window with more than
+// burst + rate × window admissions.
+func (l *offer) spend(now time.Time) {
+	if !l.window.Take(now, 1) {
+		l.excess++
+	}
+}
+
+func (l *offer) String() string {
+	return fmt.Sprintf(
+		"%s: offered %d, within rate %d, admitted %d, wrongful %d (%.3f%%), over the bound %.0f",
+		l.account.Name(), l.offered, l.within, l.admitted, l.wrongful,
+		100*float64(l.wrongful)/float64(max(l.within, 1)), l.excess,
+	)
+}
+
+// report sums loads and logs them.
+func report(t *testing.T, loads []*offer) (wrongful, excess float64) {
+	t.Helper()
+	within, refused := 0, 0
+	for _, l := range loads {
+		t.Log(l.String())
+		within += l.within
+		refused += l.wrongful
+		excess += l.excess
+	}
+	wrongful = float64(refused) / float64(max(within, 1))
+	t.Logf("all: wrongful %.3f%%, over the bound %.0f", 100*wrongful, excess)
+	return wrongful, excess
+}
+
+func caroni() Plan {
+	rates := []float64{400, 200, 100, 50, 50, 20, 10, 5}
+	p := Plan{
+		Domains: []Domain{
+			{Name: "d1", Seats: 5},
+			{Name: "d2", Seats: 5},
+			{Name: "d3", Seats: 5},
+		},
+	}
+	for i, r := range rates {
+		p.Accounts = append(p.Accounts, coltsfootloft.NewAccount(fmt.Sprintf("team/a%d", i+1), r, 2*r))
+	}
+	var all []coltsfootloft.Upstream
+	for i := range 3 {
+		all = append(all, coltsfootloft.NewUpstream(fmt.Sprintf("g1db%d", i+1), fmt.Sprintf("d%d", i+1), "127.0.0.1:1"))
+	}
+	p.Groups = append(p.Groups, coltsfootloft.NewGroup("g1", 35, all...))
+	return p
+}
