core/fresh, io/watch: bound the age of reads at each database

A mark comes from readings of a majority that were all asked for after a moment, not from the primary alone: an old primary that was left behind would vouch for data that is arbitrarily old.

--- a/io/watch/group.go
+++ b/io/watch/group.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"coltsfootloft"
+	"coltsfootloft/core/fresh"
 	"coltsfootloft/core/quorum"
 
 	"github.com/jonboulle/clockwork"
@@ -24,6 +25,7 @@
 	answered map[string]time.Time
 	changed  chan struct{}
 	ledger   *quorum.Ledger
+	bounds   *fresh.Bounds
 	waiters  map[*waiter]struct{}
 	asked    uint64
 	rounds   map[string]probed
@@ -48,6 +50,7 @@
 		answered: make(map[string]time.Time, size),
 		changed:  make(chan struct{}),
 		ledger:   quorum.NewLedger(size),
+		bounds:   fresh.NewBounds(size),
 		waiters:  make(map[*waiter]struct{}),
 		rounds:   make(map[string]probed, size),
 		barriers: make(map[*pending]struct{}),
@@ -58,11 +61,13 @@
 	return g
 }
 
-// apply takes in the newest reading of a database.
-func (g *group) apply(database string, r coltsfootloft.Reading) {
+// apply takes in the newest reading of a database, which was asked for at the
+// given time.
+func (g *group) apply(database string, sent time.Time, r coltsfootloft.Reading) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.answered[database] = g.clock.Now()
+	g.bounds.Note(database, sent, r)
 	g.note(database, r)
 	old, ok := g.readings[database]
 	if ok && old == r {
@@ -143,5 +148,8 @@
 	return g.clock.Since(t), ok
 }
 
-// age isn't bounded yet.
-func (*group) age(string) (time.Duration, bool) { return 0, false }
+func (g *group) age(database string) (time.Duration, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.bounds.Age(g.clock.Now(), database)
+}
