host: elections, and giving up on failed databases

Requests are no longer sent to a database that has not answered its observer for 1 s, and connections to it, or to a primary whose term is over, are closed after a grace of 1 s, so that a frozen database holds no caller for ever.

--- a/io/caller/place.go
+++ b/io/caller/place.go
@@ -12,6 +12,10 @@
 	"github.com/pkg/errors"
 )
 
+// SilenceBound is how long a database may not have answered its observer before
+// no request is sent to it.
+const SilenceBound = time.Second
+
 // need is what the batch asks of a database.
 func (s *Session) need(ctx context.Context, write bool) (route.Need, error) {
 	n := route.Need{
@@ -113,7 +117,8 @@
 	all := make([]route.Candidate, 0, len(upstreams))
 	for _, u := range upstreams {
 		r, ok := readings[u.Name()]
-		if !ok {
+		silence, heard := s.Env.Groups.Silent(s.Route.Group(), u.Name())
+		if !ok || !heard || silence > SilenceBound {
 			continue
 		}
 		c := route.Candidate{
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -7,6 +7,7 @@
 
 	"coltsfootloft"
 	"coltsfootloft/core/conf"
+	"coltsfootloft/io/elect"
 	"coltsfootloft/io/front"
 	"coltsfootloft/io/share"
 	"coltsfootloft/io/watch"
@@ -38,6 +39,8 @@
 	Source Source
 	// Watch observes the databases.
 	Watch *watch.Watcher
+	// Elect keeps a primary in every group.
+	Elect *elect.Duty
 	// Ledger holds this host's part of the limits.
 	Ledger *share.Ledger
 	// Front takes callers.
@@ -96,6 +99,14 @@
 			name: "watch",
 			run:  h.Watch.Run,
 		},
+		{
+			name: "elect",
+			run:  h.Elect.Run,
+		},
+		{
+			name: "retire",
+			run:  h.retire,
+		},
 		{
 			name: "share",
 			run:  h.Ledger.Run,
@@ -173,6 +184,7 @@
 		h.Log.Info("setting not in force", "problem", p.String())
 	}
 	h.Watch.Configure(f.Groups())
+	h.Elect.Configure(f.Groups())
 	h.Ledger.Configure(plan(f))
 	h.pools.configure(f)
 	h.Front.Refresh(f)
--- a/io/host/provide.go
+++ b/io/host/provide.go
@@ -1,6 +1,8 @@
 package host
 
 import (
+	"crypto/rand"
+	"encoding/hex"
 	"os"
 	"strings"
 
@@ -8,6 +10,7 @@
 	"coltsfootloft/core/conf"
 	"coltsfootloft/io/caller"
 	"coltsfootloft/io/dbops"
+	"coltsfootloft/io/elect"
 	"coltsfootloft/io/front"
 	"coltsfootloft/io/pool"
 	"coltsfootloft/io/share"
@@ -37,12 +40,37 @@
 		Clock: clock,
 		Log:   log.WithName("watch"),
 		Self:  self,
-		Open: func(u coltsfootloft.Upstream) coltsfootloft.Database {
-			return &dbops.Database{Address: u.Address()}
-		},
+		Open:  openDatabase,
 	}
 }
 
+func openDatabase(u coltsfootloft.Upstream) coltsfootloft.Database {
+	return &dbops.Database{Address: u.Address()}
+}
+
+func provideElect(clock clockwork.Clock, log logr.Logger, self coltsfootloft.HostRecord, m coltsfootloft.Members, w *watch.Watcher) (*elect.Duty, error) {
+	run, err := newRun()
+	if err != nil {
+		return nil, err
+	}
+	return &elect.Duty{
+		Clock:       clock,
+		Log:         log.WithName("elect"),
+		Self:        self,
+		Incarnation: run,
+		Members:     m,
+		Source:      w,
+		Open:        openDatabase,
+	}, nil
+}
+
+// newRun returns a name unique to this run of the process.
+func newRun() (string, error) {
+	b := make([]byte, 6)
+	_, err := rand.Read(b)
+	return hex.EncodeToString(b), errors.Wrap(err, "random name")
+}
+
 func provideLedger(clock clockwork.Clock, log logr.Logger) *share.Ledger {
 	return &share.Ledger{
 		Clock: clock,
@@ -101,13 +129,14 @@
 	}
 }
 
-func provideHost(settings *conf.Host, clock clockwork.Clock, log logr.Logger, source Source, w *watch.Watcher, l *share.Ledger, f *front.Server, c *current, p *pools) *Host {
+func provideHost(settings *conf.Host, clock clockwork.Clock, log logr.Logger, source Source, w *watch.Watcher, e *elect.Duty, l *share.Ledger, f *front.Server, c *current, p *pools) *Host {
 	return &Host{
 		Settings: settings,
 		Clock:    clock,
 		Log:      log,
 		Source:   source,
 		Watch:    w,
+		Elect:    e,
 		Ledger:   l,
 		Front:    f,
 		current:  c,
--- /dev/null
+++ b/io/host/retire.go
@@ -0,0 +1,56 @@
+package host
+
+import (
+	"context"
+	"time"
+
+	"coltsfootloft"
+	"coltsfootloft/core/quorum"
+	"coltsfootloft/io/caller"
+)
+
+const (
+	// retirePeriod is how often connections to failed databases are looked for.
+	retirePeriod = 100 * time.Millisecond
+	// retireGrace is how long an answer from a failed database is waited for.
+	retireGrace = time.Second
+)
+
+// retire closes connections to databases that have gone silent, and to primaries
+// whose term is over: their answers can't be trusted to come, and a commit there
+// is never acknowledged.
+func (h *Host) retire(ctx context.Context) error {
+	t := h.Clock.NewTicker(retirePeriod)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.Chan():
+		}
+		for _, g := range h.current.Fleet().Groups() {
+			h.retireGroup(g)
+		}
+	}
+}
+
+func (h *Host) retireGroup(g coltsfootloft.Group) {
+	readings := h.Watch.Readings(g.Name())
+	_, term, ok := quorum.Size(len(g.Upstreams())).Primary(readings)
+	for _, u := range g.Upstreams() {
+		r, known := readings[u.Name()]
+		silence, heard := h.Watch.Silent(g.Name(), u.Name())
+		isSilent := heard && silence > caller.SilenceBound
+		isOver := ok && known && r.Role() == coltsfootloft.Primary && r.Received().Term().Compare(term) < 0
+		if !isSilent && !isOver {
+			continue
+		}
+		p, found := h.pools.get(u.Name())
+		if !found {
+			continue
+		}
+		if n := p.Abort(retireGrace); n > 0 {
+			h.Log.Info("gave up on answers", "upstream", u.Name(), "connections", n, "silent", isSilent, "term over", isOver)
+		}
+	}
+}
--- a/io/host/wire.go
+++ b/io/host/wire.go
@@ -19,6 +19,7 @@
 	provideSource,
 	provideCurrent,
 	provideWatch,
+	provideElect,
 	provideLedger,
 	provideLogin,
 	providePools,
--- a/io/host/wire_gen.go
+++ b/io/host/wire_gen.go
@@ -26,9 +26,13 @@
 	source := provideSource(consul, clock)
 	hostRecord := provideSelf(settings)
 	watcher := provideWatch(clock, log, hostRecord)
+	members := provideMembers(hostRecord)
+	electDuty, err := provideElect(clock, log, hostRecord, members, watcher)
+	if err != nil {
+		return nil, err
+	}
 	ledger := provideLedger(clock, log)
 	hostCurrent := provideCurrent()
-	members := provideMembers(hostRecord)
 	login, err := provideLogin(settings)
 	if err != nil {
 		return nil, err
@@ -37,7 +41,7 @@
 	hostRetries := provideRetries(hostCurrent, clock)
 	env := provideEnv(settings, hostCurrent, watcher, members, ledger, hostPools, hostRetries, clock, log)
 	server := provideFront(settings, env, clock, log)
-	host := provideHost(settings, clock, log, source, watcher, ledger, server, hostCurrent, hostPools)
+	host := provideHost(settings, clock, log, source, watcher, electDuty, ledger, server, hostCurrent, hostPools)
 	return host, nil
 }
 
@@ -50,6 +54,7 @@
 	provideSource,
 	provideCurrent,
 	provideWatch,
+	provideElect,
 	provideLedger,
 	provideLogin,
 	providePools,
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -49,8 +49,8 @@
 	mu      sync.Mutex
 	idle    []*Conn
 	waiters fair.Queue[*waiter]
+	lent    map[*Conn]time.Time
 	open    int
-	lent    int
 	opening int
 	closed  bool
 }
@@ -91,7 +91,7 @@
 	if n := len(p.idle); n > 0 {
 		c := p.idle[n-1]
 		p.idle = p.idle[:n-1]
-		p.lent++
+		p.lend(c)
 		return c, nil, nil
 	}
 	w := &waiter{result: make(chan result, 1)}
@@ -129,7 +129,7 @@
 func (p *Pool) Load() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.lent + p.waiters.Len()
+	return len(p.lent) + p.waiters.Len()
 }
 
 // Stats returns the number of open, lent and idle connections and of waiters.
@@ -138,7 +138,7 @@
 	defer p.mu.Unlock()
 	return Stats{
 		open:    p.open,
-		lent:    p.lent,
+		lent:    len(p.lent),
 		idle:    len(p.idle),
 		waiting: p.waiters.Len(),
 	}
@@ -176,7 +176,7 @@
 
 func (p *Pool) put(c *Conn) {
 	p.mu.Lock()
-	p.lent--
+	delete(p.lent, c)
 	if c.broken.Load() || p.closed {
 		p.open--
 		p.mu.Unlock()
@@ -197,10 +197,42 @@
 		p.idle = append(p.idle, c)
 		return
 	}
-	p.lent++
+	p.lend(c)
 	w.result <- result{conn: c}
 }
 
+// lend notes a connection as in use. The lock is held.
+func (p *Pool) lend(c *Conn) {
+	if p.lent == nil {
+		p.lent = make(map[*Conn]time.Time)
+	}
+	p.lent[c] = p.clock().Now()
+}
+
+// Abort closes all idle connections, and those that have been in use for longer
+// than grace: their answers are not to be waited for any more. It returns how
+// many were in use.
+func (p *Pool) Abort(grace time.Duration) int {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = nil
+	p.open -= len(idle)
+	var overdue []*Conn
+	for c, since := range p.lent {
+		if p.clock().Since(since) > grace {
+			overdue = append(overdue, c)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range idle {
+		c.close()
+	}
+	for _, c := range overdue {
+		c.Abort()
+	}
+	return len(overdue)
+}
+
 // openMore starts to open connections for waiters. The lock is held.
 func (p *Pool) openMore() {
 	for p.opening < maxOpening && p.opening < p.waiters.Len() && !p.closed {
--- a/shares.go
+++ b/shares.go
@@ -31,6 +31,9 @@
 	// Held waits until a majority holds the record at p for good. An error
 	// means that this is unknown.
 	Held(ctx context.Context, group string, p Position) error
+	// Silent returns how long ago the database last answered; ok is false if it
+	// never has.
+	Silent(group, database string) (silence time.Duration, ok bool)
 	// Age bounds how old reads at the database are; ok is false if unknown.
 	Age(group, database string) (age time.Duration, ok bool)
 }
