test: failover under writes through every host

Five faults of the primary (killed, frozen, frozen then resumed, killed then restarted, killed while the platform is down) with six writers on three hosts; a history of what callers were told is compared with what the group holds.

Red first: 'killed then restarted' acknowledged 0 writes after the fault, with 4,274 errors 42P01: the restarted stand-in replayed its log and never committed it, so its tables were empty.

--- /dev/null
+++ b/test/failover_test.go
@@ -0,0 +1,67 @@
+package test
+
+import (
+	"context"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// failoverBound is the users' outer bound for a change of primary.
+const failoverBound = 8 * time.Second
+
+// TestFailover fails the primary in several ways under writes through every
+// host. No acknowledged write is lost, what was refused as not run has not run,
+// and writes go on within the bound.
+func TestFailover(t *testing.T) {
+	faults := map[string]func(f *fleet, d *database){
+		"killed": func(_ *fleet, d *database) { d.process.kill() },
+		"frozen": func(_ *fleet, d *database) { d.process.signal(syscall.SIGSTOP) },
+		"frozen then resumed": func(_ *fleet, d *database) {
+			d.process.signal(syscall.SIGSTOP)
+			time.AfterFunc(3*time.Second, func() { d.process.signal(syscall.SIGCONT) })
+		},
+		"killed then restarted": func(f *fleet, d *database) {
+			d.process.kill()
+			f.startDatabase(d)
+		},
+		"killed while the platform is down": func(f *fleet, d *database) {
+			f.platform.kill()
+			d.process.kill()
+		},
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, layout{
+				domains: 3,
+				hosts:   3,
+				groups:  1,
+			})
+			mustExec(t, f.connect(f.hosts[0]), "CREATE TABLE history (id text PRIMARY KEY)")
+			h := newHistory()
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			var writers sync.WaitGroup
+			for i, e := range f.hosts {
+				for _, n := range []string{"a", "b"} {
+					writers.Go(func() { h.write(ctx, f, e, e.name+n, time.Duration(5+i)*time.Millisecond) })
+				}
+			}
+			time.Sleep(time.Second)
+			before, _, _ := h.counts()
+			assert.Assert(t, before > 50, "only %d writes before the fault", before)
+			fault(f, f.databases["g1-1"])
+			time.Sleep(5 * time.Second)
+			cancel()
+			writers.Wait()
+			after, notRun, unknown := h.counts()
+			t.Logf("acknowledged %d, then %d; not run %d, unknown %d, errors %v, longest gap %v", before, after-before, notRun, unknown, h.errors, h.gap)
+			assert.Assert(t, after > before+50, "writes did not go on")
+			assert.Assert(t, h.gap < failoverBound)
+			h.check(t, f, f.hosts[1])
+		})
+	}
+}
