standin: relay, and processes that are killed and started again

A database killed with SIGKILL and started with its directory lost its tables, though its log was whole: the replay of the log rolled back instead of committing. The relay delays, holds, cuts, tears and captures, by methods and over a control port.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -16,6 +16,7 @@
 // list holds the stand-ins.
 var list = []subcommands.Command{
 	&databaseCommand{},
+	&relayCommand{},
 }
 
 func main() {
--- a/stand/dbase/apply.go
+++ b/stand/dbase/apply.go
@@ -35,7 +35,7 @@
 	defer h.close()
 	return s.run(h, s.ledger.log, func() error {
 		s.ledger.applied = uint64(len(s.ledger.log))
-		return nil
+		return errors.Wrap(h.exec("COMMIT"), "recover")
 	})
 }
 
--- /dev/null
+++ b/stand/relay/link.go
@@ -0,0 +1,231 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+)
+
+// Sizes of the queue of one direction of a connection.
+const (
+	chunkSize = 32 << 10
+	queueSize = 64
+)
+
+// link is one forwarded connection.
+type link struct {
+	caller net.Conn
+	target net.Conn
+	once   sync.Once
+}
+
+// reset ends both connections at once, with RST.
+func (k *link) reset() {
+	k.once.Do(func() {
+		for _, c := range []net.Conn{k.caller, k.target} {
+			abort(c)
+		}
+	})
+}
+
+func abort(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	c.Close()
+}
+
+// chunk is a piece of the stream and when it is due; a nil piece ends it.
+type chunk struct {
+	data []byte
+	due  time.Time
+}
+
+// forward joins a caller with the target.
+func (r *Relay) forward(ctx context.Context, caller net.Conn) {
+	var d net.Dialer
+	r.mu.Lock()
+	cut := r.cut
+	r.total++
+	r.mu.Unlock()
+	if cut {
+		abort(caller)
+		return
+	}
+	target, err := d.DialContext(ctx, "tcp", r.Target)
+	if err != nil {
+		abort(caller)
+		return
+	}
+	k := &link{
+		caller: caller,
+		target: target,
+	}
+	if !r.register(k) {
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { k.reset() })
+	var wg sync.WaitGroup
+	wg.Go(func() { r.pump(ctx, k, ToTarget, caller, target) })
+	wg.Go(func() { r.pump(ctx, k, ToCaller, target, caller) })
+	wg.Wait()
+	stop()
+	r.mu.Lock()
+	delete(r.links, k)
+	r.mu.Unlock()
+	caller.Close()
+	target.Close()
+}
+
+// register adds a link unless the relay was cut meanwhile.
+func (r *Relay) register(k *link) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cut {
+		k.reset()
+		return false
+	}
+	r.links[k] = true
+	return true
+}
+
+// pump carries one direction of a link.
+func (r *Relay) pump(ctx context.Context, k *link, d Direction, from, to net.Conn) {
+	queue := make(chan chunk, queueSize)
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		defer drain(queue)
+		for c := range queue {
+			if !r.deliver(ctx, k, d, to, c) {
+				k.reset()
+				return
+			}
+		}
+	})
+	r.collect(d, from, queue)
+	close(queue)
+	wg.Wait()
+}
+
+// drain lets the sender end when nobody delivers any more.
+func drain(queue <-chan chunk) {
+	for range queue {
+		continue
+	}
+}
+
+// collect reads until the end of the stream and stamps what it reads.
+func (r *Relay) collect(d Direction, from net.Conn, queue chan<- chunk) {
+	var last time.Time
+	for {
+		b := make([]byte, chunkSize)
+		n, err := from.Read(b)
+		last = r.stamp(d, b[:n], last)
+		if n > 0 {
+			queue <- chunk{
+				data: b[:n],
+				due:  last,
+			}
+		}
+		if err != nil {
+			queue <- chunk{
+				due: last,
+			}
+			return
+		}
+	}
+}
+
+// stamp returns when bytes that arrive now are due, not before last.
+func (r *Relay) stamp(d Direction, b []byte, last time.Time) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := &r.lanes[d]
+	l.bytes += int64(len(b))
+	if r.capture && len(l.captured) < maxCapture {
+		l.captured = append(l.captured, b...)
+	}
+	due := r.Clock.Now().Add(l.delay)
+	if l.jitter > 0 {
+		due = due.Add(time.Duration(r.random.Int64N(int64(l.jitter))))
+	}
+	if due.Before(last) {
+		return last
+	}
+	return due
+}
+
+// deliver waits until a chunk is due and not held, and writes it. It reports
+// whether the link goes on.
+func (r *Relay) deliver(ctx context.Context, k *link, d Direction, to net.Conn, c chunk) bool {
+	if wait := c.due.Sub(r.Clock.Now()); wait > 0 {
+		t := r.Clock.NewTimer(wait)
+		defer t.Stop()
+		select {
+		case <-ctx.Done():
+			return false
+		case <-t.Chan():
+		}
+	}
+	for r.isHeld(d) {
+		if !r.awaitChange(ctx, k, d) {
+			return false
+		}
+	}
+	if c.data == nil {
+		if t, ok := to.(*net.TCPConn); ok {
+			return t.CloseWrite() == nil
+		}
+		return false
+	}
+	data, drop := r.allow(d, c.data)
+	if _, err := to.Write(data); err != nil {
+		return false
+	}
+	return !drop
+}
+
+func (r *Relay) isHeld(d Direction) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lanes[d].held
+}
+
+// awaitChange waits for a change and reports whether the link still stands.
+func (r *Relay) awaitChange(ctx context.Context, k *link, d Direction) bool {
+	r.mu.Lock()
+	changed, held, open := r.changed, r.lanes[d].held, r.links[k] && !r.cut
+	r.mu.Unlock()
+	if !held {
+		return true
+	}
+	if !open {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-changed:
+		return true
+	}
+}
+
+// allow returns the bytes that may pass before a drop, and whether the link is to
+// be dropped after them.
+func (r *Relay) allow(d Direction, b []byte) (pass []byte, drop bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := &r.lanes[d]
+	if !l.dropping {
+		return b, false
+	}
+	if int64(len(b)) <= l.left {
+		l.left -= int64(len(b))
+		return b, false
+	}
+	l.dropping = false
+	return b[:l.left], true
+}
--- /dev/null
+++ b/stand/relay/relay_test.go
@@ -0,0 +1,186 @@
+package relay_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"coltsfootloft/stand/relay"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// echo answers every byte with itself.
+func echo(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				io.Copy(c, c)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func open(t *testing.T) *relay.Relay {
+	t.Helper()
+	r := &relay.Relay{
+		Target: echo(t),
+		Seed:   1,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- r.Run(ctx) }()
+	<-r.Ready()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-done)
+	})
+	return r
+}
+
+func dial(t *testing.T, r *relay.Relay) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", r.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+// trip sends text and waits for its echo.
+func trip(c net.Conn, text string, within time.Duration) (string, error) {
+	if _, err := io.WriteString(c, text); err != nil {
+		return "", err
+	}
+	c.SetReadDeadline(time.Now().Add(within))
+	b := make([]byte, len(text))
+	n, err := io.ReadFull(c, b)
+	return string(b[:n]), err
+}
+
+func TestForwardsAndCaptures(t *testing.T) {
+	r := open(t)
+	r.Capture(true)
+	c := dial(t, r)
+	got, err := trip(c, "condolence", time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, got, "condolence")
+	assert.Equal(t, string(r.Captured(relay.ToTarget)), "condolence")
+	assert.Equal(t, string(r.Captured(relay.ToCaller)), "condolence")
+	assert.NilError(t, c.(*net.TCPConn).CloseWrite())
+	_, err = c.Read(make([]byte, 1))
+	assert.Equal(t, err, io.EOF)
+}
+
+func TestDelayAndJitterKeepOrder(t *testing.T) {
+	r := open(t)
+	r.SetDelay(relay.Both, 30*time.Millisecond)
+	r.SetJitter(relay.ToCaller, 20*time.Millisecond)
+	c := dial(t, r)
+	began := time.Now()
+	got, err := trip(c, "x", time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, got, "x")
+	assert.Assert(t, time.Since(began) >= 60*time.Millisecond)
+	want := ""
+	for i := range 20 {
+		s := string(rune('a' + i))
+		want += s
+		_, err := io.WriteString(c, s)
+		assert.NilError(t, err)
+		time.Sleep(time.Millisecond)
+	}
+	b := make([]byte, len(want))
+	_, err = io.ReadFull(c, b)
+	assert.NilError(t, err)
+	assert.Equal(t, string(b), want)
+}
+
+func TestHoldKeepsTheConnection(t *testing.T) {
+	for _, d := range []relay.Direction{relay.ToTarget, relay.ToCaller} {
+		r := open(t)
+		c := dial(t, r)
+		r.Hold(d, true)
+		_, err := trip(c, "held", 50*time.Millisecond)
+		assert.ErrorContains(t, err, "timeout")
+		r.Hold(d, false)
+		c.SetReadDeadline(time.Now().Add(time.Second))
+		b := make([]byte, 4)
+		_, err = io.ReadFull(c, b)
+		assert.NilError(t, err)
+		assert.Equal(t, string(b), "held")
+	}
+}
+
+func TestCutResetsAndRefuses(t *testing.T) {
+	r := open(t)
+	c := dial(t, r)
+	_, err := trip(c, "x", time.Second)
+	assert.NilError(t, err)
+	r.Hold(relay.ToTarget, true)
+	_, err = trip(c, "x", 20*time.Millisecond)
+	assert.Assert(t, err != nil)
+	r.Cut(true)
+	c.SetReadDeadline(time.Now().Add(time.Second))
+	_, err = c.Read(make([]byte, 1))
+	assert.ErrorContains(t, err, "reset")
+	_, err = trip(dial(t, r), "x", time.Second)
+	assert.Assert(t, err != nil)
+	r.Cut(false)
+	r.Hold(relay.Both, false)
+	_, err = trip(dial(t, r), "x", time.Second)
+	assert.NilError(t, err)
+}
+
+func TestDropTearsOnce(t *testing.T) {
+	r := open(t)
+	c := dial(t, r)
+	r.DropAfter(relay.ToTarget, 4)
+	_, err := trip(c, "abcdefgh", time.Second)
+	assert.Assert(t, err != nil)
+	assert.Equal(t, r.Status().ToCaller <= 4, true)
+	_, err = trip(dial(t, r), "abcdefgh", time.Second)
+	assert.NilError(t, err)
+}
+
+func TestControlPort(t *testing.T) {
+	r := open(t)
+	h := r.Handler()
+	for path, want := range map[string]int{
+		"/delay?for=1ms":                          http.StatusOK,
+		"/delay?for=soon":                         http.StatusBadRequest,
+		"/jitter?direction=to-caller&for=1ms":     http.StatusOK,
+		"/hold?direction=sideways&on=true":        http.StatusBadRequest,
+		"/hold?direction=to-target&on=true":       http.StatusOK,
+		"/hold?on=false":                          http.StatusOK,
+		"/drop?direction=to-caller&bytes=1000000": http.StatusOK,
+		"/drop":            http.StatusBadRequest,
+		"/cut?on=false":    http.StatusOK,
+		"/capture?on=true": http.StatusOK,
+	} {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest(http.MethodPost, path, nil))
+		assert.Equal(t, w.Code, want, path)
+	}
+	_, err := trip(dial(t, r), "key", time.Second)
+	assert.NilError(t, err)
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/captured?direction=to-target", nil))
+	assert.Equal(t, w.Body.String(), "key")
+}
