--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -17,6 +17,7 @@
 var list = []subcommands.Command{
 	&databaseCommand{},
 	&platformCommand{},
+	&relayCommand{},
 }
 
 func main() {
