--- a/core/loan/lend.go
+++ b/core/loan/lend.go
@@ -23,7 +23,7 @@
 	l.sequence = a.Sequence
 	l.want = a.Want
 	b.dirty = true
-	b.sweep(now)
+	b.sweep(now, borrower)
 	return true
 }
 
@@ -113,10 +113,10 @@
 // sweepAfter keeps the sequence numbers of a borrower for late asks.
 const sweepAfter = time.Minute
 
-func (b *Book) sweep(now time.Time) {
+func (b *Book) sweep(now time.Time, except string) {
 	for k, l := range b.lent {
 		end := later(l.until, l.keptUntil)
-		if !end.IsZero() && now.Sub(end) > sweepAfter {
+		if k != except && !end.IsZero() && now.Sub(end) > sweepAfter {
 			delete(b.lent, k)
 		}
 	}
--- a/io/share/fakes_test.go
+++ b/io/share/fakes_test.go
@@ -39,6 +39,12 @@
 	}
 }
 
+func (s *fakeStore) setDown(down bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.down = down
+}
+
 func (s *fakeStore) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -192,7 +198,7 @@
 	return index, err
 }
 
-func (v storeView) OpenSession(ctx context.Context, name string, ttl time.Duration) (string, error) {
+func (v storeView) OpenSession(ctx context.Context, _ string, ttl time.Duration) (string, error) {
 	if err := v.enter(ctx); err != nil {
 		return "", err
 	}
--- a/io/share/fleet_test.go
+++ b/io/share/fleet_test.go
@@ -33,6 +33,7 @@
 	bytes    int
 	runs     int
 	homes    int
+	onWake   func(*node)
 	all      sync.WaitGroup
 }
 
@@ -171,6 +172,15 @@
 	f.cut[domain] = cut
 }
 
+// wake resumes a paused host, whose callers send at once what they held back.
+func (f *fleet) wake(name string) {
+	n := f.node(name)
+	n.resume()
+	if f.onWake != nil {
+		f.onWake(n)
+	}
+}
+
 // kill ends a host without any of its duties to leave.
 func (f *fleet) kill(name string) {
 	n := f.node(name)
--- a/io/share/ledger.go
+++ b/io/share/ledger.go
@@ -24,7 +24,7 @@
 	// DefaultWaiters bounds the waiters of one account or database.
 	DefaultWaiters = 256
 	// DefaultHomes is the number of seats of a domain that own a limit's part.
-	DefaultHomes = 2
+	DefaultHomes = 4
 	// forever is later than every lease.
 	forever = 100 * 365 * 24 * time.Hour
 )
--- a/io/share/load_test.go
+++ b/io/share/load_test.go
@@ -61,6 +61,13 @@
 	all.Wait()
 }
 
+// flood sends a burst to one host at once.
+func (l *offer) flood(n *node) {
+	for range int(l.account.Burst()) {
+		go l.one(n)
+	}
+}
+
 // pick returns a host by a skewed choice that differs between accounts.
 func (l *offer) pick() *node {
 	names := l.fleet.names()
--- a/io/share/rate_test.go
+++ b/io/share/rate_test.go
@@ -14,13 +14,20 @@
 // drive runs loads for all accounts side by side while the faults happen.
 func drive(f *fleet, factor float64, d time.Duration, faults func()) []*offer {
 	var loads []*offer
+	var wakes []func(*node)
 	var all sync.WaitGroup
 	for i, a := range f.plan.Accounts {
 		l := newOffer(f, a, factor, uint64(testSeed+i))
 		loads = append(loads, l)
+		wakes = append(wakes, l.flood)
 		all.Go(func() { l.run(d) })
 	}
 	if faults != nil {
+		f.onWake = func(n *node) {
+			for _, w := range wakes {
+				w(n)
+			}
+		}
 		faults()
 	}
 	all.Wait()
@@ -40,3 +47,95 @@
 		assert.Equal(t, excess, 0.0)
 	})
 }
+
+// TestRefusalsWhileHostsAreReplaced loses a host every 20 s and starts another in
+// its place 2 s later; half of them leave gracefully.
+func TestRefusalsWhileHostsAreReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, caroni(), testSeed)
+		f.start()
+		time.Sleep(20 * time.Second)
+		loads := drive(f, 0.9, 120*time.Second, func() {
+			for i, name := range []string{"d1h1", "d2h3", "d3h2", "d1h4", "d2h5"} {
+				if i%2 == 0 {
+					f.kill(name)
+				} else {
+					f.leave(name)
+				}
+				time.Sleep(2 * time.Second)
+				f.add(name+"x", name[:2])
+				time.Sleep(18 * time.Second)
+			}
+		})
+		wrongful, excess := report(t, loads)
+		f.stop()
+		assert.Assert(t, wrongful < 0.005)
+		assert.Equal(t, excess, 0.0)
+	})
+}
+
+// TestRefusalsThroughOutage takes the store away for a minute.
+func TestRefusalsThroughOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, caroni(), testSeed)
+		f.start()
+		time.Sleep(20 * time.Second)
+		loads := drive(f, 0.9, 100*time.Second, func() {
+			time.Sleep(10 * time.Second)
+			f.store.setDown(true)
+			time.Sleep(60 * time.Second)
+			f.store.setDown(false)
+		})
+		wrongful, excess := report(t, loads)
+		f.stop()
+		assert.Assert(t, wrongful < 0.02)
+		assert.Equal(t, excess, 0.0)
+	})
+}
+
+// TestBoundHoldsUnderFaults offers three times the rate, bunched on few hosts,
+// while everything fails that may fail.
+func TestBoundHoldsUnderFaults(t *testing.T) {
+	for seed := uint64(testSeed); seed < testSeed+3; seed++ {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, caroni(), seed)
+			f.start()
+			f.loss = 0.1
+			f.store.uncertain = 0.1
+			loads := drive(f, 3, 150*time.Second, func() { everyFault(f) })
+			_, excess := report(t, loads)
+			f.stop()
+			assert.Equal(t, excess, 0.0, "seed %d", seed)
+		})
+	}
+}
+
+// everyFault kills, pauses, cuts and replaces hosts, and takes the store away.
+func everyFault(f *fleet) {
+	time.Sleep(5 * time.Second)
+	f.node("d1h2").pause()
+	f.kill("d2h1")
+	time.Sleep(8 * time.Second)
+	f.add("d2h1x", "d2")
+	time.Sleep(12 * time.Second)
+	f.wake("d1h2")
+	f.store.setDown(true)
+	f.node("d3h1").pause()
+	time.Sleep(5 * time.Second)
+	f.kill("d1h3")
+	f.add("d1h3x", "d1")
+	time.Sleep(20 * time.Second)
+	f.wake("d3h1")
+	time.Sleep(10 * time.Second)
+	f.store.setDown(false)
+	f.cutDomain("d3", true)
+	f.node("d3h2").pause()
+	f.node("d2h2").pause()
+	time.Sleep(30 * time.Second)
+	f.wake("d2h2")
+	f.cutDomain("d3", false)
+	f.leave("d2h4")
+	f.add("d2h4x", "d2")
+	f.wake("d3h2")
+	time.Sleep(10 * time.Second)
+}
