--- a/stand/dbase/ledger_test.go
+++ b/stand/dbase/ledger_test.go
@@ -100,8 +100,8 @@
 func (p *pair) pull(t *rapid.T, from *pair, most int) {
 	n, source := p.naive, from.naive
 	live := n.follows != "" && n.followed == n.fence && source.primary && source.reign == n.followed
-	real := p.real.replicates(p.real.epoch) && from.real.role == coltsfootloft.Primary && from.real.reign == p.real.followed
-	assert.Equal(t, real, live)
+	replicates := p.real.replicates(p.real.epoch) && from.real.role == coltsfootloft.Primary && from.real.reign == p.real.followed
+	assert.Equal(t, replicates, live)
 	if !live {
 		return
 	}
