--- a/cmd/coltsfootloft/serve.go
+++ b/cmd/coltsfootloft/serve.go
@@ -10,11 +10,10 @@
 
 	"coltsfootloft/core/conf"
 	"coltsfootloft/io/host"
+	"coltsfootloft/io/logs"
 
-	"github.com/go-logr/zapr"
 	"github.com/google/subcommands"
 	"github.com/jonboulle/clockwork"
-	"go.uber.org/zap"
 )
 
 // serveCommand runs one entry host.
@@ -47,16 +46,15 @@
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
 	}
-	config := zap.NewProductionConfig()
-	if settings.LogLevel() == "debug" {
-		config.Level = zap.NewAtomicLevelAt(zap.DebugLevel)
-	}
-	z, err := config.Build()
+	log, err := logs.Maker{
+		Output: os.Stderr,
+		Format: settings.LogFormat(),
+		Level:  settings.LogLevel(),
+	}.Logger()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		return subcommands.ExitFailure
+		return subcommands.ExitUsageError
 	}
-	log := zapr.NewLogger(z)
 	h, err := host.Build(settings, clockwork.NewRealClock(), log)
 	if err != nil {
 		log.Error(err, "building the host")
--- a/io/caller/env.go
+++ b/io/caller/env.go
@@ -6,6 +6,7 @@
 
 	"coltsfootloft"
 	"coltsfootloft/core/conf"
+	"coltsfootloft/core/journ"
 	"coltsfootloft/io/pool"
 
 	"github.com/go-logr/logr"
@@ -30,7 +31,7 @@
 	// Retry spends from the client account's retry budget.
 	Retry Budget
 	// Journal takes decisions for explanations; nil drops them.
-	Journal func(session uint32, event, detail string)
+	Journal *journ.Journal
 	// Clock tells the time.
 	Clock clockwork.Clock
 	// Log takes events.
@@ -50,12 +51,6 @@
 	Spend(account string) bool
 }
 
-func (e *Env) note(session uint32, event, detail string) {
-	if e.Journal != nil {
-		e.Journal(session, event, detail)
-	}
-}
-
 func (e *Env) ackTimeout(group string) time.Duration {
 	g, ok := e.Fleet().Group(group)
 	if !ok {
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"coltsfootloft"
+	"coltsfootloft/core/journ"
 	"coltsfootloft/core/route"
 	"coltsfootloft/core/stmt"
 	"coltsfootloft/io/dbops"
@@ -441,10 +442,11 @@
 	group := s.Route.Group()
 	ctx, cancel := context.WithTimeout(ctx, s.Env.ackTimeout(group))
 	defer cancel()
+	defer s.observe(ackSeconds, s.now())
 	err := s.Env.Groups.Held(ctx, group, x.position)
 	if err != nil {
 		s.out.revoke()
-		s.Env.note(s.ID, "commit not acknowledged", err.Error())
+		s.note(journ.Refused, "commit not acknowledged: "+err.Error(), x.conn.Database())
 		return coltsfootloft.Unsure("no majority was seen to hold the commit").
 			WithHint("look up whether it took effect before you repeat it, or send it with a request id")
 	}
--- a/io/caller/idempotent.go
+++ b/io/caller/idempotent.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	"coltsfootloft"
+	"coltsfootloft/core/journ"
 	"coltsfootloft/io/dbops"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -96,7 +97,7 @@
 	if err != nil {
 		return answered, err
 	}
-	s.Env.note(s.ID, "request id already done", x.conn.Database())
+	s.note(journ.Held, "request id already done", x.conn.Database())
 	if inTransaction {
 		return answered, coltsfootloft.Refuse(codeDuplicate, "request "+quote(s.request)+" is already done").
 			WithHint("the transaction of the first request with this id has committed; roll this one back")
--- /dev/null
+++ b/io/caller/metric.go
@@ -0,0 +1,51 @@
+package caller
+
+import (
+	"time"
+
+	"coltsfootloft"
+	"coltsfootloft/core/route"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
+)
+
+// Metrics of all sessions of the process.
+var (
+	readsAtReplicas = metrics.NewCounter(`coltsfootloft_reads_total{at="replica"}`)
+	readsAtPrimary  = metrics.NewCounter(`coltsfootloft_reads_total{at="primary"}`)
+	writes          = metrics.NewCounter("coltsfootloft_writes_total")
+	repeats         = metrics.NewCounter("coltsfootloft_repeats_total")
+	placeSeconds    = metrics.NewHistogram("coltsfootloft_place_seconds")
+	ackSeconds      = metrics.NewHistogram("coltsfootloft_ack_seconds")
+	requestSeconds  = metrics.NewHistogram("coltsfootloft_request_seconds")
+)
+
+// countPlaced counts a placed request.
+func countPlaced(n route.Need, v route.Verdict) {
+	switch {
+	case n.Write:
+		writes.Inc()
+	case v == route.ToReplica:
+		readsAtReplicas.Inc()
+	default:
+		readsAtPrimary.Inc()
+	}
+}
+
+// countRefused counts a refusal by its SQLSTATE and outcome.
+func countRefused(err error) {
+	var r *coltsfootloft.RefusalError
+	if !errors.As(err, &r) {
+		return
+	}
+	outcome := "not_run"
+	if r.Outcome() == coltsfootloft.Unknown {
+		outcome = "unknown"
+	}
+	metrics.GetOrCreateCounter(`coltsfootloft_refusals_total{code="` + r.Code() + `",outcome="` + outcome + `"}`).Inc()
+}
+
+func (s *Session) observe(h *metrics.Histogram, since time.Time) {
+	h.Update(s.Env.Clock.Since(since).Seconds())
+}
--- a/io/caller/place.go
+++ b/io/caller/place.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"coltsfootloft"
+	"coltsfootloft/core/journ"
 	"coltsfootloft/core/quorum"
 	"coltsfootloft/core/route"
 	"coltsfootloft/io/pool"
@@ -49,7 +50,9 @@
 		case route.ToReplica, route.ToPrimary:
 			conn, err := s.acquire(ctx, c.Database())
 			if err == nil {
-				s.Env.note(s.ID, c.Verdict().String(), c.Database())
+				countPlaced(*n, c.Verdict())
+				s.observe(placeSeconds, started)
+				s.note(journ.Routed, c.Verdict().String(), c.Database())
 				return conn, nil
 			}
 			if ctx.Err() != nil || !isElsewhere(err) {
@@ -57,6 +60,7 @@
 			}
 			n.Avoid[c.Database()] = true
 		default:
+			s.note(journ.Held, c.Verdict().String(), "")
 			if err := s.await(ctx, changed, c.Verdict(), started); err != nil {
 				return nil, err
 			}
--- a/io/caller/run.go
+++ b/io/caller/run.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"coltsfootloft"
+	"coltsfootloft/core/journ"
 	"coltsfootloft/core/route"
 	"coltsfootloft/core/stmt"
 	"coltsfootloft/io/pool"
@@ -18,6 +19,9 @@
 	b := s.batch
 	s.batch = batch{}
 	s.out.begin()
+	if b.cost > 0 {
+		defer s.observe(requestSeconds, s.now())
+	}
 	if err := s.answer(ctx, &b); err != nil {
 		return err
 	}
@@ -44,6 +48,8 @@
 		return err
 	}
 	s.fail()
+	s.note(journ.Refused, err.Error(), "")
+	countRefused(err)
 	return s.out.add(response(err))
 }
 
@@ -108,6 +114,7 @@
 		if !again {
 			return err
 		}
+		repeats.Inc()
 		if waiting.Err() != nil || !s.out.restart() {
 			return err
 		}
@@ -138,12 +145,12 @@
 		s.unpin()
 		n.Avoid[c.Database()] = true
 		n.Write = n.Write || x.refusedWrite
-		s.Env.note(s.ID, "refused by database, not run", c.Database())
+		s.note(journ.Repeated, "refused by the database, not run", c.Database())
 		return true, err
 	case lost:
 		s.unpin()
 		n.Avoid[c.Database()] = true
-		s.Env.note(s.ID, "connection lost", c.Database())
+		s.note(journ.Refused, "connection lost", c.Database())
 		isSafe := x.idempotent || !n.Write && !s.onPrimary
 		return isSafe && s.Env.Retry.Spend(s.Account), err
 	default:
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -9,6 +9,7 @@
 
 	"coltsfootloft"
 	"coltsfootloft/core/conf"
+	"coltsfootloft/core/journ"
 	"coltsfootloft/core/stmt"
 	"coltsfootloft/core/token"
 	"coltsfootloft/io/pool"
@@ -206,4 +207,13 @@
 	s.unpin()
 }
 
+// note writes a decision to the journal.
+func (s *Session) note(k journ.Kind, reason, database string) {
+	s.Env.Journal.Note(journ.Decided(k, reason).
+		Session(uint64(s.ID)).
+		Account(s.Account).
+		Group(s.Route.Group()).
+		Database(database))
+}
+
 func (s *Session) now() time.Time { return s.Env.Clock.Now() }
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"sync"
+	"sync/atomic"
 
 	"coltsfootloft"
 	"coltsfootloft/core/conf"
+	"coltsfootloft/core/journ"
+	"coltsfootloft/io/admin"
 	"coltsfootloft/io/elect"
 	"coltsfootloft/io/front"
 	"coltsfootloft/io/share"
@@ -37,19 +41,29 @@
 	Log logr.Logger
 	// Source brings the fleet's settings.
 	Source Source
+	// Members knows the other hosts.
+	Members coltsfootloft.Members
+	// Journal keeps decisions for explanations.
+	Journal *journ.Journal
 	// Watch observes the databases.
 	Watch *watch.Watcher
 	// Elect keeps a primary in every group.
 	Elect *elect.Duty
 	// Ledger holds this host's part of the limits.
 	Ledger *share.Ledger
+	// Admin serves operators; Run makes it.
+	Admin *admin.Server
 	// Front takes callers.
 	Front *front.Server
 
 	current *current
 	pools   *pools
 	ready   chan struct{}
-	address net.Addr
+	leave   chan struct{}
+	once    sync.Once
+
+	draining atomic.Bool
+	address  net.Addr
 
 	applying sync.Mutex
 }
@@ -66,6 +80,9 @@
 	if err := h.startFront(ctx); err != nil {
 		return err
 	}
+	if err := h.startAdmin(ctx); err != nil {
+		return err
+	}
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var duties sync.WaitGroup
@@ -77,7 +94,10 @@
 	go func() { callers <- h.Front.Run(running) }()
 	close(h.ready)
 	h.Log.Info("serving", "host", h.Settings.Name(), "domain", h.Settings.Domain(), "callers", h.address.String())
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-h.leave:
+	}
 	err := h.drain()
 	stop()
 	duties.Wait()
@@ -87,6 +107,10 @@
 
 func (h *Host) duties() []duty {
 	return []duty{
+		{
+			name: "admin",
+			run:  h.Admin.Run,
+		},
 		{
 			name: "settings",
 			run:  h.Source.Run,
@@ -127,6 +151,24 @@
 	return errors.Wrap(err, "starting")
 }
 
+// startAdmin opens the admin port, which serves until ctx ends.
+func (h *Host) startAdmin(ctx context.Context) error {
+	var c net.ListenConfig
+	l, err := c.Listen(ctx, "tcp", h.Settings.Admin())
+	if err != nil {
+		return errors.Wrap(err, "admin port")
+	}
+	h.Admin = &admin.Server{
+		Listener: l,
+		Ready:    h.readiness,
+		Status:   h.status,
+		Journal:  h.Journal,
+		Drain:    h.Leave,
+		Log:      h.Log.WithName("admin"),
+	}
+	return nil
+}
+
 func firstError(all ...error) error {
 	for _, err := range all {
 		if err != nil {
@@ -179,9 +221,10 @@
 	if revision == 0 || revision == h.current.Fleet().Revision() {
 		return
 	}
-	f, problems := h.current.take(revision, entries)
+	f, problems := h.current.take(revision, entries, h.Clock.Now())
 	for _, p := range problems {
 		h.Log.Info("setting not in force", "problem", p.String())
+		h.Journal.Note(journ.Decided(journ.Configured, "not in force: "+p.String()))
 	}
 	h.Watch.Configure(f.Groups())
 	h.Elect.Configure(f.Groups())
@@ -189,6 +232,7 @@
 	h.pools.configure(f)
 	h.Front.Refresh(f)
 	h.Log.Info("settings in force", "revision", revision)
+	h.Journal.Note(journ.Decided(journ.Configured, "revision "+strconv.FormatUint(revision, 10)+" in force"))
 }
 
 func plan(f *conf.Fleet) share.Plan {
@@ -205,7 +249,11 @@
 	return p
 }
 
+// Leave starts a graceful shutdown, as the end of Run's ctx does.
+func (h *Host) Leave() { h.once.Do(func() { close(h.leave) }) }
+
 func (h *Host) drain() error {
+	h.draining.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), h.current.Fleet().Defaults().DrainWait())
 	defer cancel()
 	h.Log.Info("draining", "sessions", h.Front.Sessions())
--- a/io/host/provide.go
+++ b/io/host/provide.go
@@ -3,11 +3,13 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
+	"fmt"
 	"os"
 	"strings"
 
 	"coltsfootloft"
 	"coltsfootloft/core/conf"
+	"coltsfootloft/core/journ"
 	"coltsfootloft/io/caller"
 	"coltsfootloft/io/dbops"
 	"coltsfootloft/io/elect"
@@ -48,7 +50,7 @@
 	return &dbops.Database{Address: u.Address()}
 }
 
-func provideElect(clock clockwork.Clock, log logr.Logger, self coltsfootloft.HostRecord, m coltsfootloft.Members, w *watch.Watcher) (*elect.Duty, error) {
+func provideElect(clock clockwork.Clock, log logr.Logger, self coltsfootloft.HostRecord, m coltsfootloft.Members, w *watch.Watcher, j *journ.Journal) (*elect.Duty, error) {
 	run, err := newRun()
 	if err != nil {
 		return nil, err
@@ -61,9 +63,23 @@
 		Members:     m,
 		Source:      w,
 		Open:        openDatabase,
+		Journal:     noteElection(j),
 	}, nil
 }
 
+// noteElection writes an event of the election duty to the journal.
+func noteElection(j *journ.Journal) func(event string, keyvals ...any) {
+	return func(event string, keyvals ...any) {
+		reason := event
+		for i := 0; i+1 < len(keyvals); i += 2 {
+			reason += fmt.Sprintf(" %v=%v", keyvals[i], keyvals[i+1])
+		}
+		j.Note(journ.Decided(journ.Promoted, reason))
+	}
+}
+
+func provideJournal(clock clockwork.Clock) *journ.Journal { return &journ.Journal{Clock: clock} }
+
 // newRun returns a name unique to this run of the process.
 func newRun() (string, error) {
 	b := make([]byte, 6)
@@ -105,7 +121,7 @@
 	}
 }
 
-func provideEnv(settings *conf.Host, c *current, w *watch.Watcher, m coltsfootloft.Members, l *share.Ledger, p *pools, r *retries, clock clockwork.Clock, log logr.Logger) *caller.Env {
+func provideEnv(settings *conf.Host, c *current, w *watch.Watcher, m coltsfootloft.Members, l *share.Ledger, p *pools, r *retries, j *journ.Journal, clock clockwork.Clock, log logr.Logger) *caller.Env {
 	return &caller.Env{
 		Domain:  settings.Domain(),
 		Groups:  w,
@@ -114,6 +130,7 @@
 		Fleet:   c.Fleet,
 		Pool:    p.get,
 		Retry:   r,
+		Journal: j,
 		Clock:   clock,
 		Log:     log.WithName("caller"),
 	}
@@ -129,12 +146,14 @@
 	}
 }
 
-func provideHost(settings *conf.Host, clock clockwork.Clock, log logr.Logger, source Source, w *watch.Watcher, e *elect.Duty, l *share.Ledger, f *front.Server, c *current, p *pools) *Host {
+func provideHost(settings *conf.Host, clock clockwork.Clock, log logr.Logger, source Source, m coltsfootloft.Members, j *journ.Journal, w *watch.Watcher, e *elect.Duty, l *share.Ledger, f *front.Server, c *current, p *pools) *Host {
 	return &Host{
 		Settings: settings,
 		Clock:    clock,
 		Log:      log,
 		Source:   source,
+		Members:  m,
+		Journal:  j,
 		Watch:    w,
 		Elect:    e,
 		Ledger:   l,
@@ -142,5 +161,6 @@
 		current:  c,
 		pools:    p,
 		ready:    make(chan struct{}),
+		leave:    make(chan struct{}),
 	}
 }
--- /dev/null
+++ b/io/host/status.go
@@ -0,0 +1,152 @@
+package host
+
+import (
+	"context"
+
+	"coltsfootloft"
+	"coltsfootloft/core/conf"
+	"coltsfootloft/core/quorum"
+	"coltsfootloft/io/admin"
+
+	"github.com/pkg/errors"
+)
+
+// Version is the version of the program.
+const Version = "0.1.0"
+
+var (
+	errStarting = errors.New("no settings in force yet")
+	errDraining = errors.New("draining")
+)
+
+// readiness returns why the host takes no new callers, or nil.
+func (h *Host) readiness() error {
+	if h.draining.Load() {
+		return errDraining
+	}
+	select {
+	case <-h.ready:
+		return nil
+	default:
+		return errStarting
+	}
+}
+
+// status tells what this host knows of itself and of the fleet.
+func (h *Host) status(context.Context) admin.Status {
+	f := h.current.Fleet()
+	s := admin.Status{
+		Host:     h.Settings.Name(),
+		Domain:   h.Settings.Domain(),
+		Version:  Version,
+		At:       h.Clock.Now(),
+		Draining: h.draining.Load(),
+		Sessions: h.Front.Sessions(),
+		Settings: h.settingsStatus(f),
+		Hosts:    h.hostStatus(f),
+	}
+	if err := h.readiness(); err != nil {
+		s.Reason = err.Error()
+	}
+	s.Ready = s.Reason == ""
+	for _, d := range f.Domains() {
+		s.Domains = append(s.Domains, h.domainStatus(d, s.Hosts))
+	}
+	for _, g := range f.Groups() {
+		s.Groups = append(s.Groups, h.groupStatus(g))
+	}
+	for _, a := range f.Accounts() {
+		s.Accounts = append(s.Accounts, admin.AccountStatus{Name: a.Name()})
+	}
+	return s
+}
+
+func (h *Host) settingsStatus(f *conf.Fleet) admin.SettingsStatus {
+	s := admin.SettingsStatus{
+		Revision: f.Revision(),
+		Since:    h.current.since(),
+	}
+	for _, p := range h.current.problems() {
+		s.Problems = append(s.Problems, p.String())
+	}
+	return s
+}
+
+func (h *Host) hostStatus(f *conf.Fleet) []admin.HostStatus {
+	var list []admin.HostStatus
+	for _, r := range h.Members.Alive() {
+		s := admin.HostStatus{
+			Name:    r.Name(),
+			Domain:  r.Domain(),
+			Address: r.Address(),
+			Alive:   true,
+			Leaving: r.Leaving(),
+		}
+		if r.Name() == h.Settings.Name() {
+			s.Revision = f.Revision()
+			s.Seats, _ = h.Ledger.Seats()
+		}
+		list = append(list, s)
+	}
+	return list
+}
+
+func (*Host) domainStatus(d conf.Domain, hosts []admin.HostStatus) admin.DomainStatus {
+	s := admin.DomainStatus{
+		Name:   d.Name(),
+		Region: d.Region(),
+		Seats:  d.Seats(),
+	}
+	for _, o := range hosts {
+		if o.Domain == d.Name() {
+			s.Hosts++
+			s.Taken += len(o.Seats)
+		}
+	}
+	return s
+}
+
+func (h *Host) groupStatus(g coltsfootloft.Group) admin.GroupStatus {
+	readings := h.Watch.Readings(g.Name())
+	primary, term, ok := quorum.Size(len(g.Upstreams())).Primary(readings)
+	s := admin.GroupStatus{Name: g.Name()}
+	if ok {
+		s.Primary = primary
+		s.Term = term.String()
+	}
+	newest := readings[primary].Received().Offset()
+	for _, u := range g.Upstreams() {
+		s.Databases = append(s.Databases, h.databaseStatus(g.Name(), u, readings, newest))
+	}
+	return s
+}
+
+func (h *Host) databaseStatus(group string, u coltsfootloft.Upstream, readings map[string]coltsfootloft.Reading, newest uint64) admin.DatabaseStatus {
+	s := admin.DatabaseStatus{
+		Name:    u.Name(),
+		Domain:  u.Domain(),
+		Address: u.Address(),
+		Age:     -1,
+		Leaving: h.Members.Leaving(u.Name()),
+	}
+	if p, ok := h.pools.get(u.Name()); ok {
+		s.Connections = p.Stats().Open()
+	}
+	if age, ok := h.Watch.Age(group, u.Name()); ok {
+		s.Age = age.Milliseconds()
+	}
+	r, ok := readings[u.Name()]
+	if !ok {
+		return s
+	}
+	s.Known = true
+	s.Role = r.Role().String()
+	s.Fence = r.Fence().String()
+	s.Term = r.Received().Term().String()
+	s.Received = r.Received().Offset()
+	s.Applied = r.Applied().Offset()
+	if newest > s.Applied {
+		s.Lag = newest - s.Applied
+	}
+	return s
+}
--- a/io/host/wire.go
+++ b/io/host/wire.go
@@ -18,6 +18,7 @@
 	provideMembers,
 	provideSource,
 	provideCurrent,
+	provideJournal,
 	provideWatch,
 	provideElect,
 	provideLedger,
--- a/io/host/wire_gen.go
+++ b/io/host/wire_gen.go
@@ -25,9 +25,10 @@
 	}
 	source := provideSource(consul, clock)
 	hostRecord := provideSelf(settings)
-	watcher := provideWatch(clock, log, hostRecord)
 	members := provideMembers(hostRecord)
-	electDuty, err := provideElect(clock, log, hostRecord, members, watcher)
+	journal := provideJournal(clock)
+	watcher := provideWatch(clock, log, hostRecord)
+	electDuty, err := provideElect(clock, log, hostRecord, members, watcher, journal)
 	if err != nil {
 		return nil, err
 	}
@@ -39,9 +40,9 @@
 	}
 	hostPools := providePools(hostCurrent, login, ledger, clock, log)
 	hostRetries := provideRetries(hostCurrent, clock)
-	env := provideEnv(settings, hostCurrent, watcher, members, ledger, hostPools, hostRetries, clock, log)
+	env := provideEnv(settings, hostCurrent, watcher, members, ledger, hostPools, hostRetries, journal, clock, log)
 	server := provideFront(settings, env, clock, log)
-	host := provideHost(settings, clock, log, source, watcher, electDuty, ledger, server, hostCurrent, hostPools)
+	host := provideHost(settings, clock, log, source, members, journal, watcher, electDuty, ledger, server, hostCurrent, hostPools)
 	return host, nil
 }
 
@@ -53,6 +54,7 @@
 	provideMembers,
 	provideSource,
 	provideCurrent,
+	provideJournal,
 	provideWatch,
 	provideElect,
 	provideLedger,
