io/watch: one observing host per failure domain and group

The platform's user has 16 connections a database, so not every host can observe it, and observation by all grows as hosts x databases. Now the first host in rank of each domain observes; the others poll it for all groups that it observes for them in one request, hurry while a caller waits and send it their barriers.

The age of relayed readings counts from when the poll was sent plus the time it was held.

--- a/core/elect/campaign.go
+++ b/core/elect/campaign.go
@@ -32,7 +32,7 @@
 	surveyLimit  = 150 * time.Millisecond
 	drainLimit   = 200 * time.Millisecond
 	fenceLimit   = 150 * time.Millisecond
-	promoteLimit = 300 * time.Millisecond
+	promoteLimit = 1500 * time.Millisecond
 	followLimit  = 500 * time.Millisecond
 	// drainPeriod is waited between two reads of a replica that catches up.
 	drainPeriod = 2 * time.Millisecond
--- a/core/fresh/fresh.go
+++ b/core/fresh/fresh.go
@@ -15,7 +15,9 @@
 // data of the mark's moment: their age is at most the time since then. It grows
 // while no majority answers, while the database falls behind, and while this host
 // is paused. A database that has passed no mark has an unknown age, which callers
-// take as too old.
+// take as too old. A database whose applied position goes back below what it has
+// shown must refuse reads until it has caught up again, as the platform's do while
+// they are rebuilt.
 package fresh
 
 import (
@@ -57,12 +59,10 @@
 // Note takes in a reading of a database. It was taken no earlier than the given
 // moment, which is when the request for it was sent.
 func (b *Bounds) Note(database string, taken time.Time, r coltsfootloft.Reading) {
-	if r.Applied().Compare(b.applied[database]) > 0 {
-		b.applied[database] = r.Applied()
-	}
 	if old, ok := b.latest[database]; ok && !taken.After(old.taken) {
 		return
 	}
+	b.applied[database] = r.Applied()
 	b.latest[database] = sample{
 		taken:    taken,
 		position: r.Received(),
--- a/io/elect/attempt.go
+++ b/io/elect/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"sync"
 
 	"coltsfootloft"
@@ -158,9 +157,7 @@
 func (a *attempt) close() {
 	a.wait.Wait()
 	for _, d := range a.databases {
-		if c, ok := d.(io.Closer); ok {
-			c.Close()
-		}
+		shut(d)
 	}
 }
 
@@ -176,3 +173,10 @@
 	}
 	return d.Status(ctx)
 }
+
+// shut ends the connections of a database that has any.
+func shut(d coltsfootloft.Database) {
+	if c, ok := d.(interface{ Close() }); ok {
+		c.Close()
+	}
+}
--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -61,7 +61,7 @@
 	// Source gives the readings.
 	Source Source
 	// Open returns the platform's interface to a database. It must not block. If
-	// the result is an io.Closer, it is closed after each election.
+	// the result has a method Close(), it is closed after each election.
 	Open func(coltsfootloft.Upstream) coltsfootloft.Database
 	// Journal, if set, takes every decision too. It must not block.
 	Journal func(event string, keyvals ...any)
--- a/io/elect/keeper.go
+++ b/io/elect/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -46,7 +47,7 @@
 	var suspicion elect.Suspicion
 	var last elect.NeedKind
 	for ctx.Err() == nil {
-		changed := k.duty.Source.Changed(k.group.Name())
+		changed := k.changed()
 		view := k.view()
 		need := elect.Assess(view)
 		if need.Kind() != last {
@@ -66,6 +67,16 @@
 	}
 }
 
+// changed wakes the keeper of the host that observes the group. The one behind it
+// only looks now and then, because waiting for changes would hurry the observer.
+func (k *keeper) changed() <-chan struct{} {
+	first, _ := k.duty.proposers(k.group.Name())
+	if !slices.Contains(first, k.duty.Self.Name()) {
+		return nil
+	}
+	return k.duty.Source.Changed(k.group.Name())
+}
+
 // act meets the need, or holds back.
 func (k *keeper) act(ctx context.Context, need elect.Need, view elect.View, suspicion *elect.Suspicion) {
 	switch need.Kind() {
--- a/io/elect/lead.go
+++ b/io/elect/lead.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"slices"
 	"time"
 
@@ -26,8 +25,6 @@
 		cancel()
 		k.record("replica told to follow", "database", u.Name(), "primary", need.Primary(), "term", need.Term().String(),
 			"received", r.Received(), "error", err)
-		if c, ok := d.(io.Closer); ok {
-			c.Close()
-		}
+		shut(d)
 	}
 }
--- a/io/watch/group.go
+++ b/io/watch/group.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -19,15 +20,20 @@
 	size     quorum.Size
 	clock    clockwork.Clock
 	probes   map[string]chan struct{}
+	bell     *bell
+	epoch    uint64
 
 	mu       sync.Mutex
 	readings map[string]coltsfootloft.Reading
+	asked    map[string]time.Time
 	answered map[string]time.Time
 	changed  chan struct{}
+	sequence uint64
+	relay    relay
 	ledger   *quorum.Ledger
 	bounds   *fresh.Bounds
 	waiters  map[*waiter]struct{}
-	asked    uint64
+	barred   uint64
 	rounds   map[string]probed
 	barriers map[*pending]struct{}
 }
@@ -38,15 +44,18 @@
 	result   chan error
 }
 
-func newGroup(s coltsfootloft.Group, clock clockwork.Clock) *group {
+func newGroup(s coltsfootloft.Group, clock clockwork.Clock, b *bell) *group {
 	upstreams := s.Upstreams()
 	size := quorum.Size(len(upstreams))
 	g := &group{
 		settings: s,
 		size:     size,
 		clock:    clock,
+		bell:     b,
+		epoch:    rand.Uint64(),
 		probes:   make(map[string]chan struct{}, size),
 		readings: make(map[string]coltsfootloft.Reading, size),
+		asked:    make(map[string]time.Time, size),
 		answered: make(map[string]time.Time, size),
 		changed:  make(chan struct{}),
 		ledger:   quorum.NewLedger(size),
@@ -61,21 +70,28 @@
 	return g
 }
 
-// apply takes in the newest reading of a database, which was asked for at the
-// given time.
-func (g *group) apply(database string, sent time.Time, r coltsfootloft.Reading) {
+// apply takes in the newest reading of a database. It was asked for at the one
+// moment and answered by the other.
+func (g *group) apply(database string, asked, answered time.Time, r coltsfootloft.Reading) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.answered[database] = g.clock.Now()
-	g.bounds.Note(database, sent, r)
+	g.take(database, asked, answered, r)
+}
+
+// take is apply with the lock held.
+func (g *group) take(database string, asked, answered time.Time, r coltsfootloft.Reading) {
+	g.asked[database] = asked
+	g.answered[database] = answered
+	g.bounds.Note(database, asked, r)
 	g.note(database, r)
-	old, ok := g.readings[database]
-	if ok && old == r {
+	if old, ok := g.readings[database]; ok && old == r {
 		return
 	}
 	g.readings[database] = r
+	g.sequence++
 	close(g.changed)
 	g.changed = make(chan struct{})
+	g.bell.ring()
 }
 
 // note takes in a reading that may be older than the newest one. The lock is
@@ -101,7 +117,8 @@
 	return false, nil
 }
 
-func (g *group) held(ctx context.Context, p coltsfootloft.Position) error {
+// held waits for the verdict on p. What hurries the observer is given.
+func (g *group) held(ctx context.Context, p coltsfootloft.Position, hurry func()) error {
 	g.mu.Lock()
 	if done, err := g.verdict(p); done {
 		g.mu.Unlock()
@@ -113,6 +130,7 @@
 	}
 	g.waiters[w] = struct{}{}
 	g.mu.Unlock()
+	hurry()
 	select {
 	case err := <-w.result:
 		return err
@@ -138,6 +156,7 @@
 func (g *group) next() <-chan struct{} {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.relay.hurry = g.clock.Now().Add(hurryPeriod)
 	return g.changed
 }
 
--- a/io/watch/poll.go
+++ b/io/watch/poll.go
@@ -24,7 +24,7 @@
 	var last coltsfootloft.Reading
 	known, up := false, true
 	for ctx.Err() == nil {
-		sent := g.clock.Now()
+		asked := g.clock.Now()
 		r, err := g.ask(ctx, d, last.Version(), known)
 		if ctx.Err() != nil {
 			return
@@ -39,7 +39,7 @@
 			continue
 		}
 		last = r
-		g.apply(name, sent, r)
+		g.apply(name, asked, g.clock.Now(), r)
 	}
 }
 
--- a/io/watch/probe.go
+++ b/io/watch/probe.go
@@ -28,21 +28,18 @@
 	result chan coltsfootloft.Position
 }
 
-func (g *group) barrier(ctx context.Context) (coltsfootloft.Position, error) {
+// barrier waits for a position of a majority. What wakes the probes, or asks the
+// observer, is given.
+func (g *group) barrier(ctx context.Context, wake func()) (coltsfootloft.Position, error) {
 	g.mu.Lock()
-	g.asked++
+	g.barred++
 	b := &pending{
-		asked:  g.asked,
+		asked:  g.barred,
 		result: make(chan coltsfootloft.Position, 1),
 	}
 	g.barriers[b] = struct{}{}
 	g.mu.Unlock()
-	for _, c := range g.probes {
-		select {
-		case c <- struct{}{}:
-		default:
-		}
-	}
+	wake()
 	select {
 	case p := <-b.result:
 		return p, nil
@@ -87,10 +84,10 @@
 	defer g.mu.Unlock()
 	for b := range g.barriers {
 		if b.asked > g.rounds[database].asked {
-			return g.asked, true
+			return g.barred, true
 		}
 	}
-	return g.asked, false
+	return g.barred, false
 }
 
 // answer takes in a probe and completes the barriers that it makes a majority
@@ -103,7 +100,11 @@
 		asked:   asked,
 		reading: r,
 	}
-	p, served := g.covered()
+	g.serve(g.covered())
+}
+
+// serve completes the barriers up to the numbered one. The lock is held.
+func (g *group) serve(p coltsfootloft.Position, served uint64) {
 	for b := range g.barriers {
 		if b.asked <= served {
 			delete(g.barriers, b)
@@ -112,6 +113,16 @@
 	}
 }
 
+// ring wakes the probes.
+func (g *group) ring() {
+	for _, c := range g.probes {
+		select {
+		case c <- struct{}{}:
+		default:
+		}
+	}
+}
+
 // covered returns the greatest position of a majority of probes, and the number
 // of the last barrier that all of these were sent after. The lock is held.
 func (g *group) covered() (p coltsfootloft.Position, served uint64) {
--- /dev/null
+++ b/io/watch/relay_test.go
@@ -0,0 +1,266 @@
+package watch
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"coltsfootloft"
+	"coltsfootloft/core/rank"
+	"coltsfootloft/stand/memdb"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// domain is several hosts of one failure domain before one group.
+type domain struct {
+	group    *memdb.Group
+	hosts    *memdb.Hosts
+	links    map[string]*memdb.Host
+	watchers map[string]*Watcher
+	stops    map[string]func()
+}
+
+func startDomain(t testing.TB, g *memdb.Group, size int) *domain {
+	d := &domain{
+		group:    g,
+		hosts:    memdb.NewHosts(g),
+		links:    make(map[string]*memdb.Host),
+		watchers: make(map[string]*Watcher),
+		stops:    make(map[string]func()),
+	}
+	for i := range size {
+		name := fmt.Sprintf("h%d", i)
+		h := d.hosts.Add(name, "d0")
+		w := &Watcher{
+			Self:    h.Self(),
+			Members: h,
+			Peers:   h,
+			Open:    func(u coltsfootloft.Upstream) coltsfootloft.Database { return g.Open(name, u.Name()) },
+		}
+		w.Register()
+		w.Configure([]coltsfootloft.Group{settings()})
+		d.links[name], d.watchers[name] = h, w
+	}
+	for n, w := range d.watchers {
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- w.Run(ctx) }()
+		d.stops[n] = sync.OnceFunc(func() {
+			cancel()
+			assert.NilError(t, <-done)
+		})
+		t.Cleanup(d.stops[n])
+	}
+	for _, w := range d.watchers {
+		d.ready(t, w)
+	}
+	return d
+}
+
+func (*domain) ready(t testing.TB, w *Watcher) {
+	until(t, func() bool { return len(w.Readings(groupName)) == len(names) })
+}
+
+func until(t testing.TB, f func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); !f(); {
+		if time.Now().After(deadline) {
+			t.Fatal("not reached in time")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// observers are the hosts that observe the group themselves.
+func (d *domain) observers() []string {
+	var all []string
+	for n, w := range d.watchers {
+		g := w.group(groupName)
+		g.mu.Lock()
+		if g.relay.host == "" {
+			all = append(all, n)
+		}
+		g.mu.Unlock()
+	}
+	return all
+}
+
+func (d *domain) first() string {
+	var all []string
+	for n := range d.watchers {
+		all = append(all, n)
+	}
+	return rank.Order("watch/"+groupName, all)[0]
+}
+
+func TestOneHostObservesForItsDomain(t *testing.T) {
+	d := startDomain(t, startGroup(t), 5)
+	until(t, func() bool { return len(d.observers()) == 1 })
+	assert.Equal(t, d.observers()[0], d.first())
+	for n, w := range d.watchers {
+		p, err := d.group.Commit("a", n)
+		assert.NilError(t, err)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		assert.NilError(t, w.Held(ctx, groupName, p))
+		b, err := w.Barrier(ctx, groupName)
+		cancel()
+		assert.NilError(t, err)
+		assert.Assert(t, b.Covers(p))
+		until(t, func() bool {
+			age, ok := w.Age(groupName, "b")
+			return ok && age < time.Second
+		})
+	}
+}
+
+// TestObserverIsReplaced: the observer dies, or hangs, while a caller waits.
+func TestObserverIsReplaced(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		fault func(d *domain, host string)
+	}{
+		{"dead", func(d *domain, host string) { d.hosts.Remove(host) }},
+		{"silent", func(d *domain, host string) {
+			for n := range d.watchers {
+				if n != host {
+					d.group.Cut(host, n)
+				}
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := startDomain(t, startGroup(t), 3)
+			until(t, func() bool { return len(d.observers()) == 1 })
+			dead := d.first()
+			c.fault(d, dead)
+			at := time.Now()
+			for n, w := range d.watchers {
+				if n == dead {
+					continue
+				}
+				p, err := d.group.Commit("a", n)
+				assert.NilError(t, err)
+				ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+				assert.NilError(t, w.Held(ctx, groupName, p))
+				_, err = w.Barrier(ctx, groupName)
+				cancel()
+				assert.NilError(t, err)
+			}
+			t.Logf("held and barriers answered %v after the fault", time.Since(at))
+			assert.Assert(t, time.Since(at) < 1500*time.Millisecond)
+		})
+	}
+}
+
+// slowPeers answers from another watcher; each answer is under way for long.
+type slowPeers struct {
+	clock *clockwork.FakeClock
+	to    *Watcher
+	way   time.Duration
+}
+
+func (s *slowPeers) Call(ctx context.Context, _, _ string, body []byte) ([]byte, error) {
+	answer, err := s.to.answer(ctx, "other", body)
+	s.clock.Advance(s.way)
+	return answer, err
+}
+
+func (*slowPeers) Register(string, coltsfootloft.Handler) {}
+
+// TestRelayedAgeCoversTheWay: an update that was under way for long must not make
+// readings seem new.
+func TestRelayedAgeCoversTheWay(t *testing.T) {
+	const way = 3 * time.Second
+	clock := clockwork.NewFakeClock()
+	observer := &Watcher{
+		Clock: clock,
+	}
+	other := &Watcher{
+		Clock: clock,
+		Peers: &slowPeers{
+			clock: clock,
+			to:    observer,
+			way:   way,
+		},
+	}
+	for _, w := range []*Watcher{observer, other} {
+		w.Configure([]coltsfootloft.Group{settings()})
+	}
+	g := memdb.New(names...)
+	g.Start(coltsfootloft.NewTerm(1, "first"))
+	for _, n := range names {
+		for g.Receive(n) {
+			continue
+		}
+		g.Apply(n)
+		observer.group(groupName).apply(n, clock.Now().Add(-time.Second), clock.Now(), g.Reading(n))
+	}
+	other.group(groupName).follow("observer")
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	assert.NilError(t, other.exchange(ctx, "observer", []*group{other.group(groupName)}, true, rushWait))
+	age, ok := other.Age(groupName, "b")
+	assert.Assert(t, ok)
+	assert.Assert(t, age >= way+time.Second, "age %v", age)
+	silence, ok := other.Silent(groupName, "b")
+	assert.Assert(t, ok && silence >= way)
+}
+
+// TestBarrierCoversAcknowledged asks for barriers at every host while others
+// write, through the observer and around its loss.
+func TestBarrierCoversAcknowledged(t *testing.T) {
+	d := startDomain(t, startGroup(t), 3)
+	var mu sync.Mutex
+	var acked coltsfootloft.Position
+	ctx, cancel := context.WithCancel(t.Context())
+	var wait sync.WaitGroup
+	for _, w := range d.watchers {
+		wait.Go(func() {
+			for ctx.Err() == nil {
+				p, err := d.group.Commit("a", "w")
+				assert.Check(t, err)
+				if w.Held(ctx, groupName, p) != nil {
+					continue
+				}
+				mu.Lock()
+				if !acked.Covers(p) {
+					acked = p
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	barriers := make([]int, len(d.watchers))
+	for i := range barriers {
+		w := d.watchers[fmt.Sprintf("h%d", i)]
+		wait.Go(func() {
+			for ctx.Err() == nil {
+				mu.Lock()
+				before := acked
+				mu.Unlock()
+				p, err := w.Barrier(ctx, groupName)
+				if err != nil {
+					continue
+				}
+				barriers[i]++
+				assert.Check(t, p.Covers(before))
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	d.hosts.Remove(d.first())
+	time.Sleep(700 * time.Millisecond)
+	cancel()
+	wait.Wait()
+	t.Logf("barriers %v, acknowledged up to %v", barriers, acked)
+	for _, n := range barriers {
+		assert.Assert(t, n > 0)
+	}
+}
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -12,11 +12,20 @@
 // A barrier needs readings that were all taken after it was asked for. Every
 // database has one prober; all barriers asked while its request is on the way
 // share the next one.
+//
+// # Observers
+//
+// One host of each failure domain observes a group: the first in rank that is
+// alive and answers. The others poll it for changes and send it their barriers.
+// While a caller waits on such a host for a write to be held, the host polls in a
+// hurry: the observer answers the first change at once. Otherwise changes of many
+// are brought together. A host that is asked about a group it doesn't observe
+// starts to, so that hosts which disagree on the rank are served all the same. An
+// observer that fails to answer is passed over for a while.
 package watch
 
 import (
 	"context"
-	"io"
 	"slices"
 	"sync"
 	"time"
@@ -40,12 +49,16 @@
 	Members coltsfootloft.Members
 	Peers   coltsfootloft.Peers
 	// Open returns the platform's interface to a database. It must not block. If
-	// the result is an io.Closer, it is closed once no longer needed.
+	// the result has a method Close(), it is closed once no longer needed.
 	Open func(coltsfootloft.Upstream) coltsfootloft.Database
 
-	mu     sync.Mutex
-	groups map[string]*group
-	kick   chan struct{}
+	mu      sync.Mutex
+	groups  map[string]*group
+	kick    chan struct{}
+	blamed  map[string]time.Time
+	running context.Context
+	spawned sync.WaitGroup
+	bell    bell
 }
 
 var _ coltsfootloft.Groups = (*Watcher)(nil)
@@ -59,36 +72,48 @@
 	for _, s := range groups {
 		g := w.groups[s.Name()]
 		if g == nil || !equal(g.settings, s) {
-			g = newGroup(s, w.clock())
+			g = newGroup(s, w.clock(), &w.bell)
 		}
 		next[s.Name()] = g
 	}
 	w.groups = next
-	select {
-	case w.kicked() <- struct{}{}:
-	default:
+	w.rouse()
+}
+
+// Register sets the handler that answers other hosts. It is called once, before
+// the peer links run.
+func (w *Watcher) Register() {
+	if w.Peers != nil {
+		w.Peers.Register(dutyName, w.answer)
 	}
 }
 
-// Run observes the configured groups until ctx ends.
+// Run observes the configured groups, itself or through other hosts, until ctx
+// ends.
 func (w *Watcher) Run(ctx context.Context) error {
-	running := make(map[*group]func())
-	defer func() {
-		for _, stop := range running {
-			stop()
-		}
-	}()
+	s := &sources{
+		watcher: w,
+		direct:  make(map[*group]func()),
+		feeds:   make(map[string]*feed),
+	}
 	w.mu.Lock()
+	w.running = ctx
 	kick := w.kicked()
 	w.mu.Unlock()
-	for {
-		w.reconcile(ctx, running)
+	for ctx.Err() == nil {
+		s.reconcile(ctx)
 		select {
 		case <-ctx.Done():
-			return nil
 		case <-kick:
+		case <-w.clock().After(reconcilePeriod):
 		}
 	}
+	w.mu.Lock()
+	w.running = nil
+	w.mu.Unlock()
+	s.stop()
+	w.spawned.Wait()
+	return nil
 }
 
 // Readings returns the newest known reading of each database in the group.
@@ -109,7 +134,9 @@
 		close(c)
 		return c
 	}
-	return g.next()
+	c := g.next()
+	w.rush(g)
+	return c
 }
 
 // Barrier returns a position that covers every write acknowledged before the
@@ -120,7 +147,7 @@
 	if g == nil {
 		return coltsfootloft.Position{}, errNoGroup(name)
 	}
-	return g.barrier(ctx)
+	return g.barrier(ctx, func() { w.fetch(g) })
 }
 
 // Held waits until a majority holds the record at p for good. It fails when ctx
@@ -131,7 +158,7 @@
 	if g == nil {
 		return coltsfootloft.Unsure("database group " + name + " is no longer configured")
 	}
-	return g.held(ctx, p)
+	return g.held(ctx, p, func() { w.rush(g) })
 }
 
 // Age bounds how old reads at the database are; ok is false if unknown.
@@ -174,48 +201,24 @@
 	return w.kick
 }
 
-// reconcile starts and stops observation so that it matches the settings.
-func (w *Watcher) reconcile(ctx context.Context, running map[*group]func()) {
-	w.mu.Lock()
-	wanted := make(map[*group]bool, len(w.groups))
-	for _, g := range w.groups {
-		wanted[g] = true
-	}
-	w.mu.Unlock()
-	for g, stop := range running {
-		if !wanted[g] {
-			stop()
-			delete(running, g)
-		}
-	}
-	for g := range wanted {
-		if running[g] == nil {
-			running[g] = w.observe(ctx, g)
-		}
+// rouse makes Run look at the groups again. The lock is held.
+func (w *Watcher) rouse() {
+	select {
+	case w.kicked() <- struct{}{}:
+	default:
 	}
 }
 
-// observe starts the observation of every database of g and returns what ends it.
-func (w *Watcher) observe(ctx context.Context, g *group) (stop func()) {
-	ctx, cancel := context.WithCancel(ctx)
-	var wait sync.WaitGroup
-	for _, u := range g.settings.Upstreams() {
-		d := w.Open(u)
-		log := w.Log.WithValues("group", g.settings.Name(), "database", u.Name())
-		wait.Go(func() {
-			var duties sync.WaitGroup
-			duties.Go(func() { g.poll(ctx, log, u.Name(), d) })
-			duties.Go(func() { g.probe(ctx, u.Name(), d) })
-			duties.Wait()
-			if c, ok := d.(io.Closer); ok {
-				c.Close()
-			}
-		})
-	}
-	return func() {
-		cancel()
-		wait.Wait()
+// spawn runs f while the watcher runs.
+func (w *Watcher) spawn(f func(ctx context.Context)) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	ctx := w.running
+	if ctx == nil {
+		return false
 	}
+	w.spawned.Go(func() { f(ctx) })
+	return true
 }
 
 func equal(a, b coltsfootloft.Group) bool {
