dial: outgoing connections leave from the host's own address

Hosts and databases with several addresses can be told apart by address at the other end, which the fault tests need to cut failure domains from each other.

--- a/io/dbops/dbops.go
+++ b/io/dbops/dbops.go
@@ -20,6 +20,7 @@
 	"github.com/pkg/errors"
 
 	"coltsfootloft"
+	"coltsfootloft/io/dial"
 )
 
 // Defaults of a [Database].
@@ -45,6 +46,8 @@
 	TLS *tls.Config
 	// ConnectTimeout bounds opening a connection; 0 means [DefaultConnectTimeout].
 	ConnectTimeout time.Duration
+	// Dial opens the connections; nil leaves the source address to the system.
+	Dial dial.Func
 	// Clock is the real one if nil.
 	Clock clockwork.Clock
 
@@ -178,6 +181,7 @@
 	c.Password = d.Password
 	c.TLSConfig = d.TLS
 	c.Fallbacks = nil
+	c.DialFunc = pgconn.DialFunc(dial.Or(d.Dial, 0))
 	c.ConnectTimeout = d.ConnectTimeout
 	if c.ConnectTimeout == 0 {
 		c.ConnectTimeout = DefaultConnectTimeout
--- a/io/host/provide.go
+++ b/io/host/provide.go
@@ -6,12 +6,14 @@
 	"fmt"
 	"os"
 	"strings"
+	"time"
 
 	"coltsfootloft"
 	"coltsfootloft/core/conf"
 	"coltsfootloft/core/journ"
 	"coltsfootloft/io/caller"
 	"coltsfootloft/io/dbops"
+	"coltsfootloft/io/dial"
 	"coltsfootloft/io/elect"
 	"coltsfootloft/io/front"
 	"coltsfootloft/io/pool"
@@ -28,7 +30,10 @@
 const SettingsPrefix = "coltsfootloft/settings/"
 
 func provideStore(settings *conf.Host) (*store.Consul, error) {
-	return &store.Consul{Addresses: []string{settings.Store()}}, nil
+	return &store.Consul{
+		Addresses: []string{settings.Store()},
+		Dial:      dial.From(settings.Peer(), connectTimeout),
+	}, nil
 }
 
 func provideSelf(settings *conf.Host) coltsfootloft.HostRecord {
@@ -37,20 +42,32 @@
 
 func provideCurrent() *current { return &current{} }
 
-func provideWatch(clock clockwork.Clock, log logr.Logger, self coltsfootloft.HostRecord) *watch.Watcher {
+func provideWatch(clock clockwork.Clock, log logr.Logger, self coltsfootloft.HostRecord, open opener) *watch.Watcher {
 	return &watch.Watcher{
 		Clock: clock,
 		Log:   log.WithName("watch"),
 		Self:  self,
-		Open:  openDatabase,
+		Open:  open,
 	}
 }
 
-func openDatabase(u coltsfootloft.Upstream) coltsfootloft.Database {
-	return &dbops.Database{Address: u.Address()}
+// connectTimeout bounds the opening of connections to the platform.
+const connectTimeout = 2 * time.Second
+
+// opener opens the platform's interface to a database.
+type opener func(u coltsfootloft.Upstream) coltsfootloft.Database
+
+func provideOpener(settings *conf.Host) opener {
+	from := dial.From(settings.Peer(), 0)
+	return func(u coltsfootloft.Upstream) coltsfootloft.Database {
+		return &dbops.Database{
+			Address: u.Address(),
+			Dial:    from,
+		}
+	}
 }
 
-func provideElect(clock clockwork.Clock, log logr.Logger, self coltsfootloft.HostRecord, m coltsfootloft.Members, w *watch.Watcher, j *journ.Journal) (*elect.Duty, error) {
+func provideElect(clock clockwork.Clock, log logr.Logger, self coltsfootloft.HostRecord, m coltsfootloft.Members, w *watch.Watcher, j *journ.Journal, open opener) (*elect.Duty, error) {
 	run, err := newRun()
 	if err != nil {
 		return nil, err
@@ -62,7 +79,7 @@
 		Incarnation: run,
 		Members:     m,
 		Source:      w,
-		Open:        openDatabase,
+		Open:        open,
 		Journal:     noteElection(j),
 	}, nil
 }
@@ -95,7 +112,10 @@
 }
 
 func provideLogin(settings *conf.Host) (pool.Login, error) {
-	l := pool.Login{User: settings.UpstreamUser()}
+	l := pool.Login{
+		User: settings.UpstreamUser(),
+		Dial: dial.From(settings.Peer(), 0),
+	}
 	if settings.UpstreamPasswordFile() == "" {
 		return l, nil
 	}
--- a/io/host/wire.go
+++ b/io/host/wire.go
@@ -19,6 +19,7 @@
 	provideSource,
 	provideCurrent,
 	provideJournal,
+	provideOpener,
 	provideWatch,
 	provideElect,
 	provideLedger,
--- a/io/host/wire_gen.go
+++ b/io/host/wire_gen.go
@@ -27,8 +27,9 @@
 	hostRecord := provideSelf(settings)
 	members := provideMembers(hostRecord)
 	journal := provideJournal(clock)
-	watcher := provideWatch(clock, log, hostRecord)
-	electDuty, err := provideElect(clock, log, hostRecord, members, watcher, journal)
+	hostOpener := provideOpener(settings)
+	watcher := provideWatch(clock, log, hostRecord, hostOpener)
+	electDuty, err := provideElect(clock, log, hostRecord, members, watcher, journal, hostOpener)
 	if err != nil {
 		return nil, err
 	}
@@ -55,6 +56,7 @@
 	provideSource,
 	provideCurrent,
 	provideJournal,
+	provideOpener,
 	provideWatch,
 	provideElect,
 	provideLedger,
--- a/io/pool/dial.go
+++ b/io/pool/dial.go
@@ -9,6 +9,8 @@
 
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/pkg/errors"
+
+	"coltsfootloft/io/dial"
 )
 
 // Login is how the project's own account opens upstream connections. No caller's
@@ -20,6 +22,8 @@
 	Password string
 	// Database is the database name on the upstream.
 	Database string
+	// Dial opens the connection; nil leaves the source address to the system.
+	Dial dial.Func
 	// TLS secures the connection; nil means plain TCP.
 	TLS *tls.Config
 }
@@ -69,6 +73,7 @@
 	config.Database = l.Database
 	config.TLSConfig = l.TLS
 	config.Fallbacks = nil
+	config.DialFunc = pgconn.DialFunc(dial.Or(l.Dial, 0))
 	config.RuntimeParams = map[string]string{
 		"application_name": "coltsfootloft",
 		"client_encoding":  "UTF8",
--- a/io/store/call.go
+++ b/io/store/call.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"coltsfootloft"
+	"coltsfootloft/io/dial"
 
 	"github.com/pkg/errors"
 )
@@ -180,11 +181,11 @@
 	if c.client != nil {
 		return
 	}
-	d := &net.Dialer{Timeout: dialTimeout}
+	d := dial.Or(c.Dial, dialTimeout)
 	c.client = &http.Client{
 		Transport: &http.Transport{
 			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-				conn, err := d.DialContext(ctx, network, address)
+				conn, err := d(ctx, network, address)
 				if err != nil {
 					return nil, err
 				}
--- a/io/store/consul.go
+++ b/io/store/consul.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"coltsfootloft"
+	"coltsfootloft/io/dial"
 
 	"github.com/pkg/errors"
 )
@@ -37,6 +38,9 @@
 	// one tells exactly whether any byte of a change was sent; another's
 	// transport is taken to have sent once it has a connection.
 	Client *http.Client
+	// Dial opens connections of the default Client; nil leaves the source address
+	// to the system.
+	Dial dial.Func
 	// Timeout bounds each call, on top of its wait; DefaultTimeout if 0.
 	Timeout time.Duration
 	// Prefix is put before every key and taken off again.
--- a/stand/dbase/pull.go
+++ b/stand/dbase/pull.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"coltsfootloft/io/dial"
 )
 
 // redialDelay is the pause between tries to reach the followed primary.
@@ -48,10 +50,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go s.endWithEpoch(ctx, cancel, primary, epoch)
-	d := net.Dialer{
-		Timeout: helloTimeout,
-	}
-	c, err := d.DialContext(ctx, "tcp", s.Peers[primary])
+	c, err := dial.From(s.Listen, helloTimeout)(ctx, "tcp", s.Peers[primary])
 	if err != nil {
 		return errors.Wrap(err, "replication")
 	}
--- a/stand/dbase/ship.go
+++ b/stand/dbase/ship.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"coltsfootloft"
+	"coltsfootloft/io/dial"
 )
 
 // hello opens a replication connection.
@@ -160,8 +161,7 @@
 func (s *Server) ask(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout/4)
 	defer cancel()
-	var d net.Dialer
-	c, err := d.DialContext(ctx, "tcp", address)
+	c, err := dial.From(s.Listen, 0)(ctx, "tcp", address)
 	if err != nil {
 		return false
 	}
--- a/stand/relay/link.go
+++ b/stand/relay/link.go
@@ -42,6 +42,12 @@
 	due  time.Time
 }
 
+// Serve forwards one connection that was accepted elsewhere, until it or ctx ends.
+func (r *Relay) Serve(ctx context.Context, caller net.Conn) {
+	r.init()
+	r.forward(ctx, caller)
+}
+
 // forward joins a caller with the target.
 func (r *Relay) forward(ctx context.Context, caller net.Conn) {
 	var d net.Dialer
