--- a/core/conf/host.go
+++ b/core/conf/host.go
@@ -7,6 +7,7 @@
 	domain        string
 	listen        string
 	peer          string
+	peerListen    string
 	admin         string
 	store         string
 	storeToken    string
@@ -65,6 +66,15 @@
 // Peer is the IP:port for other hosts, as they reach it. Port 0 takes a free one.
 func (h *Host) Peer() string { return h.peer }
 
+// PeerListen is the IP:port to listen on for other hosts: Peer, unless addresses
+// are translated on the way.
+func (h *Host) PeerListen() string {
+	if h.peerListen == "" {
+		return h.peer
+	}
+	return h.peerListen
+}
+
 // Admin is the IP:port for operators and monitoring. Port 0 takes a free one.
 func (h *Host) Admin() string { return h.admin }
 
--- a/core/conf/hostset.go
+++ b/core/conf/hostset.go
@@ -70,6 +70,15 @@
 			return isListen(s) && !isUnspecified(s)
 		}),
 	},
+	{
+		name:     "peer_listen",
+		usage:    "IP:port to listen on for other hosts, where that differs from peer",
+		accepted: acceptedListen,
+		set: one(func(h *Host, s string) bool {
+			h.peerListen = s
+			return isListen(s)
+		}),
+	},
 	{
 		name:     "admin",
 		usage:    "IP:port for operators and monitoring",
--- a/test/failover_test.go
+++ b/test/failover_test.go
@@ -17,7 +17,24 @@
 // host. No acknowledged write is lost, what was refused as not run has not run,
 // and writes go on within the bound.
 func TestFailover(t *testing.T) {
+	t.Parallel()
 	faults := map[string]func(f *fleet, d *database){
+		"cut off with its callers": func(f *fleet, _ *database) {
+			f.network.isolate(1, 3, true)
+			time.AfterFunc(3*time.Second, func() { f.network.isolate(1, 3, false) })
+		},
+		"cut off and held, not reset": func(f *fleet, _ *database) {
+			f.network.holdPlace(1, 3, true)
+			time.AfterFunc(3*time.Second, func() { f.network.holdPlace(1, 3, false) })
+		},
+		"held one way": func(f *fleet, _ *database) {
+			f.network.hold(2, 1, true)
+			f.network.hold(3, 1, true)
+			time.AfterFunc(3*time.Second, func() {
+				f.network.hold(2, 1, false)
+				f.network.hold(3, 1, false)
+			})
+		},
 		"killed": func(_ *fleet, d *database) { d.process.kill() },
 		"frozen": func(_ *fleet, d *database) { d.process.signal(syscall.SIGSTOP) },
 		"frozen then resumed": func(_ *fleet, d *database) {
@@ -35,10 +52,12 @@
 	}
 	for name, fault := range faults {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			f := newFleet(t, layout{
 				domains: 3,
 				hosts:   3,
 				groups:  1,
+				network: true,
 			})
 			mustExec(t, f.connect(f.hosts[0]), "CREATE TABLE history (id text PRIMARY KEY)")
 			h := newHistory()
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -26,14 +26,20 @@
 	lag      time.Duration
 	delay    time.Duration
 	conns    int
+	network  bool
 	settings map[string]string
 }
 
 // fleet is a running deployment.
 type fleet struct {
-	t         testing.TB
-	layout    layout
-	platform  *process
+	t        testing.TB
+	layout   layout
+	network  *network
+	platform *process
+	control  string
+
+	platformAddress string
+
 	store     *store.Consul
 	databases map[string]*database
 	hosts     []*entry
@@ -45,6 +51,7 @@
 	process   *process
 	name      string
 	address   string
+	listen    string
 	replicate string
 	args      []string
 }
@@ -54,6 +61,7 @@
 	process *process
 	name    string
 	address string
+	peer    string
 	admin   string
 	args    []string
 }
@@ -67,9 +75,14 @@
 		databases: make(map[string]*database),
 		secrets:   make(map[string]string),
 	}
-	p := ports(t, 2)
+	if l.network {
+		f.network = newNetwork(t)
+	}
+	p := portsAt(t, placeIP(outside, 1), 2)
+	f.control = p[1]
 	f.platform = start(t, "platform", "standin", "platform listening", "platform", "-listen", p[0], "-control", p[1])
 	f.store = &store.Consul{Addresses: []string{"http://" + p[0]}}
+	f.platformAddress = f.reach(p[0], outside)
 	for g := range l.groups {
 		f.startGroup(fmt.Sprint("g", g+1))
 	}
@@ -83,28 +96,45 @@
 func (f *fleet) startGroup(group string) {
 	f.t.Helper()
 	const size = 3
-	p := ports(f.t, 2*size)
+	peers := make([]string, size)
 	for i := range size {
+		p := portsAt(f.t, f.databaseIP(i), 2)
 		d := &database{
 			name:      fmt.Sprint(group, "-", i+1),
-			address:   p[2*i],
-			replicate: p[2*i+1],
+			listen:    p[0],
+			replicate: p[1],
+			address:   f.reach(p[0], i%f.layout.domains+1),
 		}
+		peers[i] = d.name + "=" + f.reach(p[1], i%f.layout.domains+1)
 		f.databases[d.name] = d
 		d.args = []string{
-			"database", "-name", d.name, "-listen", d.address, "-replicate", d.replicate,
+			"database", "-name", d.name, "-listen", d.listen, "-replicate", d.replicate,
 			"-initial", group + "-1", "-lag", f.layout.lag.String(), "-connect-delay", f.layout.delay.String(),
 			"-max-conns", fmt.Sprint(f.connections()), "-dir", f.t.TempDir(),
 		}
-		for j := range size {
+	}
+	for i := range size {
+		d := f.databases[fmt.Sprint(group, "-", i+1)]
+		for j, p := range peers {
 			if j != i {
-				d.args = append(d.args, "-peer", fmt.Sprint(group, "-", j+1, "=", p[2*j+1]))
+				d.args = append(d.args, "-peer", p)
 			}
 		}
 		f.startDatabase(d)
 	}
 }
 
+// reach returns the address at which others reach target, which lies in a place.
+func (f *fleet) reach(target string, place int) string {
+	if f.network == nil {
+		return target
+	}
+	return f.network.expose(target, place)
+}
+
+// databaseIP is the address of the i-th database of a group.
+func (f *fleet) databaseIP(i int) string { return placeIP(i%f.layout.domains+1, 100+i) }
+
 func (f *fleet) startDatabase(d *database) {
 	f.t.Helper()
 	d.process = start(f.t, d.name, "standin", "listening on", d.args...)
@@ -177,15 +207,17 @@
 
 func (f *fleet) startHost(i int) *entry {
 	f.t.Helper()
-	p := ports(f.t, 3)
+	place := i%f.layout.domains + 1
+	p := portsAt(f.t, placeIP(place, 10+i), 3)
 	e := &entry{
 		name:    fmt.Sprint("h", i+1),
-		address: p[0],
+		address: f.reach(p[0], place),
+		peer:    f.reach(p[1], place),
 		admin:   p[2],
 	}
 	e.args = []string{
-		"serve", "-name", e.name, "-domain", f.domain(i), "-listen", p[0], "-peer", p[1], "-admin", p[2],
-		"-store", f.store.Addresses[0], "-log-level", "debug",
+		"serve", "-name", e.name, "-domain", f.domain(i), "-listen", p[0], "-peer", e.peer, "-peer-listen", p[1],
+		"-admin", p[2], "-store", "http://" + f.platformAddress, "-log-level", "debug",
 	}
 	f.runHost(e)
 	return e
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -123,16 +122,3 @@
 	}
 	return s
 }
-
-// ports reserves n free ports on loopback.
-func ports(t testing.TB, n int) []string {
-	t.Helper()
-	list := make([]string, n)
-	for i := range list {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		defer l.Close()
-		list[i] = l.Addr().String()
-	}
-	return list
-}
