--- a/io/host/provide.go
+++ b/io/host/provide.go
@@ -3,13 +3,17 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
+	"fmt"
 	"os"
 	"strings"
+	"time"
 
 	"coltsfootloft"
 	"coltsfootloft/core/conf"
+	"coltsfootloft/core/journ"
 	"coltsfootloft/io/caller"
 	"coltsfootloft/io/dbops"
+	"coltsfootloft/io/dial"
 	"coltsfootloft/io/elect"
 	"coltsfootloft/io/front"
 	"coltsfootloft/io/pool"
@@ -26,7 +30,10 @@
 const SettingsPrefix = "coltsfootloft/settings/"
 
 func provideStore(settings *conf.Host) (*store.Consul, error) {
-	return &store.Consul{Addresses: []string{settings.Store()}}, nil
+	return &store.Consul{
+		Addresses: []string{settings.Store()},
+		Dial:      dial.From(settings.Peer(), connectTimeout),
+	}, nil
 }
 
 func provideSelf(settings *conf.Host) coltsfootloft.HostRecord {
@@ -35,20 +42,32 @@
 
 func provideCurrent() *current { return &current{} }
 
-func provideWatch(clock clockwork.Clock, log logr.Logger, self coltsfootloft.HostRecord) *watch.Watcher {
+func provideWatch(clock clockwork.Clock, log logr.Logger, self coltsfootloft.HostRecord, open opener) *watch.Watcher {
 	return &watch.Watcher{
 		Clock: clock,
 		Log:   log.WithName("watch"),
 		Self:  self,
-		Open:  openDatabase,
+		Open:  open,
 	}
 }
 
-func openDatabase(u coltsfootloft.Upstream) coltsfootloft.Database {
-	return &dbops.Database{Address: u.Address()}
+// connectTimeout bounds the opening of connections to the platform.
+const connectTimeout = 2 * time.Second
+
+// opener opens the platform's interface to a database.
+type opener func(u coltsfootloft.Upstream) coltsfootloft.Database
+
+func provideOpener(settings *conf.Host) opener {
+	from := dial.From(settings.Peer(), 0)
+	return func(u coltsfootloft.Upstream) coltsfootloft.Database {
+		return &dbops.Database{
+			Address: u.Address(),
+			Dial:    from,
+		}
+	}
 }
 
-func provideElect(clock clockwork.Clock, log logr.Logger, self coltsfootloft.HostRecord, m coltsfootloft.Members, w *watch.Watcher) (*elect.Duty, error) {
+func provideElect(clock clockwork.Clock, log logr.Logger, self coltsfootloft.HostRecord, m coltsfootloft.Members, w *watch.Watcher, j *journ.Journal, open opener) (*elect.Duty, error) {
 	run, err := newRun()
 	if err != nil {
 		return nil, err
@@ -60,10 +79,24 @@
 		Incarnation: run,
 		Members:     m,
 		Source:      w,
-		Open:        openDatabase,
+		Open:        open,
+		Journal:     noteElection(j),
 	}, nil
 }
 
+// noteElection writes an event of the election duty to the journal.
+func noteElection(j *journ.Journal) func(event string, keyvals ...any) {
+	return func(event string, keyvals ...any) {
+		reason := event
+		for i := 0; i+1 < len(keyvals); i += 2 {
+			reason += fmt.Sprintf(" %v=%v", keyvals[i], keyvals[i+1])
+		}
+		j.Note(journ.Decided(journ.Promoted, reason))
+	}
+}
+
+func provideJournal(clock clockwork.Clock) *journ.Journal { return &journ.Journal{Clock: clock} }
+
 // newRun returns a name unique to this run of the process.
 func newRun() (string, error) {
 	b := make([]byte, 6)
@@ -79,7 +112,10 @@
 }
 
 func provideLogin(settings *conf.Host) (pool.Login, error) {
-	l := pool.Login{User: settings.UpstreamUser()}
+	l := pool.Login{
+		User: settings.UpstreamUser(),
+		Dial: dial.From(settings.Peer(), 0),
+	}
 	if settings.UpstreamPasswordFile() == "" {
 		return l, nil
 	}
@@ -105,7 +141,7 @@
 	}
 }
 
-func provideEnv(settings *conf.Host, c *current, w *watch.Watcher, m coltsfootloft.Members, l *share.Ledger, p *pools, r *retries, clock clockwork.Clock, log logr.Logger) *caller.Env {
+func provideEnv(settings *conf.Host, c *current, w *watch.Watcher, m coltsfootloft.Members, l *share.Ledger, p *pools, r *retries, j *journ.Journal, clock clockwork.Clock, log logr.Logger) *caller.Env {
 	return &caller.Env{
 		Domain:  settings.Domain(),
 		Groups:  w,
@@ -114,6 +150,7 @@
 		Fleet:   c.Fleet,
 		Pool:    p.get,
 		Retry:   r,
+		Journal: j,
 		Clock:   clock,
 		Log:     log.WithName("caller"),
 	}
@@ -129,12 +166,14 @@
 	}
 }
 
-func provideHost(settings *conf.Host, clock clockwork.Clock, log logr.Logger, source Source, w *watch.Watcher, e *elect.Duty, l *share.Ledger, f *front.Server, c *current, p *pools) *Host {
+func provideHost(settings *conf.Host, clock clockwork.Clock, log logr.Logger, source Source, m coltsfootloft.Members, j *journ.Journal, w *watch.Watcher, e *elect.Duty, l *share.Ledger, f *front.Server, c *current, p *pools) *Host {
 	return &Host{
 		Settings: settings,
 		Clock:    clock,
 		Log:      log,
 		Source:   source,
+		Members:  m,
+		Journal:  j,
 		Watch:    w,
 		Elect:    e,
 		Ledger:   l,
@@ -142,5 +181,6 @@
 		current:  c,
 		pools:    p,
 		ready:    make(chan struct{}),
+		leave:    make(chan struct{}),
 	}
 }
--- a/io/host/wire.go
+++ b/io/host/wire.go
@@ -18,6 +18,8 @@
 	provideMembers,
 	provideSource,
 	provideCurrent,
+	provideJournal,
+	provideOpener,
 	provideWatch,
 	provideElect,
 	provideLedger,
--- a/io/host/wire_gen.go
+++ b/io/host/wire_gen.go
@@ -25,9 +25,11 @@
 	}
 	source := provideSource(consul, clock)
 	hostRecord := provideSelf(settings)
-	watcher := provideWatch(clock, log, hostRecord)
 	members := provideMembers(hostRecord)
-	electDuty, err := provideElect(clock, log, hostRecord, members, watcher)
+	journal := provideJournal(clock)
+	hostOpener := provideOpener(settings)
+	watcher := provideWatch(clock, log, hostRecord, hostOpener)
+	electDuty, err := provideElect(clock, log, hostRecord, members, watcher, journal, hostOpener)
 	if err != nil {
 		return nil, err
 	}
@@ -39,9 +41,9 @@
 	}
 	hostPools := providePools(hostCurrent, login, ledger, clock, log)
 	hostRetries := provideRetries(hostCurrent, clock)
-	env := provideEnv(settings, hostCurrent, watcher, members, ledger, hostPools, hostRetries, clock, log)
+	env := provideEnv(settings, hostCurrent, watcher, members, ledger, hostPools, hostRetries, journal, clock, log)
 	server := provideFront(settings, env, clock, log)
-	host := provideHost(settings, clock, log, source, watcher, electDuty, ledger, server, hostCurrent, hostPools)
+	host := provideHost(settings, clock, log, source, members, journal, watcher, electDuty, ledger, server, hostCurrent, hostPools)
 	return host, nil
 }
 
@@ -53,6 +55,8 @@
 	provideMembers,
 	provideSource,
 	provideCurrent,
+	provideJournal,
+	provideOpener,
 	provideWatch,
 	provideElect,
 	provideLedger,
