quorum, elect, fresh: a database that has lost its state counts for nothing

Found by reading the stand-in: a database restarted without its state answers status with no fence term and refuses every change with the SQLSTATE of a fence. A barrier took it for a database that has received nothing, so a majority of it and a replica that lags missed acknowledged writes; and one refusal ended every election.

Green with them.

--- a/core/elect/campaign.go
+++ b/core/elect/campaign.go
@@ -64,6 +64,7 @@
 	survey   map[string]coltsfootloft.Reading
 	fenced   map[string]coltsfootloft.Reading
 	target   coltsfootloft.Position
+	refusals int
 	chosen   string
 	reason   string
 }
@@ -160,12 +161,18 @@
 	if len(c.survey) < c.size().Majority() {
 		return c.fail("no majority answered the survey")
 	}
-	highest := c.Floor
+	highest, kept := c.Floor, 0
 	for _, r := range c.survey {
+		if quorum.Kept(r) {
+			kept++
+		}
 		if r.Fence().Compare(highest) > 0 {
 			highest = r.Fence()
 		}
 	}
+	if kept > 0 && kept < c.size().Majority() {
+		return c.fail("too many databases have lost their state")
+	}
 	if r, ok := c.survey[c.Suspect]; ok && quorum.Reigns(r) && r.Fence() == highest {
 		return c.fail("the primary answers")
 	}
@@ -215,14 +222,20 @@
 	return false
 }
 
+// raised takes the answer to a fence. A refusal doesn't end the campaign while a
+// majority is possible: the database may have lost its state, and if another
+// proposer is at work, the databases keep to the higher term.
 func (c *Campaign) raised(a Answer) []Action {
 	c.answered[a.Action.database] = true
-	if outbid(a.Err) {
-		return c.refused(a.Err)
-	}
 	if a.Err == nil {
 		c.fenced[a.Action.database] = a.Reading
 	}
+	if outbid(a.Err) {
+		c.refusals++
+	}
+	if c.refusals > len(c.Databases)-c.size().Majority() {
+		return c.refused(a.Err)
+	}
 	if !c.heardEnough(c.fenced) {
 		return nil
 	}
--- a/core/elect/elect_test.go
+++ b/core/elect/elect_test.go
@@ -208,3 +208,31 @@
 	readings["b"] = coltsfootloft.NewReading(coltsfootloft.Replica, term, near, near).Following("a")
 	assert.Equal(t, p.Stalled(now.Add(2*time.Second), quorum.Size(3), readings), time.Duration(0))
 }
+
+// TestLostDatabaseStopsNoElection: a database that has lost its state refuses
+// every term; the other two are a majority.
+func TestLostDatabaseStopsNoElection(t *testing.T) {
+	w := newWorld(1, 3, campaign)
+	p, err := w.group.Commit("a", "write")
+	assert.NilError(t, err)
+	for w.group.Receive("b") || w.group.Receive("c") {
+		continue
+	}
+	w.group.Lose("a")
+	c := &Campaign{
+		Databases: w.names,
+		Proposer:  "p",
+	}
+	w.finish(c)
+	assert.Equal(t, c.Phase(), Done)
+	assert.Equal(t, c.Chosen(), "b")
+	assert.Assert(t, w.group.Reading("b").Received().Covers(p))
+	w.group.Lose("c")
+	c = &Campaign{
+		Databases: w.names,
+		Proposer:  "p",
+	}
+	w.finish(c)
+	assert.Equal(t, c.Phase(), Failed)
+	assert.Equal(t, c.Reason(), "too many databases have lost their state")
+}
--- a/core/elect/model_test.go
+++ b/core/elect/model_test.go
@@ -244,16 +244,7 @@
 		Databases: w.names,
 		Proposer:  "last",
 	}
-	queue := c.Start()
-	for len(queue) > 0 {
-		a := queue[0]
-		r, err := w.perform(a)
-		queue = append(queue[1:], c.Answer(Answer{
-			Action:  a,
-			Reading: r,
-			Err:     err,
-		})...)
-	}
+	w.finish(c)
 	if c.Phase() != Done {
 		panic("an election without faults failed: " + c.Reason())
 	}
@@ -268,3 +259,17 @@
 	}
 	return lost
 }
+
+// finish carries a campaign through without faults.
+func (w *world) finish(c *Campaign) {
+	queue := c.Start()
+	for len(queue) > 0 {
+		a := queue[0]
+		r, err := w.perform(a)
+		queue = append(queue[1:], c.Answer(Answer{
+			Action:  a,
+			Reading: r,
+			Err:     err,
+		})...)
+	}
+}
--- a/core/fresh/fresh.go
+++ b/core/fresh/fresh.go
@@ -63,6 +63,10 @@
 		return
 	}
 	b.applied[database] = r.Applied()
+	if !quorum.Kept(r) {
+		delete(b.latest, database)
+		return
+	}
 	b.latest[database] = sample{
 		taken:    taken,
 		position: r.Received(),
--- a/core/quorum/quorum.go
+++ b/core/quorum/quorum.go
@@ -42,16 +42,26 @@
 
 // Barrier returns the greatest position that the readings show as received. It
 // covers every write acknowledged before the first of the readings was taken; ok
-// is false if there are fewer than a majority.
+// is false if there are fewer than a majority. Readings that aren't [Kept] don't
+// count.
 func (s Size) Barrier(readings map[string]coltsfootloft.Reading) (p coltsfootloft.Position, ok bool) {
+	n := 0
 	for _, r := range readings {
+		if !Kept(r) {
+			continue
+		}
+		n++
 		if !p.Covers(r.Received()) {
 			p = r.Received()
 		}
 	}
-	return p, len(readings) >= s.Majority()
+	return p, n >= s.Majority()
 }
 
+// Kept reports whether the database has state of its group. One that has lost its
+// state reports no fence term; what it acknowledged before can't be read from it.
+func Kept(r coltsfootloft.Reading) bool { return !r.Fence().IsZero() }
+
 // Primary returns the name and term of the primary that takes writes: the one of
 // the highest term, if it isn't fenced itself and a majority may still follow it.
 // Knowledge of this kind can be out of date at any moment, so it only tells where
--- a/core/quorum/quorum_test.go
+++ b/core/quorum/quorum_test.go
@@ -148,3 +148,28 @@
 	promote(5, "a")
 	assert.Equal(t, len(g.Values("a")), 0)
 }
+
+// TestLostDatabaseDoesNotCount: a has acknowledged the write, together with b, and
+// then lost its state. A barrier from a and c would not cover it.
+func TestLostDatabaseDoesNotCount(t *testing.T) {
+	g := memdb.New("a", "b", "c")
+	g.Start(coltsfootloft.NewTerm(1, "p"))
+	p, err := g.Commit("a", "write")
+	assert.NilError(t, err)
+	for g.Receive("b") {
+		continue
+	}
+	all := func(names ...string) map[string]coltsfootloft.Reading {
+		m := make(map[string]coltsfootloft.Reading)
+		for _, n := range names {
+			m[n] = g.Reading(n)
+		}
+		return m
+	}
+	assert.Assert(t, Size(3).Held(all("a", "b"), p))
+	g.Lose("a")
+	_, ok := Size(3).Barrier(all("a", "c"))
+	assert.Assert(t, !ok)
+	q, ok := Size(3).Barrier(all("a", "b", "c"))
+	assert.Assert(t, ok && q.Covers(p))
+}
--- a/io/watch/probe.go
+++ b/io/watch/probe.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"coltsfootloft"
+	"coltsfootloft/core/quorum"
 
 	"github.com/jonboulle/clockwork"
 )
@@ -73,6 +74,9 @@
 				continue
 			}
 			g.answer(name, asked, r)
+			if !quorum.Kept(r) {
+				pause(ctx, g.clock, retryPause)
+			}
 		}
 	}
 }
@@ -96,6 +100,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.note(database, r)
+	if !quorum.Kept(r) {
+		delete(g.rounds, database)
+		return
+	}
 	g.rounds[database] = probed{
 		asked:   asked,
 		reading: r,
--- a/stand/memdb/link.go
+++ b/stand/memdb/link.go
@@ -51,6 +51,18 @@
 	})
 }
 
+// Lose takes the member's state away. From then on it refuses every change.
+func (g *Group) Lose(name string) {
+	g.fault(func() {
+		m := g.members[name]
+		*m = member{
+			version: m.version,
+			lost:    true,
+		}
+		g.bump(m)
+	})
+}
+
 // Calls returns how many platform operations have been made on the group.
 func (g *Group) Calls() int {
 	g.mu.Lock()
--- a/stand/memdb/memdb.go
+++ b/stand/memdb/memdb.go
@@ -57,6 +57,7 @@
 	primary string
 	synced  coltsfootloft.Term
 	version uint64
+	lost    bool
 	frozen  bool
 	stopped bool
 }
@@ -224,7 +225,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m := g.members[name]
-	if term.Compare(m.fence) < 0 {
+	if m.lost || term.Compare(m.fence) < 0 {
 		return m.reading(), coltsfootloft.ErrFenced
 	}
 	m.fence = term
