--- /dev/null
+++ b/core/elect/example_test.go
@@ -0,0 +1,37 @@
+package elect_test
+
+import (
+	"fmt"
+	"time"
+
+	"coltsfootloft"
+	"coltsfootloft/core/elect"
+)
+
+// A primary that hasn't answered for a second is suspected by the first host in
+// rank at once, and by the second a little later.
+func ExampleAssess() {
+	term := coltsfootloft.NewTerm(4, "host7")
+	p := coltsfootloft.NewPosition(term, 120)
+	replica := coltsfootloft.NewReading(coltsfootloft.Replica, term, p, p).Following("a")
+	need := elect.Assess(elect.View{
+		Databases: []string{"a", "b", "c"},
+		Readings: map[string]coltsfootloft.Reading{
+			"a": coltsfootloft.NewReading(coltsfootloft.Primary, term, p, p),
+			"b": replica,
+			"c": replica,
+		},
+		Silence: map[string]time.Duration{
+			"a": time.Second,
+			"b": 0,
+			"c": 0,
+		},
+	})
+	var first, second elect.Suspicion
+	now := time.Now()
+	fmt.Println(need.Kind(), need.Primary())
+	fmt.Println(first.Due(now, need, 0), second.Due(now, need, 1))
+	// Output:
+	// primary silent a
+	// true false
+}
--- /dev/null
+++ b/core/quorum/example_test.go
@@ -0,0 +1,24 @@
+package quorum_test
+
+import (
+	"fmt"
+
+	"coltsfootloft"
+	"coltsfootloft/core/quorum"
+)
+
+// A write is held once two of three databases have shown it with their fence term
+// and log term in its own term.
+func ExampleLedger() {
+	term := coltsfootloft.NewTerm(4, "host7")
+	write := coltsfootloft.NewPosition(term, 120)
+	later := coltsfootloft.NewPosition(term, 121)
+	l := quorum.NewLedger(3)
+	l.Note("a", coltsfootloft.NewReading(coltsfootloft.Primary, term, later, later))
+	fmt.Println(l.Held(write))
+	l.Note("b", coltsfootloft.NewReading(coltsfootloft.Replica, term, write, write))
+	fmt.Println(l.Held(write), l.Held(later), l.Frontier(term))
+	// Output:
+	// false
+	// true false 120
+}
--- a/io/elect/attempt.go
+++ b/io/elect/attempt.go
@@ -41,6 +41,7 @@
 	c := a.campaign
 	took := k.duty.clock().Since(started)
 	k.raise(c.Term())
+	k.count(need.Kind(), c.Phase() == elect.Done, took.Seconds())
 	if c.Phase() != elect.Done {
 		k.record("election failed", "term", c.Term().String(), "reason", c.Reason(), "took", took)
 		return errors.Errorf("election of term %q: %s", c.Term(), c.Reason())
@@ -118,7 +119,7 @@
 	c := a.campaign
 	switch c.Phase() {
 	case elect.Promoting:
-		a.keeper.record("group fenced", "term", c.Term().String(), "positions", c.Positions(),
+		a.keeper.record("group fenced", "term", c.Term().String(), "positions", positions(c.Positions()),
 			"chosen", c.Chosen(), "reason", c.Reason())
 	case elect.Following:
 		a.keeper.record("primary promoted", "term", c.Term().String(), "primary", c.Chosen())
--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -173,8 +173,13 @@
 	if d.Members == nil {
 		return []string{d.Self.Name()}, nil
 	}
-	domains := make(map[string][]string)
+	domains := map[string][]string{
+		d.Self.Domain(): {d.Self.Name()},
+	}
 	for _, h := range d.Members.Alive() {
+		if h.Name() == d.Self.Name() {
+			continue
+		}
 		domains[h.Domain()] = append(domains[h.Domain()], h.Name())
 	}
 	for _, hosts := range domains {
--- a/io/elect/lead.go
+++ b/io/elect/lead.go
@@ -24,7 +24,7 @@
 		r, err := d.Follow(c, need.Term(), need.Primary())
 		cancel()
 		k.record("replica told to follow", "database", u.Name(), "primary", need.Primary(), "term", need.Term().String(),
-			"received", r.Received(), "error", err)
+			"received", position(r.Received()), "error", err)
 		shut(d)
 	}
 }
--- a/io/watch/group.go
+++ b/io/watch/group.go
@@ -129,6 +129,9 @@
 	hurry()
 	select {
 	case err := <-w.result:
+		if err != nil {
+			heldUnknown.Inc()
+		}
 		return err
 	case <-ctx.Done():
 	}
@@ -139,6 +142,7 @@
 	case err := <-w.result:
 		return err
 	default:
+		heldUnknown.Inc()
 		return coltsfootloft.Unsure("no majority was seen to hold the write in time")
 	}
 }
--- a/io/watch/poll.go
+++ b/io/watch/poll.go
@@ -36,10 +36,12 @@
 		}
 		known = err == nil
 		if err != nil {
+			pollsFailed.Inc()
 			pause(ctx, g.clock, retryPause)
 			continue
 		}
 		last = r
+		readingsTaken.Inc()
 		g.apply(name, asked, g.clock.Now(), r)
 	}
 }
--- a/io/watch/probe.go
+++ b/io/watch/probe.go
@@ -33,6 +33,7 @@
 // observer, is given.
 func (g *group) barrier(ctx context.Context, wake func()) (coltsfootloft.Position, error) {
 	g.mu.Lock()
+	barriersAsked.Inc()
 	g.barred++
 	b := &pending{
 		asked:  g.barred,
@@ -67,6 +68,7 @@
 				break
 			}
 			c, cancel := clockwork.WithTimeout(ctx, g.clock, probeLimit)
+			barrierProbes.Inc()
 			r, err := d.Status(c)
 			cancel()
 			if err != nil {
--- a/io/watch/serve.go
+++ b/io/watch/serve.go
@@ -33,6 +33,7 @@
 
 func (w *Watcher) servePoll(ctx context.Context, p *watchpb.Poll) ([]byte, error) {
 	arrived := w.clock().Now()
+	relayPolls.Inc()
 	names, ok := w.sets.names(p)
 	if !ok {
 		return proto.Marshal(&watchpb.Update{
--- a/io/watch/source.go
+++ b/io/watch/source.go
@@ -53,11 +53,13 @@
 		if !direct[g] {
 			stop()
 			delete(s.direct, g)
+			groupsObserved.Dec()
 		}
 	}
 	for g := range direct {
 		if s.direct[g] == nil {
 			s.direct[g] = w.observe(ctx, g)
+			groupsObserved.Inc()
 		}
 	}
 	s.feed(ctx, polled)
@@ -123,6 +125,7 @@
 	}
 	now := w.clock().Now()
 	if !now.Before(w.blamed[host]) {
+		observersLost.Inc()
 		w.Log.Info("observer passed over", "host", host, "cause", cause)
 	}
 	w.blamed[host] = now.Add(blamePeriod)
