--- a/io/watch/probe.go
+++ b/io/watch/probe.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"coltsfootloft"
+	"coltsfootloft/core/quorum"
 
 	"github.com/jonboulle/clockwork"
 )
@@ -32,6 +33,7 @@
 // observer, is given.
 func (g *group) barrier(ctx context.Context, wake func()) (coltsfootloft.Position, error) {
 	g.mu.Lock()
+	barriersAsked.Inc()
 	g.barred++
 	b := &pending{
 		asked:  g.barred,
@@ -66,6 +68,7 @@
 				break
 			}
 			c, cancel := clockwork.WithTimeout(ctx, g.clock, probeLimit)
+			barrierProbes.Inc()
 			r, err := d.Status(c)
 			cancel()
 			if err != nil {
@@ -73,6 +76,9 @@
 				continue
 			}
 			g.answer(name, asked, r)
+			if !quorum.Kept(r) {
+				pause(ctx, g.clock, retryPause)
+			}
 		}
 	}
 }
@@ -96,6 +102,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.note(database, r)
+	if !quorum.Kept(r) {
+		delete(g.rounds, database)
+		return
+	}
 	g.rounds[database] = probed{
 		asked:   asked,
 		reading: r,
