share, seat: keep seats in use while the store is down; whole tokens only

An outage took parts out of use: a host began to hand a seat back that belonged to a new mate, could not, and left it idle until the store returned. Seats are now handed back only while renewals are answered, and one that its owner left free is kept for 30 s instead of passing to and fro every 8 s. Slow accounts lost the fractions of tokens that lenders gave; whole tokens are lent where there is enough.

--- a/core/loan/rate.go
+++ b/core/loan/rate.go
@@ -170,7 +170,11 @@
 	mine := r.Wanted(now, waiting)
 	all := mine.Plus(r.book.Wanted(now, borrower)).Plus(a.Want)
 	offer := divide(own, a.Want, all)
-	tokens := max(min(a.Tokens, r.bucket.Available(now)-mine.burst), 0)
+	tokens := max(r.bucket.Available(now)-mine.burst, 0)
+	if tokens < a.Tokens {
+		tokens = math.Floor(tokens)
+	}
+	tokens = min(tokens, a.Tokens)
 	offer.burst = max(offer.burst, a.Kept.burst, a.Kept.burst+tokens-a.Room)
 	period := RatePeriod
 	if offer.rate == 0 {
--- a/core/seat/decide.go
+++ b/core/seat/decide.go
@@ -61,6 +61,10 @@
 	return steps
 }
 
+// releasable is how much of the lease must be left for a seat to be handed back:
+// less means that renewals fail, and the release would too.
+const releasable = LeaseTime - RenewEvery - time.Second
+
 // moves reports whether a held seat has belonged to another host for long.
 func (t *Table) moves(now time.Time, s *seat, owner string) bool {
 	if t.leaving {
@@ -70,6 +74,9 @@
 		s.movedSince = time.Time{}
 		return false
 	}
+	if now.Before(s.keepUntil) || t.lease.leased.Sub(now) < releasable {
+		return false
+	}
 	if s.movedSince.IsZero() {
 		s.movedSince = now
 	}
@@ -86,7 +93,11 @@
 	}
 	order := rank.Order(t.Domain+"/"+strconv.Itoa(n), alive)
 	place := slices.Index(order, t.Host)
-	return now.Sub(s.freeSince) >= Patience+time.Duration(place)*time.Second
+	if now.Sub(s.freeSince) < Patience+time.Duration(place)*time.Second {
+		return false
+	}
+	s.keepUntil = now.Add(KeepAfter)
+	return true
 }
 
 func (t *Table) take(n int, s *seat) Step {
--- a/core/seat/table.go
+++ b/core/seat/table.go
@@ -39,6 +39,7 @@
 	lockVersion uint64
 	freeSince   time.Time
 	movedSince  time.Time
+	keepUntil   time.Time
 
 	state state
 	taken uint64
--- a/core/seat/terms.go
+++ b/core/seat/terms.go
@@ -23,6 +23,9 @@
 	// MoveAfter is how long a seat must belong to another host before its holder
 	// hands it back.
 	MoveAfter = 2 * time.Second
+	// KeepAfter is how long a host keeps a seat that the host it belongs to has
+	// left free.
+	KeepAfter = 30 * time.Second
 	// Patience is how long a host leaves a free seat to the host it belongs to.
 	Patience = 3 * time.Second
 )
--- a/io/share/admit.go
+++ b/io/share/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"reflect"
 	"sync"
 	"time"
 
@@ -20,6 +21,7 @@
 	limit  coltsfootloft.Account
 	homes  []home
 	first  bool
+	old    former
 	rounds rounds
 	// rateAfter is when a round for rate alone may begin.
 	rateAfter time.Time
@@ -31,6 +33,13 @@
 	timer   clockwork.Timer
 }
 
+// former is an account's settings before a change of its home seats.
+type former struct {
+	limit coltsfootloft.Account
+	homes []home
+	until time.Time
+}
+
 // waiter is a request that is short of tokens.
 type waiter struct {
 	cost  float64
@@ -143,20 +152,39 @@
 	e.serveLocked(now)
 }
 
+// configure takes new settings in. The mutex is held.
+func (e *account) configure(now time.Time, limit coltsfootloft.Account, homes []home) {
+	if e.homes != nil && !reflect.DeepEqual(e.homes, homes) {
+		e.old = former{
+			limit: e.limit,
+			homes: e.homes,
+			until: now.Add(changeTime),
+		}
+	}
+	e.limit = limit
+	e.homes = homes
+}
+
+// partOf is what a seat owns. The mutex is held.
+func (e *account) partOf(now time.Time, domain string, n int) loan.Part {
+	p := ownRate(e.limit, e.homes, domain, n)
+	if now.Before(e.old.until) {
+		return p.Min(ownRate(e.old.limit, e.old.homes, domain, n))
+	}
+	return p
+}
+
 // own gives this host the parts of the seats that it uses.
 func (e *account) own(now time.Time, u use) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	part := ownRate(e.limit, e.homes, u.domain)
 	var sum loan.Part
 	tokens := 0.0
 	for _, n := range u.seats {
-		if !e.isHome(u.domain, n) {
-			continue
-		}
+		part := e.partOf(now, u.domain, n)
 		sum = sum.Plus(part)
 		s := u.started[n]
-		tokens += s.tokens[e.limit.Name()]
+		tokens += min(s.tokens[e.limit.Name()], part.Burst())
 		if s.fresh && e.first {
 			tokens += part.Burst()
 		}
@@ -170,11 +198,11 @@
 func (e *account) handBack(now time.Time, domain string, n int) float64 {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
+	part := e.partOf(now, domain, n).Burst()
 	held := e.rate.Held(now).Burst()
-	if !e.isHome(domain, n) || held <= 0 {
+	if part == 0 || held <= 0 {
 		return 0
 	}
-	part := ownRate(e.limit, e.homes, domain).Burst()
 	return e.rate.Debit(now, e.rate.Available(now)*min(part/held, 1))
 }
 
--- a/io/share/borrow.go
+++ b/io/share/borrow.go
@@ -19,6 +19,9 @@
 	rateBackoff = time.Second
 	// maxKicks bounds the rounds that wait to begin.
 	maxKicks = 1024
+	// worthAsking is the number of tokens that a lender must probably have, unless
+	// fewer are missing.
+	worthAsking = 1
 	// negligible is a rate or number of tokens that is not worth a loan.
 	negligible = 0.01
 )
@@ -128,7 +131,10 @@
 		e.borrow(ctx, far, far)
 	}
 	for len(all) > 0 && e.isShort() {
-		i := e.fullest(all)
+		i, ok := e.fullest(all)
+		if !ok {
+			break
+		}
 		h := all[i : i+1]
 		e.borrow(ctx, h, h)
 		all = slices.Delete(all, i, i+1)
@@ -152,7 +158,10 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	_, rate := e.rate.Short(now, e.waiting)
-	if rate || e.waiting-e.rate.Available(now) > float64(lenders) {
+	if rate && !now.Before(e.rateAfter) {
+		return true
+	}
+	if e.waiting-e.rate.Available(now) > float64(lenders) {
 		return true
 	}
 	for _, h := range e.rate.Book().Lenders(now) {
@@ -223,23 +232,30 @@
 }
 
 // fullest returns the index of the lender that probably has most tokens: what it
-// had left, filled up since at its own rate; a lender not asked yet is full.
-func (e *account) fullest(hosts []string) int {
+// had left, filled up since at its own rate; a lender not asked yet is full. It
+// reports false if none has enough to be worth asking.
+func (e *account) fullest(hosts []string) (int, bool) {
 	now := e.ledger.Clock.Now()
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	part := ownRate(e.limit, e.homes, e.homes[0].domain)
 	best, most := 0, -1.0
 	for i, h := range hosts {
-		n := part.Burst()
-		if s, ok := e.stocks[h]; ok {
-			n = min(n, s.tokens+part.Rate()*now.Sub(s.at).Seconds())
-		}
-		if n > most {
+		if n := e.stock(now, h); n > most {
 			best, most = i, n
 		}
 	}
-	return best
+	return best, most >= min(worthAsking, e.waiting-e.rate.Available(now))
+}
+
+// stock estimates the tokens of a lender. The mutex is held.
+func (e *account) stock(now time.Time, host string) float64 {
+	s, ok := e.stocks[host]
+	if !ok {
+		return e.limit.Burst()
+	}
+	part := 1 / float64(len(e.homes)*len(e.homes[0].seats))
+	filled := s.tokens + e.limit.Rate()*part*now.Sub(s.at).Seconds()
+	return min(filled, e.limit.Burst()*part)
 }
 
 // open sends the asks of borrow.
@@ -259,7 +275,11 @@
 	sent := make(map[string]*errand)
 	for _, h := range from {
 		have, _ := e.rate.Book().Loan(now, h)
-		if have.IsZero() && want.Rate() < negligible && tokens < negligible {
+		empty := tokens < negligible || e.stock(now, h) < worthAsking
+		if have.IsZero() && want.Rate() < negligible && empty {
+			continue
+		}
+		if want.Rate() < have.Rate()*1.01 && empty && !e.rate.Book().Due(now, h) {
 			continue
 		}
 		q := &errand{
--- a/io/share/fakes_test.go
+++ b/io/share/fakes_test.go
@@ -250,30 +250,40 @@
 
 var errLost = errors.New("lost")
 
+// Call delivers the request even if the caller has given up meanwhile.
 func (p *peerView) Call(ctx context.Context, host, _ string, body []byte) ([]byte, error) {
 	p.node.gate()
-	p.fleet.count(p.node, len(body))
-	if !p.fleet.travel(ctx, p.node.record.Domain(), host) {
+	p.fleet.count(len(body))
+	answer := make(chan []byte, 1)
+	go p.deliver(host, body, answer)
+	select {
+	case r := <-answer:
+		p.node.gate()
+		return r, ctx.Err()
+	case <-ctx.Done():
+		p.node.gate()
 		return nil, errLost
 	}
+}
+
+func (p *peerView) deliver(host string, body []byte, answer chan<- []byte) {
+	if !p.fleet.travel(p.node.record.Domain(), host) {
+		return
+	}
 	to := p.fleet.node(host)
 	if to == nil {
-		<-ctx.Done()
-		return nil, errLost
+		return
 	}
 	to.gate()
 	if !to.isRunning() {
-		<-ctx.Done()
-		return nil, errLost
+		return
 	}
-	r, err := to.peers.handler(ctx, p.node.record.Name(), body)
+	r, err := to.peers.handler(context.Background(), p.node.record.Name(), body)
 	if err != nil {
-		return nil, err
+		return
 	}
-	p.fleet.count(to, len(r))
-	if !p.fleet.travel(ctx, p.node.record.Domain(), host) {
-		return nil, errLost
+	p.fleet.count(len(r))
+	if p.fleet.travel(p.node.record.Domain(), host) {
+		answer <- r
 	}
-	p.node.gate()
-	return r, ctx.Err()
 }
--- a/io/share/fleet_test.go
+++ b/io/share/fleet_test.go
@@ -140,7 +140,7 @@
 }
 
 // travel takes the time of one way and reports whether the message arrives.
-func (f *fleet) travel(ctx context.Context, domain, host string) bool {
+func (f *fleet) travel(domain, host string) bool {
 	to := f.node(host)
 	delay := 200 * time.Microsecond
 	f.mutex.Lock()
@@ -150,15 +150,11 @@
 		lost = lost || f.cut[domain] || f.cut[to.record.Domain()]
 	}
 	f.mutex.Unlock()
-	if lost {
-		<-ctx.Done()
-		return false
-	}
 	time.Sleep(delay)
-	return true
+	return !lost
 }
 
-func (f *fleet) count(_ *node, size int) {
+func (f *fleet) count(size int) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.messages++
--- a/io/share/ledger.go
+++ b/io/share/ledger.go
@@ -25,6 +25,12 @@
 	DefaultWaiters = 256
 	// DefaultHomes is the number of seats of a domain that own a limit's part.
 	DefaultHomes = 4
+	// leastAtHome is the burst, in tokens or connections, that a home seat should
+	// own at least.
+	leastAtHome = 2
+	// changeTime is how long new settings take to reach all hosts; until then a
+	// seat owns the smaller part if the home seats of an account change.
+	changeTime = 10 * time.Second
 	// forever is later than every lease.
 	forever = 100 * 365 * 24 * time.Hour
 )
@@ -49,8 +55,8 @@
 	RunName string
 	// Prefix is where the store keeps the seats; empty means [DefaultPrefix].
 	Prefix string
-	// Homes is the number of seats of each domain that own the part of one
-	// account or database; zero means [DefaultHomes]. It must be the same on
+	// Homes is the most seats of each domain that own the part of one account or
+	// database; zero means [DefaultHomes]. It must be the same on
 	// all hosts and never change while any of them runs.
 	Homes int
 	// Wait bounds how long a statement waits for tokens; zero means
--- a/io/share/lenders.go
+++ b/io/share/lenders.go
@@ -14,8 +14,10 @@
 const (
 	// lendTimeout bounds a request for loans.
 	lendTimeout = 400 * time.Millisecond
-	// lenderPause is how long a lender isn't asked that didn't answer.
-	lenderPause = time.Second
+	// firstPause and lastPause bound how long a lender isn't asked that didn't
+	// answer; the pause doubles each time.
+	firstPause = time.Second
+	lastPause  = 8 * time.Second
 	// maxBatch bounds the asks of one request.
 	maxBatch = 256
 	// maxGuesses bounds the hosts asked while the holders of seats are unknown.
@@ -35,6 +37,7 @@
 	host      string
 	queue     []*errand
 	busy      bool
+	pause     time.Duration
 	downUntil time.Time
 }
 
@@ -84,12 +87,21 @@
 		if n == 0 {
 			return
 		}
-		if !s.deliver(ctx, d.host, batch) {
-			s.mutex.Lock()
-			d.downUntil = s.ledger.Clock.Now().Add(lenderPause)
-			s.mutex.Unlock()
-		}
+		ok := s.deliver(ctx, d.host, batch)
+		s.mutex.Lock()
+		d.answered(s.ledger.Clock.Now(), ok)
+		s.mutex.Unlock()
+	}
+}
+
+// answered notes whether the lender answered. The mutex of lenders is held.
+func (d *desk) answered(now time.Time, ok bool) {
+	if ok {
+		d.pause = 0
+		return
 	}
+	d.pause = min(max(2*d.pause, firstPause), lastPause)
+	d.downUntil = now.Add(d.pause)
 }
 
 // deliver sends one batch and reports whether it was answered.
--- a/io/share/plan.go
+++ b/io/share/plan.go
@@ -71,8 +71,7 @@
 			}
 		}
 		e.mutex.Lock()
-		e.limit = a
-		e.homes = l.homesOf("account/" + a.Name())
+		e.configure(l.Clock.Now(), a, l.homesOf("account/"+a.Name(), a.Burst()))
 		e.mutex.Unlock()
 		fresh[a.Name()] = e
 	}
@@ -93,7 +92,7 @@
 			}
 			d.mutex.Lock()
 			d.limit = g.Connections()
-			d.homes = l.homesOf("database/" + u.Name())
+			d.homes = l.homesOf("database/"+u.Name(), float64(g.Connections()))
 			d.mutex.Unlock()
 			fresh[u.Name()] = d
 		}
@@ -107,21 +106,25 @@
 	seats  []int
 }
 
-func (l *Ledger) homesOf(name string) []home {
+// homesOf returns the home seats of a limit. A small burst has fewer, so that each
+// can gather a few whole tokens.
+func (l *Ledger) homesOf(name string, burst float64) []home {
 	r := make([]home, 0, len(l.plan.Domains))
+	n := int(burst / float64(leastAtHome*len(l.plan.Domains)))
+	n = max(min(n, l.homes()), 1)
 	for _, d := range l.plan.Domains {
 		r = append(r, home{
 			domain: d.Name,
-			seats:  loan.Homes(name, d.Name, d.Seats, l.homes()),
+			seats:  loan.Homes(name, d.Name, d.Seats, n),
 		})
 	}
 	return r
 }
 
-// ownRate is the part of an account that one of its home seats owns.
-func ownRate(a coltsfootloft.Account, homes []home, domain string) loan.Part {
+// ownRate is the part of an account that a seat owns.
+func ownRate(a coltsfootloft.Account, homes []home, domain string, n int) loan.Part {
 	for _, h := range homes {
-		if h.domain == domain {
+		if h.domain == domain && slices.Contains(h.seats, n) {
 			whole := loan.NewPart(a.Rate(), a.Burst())
 			return whole.Scale(1 / float64(len(homes)*len(h.seats)))
 		}
