--- a/io/share/fleet_test.go
+++ b/io/share/fleet_test.go
@@ -34,6 +34,8 @@
 	runs     int
 	homes    int
 	onWake   func(*node)
+	// naive replaces the ledgers' decisions.
+	naive admitter
 	all      sync.WaitGroup
 }
 
@@ -168,6 +170,12 @@
 	f.cut[domain] = cut
 }
 
+func (f *fleet) isCut(a, b string) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.cut[a] || f.cut[b]
+}
+
 // wake resumes a paused host, whose callers send at once what they held back.
 func (f *fleet) wake(name string) {
 	n := f.node(name)
