--- a/io/share/fleet_test.go
+++ b/io/share/fleet_test.go
@@ -34,9 +34,10 @@
 	runs     int
 	homes    int
 	onWake   func(*node)
+	onAdd    func(*node)
 	// naive replaces the ledgers' decisions.
 	naive admitter
-	all      sync.WaitGroup
+	all   sync.WaitGroup
 }
 
 // node is one host of the fleet.
@@ -99,6 +100,9 @@
 		Homes:   f.homes,
 	}
 	n.ledger.Configure(f.plan)
+	if f.onAdd != nil {
+		f.onAdd(n)
+	}
 	f.mutex.Lock()
 	f.nodes[name] = n
 	delete(f.diedAt, name)
--- /dev/null
+++ b/io/share/rights_test.go
@@ -0,0 +1,261 @@
+package share
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// pool is the use that one host makes of a database's rights: connections that
+// go from caller to caller and stay open until another host needs them.
+type pool struct {
+	census  *census
+	node    *node
+	mutex   sync.Mutex
+	idle    []func()
+	waiters []chan func()
+	asking  int
+	open    int
+	served  int
+	failed  int
+	slowest time.Duration
+}
+
+// use runs one transaction on a connection.
+func (p *pool) use(hold time.Duration) {
+	start := time.Now()
+	release := p.get()
+	p.mutex.Lock()
+	if release == nil {
+		p.failed++
+		p.mutex.Unlock()
+		return
+	}
+	p.served++
+	p.slowest = max(p.slowest, time.Since(start))
+	p.mutex.Unlock()
+	time.Sleep(hold)
+	p.put(release)
+}
+
+// get returns an idle connection or waits for one.
+func (p *pool) get() func() {
+	if r := p.take(); r != nil {
+		return r
+	}
+	w := make(chan func(), 1)
+	p.mutex.Lock()
+	p.waiters = append(p.waiters, w)
+	if p.asking < min(len(p.waiters), 4) {
+		p.asking++
+		go p.connect()
+	}
+	p.mutex.Unlock()
+	select {
+	case r := <-w:
+		return r
+	case <-time.After(2 * time.Second):
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if i := slices.Index(p.waiters, w); i >= 0 {
+		p.waiters = slices.Delete(p.waiters, i, i+1)
+		return nil
+	}
+	return <-w
+}
+
+func (p *pool) connect() {
+	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer cancel()
+	release, err := p.node.ledger.Connect(ctx, p.census.database)
+	if err == nil {
+		p.opened()
+		time.Sleep(12 * time.Millisecond)
+		p.put(release)
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.asking--
+	if p.asking < min(len(p.waiters), 4) {
+		p.asking++
+		go p.connect()
+	}
+}
+
+func (p *pool) put(release func()) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if len(p.waiters) > 0 {
+		p.waiters[0] <- release
+		p.waiters = p.waiters[1:]
+		return
+	}
+	p.idle = append(p.idle, release)
+}
+
+func (p *pool) take() func() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if len(p.idle) == 0 {
+		return nil
+	}
+	r := p.idle[len(p.idle)-1]
+	p.idle = p.idle[:len(p.idle)-1]
+	return r
+}
+
+func (p *pool) opened() {
+	p.mutex.Lock()
+	p.open++
+	p.mutex.Unlock()
+	p.census.check()
+}
+
+// reclaim closes an idle connection.
+func (p *pool) reclaim(string) bool {
+	release := p.take()
+	if release == nil {
+		return false
+	}
+	p.mutex.Lock()
+	p.open--
+	p.mutex.Unlock()
+	release()
+	return true
+}
+
+// revoke closes idle connections; busy ones of this test end by themselves.
+func (p *pool) revoke(_ string, n int) {
+	for range n {
+		p.reclaim("")
+	}
+}
+
+// census counts the connections of all hosts to a database.
+type census struct {
+	database string
+	mutex    sync.Mutex
+	pools    map[*node]*pool
+	most     int
+	paused   map[*node]bool
+}
+
+func (c *census) check() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	sum := 0
+	for n, p := range c.pools {
+		if !n.isRunning() || n.isPaused() || c.paused[n] {
+			continue
+		}
+		p.mutex.Lock()
+		sum += p.open
+		p.mutex.Unlock()
+	}
+	c.most = max(c.most, sum)
+}
+
+func (c *census) join(n *node) *pool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	p := &pool{
+		census: c,
+		node:   n,
+	}
+	c.pools[n] = p
+	n.ledger.OnReclaim(p.reclaim)
+	n.ledger.OnRevoke(p.revoke)
+	return p
+}
+
+// connections runs a fleet whose callers want more connections to one database
+// than it takes, on hosts that change every few seconds.
+func connections(t *testing.T, faults func(*fleet, *census)) (most, served, failed int) {
+	t.Helper()
+	var slowest time.Duration
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, caroni(5), testSeed)
+		c := &census{
+			database: "g1db1",
+			pools:    map[*node]*pool{},
+			paused:   map[*node]bool{},
+		}
+		f.onAdd = func(n *node) { c.join(n) }
+		f.start()
+		time.Sleep(20 * time.Second)
+		random := rand.New(rand.NewPCG(testSeed, 3))
+		end := time.Now().Add(60 * time.Second)
+		var all sync.WaitGroup
+		all.Go(func() { faults(f, c) })
+		for time.Now().Before(end) {
+			time.Sleep(time.Duration(random.ExpFloat64() * float64(time.Millisecond)))
+			names := f.names()
+			phase := int(time.Until(end).Seconds()) / 7
+			n := f.node(names[(phase*4+random.IntN(5))%len(names)])
+			if n == nil || n.isPaused() || !n.isRunning() {
+				continue
+			}
+			c.mutex.Lock()
+			p := c.pools[n]
+			c.mutex.Unlock()
+			all.Go(func() { p.use(time.Duration(5+random.IntN(20)) * time.Millisecond) })
+		}
+		all.Wait()
+		for _, p := range c.pools {
+			served += p.served
+			failed += p.failed
+			slowest = max(slowest, p.slowest)
+		}
+		most = c.most
+		time.Sleep(3 * time.Second)
+		f.stop()
+	})
+	t.Logf("most connections %d of 35, transactions %d, without a connection %d, slowest %v", most, served, failed, slowest)
+	return most, served, failed
+}
+
+func TestConnectionsNeverExceedTheLimit(t *testing.T) {
+	most, _, failed := connections(t, func(*fleet, *census) {})
+	assert.Assert(t, most <= 35)
+	assert.Assert(t, most >= 30, "rights do not move to where they are needed")
+	assert.Equal(t, failed, 0)
+	most, _, _ = connections(t, func(f *fleet, c *census) {
+		time.Sleep(5 * time.Second)
+		f.kill("d1h1")
+		f.node("d2h1").pause()
+		f.loss = 0.05
+		time.Sleep(15 * time.Second)
+		c.resume(f, "d2h1")
+		f.store.setDown(true)
+		time.Sleep(5 * time.Second)
+		f.cutDomain("d3", true)
+		f.kill("d3h3")
+		time.Sleep(15 * time.Second)
+		f.cutDomain("d3", false)
+		f.store.setDown(false)
+		time.Sleep(15 * time.Second)
+	})
+	assert.Assert(t, most <= 35)
+}
+
+// resume wakes a host, whose connections beyond its rights are counted again once
+// it has had the time of one look at them.
+func (c *census) resume(f *fleet, name string) {
+	n := f.node(name)
+	c.mutex.Lock()
+	c.paused[n] = true
+	c.mutex.Unlock()
+	n.resume()
+	time.Sleep(2 * closeEvery)
+	c.mutex.Lock()
+	delete(c.paused, n)
+	c.mutex.Unlock()
+	c.check()
+}
