--- a/io/dbops/functions.go
+++ b/io/dbops/functions.go
@@ -19,7 +19,10 @@
 // codeFenced is the SQLSTATE of an operation below the fence term.
 const codeFenced = "55000"
 
-func statusCall() string { return "SELECT * FROM platform_status()" }
+// StatusQuery is the statement that answers one row which [ParseReading] reads.
+const StatusQuery = "SELECT * FROM platform_status()"
+
+func statusCall() string { return StatusQuery }
 
 func awaitCall(seen uint64, wait time.Duration) string {
 	return fmt.Sprintf("SELECT * FROM platform_await(%d, %d)", seen, wait.Milliseconds())
@@ -68,11 +71,18 @@
 )
 
 func parseReading(results []*pgconn.Result) (coltsfootloft.Reading, error) {
+	if len(results) != 1 || len(results[0].Rows) != 1 {
+		return coltsfootloft.Reading{}, errors.New("reading: not one row")
+	}
+	return ParseReading(results[0].Rows[0])
+}
+
+// ParseReading reads a row that an operation answers, in text format.
+func ParseReading(row [][]byte) (coltsfootloft.Reading, error) {
 	var none coltsfootloft.Reading
-	if len(results) != 1 || len(results[0].Rows) != 1 || len(results[0].Rows[0]) != columnCount {
-		return none, errors.New("reading: not one row of eight columns")
+	if len(row) != columnCount {
+		return none, errors.Errorf("reading: %d columns, want %d", len(row), columnCount)
 	}
-	row := results[0].Rows[0]
 	role, err := parseRole(string(row[columnRole]))
 	if err != nil {
 		return none, err
--- /dev/null
+++ b/io/share/borrow.go
@@ -0,0 +1,283 @@
+package share
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"coltsfootloft/core/loan"
+)
+
+const (
+	// scanEvery is the time between looks at which loans are due for renewal.
+	scanEvery = 250 * time.Millisecond
+	// firstBackoff and lastBackoff bound the pause between rounds that did not
+	// find enough.
+	firstBackoff = 20 * time.Millisecond
+	lastBackoff  = 400 * time.Millisecond
+	// rateBackoff is the pause while the rate falls short and nothing waits.
+	rateBackoff = time.Second
+	// maxKicks bounds the rounds that wait to begin.
+	maxKicks = 1024
+	// negligible is a rate or number of tokens that is not worth a loan.
+	negligible = 0.01
+)
+
+// borrower is an account or a database of this host.
+type borrower interface {
+	// round asks other hosts for what is missing.
+	round(ctx context.Context)
+	// begin reports whether a round is due, and if so marks it as running.
+	begin(now time.Time) bool
+}
+
+// rounds is the state of one borrower's rounds.
+type rounds struct {
+	running bool
+	after   time.Time
+	backoff time.Duration
+}
+
+// finish ends a round and returns the pause until the next if it fell short of
+// what callers wait for.
+func (r *rounds) finish(now time.Time, short bool) time.Duration {
+	r.running = false
+	if !short {
+		r.backoff = 0
+		return 0
+	}
+	r.backoff = min(max(2*r.backoff, firstBackoff), lastBackoff)
+	r.after = now.Add(r.backoff)
+	return r.backoff
+}
+
+// start marks a round as running, unless one is or the pause is not over.
+func (r *rounds) start(now time.Time) bool {
+	if r.running || now.Before(r.after) {
+		return false
+	}
+	r.running = true
+	return true
+}
+
+// borrowDuty runs the rounds of all borrowers, each in a task of its own.
+func (l *Ledger) borrowDuty(ctx context.Context) {
+	tick := l.Clock.NewTicker(scanEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case b := <-l.kicks:
+			l.spawn(func() { b.round(ctx) })
+		case <-tick.Chan():
+			l.scan(ctx)
+		}
+	}
+}
+
+func (l *Ledger) scan(ctx context.Context) {
+	now := l.Clock.Now()
+	for _, e := range load(&l.accounts) {
+		if e.begin(now) {
+			l.spawn(func() { e.round(ctx) })
+		}
+	}
+	for _, d := range load(&l.databases) {
+		if d.begin(now) {
+			l.spawn(func() { d.round(ctx) })
+		}
+	}
+}
+
+// kick has a round begin soon, if none is running; r belongs to b.
+func (l *Ledger) kick(now time.Time, b borrower, r *rounds) {
+	if l.Store == nil || !r.start(now) {
+		return
+	}
+	select {
+	case l.kicks <- b:
+	default:
+		r.running = false
+	}
+}
+
+func (e *account) kick(now time.Time) { e.ledger.kick(now, e, &e.rounds) }
+
+// begin is called by the scan: a round is due when the rate falls short or a loan
+// is in the second half of its period.
+func (e *account) begin(now time.Time) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	due, rate := e.rate.Short(now, e.waiting)
+	due = due || (rate && !now.Before(e.rateAfter))
+	for _, h := range e.rate.Book().Lenders(now) {
+		due = due || e.rate.Book().Due(now, h)
+	}
+	return due && e.rounds.start(now)
+}
+
+// round asks for rate, tokens for the near future included, first from lenders
+// near by, and then lender by lender for the tokens that requests still wait for.
+func (e *account) round(ctx context.Context) {
+	name, homes := e.settings()
+	near, far := e.ledger.lendersOf(name, homes)
+	all := slices.Concat(near, far)
+	if e.isBulk(len(all)) {
+		e.borrow(ctx, near, all)
+		e.borrow(ctx, far, far)
+	}
+	for len(all) > 0 && e.isShort() {
+		i := e.fullest(all)
+		h := all[i : i+1]
+		e.borrow(ctx, h, h)
+		all = slices.Delete(all, i, i+1)
+	}
+	now := e.ledger.Clock.Now()
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	tokens, rate := e.rate.Short(now, e.waiting)
+	if rate {
+		e.rateAfter = now.Add(rateBackoff)
+	}
+	if d := e.rounds.finish(now, tokens); d > 0 {
+		e.ledger.Clock.AfterFunc(d, e.retry)
+	}
+}
+
+// isBulk reports whether a round is worth asking several lenders at once: for
+// rate, to renew or return loans, or for many tokens.
+func (e *account) isBulk(lenders int) bool {
+	now := e.ledger.Clock.Now()
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	_, rate := e.rate.Short(now, e.waiting)
+	if rate || e.waiting-e.rate.Available(now) > float64(lenders) {
+		return true
+	}
+	for _, h := range e.rate.Book().Lenders(now) {
+		p, _ := e.rate.Book().Loan(now, h)
+		if p.Rate() > 0 && e.rate.Book().Due(now, h) {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *account) settings() (name string, homes []home) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.limit.Name(), e.homes
+}
+
+func (e *account) retry() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if len(e.waiters) > 0 {
+		e.kick(e.ledger.Clock.Now())
+	}
+}
+
+func (e *account) isShort() bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	tokens, _ := e.rate.Short(e.ledger.Clock.Now(), e.waiting)
+	return tokens
+}
+
+// borrow asks some lenders, side by side, for equal parts of what is missing when
+// the loans from the lenders in without are not counted.
+func (e *account) borrow(ctx context.Context, from, without []string) {
+	if len(from) == 0 || ctx.Err() != nil {
+		return
+	}
+	sent := e.open(ctx, from, without)
+	for host, q := range sent {
+		g, ok := <-q.answer
+		now := e.ledger.Clock.Now()
+		e.mutex.Lock()
+		if !ok || !e.rate.Accept(now, host, q.ask, g) {
+			e.rate.Abandon(now, host, q.ask)
+		}
+		e.note(now, host, g.Left)
+		e.serveLocked(now)
+		e.mutex.Unlock()
+	}
+}
+
+// stock is what a lender had left when it last answered.
+type stock struct {
+	tokens float64
+	at     time.Time
+}
+
+// note remembers what a lender has left. The mutex is held.
+func (e *account) note(now time.Time, host string, left float64) {
+	if e.stocks == nil {
+		e.stocks = make(map[string]stock)
+	}
+	e.stocks[host] = stock{
+		tokens: left,
+		at:     now,
+	}
+}
+
+// fullest returns the index of the lender that probably has most tokens: what it
+// had left, filled up since at its own rate; a lender not asked yet is full.
+func (e *account) fullest(hosts []string) int {
+	now := e.ledger.Clock.Now()
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	part := ownRate(e.limit, e.homes, e.homes[0].domain)
+	best, most := 0, -1.0
+	for i, h := range hosts {
+		n := part.Burst()
+		if s, ok := e.stocks[h]; ok {
+			n = min(n, s.tokens+part.Rate()*now.Sub(s.at).Seconds())
+		}
+		if n > most {
+			best, most = i, n
+		}
+	}
+	return best
+}
+
+// open sends the asks of borrow.
+func (e *account) open(ctx context.Context, from, without []string) map[string]*errand {
+	now := e.ledger.Clock.Now()
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	wanted := e.rate.Wanted(now, e.waiting)
+	held := e.rate.Held(now)
+	for _, h := range without {
+		p, _ := e.rate.Book().Loan(now, h)
+		held = held.Minus(p)
+	}
+	share := 1 / float64(len(from))
+	want := wanted.Minus(held).Scale(share)
+	tokens := max(wanted.Burst()-e.rate.Available(now), 0) * share
+	sent := make(map[string]*errand)
+	for _, h := range from {
+		have, _ := e.rate.Book().Loan(now, h)
+		if have.IsZero() && want.Rate() < negligible && tokens < negligible {
+			continue
+		}
+		q := &errand{
+			name: e.limit.Name(),
+			ask:  e.rate.Ask(now, h, want, tokens),
+		}
+		e.ledger.lenders.send(ctx, h, q)
+		sent[h] = q
+	}
+	return sent
+}
+
+// lend answers the ask of another host.
+func (e *account) lend(borrower string, a loan.Ask) loan.Grant {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	now := e.ledger.Clock.Now()
+	g := e.rate.Lend(now, borrower, a, e.waiting)
+	e.arm(now)
+	return g
+}
--- a/stand/dbase/call.go
+++ b/stand/dbase/call.go
@@ -89,11 +89,13 @@
 			},
 		}
 	}
+	status := of(0, func(_ context.Context, x *session, _ []string) (coltsfootloft.Reading, error) {
+		return x.server.status(), nil
+	})
+	status.platform = false
 	return map[string]*call{
-		"platform_status": of(0, func(_ context.Context, x *session, _ []string) (coltsfootloft.Reading, error) {
-			return x.server.status(), nil
-		}),
-		"platform_await": of(2, callAwait),
+		"platform_status": status,
+		"platform_await":  of(2, callAwait),
 		"platform_fence": of(1, func(_ context.Context, x *session, args []string) (coltsfootloft.Reading, error) {
 			return x.withTerm(args[0], x.server.raise)
 		}),
--- a/stand/dbase/doc.go
+++ b/stand/dbase/doc.go
@@ -6,10 +6,10 @@
 // follow; a record counts as received at once, and as applied after a lag.
 //
 // Every database keeps a fence term. A database that was fenced takes no commit
-// and no replication of a lower term. The functions platform_status,
-// platform_await, platform_fence, platform_promote and platform_follow, called
-// by the user platform, read and change this state. platform_commit gives any
-// user the position of the last commit on the same connection.
+// and no replication of a lower term. The functions platform_await,
+// platform_fence, platform_promote and platform_follow, called by the user
+// platform, read and change this state. platform_status gives any user the state,
+// and platform_commit the position of the last commit on the same connection.
 //
 // Faults are functions as well: standin_lag('50ms'), standin_freeze('2s') and
 // standin_cut('<peer>'). standin_executed() lists the statements that have run,
