--- a/cmd/standin/process_test.go
+++ b/cmd/standin/process_test.go
@@ -75,14 +75,23 @@
 	p.command.Wait()
 }
 
+// freeAddress returns an address that nobody listens on. Its port is below those
+// that the system gives out by itself, so that it stays free.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	for {
+		lastPort++
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", lastPort))
+		if err == nil {
+			defer l.Close()
+			return l.Addr().String()
+		}
+	}
 }
 
+// lastPort is the port that freeAddress has tried last.
+var lastPort = 20_000 + os.Getpid()%10_000
+
 func connect(t *testing.T, address string) *pgx.Conn {
 	t.Helper()
 	c, err := pgx.Connect(t.Context(), "postgres://caroni@"+address+"/news?sslmode=disable")
--- a/stand/dbase/help_test.go
+++ b/stand/dbase/help_test.go
@@ -14,21 +14,22 @@
 
 // start runs a database until the test ends.
 func start(t *testing.T, s *dbase.Server) *dbase.Server {
+	t.Helper()
+	launch(t, s)
+	<-s.Ready()
+	return s
+}
+
+// launch does not wait until the database is ready.
+func launch(t *testing.T, s *dbase.Server) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- s.Run(ctx) }()
-	select {
-	case <-s.Ready():
-	case err := <-done:
-		cancel()
-		t.Fatal(err)
-	}
 	t.Cleanup(func() {
 		cancel()
 		assert.NilError(t, <-done)
 	})
-	return s
 }
 
 func single(t *testing.T) *dbase.Server {
@@ -43,37 +44,35 @@
 func group(t *testing.T, lag time.Duration) map[string]*dbase.Server {
 	t.Helper()
 	names := []string{"a", "b", "c"}
-	addresses := make(map[string]string)
+	listeners := make(map[string]net.Listener)
 	for _, n := range names {
-		addresses[n] = freeAddress(t)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		listeners[n] = l
 	}
 	out := make(map[string]*dbase.Server)
 	for _, n := range names {
 		peers := make(map[string]string)
 		for _, p := range names {
 			if p != n {
-				peers[p] = addresses[p]
+				peers[p] = listeners[p].Addr().String()
 			}
 		}
-		out[n] = start(t, &dbase.Server{
-			Name:            n,
-			ReplicateListen: addresses[n],
-			Peers:           peers,
-			Initial:         "a",
-			Lag:             lag,
-		})
+		out[n] = &dbase.Server{
+			Name:              n,
+			ReplicateListener: listeners[n],
+			Peers:             peers,
+			Initial:           "a",
+			Lag:               lag,
+		}
+		launch(t, out[n])
+	}
+	for _, s := range out {
+		<-s.Ready()
 	}
 	return out
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func url(s *dbase.Server, user string) string {
 	return "postgres://" + user + "@" + s.Addr().String() + "/news?sslmode=disable"
 }
--- a/stand/dbase/server.go
+++ b/stand/dbase/server.go
@@ -38,6 +38,9 @@
 	// ReplicateListen is the IP:port where replicas fetch the log; empty means a
 	// free port of 127.0.0.1.
 	ReplicateListen string
+	// ReplicateListener is used instead of ReplicateListen if it is set, so that
+	// peers can know the address before any of them runs. Run closes it.
+	ReplicateListener net.Listener
 	// Peers maps the names of the other databases to their ReplicateListen.
 	Peers map[string]string
 	// Initial names the primary of the bootstrap term.
@@ -121,15 +124,11 @@
 	if s.ran.Swap(true) {
 		return errors.New("database has run before; without its state it is a new one")
 	}
+	defer s.cleanup()
 	if err := s.start(ctx); err != nil {
 		return err
 	}
-	defer s.cleanup()
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return s.accept(ctx, s.listener, s.serve) })
-	g.Go(func() error { return s.accept(ctx, s.replicate, s.ship) })
-	g.Go(func() error { return s.apply(ctx) })
-	g.Go(func() error { return s.pull(ctx) })
 	g.Go(func() error {
 		<-ctx.Done()
 		s.listener.Close()
@@ -137,8 +136,17 @@
 		s.closeSessions()
 		return nil
 	})
-	close(s.ready)
-	s.Log.Info("database listens", "name", s.Name, "address", s.Addr().String(), "replicate", s.ReplicateAddr().String())
+	g.Go(func() error { return s.accept(ctx, s.replicate, s.ship) })
+	g.Go(func() error {
+		if err := s.bootstrap(ctx); err != nil {
+			return err
+		}
+		g.Go(func() error { return s.apply(ctx) })
+		g.Go(func() error { return s.pull(ctx) })
+		close(s.ready)
+		s.Log.Info("database listens", "name", s.Name, "address", s.Addr().String(), "replicate", s.ReplicateAddr().String())
+		return s.accept(ctx, s.listener, s.serve)
+	})
 	return g.Wait()
 }
 
@@ -168,13 +176,12 @@
 	if s.journal, err = openJournal(s.Dir, &s.ledger); err != nil {
 		return err
 	}
-	if err := s.bootstrap(ctx); err != nil {
-		return err
-	}
 	if s.listener, err = listen(ctx, s.Listen); err != nil {
 		return err
 	}
-	s.replicate, err = listen(ctx, s.ReplicateListen)
+	if s.replicate = s.ReplicateListener; s.replicate == nil {
+		s.replicate, err = listen(ctx, s.ReplicateListen)
+	}
 	return err
 }
 
@@ -190,10 +197,14 @@
 // bootstrap sets the state of a database that starts: what its directory holds,
 // or the first state of the group.
 func (s *Server) bootstrap(ctx context.Context) error {
+	known := s.ledger.fence.IsZero() && s.isKnown(ctx)
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if !s.ledger.fence.IsZero() {
 		return s.recover()
 	}
-	if s.lost = s.isKnown(ctx); s.lost {
+	if known {
+		s.lost = true
 		s.Log.Info("peers know this database, but its state is lost", "name", s.Name)
 		return nil
 	}
@@ -236,6 +247,11 @@
 }
 
 func (s *Server) cleanup() {
+	for _, l := range []net.Listener{s.listener, s.replicate} {
+		if l != nil {
+			l.Close()
+		}
+	}
 	s.journal.close()
 	if err := os.RemoveAll(s.tmp); err != nil {
 		s.Log.Error(err, "cleanup", "name", s.Name)
--- a/stand/dbase/ship.go
+++ b/stand/dbase/ship.go
@@ -41,6 +41,9 @@
 // helloTimeout bounds the wait for a hello and its answer.
 const helloTimeout = 2 * time.Second
 
+// askTimeout bounds what a start waits for peers that do not answer.
+const askTimeout = 250 * time.Millisecond
+
 // ship serves the log to one replica while the reign lasts that it asked for.
 func (s *Server) ship(ctx context.Context, c net.Conn) {
 	var h hello
@@ -149,16 +152,19 @@
 
 // isKnown asks all peers whether one has met this database before.
 func (s *Server) isKnown(ctx context.Context) bool {
+	answers := make(chan bool, len(s.Peers))
 	for _, address := range s.Peers {
-		if s.ask(ctx, address) {
-			return true
-		}
+		go func() { answers <- s.ask(ctx, address) }()
+	}
+	known := false
+	for range s.Peers {
+		known = <-answers || known
 	}
-	return false
+	return known
 }
 
 func (s *Server) ask(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, helloTimeout/4)
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	var d net.Dialer
 	c, err := d.DialContext(ctx, "tcp", address)
@@ -166,7 +172,7 @@
 		return false
 	}
 	defer c.Close()
-	_ = c.SetDeadline(time.Now().Add(helloTimeout / 4))
+	_ = c.SetDeadline(time.Now().Add(askTimeout))
 	h := hello{
 		Name: s.Name,
 		Ask:  true,
