--- a/test/network_test.go
+++ b/test/network_test.go
@@ -124,6 +124,13 @@
 	}
 }
 
+// delay sets the one-way delay between two places, in both directions.
+func (n *network) delay(a, b int, d time.Duration) {
+	for _, w := range []way{{a, b}, {b, a}} {
+		n.change(w, func(p *policy) { p.delay = d })
+	}
+}
+
 // cut resets and refuses every connection between two places, or mends that.
 func (n *network) cut(a, b int, on bool) {
 	for _, w := range []way{{a, b}, {b, a}} {
