--- a/io/peer/call.go
+++ b/io/peer/call.go
@@ -20,7 +20,7 @@
 func (l *Links) Call(ctx context.Context, host, duty string, body []byte) ([]byte, error) {
 	l.prepare()
 	if host == l.Self {
-		h := l.handlers[duty]
+		h := l.handler(duty)
 		if h == nil {
 			return nil, errors.Wrap(ErrUnknownDuty, duty)
 		}
--- a/io/peer/dial.go
+++ b/io/peer/dial.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"coltsfootloft/io/dial"
 	"coltsfootloft/io/peer/peerpb"
 
 	"github.com/pkg/errors"
@@ -14,8 +15,8 @@
 // openTimeout bounds opening a link, TLS and Hello included.
 const openTimeout = time.Second
 
-// dial is one attempt to open a link, shared by all calls that wait for it.
-type dial struct {
+// attempt is one attempt to open a link, shared by all calls that wait for it.
+type attempt struct {
 	done chan struct{}
 	link *link
 	err  error
@@ -35,7 +36,7 @@
 	}
 	d := l.dials[host]
 	if d == nil {
-		d = &dial{done: make(chan struct{})}
+		d = &attempt{done: make(chan struct{})}
 		l.dials[host] = d
 		l.group.Add(1)
 		go l.dial(host, d)
@@ -49,7 +50,7 @@
 	}
 }
 
-func (l *Links) dial(host string, d *dial) {
+func (l *Links) dial(host string, d *attempt) {
 	defer l.group.Done()
 	d.link, d.err = l.open(host)
 	if d.err != nil {
@@ -72,8 +73,7 @@
 	}
 	ctx, cancel := context.WithTimeout(l.base, openTimeout)
 	defer cancel()
-	var d net.Dialer
-	raw, err := d.DialContext(ctx, "tcp", address)
+	raw, err := dial.Or(l.Dial, 0)(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/io/peer/links.go
+++ b/io/peer/links.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"coltsfootloft"
+	"coltsfootloft/io/dial"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
@@ -25,8 +26,7 @@
 	DefaultIdle = time.Minute
 )
 
-// Links is a coltsfootloft.Peers. Its fields are set and the duties registered
-// before Run.
+// Links is a coltsfootloft.Peers. Its fields are set before Run.
 type Links struct {
 	// Self is the name of this host.
 	Self string
@@ -34,6 +34,8 @@
 	Listen string
 	// Resolve returns the peer address, IP:port, of a host.
 	Resolve func(host string) (address string, ok bool)
+	// Dial opens connections; those of a net.Dialer if nil.
+	Dial dial.Func
 	// TLS makes links use mutual TLS, none if nil. With ServerName empty each
 	// host's certificate must carry the host's name; with ServerName set all
 	// hosts' certificates carry that one.
@@ -65,18 +67,27 @@
 	closed bool
 	links  map[string]*link
 	extra  map[*link]struct{}
-	dials  map[string]*dial
+	dials  map[string]*attempt
 	group  sync.WaitGroup
 }
 
 var _ coltsfootloft.Peers = (*Links)(nil)
 
-// Register sets the handler of a duty, before Run.
+// Register sets the handler of a duty. Until then calls of the duty fail with
+// ErrUnknownDuty at the caller.
 func (l *Links) Register(duty string, h coltsfootloft.Handler) {
 	l.prepare()
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.handlers[duty] = h
 }
 
+func (l *Links) handler(duty string) coltsfootloft.Handler {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.handlers[duty]
+}
+
 // Addr is the bound IP:port. It waits until Run has bound it.
 func (l *Links) Addr() string {
 	l.prepare()
@@ -112,7 +123,7 @@
 		l.bound = make(chan struct{})
 		l.links = make(map[string]*link)
 		l.extra = make(map[*link]struct{})
-		l.dials = make(map[string]*dial)
+		l.dials = make(map[string]*attempt)
 		if l.Clock == nil {
 			l.Clock = clockwork.NewRealClock()
 		}
--- a/io/peer/serve.go
+++ b/io/peer/serve.go
@@ -88,7 +88,7 @@
 		return
 	}
 	answer := &peerpb.Answer{Id: request.GetId()}
-	h := l.handlers[request.GetDuty()]
+	h := l.handler(request.GetDuty())
 	var result []byte
 	var late bool
 	switch {
