--- /dev/null
+++ b/io/certs/certs_test.go
@@ -0,0 +1,206 @@
+package certs_test
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"coltsfootloft/core/conf"
+	"coltsfootloft/io/certs"
+)
+
+// authority signs certificates for tests.
+type authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+	serial      int64
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	a := &authority{}
+	c := a.template("authority")
+	c.IsCA = true
+	c.KeyUsage = x509.KeyUsageCertSign
+	c.BasicConstraintsValid = true
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	der, err := x509.CreateCertificate(rand.Reader, c, c, key.Public(), key)
+	assert.NilError(t, err)
+	a.key = key
+	a.certificate, err = x509.ParseCertificate(der)
+	assert.NilError(t, err)
+	return a
+}
+
+func (a *authority) template(name string) *x509.Certificate {
+	a.serial++
+	return &x509.Certificate{
+		SerialNumber: big.NewInt(a.serial),
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    time.Now().Add(-time.Hour),
+		NotAfter:     time.Now().Add(time.Hour),
+		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+}
+
+// issue writes a certificate for an IP number, its key and the authority into dir.
+func (a *authority) issue(t *testing.T, dir, name, ip string) conf.Files {
+	t.Helper()
+	c := a.template(name)
+	c.IPAddresses = []net.IP{net.ParseIP(ip)}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	der, err := x509.CreateCertificate(rand.Reader, c, a.certificate, key.Public(), a.key)
+	assert.NilError(t, err)
+	k, err := x509.MarshalPKCS8PrivateKey(key)
+	assert.NilError(t, err)
+	f := conf.NewFiles(filepath.Join(dir, "cert"), filepath.Join(dir, "key"), filepath.Join(dir, "ca"))
+	write(t, f.Certificate(), "CERTIFICATE", der)
+	write(t, f.Key(), "PRIVATE KEY", k)
+	write(t, f.Authorities(), "CERTIFICATE", a.certificate.Raw)
+	return f
+}
+
+func write(t *testing.T, name, kind string, der []byte) {
+	t.Helper()
+	b := pem.EncodeToMemory(&pem.Block{
+		Type:  kind,
+		Bytes: der,
+	})
+	assert.NilError(t, os.WriteFile(name, b, 0o600))
+}
+
+// handshakeTimeout keeps a failed handshake from waiting for ever.
+const handshakeTimeout = 2 * time.Second
+
+// shake runs one handshake and returns the server's name, as the client sees it,
+// and the errors of both sides.
+func shake(t *testing.T, server, client *tls.Config) (name string, clientErr, serverErr error) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	done := make(chan error, 1)
+	go func() {
+		raw, err := l.Accept()
+		if err != nil {
+			done <- err
+			return
+		}
+		defer raw.Close()
+		raw.SetDeadline(time.Now().Add(handshakeTimeout))
+		done <- tls.Server(raw, server).Handshake()
+	}()
+	raw, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	defer raw.Close()
+	raw.SetDeadline(time.Now().Add(handshakeTimeout))
+	c := tls.Client(raw, client)
+	clientErr = c.Handshake()
+	if clientErr == nil {
+		name = c.ConnectionState().PeerCertificates[0].Subject.CommonName
+	}
+	return name, clientErr, <-done
+}
+
+func client(t *testing.T, r *certs.Reloader, address string) *tls.Config {
+	t.Helper()
+	c, err := r.Client(address)
+	assert.NilError(t, err)
+	return c
+}
+
+func TestMutualTLSBetweenHosts(t *testing.T) {
+	a := newAuthority(t)
+	one := &certs.Reloader{
+		Files:   a.issue(t, t.TempDir(), "one", "10.0.0.1"),
+		AnyName: true,
+	}
+	two := &certs.Reloader{
+		Files:   a.issue(t, t.TempDir(), "two", "10.0.0.2"),
+		AnyName: true,
+	}
+	assert.NilError(t, one.Check())
+	name, err, other := shake(t, one.Server(), client(t, two, "127.0.0.1:1"))
+	assert.NilError(t, err)
+	assert.NilError(t, other)
+	assert.Equal(t, name, "one")
+	stranger := &certs.Reloader{
+		Files:   newAuthority(t).issue(t, t.TempDir(), "stranger", "10.0.0.3"),
+		AnyName: true,
+	}
+	_, err, _ = shake(t, stranger.Server(), client(t, two, "127.0.0.1:1"))
+	assert.ErrorContains(t, err, "unknown authority")
+	_, _, other = shake(t, one.Server(), client(t, stranger, "127.0.0.1:1"))
+	assert.Assert(t, other != nil)
+	plain := client(t, two, "127.0.0.1:1")
+	plain.Certificates = nil
+	_, _, other = shake(t, one.Server(), plain)
+	assert.ErrorContains(t, other, "certificate")
+}
+
+func TestAddressMustBeInTheCertificate(t *testing.T) {
+	a := newAuthority(t)
+	dir := t.TempDir()
+	files := a.issue(t, dir, "db", "10.0.0.1")
+	server := &certs.Reloader{Files: conf.NewFiles(files.Certificate(), files.Key(), "")}
+	strict := &certs.Reloader{Files: conf.NewFiles("", "", files.Authorities())}
+	_, err, _ := shake(t, server.Server(), client(t, strict, "10.0.0.1:5432"))
+	assert.NilError(t, err)
+	_, err, _ = shake(t, server.Server(), client(t, strict, "10.0.0.2:5432"))
+	assert.ErrorContains(t, err, "10.0.0.2")
+}
+
+func TestFilesAreReloadedAndBadOnesKeptOut(t *testing.T) {
+	a := newAuthority(t)
+	dir := t.TempDir()
+	clock := clockwork.NewFakeClock()
+	r := &certs.Reloader{
+		Files:   a.issue(t, dir, "old", "10.0.0.1"),
+		AnyName: true,
+		Clock:   clock,
+	}
+	server := r.Server()
+	seen := func() string {
+		name, err, _ := shake(t, server, client(t, r, "10.0.0.1:1"))
+		assert.NilError(t, err)
+		return name
+	}
+	assert.Equal(t, seen(), "old")
+	a.issue(t, dir, "new", "10.0.0.1")
+	assert.Equal(t, seen(), "old")
+	clock.Advance(certs.DefaultInterval)
+	assert.Equal(t, seen(), "new")
+	assert.NilError(t, os.WriteFile(r.Files.Key(), []byte("not yet written"), 0o600))
+	clock.Advance(certs.DefaultInterval)
+	assert.Equal(t, seen(), "new")
+	a.issue(t, dir, "newest", "10.0.0.1")
+	clock.Advance(certs.DefaultInterval)
+	assert.Equal(t, seen(), "newest")
+}
+
+func TestCheckFailsEarly(t *testing.T) {
+	dir := t.TempDir()
+	a := newAuthority(t)
+	files := a.issue(t, dir, "x", "10.0.0.1")
+	missing := &certs.Reloader{Files: conf.NewFiles(files.Certificate(), filepath.Join(dir, "none"), "")}
+	assert.ErrorContains(t, missing.Check(), "no such file")
+	mixed := &certs.Reloader{Files: conf.NewFiles(files.Certificate(), files.Key(), files.Key())}
+	assert.ErrorContains(t, mixed.Check(), "no certificate in PEM")
+	_, err := missing.Client("10.0.0.1:1")
+	assert.ErrorContains(t, err, "no such file")
+}
