dbase: end what gone callers wait for, and silent holders of the write lock

A caller that went while it waited in platform_await or pg_sleep kept its place among the connections until the wait was over, up to half a minute; sixteen killed hosts would have locked the platform out. Waits now watch the connection. A host cut off inside a writing transaction held the one write lock of the database for good; idle-transaction ends it with 25P03. The names of databases met are kept with Dir. Page caches are 256 KiB, since each connection has one.

--- a/cmd/standin/database.go
+++ b/cmd/standin/database.go
@@ -44,6 +44,7 @@
 	f.Var(&c.peers, "peer", "name=IP:port of another database's -replicate; may be repeated")
 	f.StringVar(&s.Initial, "initial", "", "name of the primary of the first term")
 	f.IntVar(&s.MaxConns, "max-conns", 100, "limit of connections, without the platform's")
+	f.DurationVar(&s.IdleTransaction, "idle-transaction", 5*time.Second, "time after which a silent session that holds the write lock is ended; 0 is never")
 	f.DurationVar(&s.ConnectDelay, "connect-delay", 12*time.Millisecond, "time that a new connection takes")
 	f.DurationVar(&s.Lag, "lag", 0, "time from receiving to applying a record")
 	f.StringVar(&s.Dir, "dir", "", "directory for log and terms; empty keeps them in memory")
--- a/stand/dbase/apply.go
+++ b/stand/dbase/apply.go
@@ -192,6 +192,16 @@
 	}
 }
 
+func (s *Server) tryLockWriter(x *session) bool {
+	select {
+	case s.writer <- struct{}{}:
+		s.holder.Store(x)
+		return true
+	default:
+		return false
+	}
+}
+
 func (s *Server) unlockWriter() {
 	s.holder.Store(nil)
 	<-s.writer
--- a/stand/dbase/bench_test.go
+++ b/stand/dbase/bench_test.go
@@ -51,14 +51,15 @@
 
 func prepare(b *testing.B, s *dbase.Server) {
 	b.Helper()
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- s.Run(ctx) }()
+	launch(b, s)
 	<-s.Ready()
-	b.Cleanup(func() {
-		cancel()
-		assert.NilError(b, <-done)
-	})
+	fill(b, s)
+}
+
+// fill makes a table of a thousand rows.
+func fill(b *testing.B, s *dbase.Server) {
+	b.Helper()
+	ctx := context.Background()
 	c, err := pgx.Connect(ctx, url(s, "caroni"))
 	assert.NilError(b, err)
 	defer c.Close(ctx)
@@ -104,6 +105,35 @@
 	})
 }
 
+// BenchmarkCommitsWithReplicas has two replicas that take the log.
+func BenchmarkCommitsWithReplicas(b *testing.B) {
+	g := group(b, 0)
+	fill(b, g["a"])
+	run(b, g["a"], insert)
+}
+
+// BenchmarkReceived is the time from sending a write to knowing that a replica
+// has received it.
+func BenchmarkReceived(b *testing.B) {
+	g := group(b, 0)
+	fill(b, g["a"])
+	d := operations(b, g)["b"]
+	r, err := d.Status(b.Context())
+	assert.NilError(b, err)
+	c, err := pgx.Connect(b.Context(), url(g["a"], "caroni"))
+	assert.NilError(b, err)
+	defer c.Close(context.Background())
+	n := int64(0)
+	for b.Loop() {
+		n++
+		assert.NilError(b, insert(c, n))
+		for r.Received().Offset() < uint64(1002+n) {
+			r, err = d.Await(b.Context(), r.Version())
+			assert.NilError(b, err)
+		}
+	}
+}
+
 func BenchmarkConnect(b *testing.B) {
 	s := server(b, "")
 	b.ResetTimer()
--- a/stand/dbase/call.go
+++ b/stand/dbase/call.go
@@ -18,6 +18,8 @@
 	platform bool
 	// quiet functions are not counted as executed.
 	quiet bool
+	// waits is set for functions that may take long; they end with the caller.
+	waits bool
 	// arguments is the number that the function needs.
 	arguments int
 	run       func(ctx context.Context, x *session, args []string) ([][]any, error)
@@ -69,6 +71,11 @@
 		x.server.counts.add(p.statement)
 	}
 	p.columns = c.columns
+	if c.waits {
+		watched, stop := x.conn.watch(ctx)
+		defer stop()
+		ctx = watched
+	}
 	var err error
 	p.rows, err = c.run(ctx, x, args)
 	return err
@@ -77,11 +84,12 @@
 // groupCalls are the platform's operations on a database.
 func groupCalls() map[string]*call {
 	state := textColumns("role", "fence", "received_term", "received", "applied_term", "applied", "primary", "version")
-	of := func(arguments int, run func(ctx context.Context, x *session, args []string) (coltsfootloft.Reading, error)) *call {
+	of := func(arguments int, waits bool, run func(ctx context.Context, x *session, args []string) (coltsfootloft.Reading, error)) *call {
 		return &call{
 			columns:   state,
 			platform:  true,
 			quiet:     true,
+			waits:     waits,
 			arguments: arguments,
 			run: func(ctx context.Context, x *session, args []string) ([][]any, error) {
 				r, err := run(ctx, x, args)
@@ -89,20 +97,20 @@
 			},
 		}
 	}
-	status := of(0, func(_ context.Context, x *session, _ []string) (coltsfootloft.Reading, error) {
+	status := of(0, false, func(_ context.Context, x *session, _ []string) (coltsfootloft.Reading, error) {
 		return x.server.status(), nil
 	})
 	status.platform = false
 	return map[string]*call{
 		"platform_status": status,
-		"platform_await":  of(2, callAwait),
-		"platform_fence": of(1, func(_ context.Context, x *session, args []string) (coltsfootloft.Reading, error) {
+		"platform_await":  of(2, true, callAwait),
+		"platform_fence": of(1, false, func(_ context.Context, x *session, args []string) (coltsfootloft.Reading, error) {
 			return x.withTerm(args[0], x.server.raise)
 		}),
-		"platform_promote": of(1, func(ctx context.Context, x *session, args []string) (coltsfootloft.Reading, error) {
+		"platform_promote": of(1, true, func(ctx context.Context, x *session, args []string) (coltsfootloft.Reading, error) {
 			return x.withTerm(args[0], func(t coltsfootloft.Term) error { return x.server.promote(ctx, t) })
 		}),
-		"platform_follow": of(2, func(_ context.Context, x *session, args []string) (coltsfootloft.Reading, error) {
+		"platform_follow": of(2, false, func(_ context.Context, x *session, args []string) (coltsfootloft.Reading, error) {
 			return x.withTerm(args[0], func(t coltsfootloft.Term) error { return x.server.follow(t, args[1]) })
 		}),
 		"platform_commit": {
--- a/stand/dbase/fail.go
+++ b/stand/dbase/fail.go
@@ -24,6 +24,7 @@
 	codeReadOnly           = "25006"
 	codeNoTransaction      = "25P01"
 	codeFailed             = "25P02"
+	codeIdle               = "25P03"
 	codeNoStatement        = "26000"
 	codePassword           = "28P01"
 	codeNoPortal           = "34000"
--- a/stand/dbase/group.go
+++ b/stand/dbase/group.go
@@ -67,7 +67,7 @@
 		return failure(codeUndefinedTable, "no peer is named %q", primary)
 	}
 	err := s.update(func(l *ledger) error {
-		s.met[primary] = true
+		l.meet(primary)
 		s.hurry = false
 		return l.follow(term, primary)
 	})
--- a/stand/dbase/group_test.go
+++ b/stand/dbase/group_test.go
@@ -14,7 +14,7 @@
 	"coltsfootloft/stand/dbase"
 )
 
-func operations(t *testing.T, servers map[string]*dbase.Server) map[string]*dbops.Database {
+func operations(t testing.TB, servers map[string]*dbase.Server) map[string]*dbops.Database {
 	t.Helper()
 	out := make(map[string]*dbops.Database)
 	for n, s := range servers {
--- a/stand/dbase/help_test.go
+++ b/stand/dbase/help_test.go
@@ -21,7 +21,7 @@
 }
 
 // launch does not wait until the database is ready.
-func launch(t *testing.T, s *dbase.Server) {
+func launch(t testing.TB, s *dbase.Server) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
@@ -41,7 +41,7 @@
 }
 
 // group runs three databases, a as their primary.
-func group(t *testing.T, lag time.Duration) map[string]*dbase.Server {
+func group(t testing.TB, lag time.Duration) map[string]*dbase.Server {
 	t.Helper()
 	names := []string{"a", "b", "c"}
 	listeners := make(map[string]net.Listener)
--- a/stand/dbase/helper.go
+++ b/stand/dbase/helper.go
@@ -37,6 +37,7 @@
 		}),
 		"pg_sleep": {
 			columns:   textColumns("pg_sleep"),
+			waits:     true,
 			arguments: 1,
 			run:       callSleep,
 		},
--- a/stand/dbase/journal.go
+++ b/stand/dbase/journal.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/gob"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -29,6 +30,7 @@
 	Reign    string
 	Followed string
 	Primary  string
+	Met      []string
 }
 
 // journal keeps the ledger in files, one for each run of the process. It never
@@ -116,6 +118,9 @@
 		}
 		*p.term = t
 	}
+	for _, n := range s.Met {
+		l.meet(n)
+	}
 	l.role = coltsfootloft.Role(s.Role)
 	l.primary = s.Primary
 	return nil
@@ -150,6 +155,7 @@
 			Reign:    l.reign.String(),
 			Followed: l.followed.String(),
 			Primary:  l.primary,
+			Met:      slices.Sorted(maps.Keys(l.met)),
 		},
 	})
 }
--- a/stand/dbase/ledger.go
+++ b/stand/dbase/ledger.go
@@ -47,6 +47,20 @@
 	applied uint64
 	// epoch changes whenever replication must start anew.
 	epoch uint64
+	// met holds the names of the databases that this one has shared its log with.
+	met map[string]bool
+}
+
+// meet notes a database that shares the log, and reports whether it is new.
+func (l *ledger) meet(name string) bool {
+	if l.met[name] {
+		return false
+	}
+	if l.met == nil {
+		l.met = make(map[string]bool)
+	}
+	l.met[name] = true
+	return true
 }
 
 // received is the position of the newest record.
--- a/stand/dbase/lite.go
+++ b/stand/dbase/lite.go
@@ -30,6 +30,16 @@
 	cache   map[string]*cursor
 }
 
+// pragmas set up a connection to the engine. The page cache is small because
+// every caller's connection has one.
+var pragmas = []string{
+	"PRAGMA journal_mode=WAL",
+	"PRAGMA synchronous=OFF",
+	"PRAGMA temp_store=MEMORY",
+	"PRAGMA foreign_keys=ON",
+	"PRAGMA cache_size=-256",
+}
+
 // openHandle opens the file at path, and creates it if it is missing.
 func openHandle(path string) (*handle, error) {
 	h := &handle{
@@ -51,7 +61,7 @@
 		return nil, errors.Wrap(err, "open engine")
 	}
 	lite.Xsqlite3_busy_timeout(h.tls, h.db, 10_000)
-	for _, q := range []string{"PRAGMA journal_mode=WAL", "PRAGMA synchronous=OFF", "PRAGMA temp_store=MEMORY", "PRAGMA foreign_keys=ON"} {
+	for _, q := range pragmas {
 		if err := h.exec(q); err != nil {
 			h.close()
 			return nil, errors.Wrap(err, q)
--- a/stand/dbase/serve_test.go
+++ b/stand/dbase/serve_test.go
@@ -89,6 +89,34 @@
 	exec(t, waiting, "DELETE FROM notices")
 }
 
+// TestGoneCallersLeaveNothing checks that what a caller waits for ends with it.
+func TestGoneCallersLeaveNothing(t *testing.T) {
+	s := start(t, &dbase.Server{
+		Name:            "a",
+		Initial:         "a",
+		MaxConns:        1,
+		IdleTransaction: 100 * time.Millisecond,
+	})
+	for range 20 {
+		c, err := pgx.Connect(t.Context(), url(s, "platform"))
+		assert.NilError(t, err)
+		hijacked, err := c.PgConn().Hijack()
+		assert.NilError(t, err)
+		hijacked.Frontend.SendQuery(&pgproto3.Query{String: "SELECT pg_sleep(600)"})
+		assert.NilError(t, hijacked.Frontend.Flush())
+		hijacked.Conn.Close()
+		time.Sleep(5 * time.Millisecond)
+	}
+	c := connect(t, s, "caroni")
+	exec(t, c, createNotices)
+	exec(t, c, "BEGIN")
+	exec(t, c, "DELETE FROM notices")
+	time.Sleep(200 * time.Millisecond)
+	_, err := c.Exec(t.Context(), "COMMIT")
+	assert.Assert(t, err != nil)
+	exec(t, connect(t, s, "platform"), "DELETE FROM notices")
+}
+
 func TestPortalsGiveRowsInParts(t *testing.T) {
 	s := single(t)
 	c := connect(t, s, "caroni").PgConn()
--- a/stand/dbase/server.go
+++ b/stand/dbase/server.go
@@ -47,6 +47,9 @@
 	Initial string
 	// MaxConns bounds connections other than the platform's; 0 means 100.
 	MaxConns int
+	// IdleTransaction ends a session that holds the write lock and sends nothing
+	// for this long, with SQLSTATE 25P03; 0 means never.
+	IdleTransaction time.Duration
 	// ConnectDelay is added to every new connection.
 	ConnectDelay time.Duration
 	// Lag is the time from receiving a record to applying it.
@@ -85,7 +88,6 @@
 	// before it takes callers again.
 	syncTo   uint64
 	cuts     map[string]bool
-	met      map[string]bool
 	frozen   time.Time
 	sessions map[uint32]*session
 	pid      uint32
@@ -100,7 +102,7 @@
 	counts counter
 }
 
-// Ready is closed once the database listens.
+// Ready is closed once the database listens. It stays open if Run fails before.
 func (s *Server) Ready() <-chan struct{} {
 	s.readyOnce.Do(func() { s.ready = make(chan struct{}) })
 	return s.ready
@@ -160,7 +162,6 @@
 	s.sessions = make(map[uint32]*session)
 	s.writer = make(chan struct{}, 1)
 	s.cuts = make(map[string]bool)
-	s.met = make(map[string]bool)
 	s.lag = s.Lag
 	s.version = uint64(s.Clock.Now().UnixNano())
 	var err error
--- a/stand/dbase/session.go
+++ b/stand/dbase/session.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/jackc/pgx/v5/pgtype"
+	"github.com/pkg/errors"
 
 	"coltsfootloft"
 )
@@ -18,7 +21,7 @@
 // session is one connection of a caller.
 type session struct {
 	server   *Server
-	conn     net.Conn
+	conn     *peekConn
 	backend  *pgproto3.Backend
 	platform bool
 	user     string
@@ -60,7 +63,6 @@
 	}
 	x := &session{
 		server:    s,
-		conn:      c,
 		types:     pgtype.NewMap(),
 		settings:  make(map[string]string),
 		prepared:  make(map[string]*prepared),
@@ -78,8 +80,8 @@
 }
 
 func (x *session) useConn(c net.Conn) {
-	x.conn = c
-	x.backend = pgproto3.NewBackend(c, c)
+	x.conn = newPeekConn(c)
+	x.backend = pgproto3.NewBackend(x.conn, c)
 	x.backend.SetMaxBodyLen(maxMessage)
 }
 
@@ -93,11 +95,12 @@
 
 // next handles one message and reports whether more may come.
 func (x *session) next(ctx context.Context) bool {
-	m, err := x.backend.Receive()
+	m, err := x.receive()
 	if err != nil {
-		if classifyProtocol(err) {
-			x.fatal(failure(codeProtocol, "invalid message: %v", err))
-		}
+		x.fatal(err)
+		return false
+	}
+	if m == nil {
 		return false
 	}
 	if x.server.thaw(ctx) != nil {
@@ -111,6 +114,31 @@
 	return x.dispatch(ctx, m)
 }
 
+// receive waits for a message. It returns nil once the caller has gone, and an
+// error to tell the caller.
+func (x *session) receive() (pgproto3.FrontendMessage, error) {
+	idle := x.server.IdleTransaction
+	x.mu.Lock()
+	limited := idle > 0 && x.tx.writing
+	x.mu.Unlock()
+	if limited {
+		_ = x.conn.SetReadDeadline(time.Now().Add(idle))
+	}
+	m, err := x.backend.Receive()
+	if limited {
+		_ = x.conn.SetReadDeadline(time.Time{})
+	}
+	switch {
+	case err == nil:
+		return m, nil
+	case limited && errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, failure(codeIdle, "terminating connection due to idle-in-transaction timeout")
+	case classifyProtocol(err):
+		return nil, failure(codeProtocol, "invalid message: %v", err)
+	}
+	return nil, nil
+}
+
 // dispatch handles one message; the caller holds the lock.
 func (x *session) dispatch(ctx context.Context, m pgproto3.FrontendMessage) bool {
 	if _, ok := m.(*pgproto3.Terminate); ok {
--- a/stand/dbase/ship.go
+++ b/stand/dbase/ship.go
@@ -122,7 +122,7 @@
 	defer s.mu.Unlock()
 	if h.Ask {
 		return answer{
-			Met: s.met[h.Name],
+			Met: s.ledger.met[h.Name],
 		}, 0
 	}
 	term, err := coltsfootloft.ParseTerm(h.Term)
@@ -131,7 +131,11 @@
 			Refused: "not the primary of term " + h.Term,
 		}, 0
 	}
-	s.met[h.Name] = true
+	if s.ledger.meet(h.Name) {
+		if err := s.journal.state(&s.ledger); err != nil {
+			s.Log.Error(err, "journal", "name", s.Name)
+		}
+	}
 	return answer{
 		Common: common(s.ledger.runs, h.Runs),
 		End:    uint64(len(s.ledger.log)),
--- a/stand/dbase/txn.go
+++ b/stand/dbase/txn.go
@@ -127,12 +127,17 @@
 }
 
 func (x *session) lockWriter(ctx context.Context) error {
-	wait, cancel := context.WithTimeout(ctx, lockTimeout)
+	if x.server.tryLockWriter(x) {
+		return nil
+	}
+	watched, stop := x.conn.watch(ctx)
+	defer stop()
+	wait, cancel := context.WithTimeout(watched, lockTimeout)
 	defer cancel()
 	if x.server.lockWriter(wait, x) == nil {
 		return nil
 	}
-	if ctx.Err() != nil {
+	if watched.Err() != nil {
 		return failure(codeCancelled, "canceling statement due to user request")
 	}
 	return failure(codeLock, "canceling statement due to lock timeout")
