--- a/io/dbops/dbops_test.go
+++ b/io/dbops/dbops_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -53,6 +56,38 @@
 	assert.Equal(t, r.Applied(), coltsfootloft.NewPosition(next, 2))
 }
 
+func TestTLS(t *testing.T) {
+	web := httptest.NewTLSServer(nil)
+	defer web.Close()
+	s := &dbase.Server{
+		Name:    "a",
+		Initial: "a",
+		TLS: &tls.Config{
+			Certificates: web.TLS.Certificates,
+		},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	<-s.Ready()
+	roots := x509.NewCertPool()
+	roots.AddCert(web.Certificate())
+	for name, ok := range map[string]bool{"127.0.0.1": true, "another.example": false} {
+		d := &dbops.Database{
+			Address: s.Addr().String(),
+			TLS: &tls.Config{
+				RootCAs:    roots,
+				ServerName: name,
+			},
+		}
+		_, err := d.Status(t.Context())
+		assert.Equal(t, err == nil, ok, "%s: %v", name, err)
+		d.Close()
+	}
+	cancel()
+	assert.NilError(t, <-done)
+}
+
 func TestAwaitWakesOnChange(t *testing.T) {
 	_, d := open(t)
 	r, err := d.Status(t.Context())
--- a/stand/dbase/session.go
+++ b/stand/dbase/session.go
@@ -148,13 +148,17 @@
 		x.fatal(err)
 		return false
 	}
+	if _, ok := m.(*pgproto3.Sync); ok {
+		x.skip = false
+	}
+	if x.skip {
+		return true
+	}
 	switch m := m.(type) {
 	case *pgproto3.Query:
-		x.skip = false
 		x.simple(ctx, m.String)
 		return x.ready(ctx)
 	case *pgproto3.Sync:
-		x.skip = false
 		if err := x.endImplicit(); err != nil {
 			x.sendError(err)
 		}
@@ -164,9 +168,6 @@
 	case *pgproto3.CopyData, *pgproto3.CopyDone, *pgproto3.CopyFail:
 		return true
 	}
-	if x.skip {
-		return true
-	}
 	if err := x.extended(ctx, m); err != nil {
 		x.skip = true
 		x.sendError(err)
