caller, pool: less work for each placed request

Cause, from a profile of 16 sessions reading through one host: 16% of processor time went into describing the group's databases, twice a request, and 10% into garbage collection of a small heap. Now a view of the group is kept until it changes, the choice tells whether it is the primary, a pool's load is a counter, and the collector runs at four times the live heap.

Ruled out as the cause: the protocol library (5%).

--- a/cmd/coltsfootloft/serve.go
+++ b/cmd/coltsfootloft/serve.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"coltsfootloft/core/conf"
@@ -16,6 +17,9 @@
 	"github.com/jonboulle/clockwork"
 )
 
+// gcPercent trades memory, of which a host needs little, for processor time.
+const gcPercent = 400
+
 // serveCommand runs one entry host.
 type serveCommand struct {
 	loader conf.Loader
@@ -55,6 +59,9 @@
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
 	}
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
+	}
 	h, err := host.Build(settings, clockwork.NewRealClock(), log)
 	if err != nil {
 		log.Error(err, "building the host")
--- a/io/admin/doc.go
+++ b/io/admin/doc.go
@@ -7,6 +7,7 @@
 //	GET  /v1/status   a [Status]
 //	GET  /v1/explain  the decisions that match, as a list of journ.View
 //	POST /v1/drain    starts a graceful shutdown, 202
+//	GET  /debug/pprof/  profiles of the process, as package pprof serves them
 //
 // The port has no login of its own. It belongs on an address that only operators
 // and monitoring reach.
--- a/io/admin/server.go
+++ b/io/admin/server.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"strconv"
 	"time"
 
@@ -76,6 +77,8 @@
 func (s *Server) Handler() http.Handler {
 	m := http.NewServeMux()
 	m.HandleFunc("GET /metrics", s.metrics)
+	m.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	m.HandleFunc("GET /debug/pprof/", pprof.Index)
 	m.HandleFunc("GET /live", func(w http.ResponseWriter, _ *http.Request) { say(w, http.StatusOK, "live") })
 	if s.Ready != nil {
 		m.HandleFunc("GET /ready", s.ready)
--- a/io/caller/env.go
+++ b/io/caller/env.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -39,6 +40,8 @@
 
 	// purges counts recorded request ids, to remove old ones now and then.
 	purges atomic.Uint64
+	// views holds a *view for each group.
+	views sync.Map
 }
 
 // Budget bounds the repeats of each client account.
--- a/io/caller/place.go
+++ b/io/caller/place.go
@@ -6,7 +6,6 @@
 
 	"coltsfootloft"
 	"coltsfootloft/core/journ"
-	"coltsfootloft/core/quorum"
 	"coltsfootloft/core/route"
 	"coltsfootloft/io/pool"
 
@@ -44,14 +43,15 @@
 func (s *Session) place(ctx context.Context, n *route.Need) (*pool.Conn, error) {
 	started := s.Env.Clock.Now()
 	for {
-		changed := s.Env.Groups.Changed(s.Route.Group())
-		c := s.choose(*n, s.Env.Clock.Since(started))
+		v := s.Env.view(s.Route.Group())
+		c := s.choose(v, *n, s.Env.Clock.Since(started))
 		switch c.Verdict() {
 		case route.ToReplica, route.ToPrimary:
 			conn, err := s.acquire(ctx, c.Database())
 			if err == nil {
 				countPlaced(*n, c.Verdict())
 				s.observe(placeSeconds, started)
+				s.onPrimary = c.Verdict() == route.ToPrimary
 				s.note(journ.Routed, c.Verdict().String(), c.Database())
 				return conn, nil
 			}
@@ -61,7 +61,7 @@
 			n.Avoid[c.Database()] = true
 		default:
 			s.note(journ.Held, c.Verdict().String(), "")
-			if err := s.await(ctx, changed, c.Verdict(), started); err != nil {
+			if err := s.await(ctx, v.changed, c.Verdict(), started); err != nil {
 				return nil, err
 			}
 			if c.Verdict() == route.NoPrimary {
@@ -72,8 +72,8 @@
 }
 
 // choose picks a database, the primary once reads have waited long enough.
-func (s *Session) choose(n route.Need, waited time.Duration) route.Choice {
-	all := s.candidates()
+func (s *Session) choose(v *view, n route.Need, waited time.Duration) route.Choice {
+	all := s.candidates(v)
 	c := route.Pick(n, all)
 	if c.Verdict() == route.Behind && waited >= s.Env.Fleet().Defaults().ReadWait() {
 		f := route.Fallback(n, all)
@@ -109,36 +109,24 @@
 	return p.Acquire(ctx, s.Account)
 }
 
-// candidates describes the databases of the group as they are known now.
-func (s *Session) candidates() []route.Candidate {
-	g, ok := s.Env.Fleet().Group(s.Route.Group())
-	if !ok {
-		return nil
-	}
-	readings := s.Env.Groups.Readings(s.Route.Group())
-	upstreams := g.Group().Upstreams()
-	primary, _, hasPrimary := quorum.Size(len(upstreams)).Primary(readings)
-	all := make([]route.Candidate, 0, len(upstreams))
-	for _, u := range upstreams {
-		r, ok := readings[u.Name()]
-		silence, heard := s.Env.Groups.Silent(s.Route.Group(), u.Name())
-		if !ok || !heard || silence > SilenceBound {
+// candidates describes the databases of the group that answer.
+func (s *Session) candidates(v *view) []route.Candidate {
+	group := s.Route.Group()
+	all := s.scratch[:0]
+	for i, c := range v.candidates {
+		name := c.Upstream.Name()
+		silence, heard := s.Env.Groups.Silent(group, name)
+		if !heard || silence > SilenceBound {
 			continue
 		}
-		c := route.Candidate{
-			Upstream:  u,
-			Reading:   r,
-			IsPrimary: hasPrimary && u.Name() == primary,
-			Leaving:   s.Env.Members.Leaving(u.Name()),
-		}
+		c.Leaving = s.Env.Members.Leaving(name)
+		c.Load = v.pools[i].Load()
 		if s.Route.MaxAge() > 0 {
-			c.Age, c.Aged = s.Env.Groups.Age(s.Route.Group(), u.Name())
-		}
-		if p, ok := s.Env.Pool(u.Name()); ok {
-			c.Load = p.Load()
+			c.Age, c.Aged = s.Env.Groups.Age(group, name)
 		}
 		all = append(all, c)
 	}
+	s.scratch = all
 	return all
 }
 
--- a/io/caller/run.go
+++ b/io/caller/run.go
@@ -134,7 +134,6 @@
 // try makes one attempt. It reports whether another is allowed.
 func (s *Session) try(ctx context.Context, c *pool.Conn, b *batch, n *route.Need) (again bool, err error) {
 	s.pinned = c
-	s.onPrimary = s.isPrimary(c.Database())
 	s.borrow(c)
 	x := s.exchange(c, b, *n)
 	x.movable = s.movable()
@@ -170,15 +169,6 @@
 	})
 }
 
-func (s *Session) isPrimary(database string) bool {
-	for _, c := range s.candidates() {
-		if c.Upstream.Name() == database {
-			return c.IsPrimary || c.Reading.Role() == coltsfootloft.Primary
-		}
-	}
-	return true
-}
-
 // fail puts an open transaction into the failed state and gives its connection
 // up: nothing of it lasts.
 func (s *Session) fail() {
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -10,6 +10,7 @@
 	"coltsfootloft"
 	"coltsfootloft/core/conf"
 	"coltsfootloft/core/journ"
+	"coltsfootloft/core/route"
 	"coltsfootloft/core/stmt"
 	"coltsfootloft/core/token"
 	"coltsfootloft/io/pool"
@@ -46,6 +47,7 @@
 	request  string
 	last     string
 	told     string
+	scratch  []route.Candidate
 
 	tx        byte
 	midBatch  bool
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"coltsfootloft"
@@ -50,6 +51,7 @@
 	idle    []*Conn
 	waiters fair.Queue[*waiter]
 	lent    map[*Conn]time.Time
+	load    atomic.Int64
 	open    int
 	opening int
 	closed  bool
@@ -99,6 +101,7 @@
 	if !ok {
 		return nil, nil, coltsfootloft.Refuse(coltsfootloft.CodeConnections, "too many requests wait for "+p.Upstream.Name())
 	}
+	p.load.Add(1)
 	p.openMore()
 	return nil, t, nil
 }
@@ -114,7 +117,9 @@
 // to the next.
 func (p *Pool) abandon(t *ticket) {
 	p.mu.Lock()
-	p.waiters.Remove(t)
+	if p.waiters.Remove(t) {
+		p.load.Add(-1)
+	}
 	p.mu.Unlock()
 	select {
 	case r := <-t.Item().result:
@@ -126,11 +131,7 @@
 }
 
 // Load is the number of connections lent out and of waiters.
-func (p *Pool) Load() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.lent) + p.waiters.Len()
-}
+func (p *Pool) Load() int { return int(p.load.Load()) }
 
 // Stats returns the number of open, lent and idle connections and of waiters.
 func (p *Pool) Stats() Stats {
@@ -177,6 +178,7 @@
 func (p *Pool) put(c *Conn) {
 	p.mu.Lock()
 	delete(p.lent, c)
+	p.load.Add(-1)
 	if c.broken.Load() || p.closed {
 		p.open--
 		p.mu.Unlock()
@@ -197,6 +199,7 @@
 		p.idle = append(p.idle, c)
 		return
 	}
+	p.load.Add(-1)
 	p.lend(c)
 	w.result <- result{conn: c}
 }
@@ -207,6 +210,7 @@
 		p.lent = make(map[*Conn]time.Time)
 	}
 	p.lent[c] = p.clock().Now()
+	p.load.Add(1)
 }
 
 // Abort closes all idle connections, and those that have been in use for longer
@@ -280,6 +284,7 @@
 		if !ok {
 			return
 		}
+		p.load.Add(-1)
 		w.result <- result{err: err}
 	}
 }
