caller: connections to replicas are read-only

A replica that is promoted between the choice and the statement would run a SELECT that calls a writing function and acknowledge it without a majority. Read-only, it refuses with 25006, which moves the request to the primary with the acknowledgement wait. Ruled out: asking for the commit position after every read (a round trip's worth of work for each). Cost: one SET per connection. Not yet shown by a test of its own.

--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -97,9 +97,8 @@
 	if s.midBatch {
 		return
 	}
-	key := s.settings.key()
-	if x.conn.Settings() != key && !s.isMidTransaction() {
-		x.hidden(s.settings.script(), nil)
+	if key := s.connectionSettings(); x.conn.Settings() != key && !s.isMidTransaction() {
+		x.hidden("RESET ALL;"+key, nil)
 	}
 	isLoneWrite := b.writes && s.tx == txIdle
 	if !isLoneWrite && !x.conn.Verified().Covers(x.need.Position) {
@@ -331,7 +330,7 @@
 	}
 	s.tx = m.TxStatus
 	s.begin = ""
-	x.conn.SetSettings(s.settings.key())
+	x.conn.SetSettings(s.connectionSettings())
 	if s.tx != txIdle || x.rolledBack || t.script.Taints() {
 		x.conn.SetSettings(unknownSettings)
 	}
--- a/io/caller/setting.go
+++ b/io/caller/setting.go
@@ -41,12 +41,22 @@
 	return strings.Join(parts, ";")
 }
 
-// script resets a connection to exactly these settings.
-func (s settings) script() string {
-	if len(s) == 0 {
-		return "RESET ALL"
+// readOnly is in force on connections to replicas: a replica that has just been
+// promoted must not take a write that was routed as a read.
+const readOnly = "SET " + readOnlySetting + " = on"
+
+// connectionSettings is the script of what must be in force on the session's
+// connection, on top of the server's defaults.
+func (s *Session) connectionSettings() string {
+	key := s.settings.key()
+	switch {
+	case s.onPrimary:
+		return key
+	case key == "":
+		return readOnly
+	default:
+		return readOnly + ";" + key
 	}
-	return "RESET ALL;" + s.key()
 }
 
 // apply returns the settings after a statement that changed them.
