--- a/core/conf/host.go
+++ b/core/conf/host.go
@@ -9,7 +9,6 @@
 	peer          string
 	admin         string
 	store         string
-	storeToken    string
 	peers         []string
 	upstreamUser  string
 	upstreamPass  string
@@ -71,9 +70,6 @@
 // Store is the base URL of the platform's store.
 func (h *Host) Store() string { return h.store }
 
-// StoreTokenFile holds the token sent to the store; empty for none.
-func (h *Host) StoreTokenFile() string { return h.storeToken }
-
 // Peers are peer addresses of other hosts, as IP:port, to ask for settings when
 // the store can't be reached at the start.
 func (h *Host) Peers() []string { return h.peers }
--- a/core/conf/hostset.go
+++ b/core/conf/hostset.go
@@ -90,15 +90,6 @@
 			return isURL(s)
 		}),
 	},
-	{
-		name:     "store_token_file",
-		usage:    "file with the token for the store",
-		accepted: acceptedFile,
-		set: one(func(h *Host, s string) bool {
-			h.storeToken = s
-			return true
-		}),
-	},
 	{
 		name:     "peers",
 		usage:    "peer addresses of other hosts, asked while the store is down",
--- /dev/null
+++ b/io/cmds/check.go
@@ -0,0 +1,53 @@
+package cmds
+
+import (
+	"context"
+	"flag"
+	"fmt"
+
+	"github.com/google/subcommands"
+
+	"coltsfootloft/core/conf"
+)
+
+type check struct{ tools *Tools }
+
+// Name is check.
+func (*check) Name() string { return "check" }
+
+// Synopsis says in a line what the command does.
+func (*check) Synopsis() string { return "check a directory of settings, without the store" }
+
+// Usage explains the command.
+func (*check) Usage() string {
+	return `config check DIR: check a whole directory of settings.
+
+The path of each file below DIR, without .jsonc, is the path of the setting.
+Every problem is printed with path, line, column, what was found and what is
+accepted.
+` + exitUsage
+}
+
+// SetFlags sets no flags.
+func (*check) SetFlags(*flag.FlagSet) {}
+
+// Execute checks the directory.
+func (c *check) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	args, err := positional(f)
+	if err != nil || len(args) != 1 {
+		return c.tools.misused("config check takes one directory")
+	}
+	entries, problems, err := readSettings(".", args)
+	if err != nil {
+		return c.tools.fail(err)
+	}
+	fleet, wrong := conf.Parse(entries)
+	problems = append(problems, wrong...)
+	if len(problems) > 0 {
+		fmt.Fprintln(c.tools.Err, problems)
+		return ExitProblems
+	}
+	fmt.Fprintf(c.tools.Out, "%d settings are right: %d failure domains, %d groups, %d accounts, %d keys, %d routes\n",
+		len(entries), len(fleet.Domains()), len(fleet.Groups()), len(fleet.Accounts()), len(fleet.Keys()), len(fleet.Routes()))
+	return ExitDone
+}
--- /dev/null
+++ b/io/cmds/drain.go
@@ -0,0 +1,52 @@
+package cmds
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+
+	"github.com/google/subcommands"
+)
+
+type drain struct {
+	tools *Tools
+	adminFlags
+}
+
+// Name is drain.
+func (*drain) Name() string { return "drain" }
+
+// Synopsis says in a line what the command does.
+func (*drain) Synopsis() string { return "shut one host down without cutting a request" }
+
+// Usage explains the command.
+func (*drain) Usage() string {
+	return `drain -admin ADDRESS: start the graceful shutdown of one host.
+
+The host turns unready, takes no new callers, lets running transactions finish,
+ends idle sessions with SQLSTATE 57P01, gives back what it holds, and exits with
+0. The command returns once the shutdown has begun. SIGTERM does the same.
+` + exitUsage
+}
+
+// SetFlags sets the flags.
+func (d *drain) SetFlags(f *flag.FlagSet) {
+	d.adminFlags.tools = d.tools
+	d.set(f)
+}
+
+// Execute starts the shutdown.
+func (d *drain) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if args, err := positional(f); err != nil || len(args) > 0 {
+		return d.tools.misused("drain takes no arguments")
+	}
+	var answer struct {
+		Draining bool `json:"draining"`
+	}
+	if err := d.ask(ctx, http.MethodPost, "/v1/drain", &answer); err != nil {
+		return d.tools.fail(err)
+	}
+	fmt.Fprintf(d.tools.Out, "%s is draining\n", d.admin)
+	return ExitDone
+}
--- /dev/null
+++ b/io/cmds/explain.go
@@ -0,0 +1,121 @@
+package cmds
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"github.com/google/subcommands"
+
+	"coltsfootloft/core/journ"
+)
+
+const defaultExplain = 50
+
+type explain struct {
+	tools *Tools
+	adminFlags
+	query journ.Query
+	json  bool
+}
+
+// Name is explain.
+func (*explain) Name() string { return "explain" }
+
+// Synopsis says in a line what the command does.
+func (*explain) Synopsis() string {
+	return "show why statements were routed, held, refused or repeated, and why a primary changed"
+}
+
+// Usage explains the command.
+func (*explain) Usage() string {
+	return `explain [-kind KIND] [-trace ID] [-session ID] [-account NAME] [-group NAME]
+
+It asks the admin port of one host for the decisions that it made and still
+remembers, the newest last. Ask the host that the session was connected to; why a
+primary changed is known to the host that promoted it, and is -kind promoted.
+Kinds: ` + strings.Join(journ.KindNames(), ", ") + `.
+` + exitUsage
+}
+
+// SetFlags sets the flags.
+func (e *explain) SetFlags(f *flag.FlagSet) {
+	e.adminFlags.tools = e.tools
+	e.set(f)
+	f.StringVar(&e.query.Kind, "kind", "", "only decisions of this `kind`")
+	f.StringVar(&e.query.Trace, "trace", "", "only decisions on the trace with this `id`")
+	f.Uint64Var(&e.query.Session, "session", 0, "only decisions on the session with this `number`")
+	f.StringVar(&e.query.Account, "account", "", "only decisions on this client account, as `team/account`")
+	f.StringVar(&e.query.Group, "group", "", "only decisions on this database `group`")
+	f.IntVar(&e.query.Limit, "limit", defaultExplain, "greatest `number` of decisions")
+	f.BoolVar(&e.json, "json", false, "print JSON")
+}
+
+// Execute shows the decisions.
+func (e *explain) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if args, err := positional(f); err != nil || len(args) > 0 {
+		return e.tools.misused("explain takes no arguments")
+	}
+	found := []journ.View{}
+	if err := e.ask(ctx, http.MethodGet, "/v1/explain?"+values(e.query).Encode(), &found); err != nil {
+		return e.tools.fail(err)
+	}
+	if e.json {
+		return e.tools.printJSON(found)
+	}
+	for _, v := range found {
+		fmt.Fprintln(e.tools.Out, line(v))
+	}
+	if len(found) == 0 {
+		fmt.Fprintln(e.tools.Out, "this host remembers no such decision")
+	}
+	return ExitDone
+}
+
+func values(q journ.Query) url.Values {
+	v := url.Values{"limit": {strconv.Itoa(q.Limit)}}
+	for name, s := range map[string]string{"kind": q.Kind, "trace": q.Trace, "account": q.Account, "group": q.Group} {
+		if s != "" {
+			v.Set(name, s)
+		}
+	}
+	if q.Session != 0 {
+		v.Set("session", strconv.FormatUint(q.Session, 10))
+	}
+	return v
+}
+
+// line is a decision for people.
+func line(v journ.View) string {
+	parts := []string{v.At.UTC().Format("15:04:05.000"), v.Kind}
+	if v.Session != 0 {
+		parts = append(parts, fmt.Sprintf("session %d", v.Session))
+	}
+	for _, p := range []struct{ name, value string }{
+		{
+			name:  "account",
+			value: v.Account,
+		},
+		{
+			name:  "group",
+			value: v.Group,
+		},
+		{
+			name:  "database",
+			value: v.Database,
+		},
+		{
+			name:  "trace",
+			value: v.Trace,
+		},
+	} {
+		if p.value != "" {
+			parts = append(parts, p.name+" "+p.value)
+		}
+	}
+	return strings.Join(parts, "  ") + ": " + v.Reason
+}
