--- a/io/caller/place.go
+++ b/io/caller/place.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"coltsfootloft"
+	"coltsfootloft/core/journ"
 	"coltsfootloft/core/quorum"
 	"coltsfootloft/core/route"
 	"coltsfootloft/io/pool"
@@ -12,6 +13,10 @@
 	"github.com/pkg/errors"
 )
 
+// SilenceBound is how long a database may not have answered its observer before
+// no request is sent to it.
+const SilenceBound = time.Second
+
 // need is what the batch asks of a database.
 func (s *Session) need(ctx context.Context, write bool) (route.Need, error) {
 	n := route.Need{
@@ -45,7 +50,9 @@
 		case route.ToReplica, route.ToPrimary:
 			conn, err := s.acquire(ctx, c.Database())
 			if err == nil {
-				s.Env.note(s.ID, c.Verdict().String(), c.Database())
+				countPlaced(*n, c.Verdict())
+				s.observe(placeSeconds, started)
+				s.note(journ.Routed, c.Verdict().String(), c.Database())
 				return conn, nil
 			}
 			if ctx.Err() != nil || !isElsewhere(err) {
@@ -53,6 +60,7 @@
 			}
 			n.Avoid[c.Database()] = true
 		default:
+			s.note(journ.Held, c.Verdict().String(), "")
 			if err := s.await(ctx, changed, c.Verdict(), started); err != nil {
 				return nil, err
 			}
@@ -113,7 +121,8 @@
 	all := make([]route.Candidate, 0, len(upstreams))
 	for _, u := range upstreams {
 		r, ok := readings[u.Name()]
-		if !ok {
+		silence, heard := s.Env.Groups.Silent(s.Route.Group(), u.Name())
+		if !ok || !heard || silence > SilenceBound {
 			continue
 		}
 		c := route.Candidate{
--- a/io/caller/run.go
+++ b/io/caller/run.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"coltsfootloft"
+	"coltsfootloft/core/journ"
 	"coltsfootloft/core/route"
 	"coltsfootloft/core/stmt"
 	"coltsfootloft/io/pool"
@@ -18,14 +19,20 @@
 	b := s.batch
 	s.batch = batch{}
 	s.out.begin()
+	if b.cost > 0 {
+		defer s.observe(requestSeconds, s.now())
+	}
 	if err := s.answer(ctx, &b); err != nil {
 		return err
 	}
 	if b.open {
 		return s.out.flush()
 	}
-	if s.tx == txIdle && s.pinned != nil {
+	if s.tx == txIdle {
 		s.unpin()
+		if b.has(stmt.Write) || b.has(stmt.Commit) || b.has(stmt.Rollback) {
+			s.request = ""
+		}
 	}
 	return s.ready()
 }
@@ -41,6 +48,8 @@
 		return err
 	}
 	s.fail()
+	s.note(journ.Refused, err.Error(), "")
+	countRefused(err)
 	return s.out.add(response(err))
 }
 
@@ -89,15 +98,15 @@
 // onAny runs the batch on a connection chosen for it, and elsewhere again while
 // that is safe.
 func (s *Session) onAny(ctx context.Context, b *batch) error {
-	ctx, cancel := context.WithTimeout(ctx, s.Env.Fleet().Defaults().PoolWait())
+	waiting, cancel := context.WithTimeout(ctx, s.Env.Fleet().Defaults().PoolWait())
 	defer cancel()
-	n, err := s.need(ctx, s.needsPrimary(b))
+	n, err := s.need(waiting, s.needsPrimary(b))
 	if err != nil {
 		return err
 	}
 	s.Env.Retry.Offer(s.Account)
 	for {
-		c, err := s.place(ctx, &n)
+		c, err := s.place(waiting, &n)
 		if err != nil {
 			return err
 		}
@@ -105,7 +114,8 @@
 		if !again {
 			return err
 		}
-		if ctx.Err() != nil || !s.out.restart() {
+		repeats.Inc()
+		if waiting.Err() != nil || !s.out.restart() {
 			return err
 		}
 	}
@@ -135,14 +145,14 @@
 		s.unpin()
 		n.Avoid[c.Database()] = true
 		n.Write = n.Write || x.refusedWrite
-		s.Env.note(s.ID, "refused by database, not run", c.Database())
+		s.note(journ.Repeated, "refused by the database, not run", c.Database())
 		return true, err
 	case lost:
 		s.unpin()
 		n.Avoid[c.Database()] = true
-		repeat := !n.Write && !s.onPrimary && s.Env.Retry.Spend(s.Account)
-		s.Env.note(s.ID, "connection lost", c.Database())
-		return repeat, err
+		s.note(journ.Refused, "connection lost", c.Database())
+		isSafe := x.idempotent || !n.Write && !s.onPrimary
+		return isSafe && s.Env.Retry.Spend(s.Account), err
 	default:
 		s.Env.Retry.Succeed(s.Account)
 		return false, err
--- /dev/null
+++ b/io/watch/code.go
@@ -0,0 +1,97 @@
+package watch
+
+import (
+	"time"
+
+	"coltsfootloft"
+	"coltsfootloft/io/watch/watchpb"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// encode tells a polling host what has changed in the group since the numbered
+// change. A group that is quiet and hasn't changed needs no message; all its
+// databases were asked within the time returned.
+func (g *group) encode(seen uint64) (m *watchpb.Group, quiet time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	changed := g.sequence > seen
+	m = &watchpb.Group{
+		Name:     g.settings.Name(),
+		Sequence: g.sequence,
+	}
+	for n, r := range g.readings {
+		asked := now.Sub(g.asked[n])
+		quiet = max(quiet, asked)
+		d := &watchpb.Database{
+			Name:          n,
+			AskedNanos:    int64(asked),
+			AnsweredNanos: int64(now.Sub(g.answered[n])),
+		}
+		if changed {
+			d.Reading = encode(r)
+		}
+		m.Databases = append(m.Databases, d)
+	}
+	if !changed && quiet < quietLimit && len(g.readings) == int(g.size) {
+		return nil, quiet
+	}
+	return m, 0
+}
+
+func encode(r coltsfootloft.Reading) *watchpb.Reading {
+	m := &watchpb.Reading{
+		Primary:   r.Role() == coltsfootloft.Primary,
+		Fence:     r.Fence().String(),
+		Received:  r.Received().Offset(),
+		Applied:   r.Applied().Offset(),
+		Following: r.Primary(),
+		Version:   r.Version(),
+	}
+	if t := r.Received().Term(); t != r.Fence() {
+		m.ReceivedTerm = proto.String(t.String())
+	}
+	if t := r.Applied().Term(); t != r.Fence() {
+		m.AppliedTerm = proto.String(t.String())
+	}
+	return m
+}
+
+func decode(m *watchpb.Reading) (coltsfootloft.Reading, error) {
+	fence, err := coltsfootloft.ParseTerm(m.GetFence())
+	if err != nil {
+		return coltsfootloft.Reading{}, err
+	}
+	received, applied := fence, fence
+	if m.ReceivedTerm != nil {
+		if received, err = coltsfootloft.ParseTerm(m.GetReceivedTerm()); err != nil {
+			return coltsfootloft.Reading{}, err
+		}
+	}
+	if m.AppliedTerm != nil {
+		if applied, err = coltsfootloft.ParseTerm(m.GetAppliedTerm()); err != nil {
+			return coltsfootloft.Reading{}, err
+		}
+	}
+	role := coltsfootloft.Replica
+	if m.GetPrimary() {
+		role = coltsfootloft.Primary
+	}
+	r := coltsfootloft.NewReading(role, fence,
+		coltsfootloft.NewPosition(received, m.GetReceived()),
+		coltsfootloft.NewPosition(applied, m.GetApplied()))
+	return r.Following(m.GetFollowing()).At(m.GetVersion()), nil
+}
+
+func encodePosition(p coltsfootloft.Position) *watchpb.Position {
+	return &watchpb.Position{
+		Term:   p.Term().String(),
+		Offset: p.Offset(),
+	}
+}
+
+func decodePosition(m *watchpb.Position) (coltsfootloft.Position, error) {
+	term, err := coltsfootloft.ParseTerm(m.GetTerm())
+	return coltsfootloft.NewPosition(term, m.GetOffset()), err
+}
--- a/io/watch/group.go
+++ b/io/watch/group.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"coltsfootloft"
+	"coltsfootloft/core/fresh"
 	"coltsfootloft/core/quorum"
 
 	"github.com/jonboulle/clockwork"
@@ -18,14 +19,19 @@
 	size     quorum.Size
 	clock    clockwork.Clock
 	probes   map[string]chan struct{}
+	bell     *bell
 
 	mu       sync.Mutex
 	readings map[string]coltsfootloft.Reading
+	asked    map[string]time.Time
 	answered map[string]time.Time
 	changed  chan struct{}
+	sequence uint64
+	relay    relay
 	ledger   *quorum.Ledger
+	bounds   *fresh.Bounds
 	waiters  map[*waiter]struct{}
-	asked    uint64
+	barred   uint64
 	rounds   map[string]probed
 	barriers map[*pending]struct{}
 }
@@ -36,18 +42,21 @@
 	result   chan error
 }
 
-func newGroup(s coltsfootloft.Group, clock clockwork.Clock) *group {
+func newGroup(s coltsfootloft.Group, clock clockwork.Clock, b *bell) *group {
 	upstreams := s.Upstreams()
 	size := quorum.Size(len(upstreams))
 	g := &group{
 		settings: s,
 		size:     size,
 		clock:    clock,
+		bell:     b,
 		probes:   make(map[string]chan struct{}, size),
 		readings: make(map[string]coltsfootloft.Reading, size),
+		asked:    make(map[string]time.Time, size),
 		answered: make(map[string]time.Time, size),
 		changed:  make(chan struct{}),
 		ledger:   quorum.NewLedger(size),
+		bounds:   fresh.NewBounds(size),
 		waiters:  make(map[*waiter]struct{}),
 		rounds:   make(map[string]probed, size),
 		barriers: make(map[*pending]struct{}),
@@ -58,17 +67,25 @@
 	return g
 }
 
-// apply takes in the newest reading of a database.
-func (g *group) apply(database string, r coltsfootloft.Reading) {
+// apply takes in the newest reading of a database. It was asked for at the one
+// moment and answered by the other.
+func (g *group) apply(database string, asked, answered time.Time, r coltsfootloft.Reading) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.answered[database] = g.clock.Now()
+	g.take(database, asked, answered, r)
+}
+
+// take is apply with the lock held.
+func (g *group) take(database string, asked, answered time.Time, r coltsfootloft.Reading) {
+	g.asked[database] = asked
+	g.answered[database] = answered
+	g.bounds.Note(database, asked, r)
 	g.note(database, r)
-	old, ok := g.readings[database]
-	if ok && old == r {
+	if old, ok := g.readings[database]; ok && old == r {
 		return
 	}
 	g.readings[database] = r
+	g.sequence = g.bell.ring()
 	close(g.changed)
 	g.changed = make(chan struct{})
 }
@@ -96,7 +113,8 @@
 	return false, nil
 }
 
-func (g *group) held(ctx context.Context, p coltsfootloft.Position) error {
+// held waits for the verdict on p. What hurries the observer is given.
+func (g *group) held(ctx context.Context, p coltsfootloft.Position, hurry func()) error {
 	g.mu.Lock()
 	if done, err := g.verdict(p); done {
 		g.mu.Unlock()
@@ -108,8 +126,12 @@
 	}
 	g.waiters[w] = struct{}{}
 	g.mu.Unlock()
+	hurry()
 	select {
 	case err := <-w.result:
+		if err != nil {
+			heldUnknown.Inc()
+		}
 		return err
 	case <-ctx.Done():
 	}
@@ -120,6 +142,7 @@
 	case err := <-w.result:
 		return err
 	default:
+		heldUnknown.Inc()
 		return coltsfootloft.Unsure("no majority was seen to hold the write in time")
 	}
 }
@@ -130,9 +153,10 @@
 	return maps.Clone(g.readings)
 }
 
-func (g *group) next() <-chan struct{} {
+func (g *group) change() <-chan struct{} {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.relay.hurry = g.clock.Now().Add(hurryPeriod)
 	return g.changed
 }
 
@@ -143,5 +167,8 @@
 	return g.clock.Since(t), ok
 }
 
-// age isn't bounded yet.
-func (*group) age(string) (time.Duration, bool) { return 0, false }
+func (g *group) age(database string) (time.Duration, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.bounds.Age(g.clock.Now(), database)
+}
--- a/io/watch/poll.go
+++ b/io/watch/poll.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// pollTime is how long a database that doesn't change may hold a poll.
-	pollTime = 250 * time.Millisecond
+	// pollTime is the deadline of a poll. The adapter of the database has it answer
+	// somewhat earlier if nothing changes, after about three quarters.
+	pollTime = 340 * time.Millisecond
 	// pollLimit is when a poll without an answer is given up.
 	pollLimit = 2 * pollTime
 	// retryPause is waited after a failed poll or probe.
@@ -24,6 +25,7 @@
 	var last coltsfootloft.Reading
 	known, up := false, true
 	for ctx.Err() == nil {
+		asked := g.clock.Now()
 		r, err := g.ask(ctx, d, last.Version(), known)
 		if ctx.Err() != nil {
 			return
@@ -34,11 +36,13 @@
 		}
 		known = err == nil
 		if err != nil {
+			pollsFailed.Inc()
 			pause(ctx, g.clock, retryPause)
 			continue
 		}
 		last = r
-		g.apply(name, r)
+		readingsTaken.Inc()
+		g.apply(name, asked, g.clock.Now(), r)
 	}
 }
 
