--- a/io/change/editor.go
+++ b/io/change/editor.go
@@ -210,12 +210,15 @@
 
 func (e *Editor) patience() time.Duration { return cmp.Or(e.Patience, DefaultPatience) }
 
+// paths are what the edit touches, sorted.
 func paths(d Edit) []string {
 	r := make([]string, 0, len(d.Put)+len(d.Remove))
 	for p := range d.Put {
 		r = append(r, p)
 	}
-	return append(r, d.Remove...)
+	r = append(r, d.Remove...)
+	slices.Sort(r)
+	return r
 }
 
 func (r Record) touches(touched []string) []string {
--- a/io/cmds/apply.go
+++ b/io/cmds/apply.go
@@ -15,12 +15,12 @@
 
 type apply struct {
 	storeFlags
-	waitFlags
-	root  string
-	only  string
-	note  string
-	base  uint64
-	prune bool
+	waiting waitFlags
+	root    string
+	only    string
+	note    string
+	base    uint64
+	prune   bool
 }
 
 // Name is apply.
@@ -47,9 +47,9 @@
 
 // SetFlags sets the flags.
 func (a *apply) SetFlags(f *flag.FlagSet) {
-	a.storeFlags.set(f)
+	a.set(f)
 	a.setAuthor(f)
-	a.waitFlags.set(a.tools, f)
+	a.waiting.set(a.tools, f)
 	f.StringVar(&a.root, "root", ".", "`directory` that the paths of single files are below")
 	f.StringVar(&a.only, "only", "", "refuse to change anything but this `path` and what is below it, such as teams/vans")
 	f.StringVar(&a.note, "note", "", "`words` to record with the change")
@@ -71,7 +71,7 @@
 	if err != nil {
 		return a.tools.fail(err)
 	}
-	return a.tools.apply(ctx, e, edit, &a.waitFlags)
+	return a.tools.apply(ctx, e, edit, &a.waiting)
 }
 
 func (a *apply) edit(ctx context.Context, e *change.Editor, args []string) (change.Edit, error) {
@@ -115,11 +115,11 @@
 	}
 	if r.Changed() {
 		for _, p := range r.Record().Paths {
-			fmt.Fprintf(t.Out, "%s: %s\n", p.Action, p.Path)
+			t.printf("%s: %s\n", p.Action, p.Path)
 		}
-		fmt.Fprintf(t.Out, "change %s, revision %d\n", r.Record().Change, r.Revision())
+		t.printf("change %s, revision %d\n", r.Record().Change, r.Revision())
 	} else {
-		fmt.Fprintf(t.Out, "nothing to change, revision %d\n", r.Revision())
+		t.printf("nothing to change, revision %d\n", r.Revision())
 	}
 	return t.await(ctx, r.Revision(), w)
 }
--- a/io/cmds/check.go
+++ b/io/cmds/check.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"flag"
-	"fmt"
 
 	"github.com/google/subcommands"
 
@@ -44,10 +43,10 @@
 	fleet, wrong := conf.Parse(entries)
 	problems = append(problems, wrong...)
 	if len(problems) > 0 {
-		fmt.Fprintln(c.tools.Err, problems)
+		c.tools.complainf("%v\n", problems)
 		return ExitProblems
 	}
-	fmt.Fprintf(c.tools.Out, "%d settings are right: %d failure domains, %d groups, %d accounts, %d keys, %d routes\n",
+	c.tools.printf("%d settings are right: %d failure domains, %d groups, %d accounts, %d keys, %d routes\n",
 		len(entries), len(fleet.Domains()), len(fleet.Groups()), len(fleet.Accounts()), len(fleet.Keys()), len(fleet.Routes()))
 	return ExitDone
 }
--- a/io/cmds/diff.go
+++ b/io/cmds/diff.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"flag"
-	"fmt"
 	"io"
 	"maps"
 	"slices"
@@ -63,33 +62,34 @@
 	if showDifferences(d.tools.Out, s.Values(), entries) {
 		return ExitDiffers
 	}
-	fmt.Fprintln(d.tools.Out, "no differences")
+	d.tools.printf("no differences\n")
 	return ExitDone
 }
 
-// showDifferences prints how new differs from old and reports whether it does.
-func showDifferences(w io.Writer, old, new map[string][]byte) bool {
-	all := maps.Clone(old)
-	maps.Copy(all, new)
+// showDifferences prints how the files differ from the store and reports whether
+// they do.
+func showDifferences(w io.Writer, stored, files map[string][]byte) bool {
+	all := maps.Clone(stored)
+	maps.Copy(all, files)
 	differs := false
 	for _, p := range slices.Sorted(maps.Keys(all)) {
-		before, had := old[p]
-		after, has := new[p]
+		before, had := stored[p]
+		after, has := files[p]
 		if had && has && bytes.Equal(before, after) {
 			continue
 		}
 		differs = true
 		switch {
 		case !has:
-			fmt.Fprintf(w, "only in the store: %s\n", p)
+			printf(w, "only in the store: %s\n", p)
 			continue
 		case !had:
-			fmt.Fprintf(w, "added: %s\n", p)
+			printf(w, "added: %s\n", p)
 		default:
-			fmt.Fprintf(w, "changed: %s\n", p)
+			printf(w, "changed: %s\n", p)
 		}
 		for _, l := range diffLines(split(before), split(after)) {
-			fmt.Fprintln(w, "  "+l)
+			printf(w, "%s\n", "  "+l)
 		}
 	}
 	return differs
--- a/io/cmds/drain.go
+++ b/io/cmds/drain.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"flag"
-	"fmt"
 	"net/http"
 
 	"github.com/google/subcommands"
@@ -47,6 +46,6 @@
 	if err := d.ask(ctx, http.MethodPost, "/v1/drain", &answer); err != nil {
 		return d.tools.fail(err)
 	}
-	fmt.Fprintf(d.tools.Out, "%s is draining\n", d.admin)
+	d.tools.printf("%s is draining\n", d.admin)
 	return ExitDone
 }
--- a/io/cmds/exit.go
+++ b/io/cmds/exit.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 
 	"github.com/google/subcommands"
 	"github.com/pkg/errors"
@@ -39,18 +40,18 @@
 
 // fail prints an error and returns its exit code.
 func (t *Tools) fail(err error) subcommands.ExitStatus {
-	fmt.Fprintln(t.Err, err)
+	t.complainf("%v\n", err)
 	var problems *change.ProblemsError
 	var conflict *change.ConflictError
 	var unknown *change.UnknownError
 	switch {
 	case errors.As(err, &problems):
-		fmt.Fprintln(t.Err, "the settings would not be right, nothing written")
+		t.complainf("%v\n", "the settings would not be right, nothing written")
 		return ExitProblems
 	case errors.As(err, &conflict):
 		return ExitConflict
 	case errors.As(err, &unknown):
-		fmt.Fprintf(t.Err, "look for it with: coltsfootloft config history -id %s\n", unknown.Change())
+		t.complainf("look for it with: coltsfootloft config history -id %s\n", unknown.Change())
 		return ExitUnknown
 	}
 	return ExitFailed
@@ -58,6 +59,15 @@
 
 // misused prints what is wrong with the command line.
 func (t *Tools) misused(format string, values ...any) subcommands.ExitStatus {
-	fmt.Fprintf(t.Err, format+"\n", values...)
+	t.complainf(format+"\n", values...)
 	return ExitUsage
 }
+
+// printf tells something. A reader that has gone away is no failure of the
+// command.
+func (t *Tools) printf(format string, values ...any) { printf(t.Out, format, values...) }
+
+// complainf tells what went wrong.
+func (t *Tools) complainf(format string, values ...any) { printf(t.Err, format, values...) }
+
+func printf(w io.Writer, format string, values ...any) { _, _ = fmt.Fprintf(w, format, values...) }
--- a/io/cmds/explain.go
+++ b/io/cmds/explain.go
@@ -68,10 +68,10 @@
 		return e.tools.printJSON(found)
 	}
 	for _, v := range found {
-		fmt.Fprintln(e.tools.Out, line(v))
+		e.tools.printf("%s\n", line(v))
 	}
 	if len(found) == 0 {
-		fmt.Fprintln(e.tools.Out, "this host remembers no such decision")
+		e.tools.printf("this host remembers no such decision\n")
 	}
 	return ExitDone
 }
--- a/io/cmds/get.go
+++ b/io/cmds/get.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"flag"
-	"fmt"
 	"maps"
 	"os"
 	"path/filepath"
@@ -73,7 +72,7 @@
 	if err := g.show(found, prefix); err != nil {
 		return g.tools.fail(err)
 	}
-	fmt.Fprintf(g.tools.Err, "revision %d\n", s.Revision())
+	g.tools.complainf("revision %d\n", s.Revision())
 	return ExitDone
 }
 
@@ -86,7 +85,7 @@
 		return errors.WithStack(err)
 	}
 	for _, p := range slices.Sorted(maps.Keys(found)) {
-		fmt.Fprintln(g.tools.Out, p)
+		g.tools.printf("%s\n", p)
 	}
 	return nil
 }
@@ -96,7 +95,7 @@
 	if err != nil {
 		return err
 	}
-	defer root.Close()
+	defer func() { _ = root.Close() }()
 	for path, v := range entries {
 		name := filepath.FromSlash(path) + conf.TreeSuffix
 		if err := root.MkdirAll(filepath.Dir(name), directoryMode); err != nil {
--- a/io/cmds/history.go
+++ b/io/cmds/history.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"flag"
-	"fmt"
 	"time"
 
 	"github.com/google/subcommands"
@@ -74,13 +73,13 @@
 }
 
 func (h *history) print(r change.Record) {
-	fmt.Fprintf(h.tools.Out, "%s  revision %d  %s  %s", r.Change, r.Revision, r.At.Format(time.RFC3339), r.Author)
+	h.tools.printf("%s  revision %d  %s  %s", r.Change, r.Revision, r.At.Format(time.RFC3339), r.Author)
 	if r.Note != "" {
-		fmt.Fprintf(h.tools.Out, "  %q", r.Note)
+		h.tools.printf("  %q", r.Note)
 	}
-	fmt.Fprintln(h.tools.Out)
+	h.tools.printf("\n")
 	for _, p := range r.Paths {
-		fmt.Fprintf(h.tools.Out, "    %s %s\n", p.Action, p.Path)
+		h.tools.printf("    %s %s\n", p.Action, p.Path)
 	}
 }
 
--- a/io/cmds/status.go
+++ b/io/cmds/status.go
@@ -60,23 +60,23 @@
 }
 
 func printStatus(w io.Writer, s admin.Status) {
-	fmt.Fprintf(w, "host %s in %s, version %s, %s, %d sessions\n", s.Host, s.Domain, s.Version, readiness(s), s.Sessions)
-	fmt.Fprintf(w, "settings: revision %d since %s, store %s\n", s.Settings.Revision,
+	printf(w, "host %s in %s, version %s, %s, %d sessions\n", s.Host, s.Domain, s.Version, readiness(s), s.Sessions)
+	printf(w, "settings: revision %d since %s, store %s\n", s.Settings.Revision,
 		s.Settings.Since.UTC().Format(time.RFC3339), reachable(s.Settings.StoreReachable))
 	for _, p := range s.Settings.Problems {
-		fmt.Fprintf(w, "problem: %s\n", p)
+		printf(w, "problem: %s\n", p)
 	}
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	defer t.Flush()
-	fmt.Fprintln(t, "\nHOST\tDOMAIN\tADDRESS\tSTATE\tREVISION\tSEATS")
+	defer func() { _ = t.Flush() }()
+	printf(t, "\nHOST\tDOMAIN\tADDRESS\tSTATE\tREVISION\tSEATS\n")
 	for _, h := range s.Hosts {
-		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\n", h.Name, h.Domain, h.Address, hostState(h), known(h.Revision), seats(h.Seats))
+		printf(t, "%s\t%s\t%s\t%s\t%s\t%s\n", h.Name, h.Domain, h.Address, hostState(h), known(h.Revision), seats(h.Seats))
 	}
-	fmt.Fprintln(t, "\nDOMAIN\tREGION\tSEATS\tTAKEN\tHOSTS")
+	printf(t, "\nDOMAIN\tREGION\tSEATS\tTAKEN\tHOSTS\n")
 	for _, d := range s.Domains {
-		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\n", d.Name, d.Region, d.Seats, d.Taken, d.Hosts)
+		printf(t, "%s\t%s\t%d\t%d\t%d\n", d.Name, d.Region, d.Seats, d.Taken, d.Hosts)
 	}
-	fmt.Fprintln(t, "\nGROUP\tDATABASE\tDOMAIN\tROLE\tTERM\tFENCE\tRECEIVED\tAPPLIED\tLAG\tAGE\tCONNECTIONS")
+	printf(t, "\nGROUP\tDATABASE\tDOMAIN\tROLE\tTERM\tFENCE\tRECEIVED\tAPPLIED\tLAG\tAGE\tCONNECTIONS\n")
 	for _, g := range s.Groups {
 		for _, d := range g.Databases {
 			printDatabase(t, g, d)
@@ -85,9 +85,9 @@
 	if len(s.Accounts) == 0 {
 		return
 	}
-	fmt.Fprintln(t, "\nACCOUNT\tRATE HERE\tTOKENS\tWAITING")
+	printf(t, "\nACCOUNT\tRATE HERE\tTOKENS\tWAITING\n")
 	for _, a := range s.Accounts {
-		fmt.Fprintf(t, "%s\t%.1f/s\t%.1f\t%d\n", a.Name, a.Rate, a.Tokens, a.Waiting)
+		printf(t, "%s\t%.1f/s\t%.1f\t%d\n", a.Name, a.Rate, a.Tokens, a.Waiting)
 	}
 }
 
@@ -100,14 +100,14 @@
 		role += ", leaving"
 	}
 	if !d.Known {
-		fmt.Fprintf(w, "%s\t%s\t%s\tno reading\t\t\t\t\t\t\t%d of %d\n", g.Name, d.Name, d.Domain, d.Connections, d.Limit)
+		printf(w, "%s\t%s\t%s\tno reading\t\t\t\t\t\t\t%d of %d\n", g.Name, d.Name, d.Domain, d.Connections, d.Limit)
 		return
 	}
 	age := "unknown"
 	if d.Age >= 0 {
 		age = (time.Duration(d.Age) * time.Millisecond).String()
 	}
-	fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s\t%d of %d\n",
+	printf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s\t%d of %d\n",
 		g.Name, d.Name, d.Domain, role, d.Term, d.Fence, d.Received, d.Applied, d.Lag, age, d.Connections, d.Limit)
 }
 
--- a/io/cmds/version.go
+++ b/io/cmds/version.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"flag"
-	"fmt"
 	"runtime"
 
 	"github.com/google/subcommands"
@@ -25,6 +24,6 @@
 
 // Execute shows the version.
 func (v *version) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	fmt.Fprintf(v.tools.Out, "coltsfootloft %s (%s)\n", v.tools.Version, runtime.Version())
+	v.tools.printf("coltsfootloft %s (%s)\n", v.tools.Version, runtime.Version())
 	return ExitDone
 }
--- a/io/cmds/wait.go
+++ b/io/cmds/wait.go
@@ -4,12 +4,12 @@
 	"context"
 	"flag"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/google/subcommands"
-
-	"coltsfootloft/io/admin"
 )
 
 const (
@@ -29,7 +29,7 @@
 func (w *waitFlags) set(t *Tools, f *flag.FlagSet) {
 	w.tools = t
 	w.adminFlags.set(f)
-	f.BoolVar(&w.wait, "wait", false, "return once every live host has the change in force")
+	f.BoolVar(&w.wait, "wait", false, "return once every live host has the change in force; -admin may name several hosts, separated by commas")
 	f.DurationVar(&w.limit, "wait-limit", defaultWait, "how long to wait")
 }
 
@@ -40,11 +40,11 @@
 	}
 	begun := t.clock().Now()
 	for {
-		s, err := w.status(ctx)
-		behind := hostsBehind(s, revision)
+		seen, err := w.revisions(ctx)
+		behind := hostsBehind(seen, revision)
 		took := t.clock().Since(begun)
 		if err == nil && len(behind) == 0 {
-			fmt.Fprintf(t.Out, "in force on %d hosts after %s\n", live(s), took.Round(time.Millisecond))
+			t.printf("in force on %d hosts after %s\n", len(seen), took.Round(time.Millisecond))
 			return ExitDone
 		}
 		if took >= w.limit || ctx.Err() != nil {
@@ -57,37 +57,49 @@
 	}
 }
 
+// revisions asks every admin port given and returns the newest revision that is
+// known of each live host.
+func (w *waitFlags) revisions(ctx context.Context) (map[string]uint64, error) {
+	seen := make(map[string]uint64)
+	var failed error
+	for _, address := range strings.Split(w.admin, ",") {
+		one := adminFlags{
+			tools: w.tools,
+			admin: address,
+		}
+		s, err := one.status(ctx)
+		if err != nil {
+			failed = err
+			continue
+		}
+		seen[s.Host] = max(seen[s.Host], s.Settings.Revision)
+		for _, h := range s.Hosts {
+			if h.Alive {
+				seen[h.Name] = max(seen[h.Name], h.Revision)
+			}
+		}
+	}
+	return seen, failed
+}
+
 func (t *Tools) notInForce(revision uint64, behind []string, err error) subcommands.ExitStatus {
-	fmt.Fprintf(t.Err, "revision %d is written, but not in force everywhere yet\n", revision)
+	t.complainf("revision %d is written, but not in force everywhere yet\n", revision)
 	if err != nil {
-		fmt.Fprintln(t.Err, err)
+		t.complainf("%v\n", err)
 	}
 	if len(behind) > 0 {
-		fmt.Fprintln(t.Err, "behind: "+strings.Join(behind, ", "))
+		t.complainf("%v\n", "behind: "+strings.Join(behind, ", "))
 	}
 	return ExitWaiting
 }
 
-// hostsBehind names the live hosts that don't report the revision in force.
-func hostsBehind(s admin.Status, revision uint64) []string {
+// hostsBehind names the hosts that are not known to have the revision in force.
+func hostsBehind(seen map[string]uint64, revision uint64) []string {
 	var r []string
-	if s.Settings.Revision < revision {
-		r = append(r, fmt.Sprintf("%s (revision %d)", s.Host, s.Settings.Revision))
-	}
-	for _, h := range s.Hosts {
-		if h.Alive && h.Name != s.Host && h.Revision < revision {
-			r = append(r, fmt.Sprintf("%s (revision %d)", h.Name, h.Revision))
+	for _, h := range slices.Sorted(maps.Keys(seen)) {
+		if seen[h] < revision {
+			r = append(r, fmt.Sprintf("%s (revision %s)", h, known(seen[h])))
 		}
 	}
 	return r
 }
-
-func live(s admin.Status) int {
-	n := 0
-	for _, h := range s.Hosts {
-		if h.Alive {
-			n++
-		}
-	}
-	return max(n, 1)
-}
