--- a/core/loan/book.go
+++ b/core/loan/book.go
@@ -38,12 +38,14 @@
 
 // borrowing is a loan as its borrower counts it.
 type borrowing struct {
-	part     Part
-	period   Period
-	until    time.Time
-	sequence uint64
-	asked    time.Time
-	room     float64
+	part      Part
+	period    Period
+	until     time.Time
+	kept      Part
+	keptUntil time.Time
+	sequence  uint64
+	asked     time.Time
+	room      float64
 }
 
 // Own sets the part that this host owns until its lease ends.
@@ -98,6 +100,7 @@
 	}
 	for _, l := range b.borrowed {
 		event(l.until)
+		event(l.keptUntil)
 		held = held.Plus(l.current(now))
 		held.burst = max(held.burst-l.room, 0)
 	}
@@ -126,9 +129,14 @@
 	return p
 }
 
+// current is the larger of the loan and of what the one before it still allows.
 func (l *borrowing) current(now time.Time) Part {
-	if !now.Before(l.until) {
-		return Part{}
+	var p Part
+	if now.Before(l.keptUntil) {
+		p = l.kept
 	}
-	return l.part
+	if now.Before(l.until) {
+		p = p.Max(l.part)
+	}
+	return p
 }
--- a/core/loan/borrow.go
+++ b/core/loan/borrow.go
@@ -16,14 +16,14 @@
 		b.borrowed[lender] = l
 	}
 	b.sequence++
-	l.part = l.current(now).Min(keep)
+	l.lower(keep)
 	l.sequence = b.sequence
 	l.asked = now
 	l.room = room
 	b.dirty = true
 	return Ask{
 		Sequence: b.sequence,
-		Kept:     l.part,
+		Kept:     l.current(now),
 		Room:     room,
 	}
 }
@@ -38,14 +38,34 @@
 	}
 	asked := l.asked
 	b.close(l)
-	l.part = g.Part
-	l.period = g.Period
-	l.until = asked.Add(g.Period)
-	if !now.Before(l.until) {
+	if g.Same {
+		return true
+	}
+	l.replace(now, g.Part, g.Period, asked)
+	if l.current(now).IsZero() {
 		delete(b.borrowed, lender)
-		return false
 	}
-	return true
+	return now.Before(l.until)
+}
+
+// replace begins a new loan; the one before it may be used until its own end,
+// because the lender counts the larger of both.
+func (l *borrowing) replace(now time.Time, part Part, period Period, asked time.Time) {
+	end := l.until
+	if now.Before(l.keptUntil) && l.keptUntil.Before(end) {
+		end = l.keptUntil
+	}
+	l.kept = l.current(now)
+	l.keptUntil = end
+	l.part = part
+	l.period = period
+	l.until = asked.Add(period)
+}
+
+// lower caps what is used of the loan.
+func (l *borrowing) lower(keep Part) {
+	l.part = l.part.Min(keep)
+	l.kept = l.kept.Min(keep)
 }
 
 // Abandon gives up an open ask.
@@ -100,7 +120,7 @@
 	if !found || !l.asked.IsZero() {
 		return 0, Part{}, false
 	}
-	l.part = l.current(now).Min(keep)
+	l.lower(keep)
 	b.dirty = true
-	return l.sequence, l.part, true
+	return l.sequence, l.current(now), true
 }
--- a/core/loan/lend.go
+++ b/core/loan/lend.go
@@ -17,6 +17,10 @@
 	if a.Sequence <= l.sequence {
 		return false
 	}
+	if a.Same {
+		l.sequence = a.Sequence
+		return true
+	}
 	l.kept = l.reserve(now).Min(a.Kept)
 	l.keptUntil = later(l.keptUntil, l.until)
 	l.part = Part{}
--- a/core/loan/part.go
+++ b/core/loan/part.go
@@ -56,6 +56,8 @@
 	Tokens float64
 	// Room is the burst that it sets aside for tokens until the answer comes.
 	Room float64
+	// Same asks for tokens only and leaves the loan as it is.
+	Same bool
 	// Returned are tokens that it hands back; it has lowered Kept by as much.
 	Returned float64
 }
@@ -64,6 +66,8 @@
 type Grant struct {
 	// Part is lent.
 	Part Part
+	// Same leaves the loan as it is; Part and Period mean nothing then.
+	Same bool
 	// Tokens come with it.
 	Tokens float64
 	// Left are the tokens that the lender still has.
--- a/core/loan/rate.go
+++ b/core/loan/rate.go
@@ -16,7 +16,7 @@
 	// below it single tokens are lent.
 	least = 15
 	// RatePeriod is the length of a loan of rate.
-	RatePeriod = 3 * time.Second
+	RatePeriod = 2 * time.Second
 	// TokenPeriod is the length of a loan of tokens alone, which are used at once;
 	// the lender's bucket fills again after it.
 	TokenPeriod = 120 * time.Millisecond
@@ -135,6 +135,19 @@
 	return a
 }
 
+// AskTokens opens a request to a lender for tokens only, within the room that the
+// bucket has. The loan stays as it is.
+func (r *Rate) AskTokens(now time.Time, lender string, tokens float64) Ask {
+	r.settle(now)
+	have, _ := r.book.Loan(now, lender)
+	room := max(min(tokens, r.bucket.Burst()-r.bucket.Available(now)), 0)
+	a := r.book.Ask(now, lender, have, room)
+	a.Tokens = room
+	a.Same = true
+	r.settle(now)
+	return a
+}
+
 // Accept takes the answer to an ask in.
 func (r *Rate) Accept(now time.Time, lender string, a Ask, g Grant) bool {
 	r.settle(now)
@@ -175,13 +188,20 @@
 		tokens = math.Floor(tokens)
 	}
 	tokens = min(tokens, a.Tokens)
+	if a.Same {
+		return Grant{
+			Same:   true,
+			Tokens: r.bucket.Debit(now, min(tokens, a.Room)),
+			Left:   max(r.bucket.Available(now)-mine.burst, 0),
+		}
+	}
 	offer.burst = max(offer.burst, a.Kept.burst, a.Kept.burst+tokens-a.Room)
 	period := RatePeriod
 	if offer.rate == 0 {
 		period = TokenPeriod
 	}
 	g, growth := r.book.Lend(now, borrower, offer, period)
-	surplus := r.bucket.Available(now) - r.book.Held(now).burst
+	surplus := r.bucket.Available(now) - r.book.Forecast(now).burst
 	g.Tokens = r.bucket.Debit(now, min(max(tokens, surplus), a.Room+growth.burst))
 	r.settle(now)
 	g.Left = max(r.bucket.Available(now)-mine.burst, 0)
--- /dev/null
+++ b/core/loan/rights_test.go
@@ -0,0 +1,66 @@
+package loan
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// TestRightsNeverExceedTheLimit lends, recalls and gives back connection rights
+// over links that lose, delay and double messages.
+func TestRightsNeverExceedTheLimit(t *testing.T) {
+	const each = 4
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 4).Draw(t, "hosts")
+		hosts := make([]Rights, n)
+		now := epoch
+		for i := range hosts {
+			hosts[i].Own(each, now.Add(time.Hour))
+		}
+		name := func(i int) string { return fmt.Sprint("h", i) }
+		var sent []message
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			i := rapid.IntRange(0, n-1).Draw(t, "host")
+			j := (i + rapid.IntRange(1, n-1).Draw(t, "other")) % n
+			switch rapid.IntRange(0, 6).Draw(t, "kind") {
+			case 0:
+				now = now.Add(time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond)
+			case 1:
+				want := rapid.IntRange(0, 6).Draw(t, "want")
+				sent = append(sent, message{from: i, to: j, ask: hosts[i].Ask(now, name(j), want)})
+			case 2, 3:
+				if len(sent) == 0 {
+					continue
+				}
+				k := rapid.IntRange(0, len(sent)-1).Draw(t, "which")
+				m := sent[k]
+				if !m.answer {
+					m.grant = hosts[m.to].Lend(now, name(m.from), m.ask, 0, 3*time.Second)
+					m.answer = true
+					sent = append(sent, m)
+				} else {
+					hosts[m.from].Accept(now, name(m.to), m.ask, m.grant)
+				}
+			case 4:
+				hosts[i].Take(now)
+			case 5:
+				if hosts[i].Used() > 0 {
+					hosts[i].Release()
+				}
+			case 6:
+				sequence, kept, ok := hosts[i].Yield(now, name(j), 2)
+				if ok && rapid.Bool().Draw(t, "arrives") {
+					hosts[j].Book().Recalled(now, name(i), sequence, rights(kept))
+				}
+			}
+			sum := 0
+			for k := range hosts {
+				sum += hosts[k].Held(now)
+			}
+			assert.Assert(t, sum <= each*n, "%d rights held of %d", sum, each*n)
+		}
+	})
+}
--- a/io/share/borrow.go
+++ b/io/share/borrow.go
@@ -22,6 +22,9 @@
 	// worthAsking is the number of tokens that a lender must probably have, unless
 	// fewer are missing.
 	worthAsking = 1
+	// worthRaising is how much larger than a loan that is not due the wanted part
+	// must be for another ask.
+	worthRaising = 1.1
 	// negligible is a rate or number of tokens that is not worth a loan.
 	negligible = 0.01
 )
@@ -126,9 +129,10 @@
 	name, homes := e.settings()
 	near, far := e.ledger.lendersOf(name, homes)
 	all := slices.Concat(near, far)
-	if e.isBulk(len(all)) {
-		e.borrow(ctx, near, all)
-		e.borrow(ctx, far, far)
+	bulk, more := e.isBulk(len(all))
+	if bulk {
+		e.borrow(ctx, near, all, more)
+		e.borrow(ctx, far, far, more)
 	}
 	for len(all) > 0 && e.isShort() {
 		i, ok := e.fullest(all)
@@ -136,7 +140,7 @@
 			break
 		}
 		h := all[i : i+1]
-		e.borrow(ctx, h, h)
+		e.borrow(ctx, h, h, false)
 		all = slices.Delete(all, i, i+1)
 	}
 	now := e.ledger.Clock.Now()
@@ -152,25 +156,20 @@
 }
 
 // isBulk reports whether a round is worth asking several lenders at once: for
-// rate, to renew or return loans, or for many tokens.
-func (e *account) isBulk(lenders int) bool {
+// rate, to renew or return loans, or for many tokens; and whether loans that are
+// not due for renewal should be raised.
+func (e *account) isBulk(lenders int) (bulk, more bool) {
 	now := e.ledger.Clock.Now()
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	_, rate := e.rate.Short(now, e.waiting)
-	if rate && !now.Before(e.rateAfter) {
-		return true
-	}
-	if e.waiting-e.rate.Available(now) > float64(lenders) {
-		return true
-	}
+	more = rate && !now.Before(e.rateAfter)
+	bulk = more || e.waiting-e.rate.Available(now) > float64(lenders)
 	for _, h := range e.rate.Book().Lenders(now) {
 		p, _ := e.rate.Book().Loan(now, h)
-		if p.Rate() > 0 && e.rate.Book().Due(now, h) {
-			return true
-		}
+		bulk = bulk || (p.Rate() > 0 && e.rate.Book().Due(now, h))
 	}
-	return false
+	return bulk, more
 }
 
 func (e *account) settings() (name string, homes []home) {
@@ -195,12 +194,13 @@
 }
 
 // borrow asks some lenders, side by side, for equal parts of what is missing when
-// the loans from the lenders in without are not counted.
-func (e *account) borrow(ctx context.Context, from, without []string) {
+// the loans from the lenders in without are not counted. Loans that are not due
+// for renewal are left as they are, unless more is set.
+func (e *account) borrow(ctx context.Context, from, without []string, more bool) {
 	if len(from) == 0 || ctx.Err() != nil {
 		return
 	}
-	sent := e.open(ctx, from, without)
+	sent := e.open(ctx, from, without, more)
 	for host, q := range sent {
 		g, ok := <-q.answer
 		now := e.ledger.Clock.Now()
@@ -259,7 +259,7 @@
 }
 
 // open sends the asks of borrow.
-func (e *account) open(ctx context.Context, from, without []string) map[string]*errand {
+func (e *account) open(ctx context.Context, from, without []string, more bool) map[string]*errand {
 	now := e.ledger.Clock.Now()
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
@@ -274,17 +274,13 @@
 	tokens := max(wanted.Burst()-e.rate.Available(now), 0) * share
 	sent := make(map[string]*errand)
 	for _, h := range from {
-		have, _ := e.rate.Book().Loan(now, h)
-		empty := tokens < negligible || e.stock(now, h) < worthAsking
-		if have.IsZero() && want.Rate() < negligible && empty {
-			continue
-		}
-		if want.Rate() < have.Rate()*1.01 && empty && !e.rate.Book().Due(now, h) {
+		a, ok := e.ask(now, h, want, tokens, more)
+		if !ok {
 			continue
 		}
 		q := &errand{
 			name: e.limit.Name(),
-			ask:  e.rate.Ask(now, h, want, tokens),
+			ask:  a,
 		}
 		e.ledger.lenders.send(ctx, h, q)
 		sent[h] = q
@@ -292,6 +288,22 @@
 	return sent
 }
 
+// ask opens a request to one lender, if there is reason to. The mutex is held.
+func (e *account) ask(now time.Time, host string, want loan.Part, tokens float64, more bool) (loan.Ask, bool) {
+	have, _ := e.rate.Book().Loan(now, host)
+	due := e.rate.Book().Due(now, host)
+	empty := tokens < negligible || e.stock(now, host) < worthAsking
+	switch {
+	case have.IsZero() && want.Rate() < negligible && empty:
+		return loan.Ask{}, false
+	case have.Rate() == 0 || due || (more && want.Rate() > have.Rate()*worthRaising):
+		return e.rate.Ask(now, host, want, tokens), true
+	case empty:
+		return loan.Ask{}, false
+	}
+	return e.rate.AskTokens(now, host, tokens), true
+}
+
 // lend answers the ask of another host.
 func (e *account) lend(borrower string, a loan.Ask) loan.Grant {
 	e.mutex.Lock()
--- a/io/share/fleet_test.go
+++ b/io/share/fleet_test.go
@@ -35,6 +35,7 @@
 	homes    int
 	onWake   func(*node)
 	onAdd    func(*node)
+	done     chan struct{}
 	// naive replaces the ledgers' decisions.
 	naive admitter
 	all   sync.WaitGroup
@@ -67,6 +68,7 @@
 		random: random,
 		cut:    map[string]bool{},
 		unseen: time.Second,
+		done:   make(chan struct{}),
 	}
 }
 
--- a/io/share/lenders.go
+++ b/io/share/lenders.go
@@ -16,7 +16,7 @@
 	lendTimeout = 400 * time.Millisecond
 	// firstPause and lastPause bound how long a lender isn't asked that didn't
 	// answer; the pause doubles each time.
-	firstPause = time.Second
+	firstPause = 100 * time.Millisecond
 	lastPause  = 8 * time.Second
 	// maxBatch bounds the asks of one request.
 	maxBatch = 256
@@ -185,6 +185,7 @@
 		Room:      e.ask.Room,
 		Returned:  e.ask.Returned,
 		Urgent:    e.urgent,
+		Same:      e.ask.Same,
 	}
 }
 
@@ -196,6 +197,7 @@
 		Tokens:   a.GetTokens(),
 		Room:     a.GetRoom(),
 		Returned: a.GetReturned(),
+		Same:     a.GetSame(),
 	}
 }
 
@@ -205,6 +207,7 @@
 		Burst:              g.Part.Burst(),
 		Tokens:             g.Tokens,
 		Left:               g.Left,
+		Same:               g.Same,
 		PeriodMilliseconds: g.Period.Milliseconds(),
 	}
 }
@@ -214,6 +217,7 @@
 		Part:   loan.NewPart(g.GetRate(), g.GetBurst()),
 		Tokens: g.GetTokens(),
 		Left:   g.GetLeft(),
+		Same:   g.GetSame(),
 		Period: time.Duration(g.GetPeriodMilliseconds()) * time.Millisecond,
 	}
 }
