--- a/cmd/coltsfootloft/main.go
+++ b/cmd/coltsfootloft/main.go
@@ -8,12 +8,22 @@
 	"os"
 
 	"github.com/google/subcommands"
+
+	"coltsfootloft/io/cmds"
+	"coltsfootloft/io/host"
 )
 
 func main() {
-	subcommands.Register(subcommands.HelpCommand(), "")
-	subcommands.Register(subcommands.FlagsCommand(), "")
-	subcommands.Register(&serveCommand{}, "hosts")
+	c := subcommands.NewCommander(flag.CommandLine, "coltsfootloft")
+	c.Register(c.HelpCommand(), "")
+	c.Register(c.FlagsCommand(), "")
+	c.Register(&serveCommand{}, "hosts")
+	tools := &cmds.Tools{
+		Out:     os.Stdout,
+		Err:     os.Stderr,
+		Version: host.Version,
+	}
+	tools.Register(c)
 	flag.Parse()
-	os.Exit(int(subcommands.Execute(context.Background())))
+	os.Exit(int(c.Execute(context.Background())))
 }
