--- a/core/beat/table.go
+++ b/core/beat/table.go
@@ -40,8 +40,9 @@
 	SuspicionTime = 2 * time.Second
 	// ForgetTime is how long a dead host that the list doesn't have is kept.
 	ForgetTime = 10 * time.Minute
-	// sendFactor times the logarithm of the fleet is how often a rumour is sent.
-	sendFactor = 3
+	// extraSends plus the logarithm of the fleet is how often a rumour is sent:
+	// once to each neighbour and with some answers.
+	extraSends = 5
 )
 
 // Table is what one host holds of the fleet. It is not safe for concurrent use.
@@ -76,9 +77,13 @@
 func (t *Table) Self() Member { return t.members[t.self].Member }
 
 // Hear takes in a claim and reports whether it changed anything. A claim against
-// this host is contradicted.
+// this host is contradicted. That a host is dead is no news where it is unknown:
+// otherwise hosts would remind each other of it for ever.
 func (t *Table) Hear(m Member, now time.Time) bool {
 	old := t.members[m.record.Name()]
+	if old == nil && m.status == Dead {
+		return false
+	}
 	if old != nil && m.compare(old.Member) <= 0 {
 		return false
 	}
@@ -178,14 +183,6 @@
 	return t.Hear(s.As(Suspect), now)
 }
 
-// Answered says that a host with an incarnation answered. Where that is not the
-// one known, or it is held to be suspect or dead, it reports so: the host is to be
-// told and will contradict.
-func (t *Table) Answered(host string, incarnation uint64) (tell bool) {
-	s := t.members[host]
-	return s == nil || s.status != Alive || s.incarnation != incarnation
-}
-
 // Tick turns suspects that were silent too long into dead ones and forgets those
 // dead for long. It reports whether anything changed.
 func (t *Table) Tick(now time.Time) bool {
@@ -206,7 +203,7 @@
 // Rumours returns up to most claims that are still to be passed on, the least
 // often sent first, and counts them as sent.
 func (t *Table) Rumours(most int) []Member {
-	limit := sendFactor * bits.Len(uint(len(t.members)))
+	limit := extraSends + bits.Len(uint(len(t.members)))
 	var fresh []*slot
 	for _, s := range t.members {
 		if s.sends < limit {
--- a/core/beat/table_test.go
+++ b/core/beat/table_test.go
@@ -41,6 +41,8 @@
 		}
 		a := New(host(0, 2), 1, 0, start)
 		b := New(host(0, 2), 1, 0, start)
+		a.List(fleet(5, 2), start)
+		b.List(fleet(5, 2), start)
 		naive := make(map[string]Member)
 		for _, m := range claims {
 			a.Hear(m, start)
