host: peers, membership, settings feed, shared limits

Every duty now runs on the peer links: two hosts a domain follow the settings for the rest, one observes each group, and limits come with seats and loans. A host takes callers once it holds a seat, or after 3 s without one (the store may be down).

Red first: with callers taken at once the demo's first statement was refused, 'no token of its rate came free in time', because a seat is taken 0.4 s after the start. After: the demo and TestPath, TestRequestID and TestAnswers pass. Open: these three take 23 s instead of 5 s.

--- a/cmd/demo/deployment.go
+++ b/cmd/demo/deployment.go
@@ -12,6 +12,7 @@
 	"coltsfootloft"
 	"coltsfootloft/core/conf"
 	"coltsfootloft/core/keys"
+	"coltsfootloft/io/change"
 	"coltsfootloft/io/host"
 	"coltsfootloft/io/store"
 	"coltsfootloft/stand/dbase"
@@ -34,6 +35,7 @@
 type deployment struct {
 	log       logr.Logger
 	running   sync.WaitGroup
+	platform  *plat.Server
 	store     *store.Consul
 	databases []*dbase.Server
 	hosts     []*host.Host
@@ -42,9 +44,9 @@
 
 // start brings everything up.
 func (d *deployment) start(ctx context.Context) error {
-	p := &plat.Server{Listen: "127.0.0.1:0"}
-	d.running.Go(func() { d.report("platform", p.Run(ctx)) })
-	d.store = &store.Consul{Addresses: []string{"http://" + p.Addr()}}
+	d.platform = &plat.Server{Listen: "127.0.0.1:0"}
+	d.running.Go(func() { d.report("platform", d.platform.Run(ctx)) })
+	d.store = &store.Consul{Addresses: []string{"http://" + d.platform.Addr()}}
 	if err := d.startDatabases(ctx); err != nil {
 		return err
 	}
@@ -132,11 +134,15 @@
 	for i := range groupSize {
 		settings["fleet/domains/"+domainName(i)] = `{"region": "here", "seats": 1}`
 	}
-	var changes []coltsfootloft.Change
+	edit := change.Edit{Put: make(map[string][]byte)}
 	for path, value := range settings {
-		changes = append(changes, coltsfootloft.Put(host.SettingsPrefix+path, []byte(value), 0))
+		edit.Put[path] = []byte(value)
 	}
-	_, err = d.store.Apply(ctx, changes)
+	e := change.Editor{
+		Store:  d.store,
+		Author: "demo",
+	}
+	_, err = e.Apply(ctx, edit)
 	return errors.Wrap(err, "writing the settings")
 }
 
@@ -156,6 +162,7 @@
 	if err != nil {
 		return err
 	}
+	d.platform.Register(coltsfootloft.NewHost(settings.Name(), settings.Domain(), settings.Peer()))
 	h, err := host.Build(settings, clockwork.NewRealClock(), d.log)
 	if err != nil {
 		return err
--- a/core/conf/host.go
+++ b/core/conf/host.go
@@ -1,5 +1,7 @@
 package conf
 
+import "coltsfootloft"
+
 // Host is what one process is told about itself: its addresses, its failure
 // domain and where to find the rest. It is read by a [Loader].
 type Host struct {
@@ -10,7 +12,7 @@
 	peerListen    string
 	admin         string
 	store         string
-	peers         []string
+	peers         []coltsfootloft.HostRecord
 	upstreamUser  string
 	upstreamPass  string
 	callerTLS     Files
@@ -80,9 +82,8 @@
 // Store is the base URL of the platform's store.
 func (h *Host) Store() string { return h.store }
 
-// Peers are peer addresses of other hosts, as IP:port, to ask for settings when
-// the store can't be reached at the start.
-func (h *Host) Peers() []string { return h.peers }
+// Peers are other hosts, to start from when the store can't be reached.
+func (h *Host) Peers() []coltsfootloft.HostRecord { return h.peers }
 
 // UpstreamUser is the user name for databases.
 func (h *Host) UpstreamUser() string { return h.upstreamUser }
--- a/core/conf/hostset.go
+++ b/core/conf/hostset.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strconv"
 	"strings"
+
+	"coltsfootloft"
 )
 
 // hostSetting is one process setting. Its flag has - for _, its environment
@@ -25,6 +27,7 @@
 	acceptedFile   = "the name of a file"
 	acceptedStore  = "a URL with an IP number and port, such as \"http://10.0.0.1:8500\""
 	acceptedTrace  = "\"file:PATH\", or a URL with an IP number and port, such as \"http://10.0.0.1:4318\", or nothing"
+	acceptedPeer   = "a list of NAME@DOMAIN=IP:PORT, such as \"host-2@domain-b=10.0.0.2:7000\""
 	acceptedUser   = "a user name of 1 to 63 characters without control characters"
 )
 
@@ -101,15 +104,19 @@
 	},
 	{
 		name:     "peers",
-		usage:    "peer addresses of other hosts, asked while the store is down",
-		accepted: "a list of " + acceptedAddress,
+		usage:    "other hosts to start from while the store is down",
+		accepted: acceptedPeer,
 		list:     true,
 		set: func(h *Host, values []string) bool {
-			h.peers = values
-			return !slices.ContainsFunc(values, func(s string) bool {
-				_, ok := parseAddress(s)
-				return !ok
-			})
+			h.peers = nil
+			for _, v := range values {
+				r, ok := parsePeer(v)
+				if !ok {
+					return false
+				}
+				h.peers = append(h.peers, r)
+			}
+			return true
 		},
 	},
 	{
@@ -239,3 +246,16 @@
 	f, ok := strings.CutPrefix(s, "file:")
 	return s == "" || ok && f != "" || isURL(s)
 }
+
+// parsePeer reads NAME@DOMAIN=IP:PORT.
+func parsePeer(s string) (coltsfootloft.HostRecord, bool) {
+	who, address, ok := strings.Cut(s, "=")
+	name, domain, named := strings.Cut(who, "@")
+	if !ok || !named || name == "" || domain == "" {
+		return coltsfootloft.HostRecord{}, false
+	}
+	if _, ok := parseAddress(address); !ok {
+		return coltsfootloft.HostRecord{}, false
+	}
+	return coltsfootloft.NewHost(name, domain, address), true
+}
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -6,13 +6,16 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"time"
 
-	"coltsfootloft"
 	"coltsfootloft/core/conf"
 	"coltsfootloft/core/journ"
 	"coltsfootloft/io/admin"
 	"coltsfootloft/io/elect"
+	"coltsfootloft/io/feed"
 	"coltsfootloft/io/front"
+	"coltsfootloft/io/member"
+	"coltsfootloft/io/peer"
 	"coltsfootloft/io/share"
 	"coltsfootloft/io/watch"
 
@@ -21,16 +24,6 @@
 	"github.com/pkg/errors"
 )
 
-// Source brings the entries of the settings to this host.
-type Source interface {
-	// Run follows the settings until ctx ends.
-	Run(ctx context.Context) error
-	// Snapshot returns the newest revision and its entries by path.
-	Snapshot() (revision uint64, entries map[string][]byte)
-	// Changed returns a channel that is closed at the next revision.
-	Changed() <-chan struct{}
-}
-
 // Host is one entry host. Build makes one; its fields are set before Run.
 type Host struct {
 	// Settings are the process's own.
@@ -39,10 +32,12 @@
 	Clock clockwork.Clock
 	// Log takes events.
 	Log logr.Logger
-	// Source brings the fleet's settings.
-	Source Source
+	// Links carry requests between hosts.
+	Links *peer.Links
 	// Members knows the other hosts.
-	Members coltsfootloft.Members
+	Members *member.View
+	// Feed brings the fleet's settings.
+	Feed *feed.Feed
 	// Journal keeps decisions for explanations.
 	Journal *journ.Journal
 	// Watch observes the databases.
@@ -68,6 +63,13 @@
 	applying sync.Mutex
 }
 
+const (
+	// seatsWait bounds how long a starting host waits for its part of the limits.
+	seatsWait = 3 * time.Second
+	// seatsPause is how often it looks.
+	seatsPause = 10 * time.Millisecond
+)
+
 // duty is a goroutine of the host.
 type duty struct {
 	name string
@@ -83,13 +85,22 @@
 	if err := h.startAdmin(ctx); err != nil {
 		return err
 	}
-	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	linked, unlink := context.WithCancel(context.WithoutCancel(ctx))
+	defer unlink()
+	running, stop := context.WithCancel(linked)
 	defer stop()
-	var duties sync.WaitGroup
+	var links, duties sync.WaitGroup
+	links.Go(func() {
+		h.perform(linked, duty{
+			name: "links",
+			run:  h.Links.Run,
+		})
+	})
 	for _, d := range h.duties() {
 		duties.Go(func() { h.perform(running, d) })
 	}
 	h.awaitSettings(ctx)
+	h.awaitSeats(ctx)
 	callers := make(chan error, 1)
 	go func() { callers <- h.Front.Run(running) }()
 	close(h.ready)
@@ -99,9 +110,11 @@
 	case <-h.leave:
 	}
 	err := h.drain()
+	h.pools.close()
 	stop()
 	duties.Wait()
-	h.pools.close()
+	unlink()
+	links.Wait()
 	return errors.Wrap(firstError(err, <-callers), "draining")
 }
 
@@ -111,9 +124,13 @@
 			name: "admin",
 			run:  h.Admin.Run,
 		},
+		{
+			name: "members",
+			run:  h.Members.Run,
+		},
 		{
 			name: "settings",
-			run:  h.Source.Run,
+			run:  h.Feed.Run,
 		},
 		{
 			name: "apply",
@@ -146,6 +163,8 @@
 
 func (h *Host) startFront(ctx context.Context) error {
 	h.Ledger.OnReclaim(h.pools.reclaim)
+	h.Ledger.OnRevoke(h.pools.revoke)
+	h.Elect.Register()
 	a, err := h.Front.Start(ctx)
 	h.address = a
 	return errors.Wrap(err, "starting")
@@ -187,8 +206,8 @@
 // awaitSettings returns once a first revision is in force, or ctx ends.
 func (h *Host) awaitSettings(ctx context.Context) {
 	for {
-		changed := h.Source.Changed()
-		if revision, _ := h.Source.Snapshot(); revision > 0 {
+		changed := h.Feed.Changed()
+		if revision, _ := h.Feed.Snapshot(); revision > 0 {
 			h.apply()
 			return
 		}
@@ -200,10 +219,22 @@
 	}
 }
 
+// awaitSeats returns once this host holds a part of the limits, so that the first
+// callers are not refused. With the store down it takes callers without.
+func (h *Host) awaitSeats(ctx context.Context) {
+	deadline := h.Clock.Now().Add(seatsWait)
+	for ctx.Err() == nil && h.Clock.Now().Before(deadline) {
+		if numbers, _ := h.Ledger.Seats(); len(numbers) > 0 {
+			return
+		}
+		h.Clock.Sleep(seatsPause)
+	}
+}
+
 // followSettings brings each new revision into force.
 func (h *Host) followSettings(ctx context.Context) error {
 	for {
-		changed := h.Source.Changed()
+		changed := h.Feed.Changed()
 		h.apply()
 		select {
 		case <-changed:
@@ -217,7 +248,7 @@
 func (h *Host) apply() {
 	h.applying.Lock()
 	defer h.applying.Unlock()
-	revision, entries := h.Source.Snapshot()
+	revision, entries := h.Feed.Snapshot()
 	if revision == 0 || revision == h.current.Fleet().Revision() {
 		return
 	}
@@ -254,10 +285,9 @@
 
 func (h *Host) drain() error {
 	h.draining.Store(true)
+	h.Members.Leave()
 	ctx, cancel := context.WithTimeout(context.Background(), h.current.Fleet().Defaults().DrainWait())
 	defer cancel()
 	h.Log.Info("draining", "sessions", h.Front.Sessions())
 	return h.Front.Drain(ctx)
 }
-
-var _ coltsfootloft.Shares = (*share.Ledger)(nil)
--- a/io/host/pools.go
+++ b/io/host/pools.go
@@ -74,6 +74,13 @@
 	return ok && found.Reclaim()
 }
 
+// revoke closes connections whose rights end.
+func (p *pools) revoke(database string, count int) {
+	if found, ok := p.get(database); ok {
+		found.Revoke(count)
+	}
+}
+
 func (p *pools) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/io/host/provide.go
+++ b/io/host/provide.go
@@ -15,19 +15,23 @@
 	"coltsfootloft/io/dbops"
 	"coltsfootloft/io/dial"
 	"coltsfootloft/io/elect"
+	"coltsfootloft/io/feed"
 	"coltsfootloft/io/front"
+	"coltsfootloft/io/member"
+	"coltsfootloft/io/peer"
 	"coltsfootloft/io/pool"
 	"coltsfootloft/io/share"
 	"coltsfootloft/io/store"
 	"coltsfootloft/io/watch"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 )
 
-// SettingsPrefix is where the store keeps the fleet's settings.
-const SettingsPrefix = "coltsfootloft/settings/"
+// seatsPrefix is where the store keeps the seats.
+const seatsPrefix = "coltsfootloft/seats/"
 
 func provideStore(settings *conf.Host) (*store.Consul, error) {
 	return &store.Consul{
@@ -42,12 +46,61 @@
 
 func provideCurrent() *current { return &current{} }
 
-func provideWatch(clock clockwork.Clock, log logr.Logger, self coltsfootloft.HostRecord, open opener) *watch.Watcher {
+// book finds the peer addresses of hosts. The view of the fleet that it asks needs
+// the links itself, so it is set later.
+type book struct{ view *member.View }
+
+func (b *book) resolve(host string) (address string, ok bool) { return b.view.Resolve(host) }
+
+func provideBook() *book { return &book{} }
+
+func provideLinks(settings *conf.Host, b *book, clock clockwork.Clock, log logr.Logger) *peer.Links {
+	return &peer.Links{
+		Self:    settings.Name(),
+		Listen:  settings.PeerListen(),
+		Resolve: b.resolve,
+		Dial:    dial.From(settings.Peer(), 0),
+		Clock:   clock,
+		Log:     log.WithName("peer"),
+		Metrics: metrics.GetDefaultSet(),
+	}
+}
+
+func provideMembers(settings *conf.Host, self coltsfootloft.HostRecord, b *book, l *peer.Links, s *store.Consul, c *current, clock clockwork.Clock, log logr.Logger) *member.View {
+	b.view = &member.View{
+		Host:      self,
+		Peers:     l,
+		Store:     s,
+		Bootstrap: settings.Peers(),
+		Clock:     clock,
+		Log:       log.WithName("member"),
+		Revision:  func() uint64 { return c.Fleet().Revision() },
+	}
+	return b.view
+}
+
+func provideFeed(l *peer.Links, m *member.View, s *store.Consul, clock clockwork.Clock, log logr.Logger) *feed.Feed {
+	f := &feed.Feed{
+		Store:   s,
+		Peers:   l,
+		Members: m,
+		Clock:   clock,
+		Log:     log.WithName("feed"),
+		Prefix:  conf.StorePrefix,
+		Head:    conf.StorePrefix + conf.HeadPath,
+	}
+	m.OnRevision = f.Hear
+	return f
+}
+
+func provideWatch(clock clockwork.Clock, log logr.Logger, self coltsfootloft.HostRecord, l *peer.Links, m *member.View, open opener) *watch.Watcher {
 	return &watch.Watcher{
-		Clock: clock,
-		Log:   log.WithName("watch"),
-		Self:  self,
-		Open:  open,
+		Clock:   clock,
+		Log:     log.WithName("watch"),
+		Self:    self,
+		Peers:   l,
+		Members: m,
+		Open:    open,
 	}
 }
 
@@ -67,21 +120,18 @@
 	}
 }
 
-func provideElect(clock clockwork.Clock, log logr.Logger, self coltsfootloft.HostRecord, m coltsfootloft.Members, w *watch.Watcher, j *journ.Journal, open opener) (*elect.Duty, error) {
-	run, err := newRun()
-	if err != nil {
-		return nil, err
-	}
+func provideElect(clock clockwork.Clock, log logr.Logger, self coltsfootloft.HostRecord, run runName, l *peer.Links, m *member.View, w *watch.Watcher, j *journ.Journal, open opener) *elect.Duty {
 	return &elect.Duty{
 		Clock:       clock,
 		Log:         log.WithName("elect"),
 		Self:        self,
-		Incarnation: run,
+		Incarnation: string(run),
+		Peers:       l,
 		Members:     m,
 		Source:      w,
 		Open:        open,
 		Journal:     noteElection(j),
-	}, nil
+	}
 }
 
 // noteElection writes an event of the election duty to the journal.
@@ -97,17 +147,24 @@
 
 func provideJournal(clock clockwork.Clock) *journ.Journal { return &journ.Journal{Clock: clock} }
 
-// newRun returns a name unique to this run of the process.
-func newRun() (string, error) {
+// runName is unique to this run of the process.
+type runName string
+
+func provideRun() (runName, error) {
 	b := make([]byte, 6)
 	_, err := rand.Read(b)
-	return hex.EncodeToString(b), errors.Wrap(err, "random name")
+	return runName(hex.EncodeToString(b)), errors.Wrap(err, "random name")
 }
 
-func provideLedger(clock clockwork.Clock, log logr.Logger) *share.Ledger {
+func provideLedger(run runName, l *peer.Links, m *member.View, s *store.Consul, clock clockwork.Clock, log logr.Logger) *share.Ledger {
 	return &share.Ledger{
-		Clock: clock,
-		Log:   log.WithName("share"),
+		Clock:   clock,
+		Log:     log.WithName("share"),
+		Store:   s,
+		Peers:   l,
+		Members: m,
+		RunName: string(run),
+		Prefix:  seatsPrefix,
 	}
 }
 
@@ -141,7 +198,7 @@
 	}
 }
 
-func provideEnv(settings *conf.Host, c *current, w *watch.Watcher, m coltsfootloft.Members, l *share.Ledger, p *pools, r *retries, j *journ.Journal, clock clockwork.Clock, log logr.Logger) *caller.Env {
+func provideEnv(settings *conf.Host, c *current, w *watch.Watcher, m *member.View, l *share.Ledger, p *pools, r *retries, j *journ.Journal, clock clockwork.Clock, log logr.Logger) *caller.Env {
 	return &caller.Env{
 		Domain:  settings.Domain(),
 		Groups:  w,
@@ -156,23 +213,25 @@
 	}
 }
 
-func provideFront(settings *conf.Host, env *caller.Env, clock clockwork.Clock, log logr.Logger) *front.Server {
+func provideFront(settings *conf.Host, env *caller.Env, l *peer.Links, clock clockwork.Clock, log logr.Logger) *front.Server {
 	return &front.Server{
 		Name:   settings.Name(),
 		Listen: settings.Listen(),
 		Env:    env,
+		Peers:  l,
 		Clock:  clock,
 		Log:    log.WithName("front"),
 	}
 }
 
-func provideHost(settings *conf.Host, clock clockwork.Clock, log logr.Logger, source Source, m coltsfootloft.Members, j *journ.Journal, w *watch.Watcher, e *elect.Duty, l *share.Ledger, f *front.Server, c *current, p *pools) *Host {
+func provideHost(settings *conf.Host, clock clockwork.Clock, log logr.Logger, links *peer.Links, m *member.View, source *feed.Feed, j *journ.Journal, w *watch.Watcher, e *elect.Duty, l *share.Ledger, f *front.Server, c *current, p *pools) *Host {
 	return &Host{
 		Settings: settings,
 		Clock:    clock,
 		Log:      log,
-		Source:   source,
+		Links:    links,
 		Members:  m,
+		Feed:     source,
 		Journal:  j,
 		Watch:    w,
 		Elect:    e,
--- a/io/host/wire.go
+++ b/io/host/wire.go
@@ -3,9 +3,7 @@
 package host
 
 import (
-	"coltsfootloft"
 	"coltsfootloft/core/conf"
-	"coltsfootloft/io/store"
 
 	"github.com/go-logr/logr"
 	"github.com/google/wire"
@@ -15,8 +13,11 @@
 var providers = wire.NewSet(
 	provideStore,
 	provideSelf,
+	provideRun,
+	provideBook,
+	provideLinks,
 	provideMembers,
-	provideSource,
+	provideFeed,
 	provideCurrent,
 	provideJournal,
 	provideOpener,
@@ -29,7 +30,6 @@
 	provideEnv,
 	provideFront,
 	provideHost,
-	wire.Bind(new(coltsfootloft.Store), new(*store.Consul)),
 )
 
 // Build makes a host from its process settings.
--- a/io/host/wire_gen.go
+++ b/io/host/wire_gen.go
@@ -7,9 +7,7 @@
 package host
 
 import (
-	"coltsfootloft"
 	"coltsfootloft/core/conf"
-	"coltsfootloft/io/store"
 	"github.com/go-logr/logr"
 	"github.com/google/wire"
 	"github.com/jonboulle/clockwork"
@@ -19,31 +17,34 @@
 
 // Build makes a host from its process settings.
 func Build(settings *conf.Host, clock clockwork.Clock, log logr.Logger) (*Host, error) {
+	hostBook := provideBook()
+	links := provideLinks(settings, hostBook, clock, log)
+	hostRecord := provideSelf(settings)
 	consul, err := provideStore(settings)
 	if err != nil {
 		return nil, err
 	}
-	source := provideSource(consul, clock)
-	hostRecord := provideSelf(settings)
-	members := provideMembers(hostRecord)
+	hostCurrent := provideCurrent()
+	view := provideMembers(settings, hostRecord, hostBook, links, consul, hostCurrent, clock, log)
+	feed := provideFeed(links, view, consul, clock, log)
 	journal := provideJournal(clock)
 	hostOpener := provideOpener(settings)
-	watcher := provideWatch(clock, log, hostRecord, hostOpener)
-	electDuty, err := provideElect(clock, log, hostRecord, members, watcher, journal, hostOpener)
+	watcher := provideWatch(clock, log, hostRecord, links, view, hostOpener)
+	hostRunName, err := provideRun()
 	if err != nil {
 		return nil, err
 	}
-	ledger := provideLedger(clock, log)
-	hostCurrent := provideCurrent()
+	electDuty := provideElect(clock, log, hostRecord, hostRunName, links, view, watcher, journal, hostOpener)
+	ledger := provideLedger(hostRunName, links, view, consul, clock, log)
 	login, err := provideLogin(settings)
 	if err != nil {
 		return nil, err
 	}
 	hostPools := providePools(hostCurrent, login, ledger, clock, log)
 	hostRetries := provideRetries(hostCurrent, clock)
-	env := provideEnv(settings, hostCurrent, watcher, members, ledger, hostPools, hostRetries, journal, clock, log)
-	server := provideFront(settings, env, clock, log)
-	host := provideHost(settings, clock, log, source, members, journal, watcher, electDuty, ledger, server, hostCurrent, hostPools)
+	env := provideEnv(settings, hostCurrent, watcher, view, ledger, hostPools, hostRetries, journal, clock, log)
+	server := provideFront(settings, env, links, clock, log)
+	host := provideHost(settings, clock, log, links, view, feed, journal, watcher, electDuty, ledger, server, hostCurrent, hostPools)
 	return host, nil
 }
 
@@ -52,8 +53,11 @@
 var providers = wire.NewSet(
 	provideStore,
 	provideSelf,
+	provideRun,
+	provideBook,
+	provideLinks,
 	provideMembers,
-	provideSource,
+	provideFeed,
 	provideCurrent,
 	provideJournal,
 	provideOpener,
@@ -65,5 +69,5 @@
 	provideRetries,
 	provideEnv,
 	provideFront,
-	provideHost, wire.Bind(new(coltsfootloft.Store), new(*store.Consul)),
+	provideHost,
 )
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -237,6 +239,24 @@
 	return len(overdue)
 }
 
+// Revoke closes this many connections, idle ones first and then those that have
+// been in use the longest: their rights end.
+func (p *Pool) Revoke(count int) {
+	p.mu.Lock()
+	n := min(count, len(p.idle))
+	idle := p.idle[:n]
+	p.idle = slices.Clone(p.idle[n:])
+	p.open -= n
+	lent := slices.SortedFunc(maps.Keys(p.lent), func(a, b *Conn) int { return p.lent[a].Compare(p.lent[b]) })
+	p.mu.Unlock()
+	for _, c := range idle {
+		c.close()
+	}
+	for _, c := range lent[:min(count-n, len(lent))] {
+		c.Abort()
+	}
+}
+
 // openMore starts to open connections for waiters. The lock is held.
 func (p *Pool) openMore() {
 	for p.opening < maxOpening && p.opening < p.waiters.Len() && !p.closed {
--- a/io/share/ledger.go
+++ b/io/share/ledger.go
@@ -89,6 +89,7 @@
 		<-ctx.Done()
 		return nil
 	}
+	l.register.Do(l.start)
 	g, run := errgroup.WithContext(ctx)
 	duties := []func(context.Context){
 		l.seating.renewDuty,
