--- /dev/null
+++ b/io/trace/request.go
@@ -0,0 +1,124 @@
+package trace
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/trace"
+
+	"coltsfootloft"
+)
+
+// Request is the trace of one request. A nil Request does nothing. Its methods may
+// be called from several goroutines.
+type Request struct {
+	tracer trace.Tracer
+	ctx    context.Context
+	span   trace.Span
+}
+
+// ID is the trace id in hexadecimal, and empty for a nil Request.
+func (r *Request) ID() string {
+	if r == nil {
+		return ""
+	}
+	return r.span.SpanContext().TraceID().String()
+}
+
+// Set adds an attribute to the request as a whole, such as account, route or
+// group.
+func (r *Request) Set(name, value string) {
+	if r != nil {
+		r.span.SetAttributes(attribute.String(name, value))
+	}
+}
+
+// Start begins the span of one hop.
+func (r *Request) Start(h Hop) Span {
+	if r == nil {
+		return Span{}
+	}
+	_, s := r.tracer.Start(r.ctx, h.String(), trace.WithSpanKind(h.kind()))
+	return Span{span: s}
+}
+
+// End ends the request with its outcome. A reason is given for a request that is
+// not done.
+func (r *Request) End(o coltsfootloft.Outcome, reason string) {
+	if r == nil {
+		return
+	}
+	r.span.SetAttributes(attribute.String("outcome", o.String()))
+	if o != coltsfootloft.Done {
+		r.span.SetStatus(codes.Error, reason)
+	}
+	r.span.End()
+}
+
+// Span is the time that a request spends at one hop. The zero Span does nothing.
+type Span struct{ span trace.Span }
+
+// Set adds an attribute, such as the database.
+func (s Span) Set(name, value string) {
+	if s.span != nil {
+		s.span.SetAttributes(attribute.String(name, value))
+	}
+}
+
+// End ends the span, as failed if there is an error.
+func (s Span) End(err error) {
+	if s.span == nil {
+		return
+	}
+	if err != nil {
+		s.span.SetStatus(codes.Error, err.Error())
+	}
+	s.span.End()
+}
+
+// Hop is a place where a request spends time.
+type Hop uint8
+
+// The hops of a request.
+const (
+	// Caller is the whole request, as the caller waits for it.
+	Caller Hop = iota
+	// Admission is the wait for the client account's rate and burst.
+	Admission
+	// PoolWait is the wait for a connection to a database.
+	PoolWait
+	// Freshness is the wait for a database that has caught up.
+	Freshness
+	// Database is the time at the database.
+	Database
+	// AckWait is the wait until a majority has received a write.
+	AckWait
+)
+
+// kind tells calls that leave the host from waits inside it.
+func (h Hop) kind() trace.SpanKind {
+	if h == Database {
+		return trace.SpanKindClient
+	}
+	return trace.SpanKindInternal
+}
+
+// String returns the name of the hop's span.
+func (h Hop) String() string {
+	switch h {
+	case Caller:
+		return "caller"
+	case Admission:
+		return "admission"
+	case PoolWait:
+		return "pool wait"
+	case Freshness:
+		return "freshness wait"
+	case Database:
+		return "database"
+	case AckWait:
+		return "acknowledgement wait"
+	}
+	return "invalid hop"
+}
