--- a/core/conf/host.go
+++ b/core/conf/host.go
@@ -3,24 +3,25 @@
 // Host is what one process is told about itself: its addresses, its failure
 // domain and where to find the rest. It is read by a [Loader].
 type Host struct {
-	name          string
-	domain        string
-	listen        string
-	peer          string
-	peerListen    string
-	admin         string
-	store         string
-	peers         []string
-	upstreamUser  string
-	upstreamPass  string
-	callerTLS     Files
-	requireTLS    bool
-	upstreamTLS   Files
-	peerTLS       Files
-	logFormat     string
-	logLevel      string
-	trace         string
-	traceFraction float64
+	name            string
+	domain          string
+	listen          string
+	peer            string
+	peerListen      string
+	admin           string
+	store           string
+	peers           []string
+	upstreamUser    string
+	upstreamPass    string
+	callerTLS       Files
+	requireTLS      bool
+	upstreamTLS     Files
+	upstreamAnyName bool
+	peerTLS         Files
+	logFormat       string
+	logLevel        string
+	trace           string
+	traceFraction   float64
 }
 
 // Files names the files of one TLS role, in PEM.
@@ -99,6 +100,10 @@
 // UpstreamTLS are the files for connections to databases.
 func (h *Host) UpstreamTLS() Files { return h.upstreamTLS }
 
+// UpstreamAnyName reports whether a database's certificate is accepted whatever
+// address it is for, as long as it comes from the authorities.
+func (h *Host) UpstreamAnyName() bool { return h.upstreamAnyName }
+
 // PeerTLS are the files for connections between hosts, in both directions.
 func (h *Host) PeerTLS() Files { return h.peerTLS }
 
--- a/core/conf/hostset.go
+++ b/core/conf/hostset.go
@@ -152,6 +152,16 @@
 		func(h *Host) *string { return &h.upstreamTLS.certificate }),
 	file("upstream_key", "private key of upstream_cert",
 		func(h *Host) *string { return &h.upstreamTLS.key }),
+	{
+		name:     "upstream_verify",
+		usage:    "what of a database's certificate must be right: full, or authority for any address",
+		accepted: "full or authority",
+		missing:  "full",
+		set: one(func(h *Host, s string) bool {
+			h.upstreamAnyName = s == "authority"
+			return s == "full" || s == "authority"
+		}),
+	},
 	file("peer_ca", "authorities of the hosts' certificates",
 		func(h *Host) *string { return &h.peerTLS.authorities }),
 	file("peer_cert", "certificate chain shown to other hosts",
