--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -16,7 +16,7 @@
 	// Duty is the name of the duty on peer links.
 	Duty = "feed"
 	// DefaultFan is the number of hosts that one host passes a push on to.
-	DefaultFan = 8
+	DefaultFan = 4
 	// relays is the number of hosts of a failure domain that watch the store.
 	relays = 2
 	// rolePeriod is how often a host checks whether it is a relay.
--- /dev/null
+++ b/io/feed/feed_test.go
@@ -0,0 +1,232 @@
+package feed
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"coltsfootloft"
+	"coltsfootloft/stand/plat"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+)
+
+// inForce is how soon an accepted change is in force everywhere.
+const inForce = 5 * time.Second
+
+// withdrawal is how soon a withdrawn key stops everywhere.
+const withdrawal = 3 * time.Second
+
+func value(s string) map[string][]byte { return map[string][]byte{"teams/a": []byte(s)} }
+
+func TestChangeIsInForceEverywhereAndNeverReverts(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 15, 3)
+	r := f.mustApply(value("0"))
+	f.startAll()
+	f.await("start", r, inForce, nil)
+	f.await("change", f.mustApply(value("1")), inForce, nil)
+
+	f.server.SetFaults(plat.Faults{Delay: 500 * time.Millisecond})
+	f.await("slow store", f.mustApply(value("2")), inForce, nil)
+
+	f.server.SetFaults(plat.Faults{LoseAnswers: 1})
+	_, err := f.apply(value("3"))
+	assert.ErrorIs(t, err, coltsfootloft.ErrUncertain)
+	e, err := f.store.Read(t.Context(), testPrefix+"teams/a")
+	assert.NilError(t, err)
+	f.await("lost answer", e.Version(), inForce, nil)
+
+	r = f.race(4)
+	f.await("racing operators", r, inForce, nil)
+
+	f.server.SetFaults(plat.Faults{Old: time.Minute})
+	time.Sleep(3 * time.Second)
+	f.await("old answers", r, 0, nil)
+	f.server.SetFaults(plat.Faults{Down: plat.Refuse})
+	for i := range 3 {
+		f.start(coltsfootloft.NewHost(fmt.Sprintf("new%d", i), fmt.Sprintf("d%d", i), "10.0.0.2:1"))
+	}
+	f.await("started while the store is down", r, inForce, nil)
+	f.server.SetFaults(plat.Faults{})
+	f.await("store back", f.mustApply(value("5")), inForce, nil)
+	assert.Equal(t, f.back.Load(), int64(0), "steps back")
+	for _, h := range f.hosts {
+		_, entries := h.source.Snapshot()
+		assert.Equal(t, string(entries["teams/a"]), "5")
+	}
+}
+
+// race lets operators change the same key at once until one has won.
+func (f *fleet) race(operators int) uint64 {
+	f.t.Helper()
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	var won []uint64
+	conflicts := 0
+	for i := range operators {
+		group.Go(func() {
+			r, err := f.apply(value(fmt.Sprint("racer ", i)))
+			mu.Lock()
+			defer mu.Unlock()
+			if err == nil {
+				won = append(won, r)
+				return
+			}
+			assert.Check(f.t, errors.Is(err, coltsfootloft.ErrConflict), err)
+			conflicts++
+		})
+	}
+	group.Wait()
+	f.t.Logf("racing operators: %d accepted, %d conflicts", len(won), conflicts)
+	var newest uint64
+	for _, r := range won {
+		newest = max(newest, r)
+	}
+	assert.Assert(f.t, newest > 0)
+	return newest
+}
+
+func TestCutDomainCatchesUp(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 15, 3)
+	f.startAll()
+	f.await("start", f.mustApply(value("0")), inForce, nil)
+	reachable := func(h *host) bool { return h.record.Domain() != "d2" }
+	f.isolate("d2", true)
+	r := f.mustApply(value("1"))
+	f.await("others", r, inForce, reachable)
+	time.Sleep(4 * time.Second)
+	f.isolate("d2", false)
+	f.await("healed", r, inForce, nil)
+	assert.Equal(t, f.back.Load(), int64(0), "steps back")
+}
+
+// isolate cuts a domain from the others and from the store, or heals the cut.
+func (f *fleet) isolate(domain string, cut bool) {
+	f.cut[domain].Store(cut)
+	for d := range f.cut {
+		if d == domain {
+			continue
+		}
+		if cut {
+			f.mesh.Cut(domain, d)
+		} else {
+			f.mesh.Heal(domain, d)
+		}
+	}
+}
+
+func TestWithdrawnKeyReachesDomainsCutFromTheStore(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 15, 3)
+	f.startAll()
+	f.await("start", f.mustApply(map[string][]byte{"teams/a/keys/k": []byte("verifier")}), inForce, nil)
+	f.cut["d1"].Store(true)
+	f.cut["d2"].Store(true)
+	time.Sleep(headWait + watchMargin)
+	f.await("withdrawn", f.mustApply(map[string][]byte{"teams/a/keys/k": nil}), withdrawal, nil)
+	for _, h := range f.hosts {
+		_, entries := h.source.Snapshot()
+		assert.Assert(t, entries["teams/a/keys/k"] == nil)
+	}
+	assert.Equal(t, f.back.Load(), int64(0), "steps back")
+}
+
+func TestLargeSettingsComeInParts(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 4, 1)
+	large := make(map[string][]byte)
+	for i := range 12 {
+		large[fmt.Sprint("k", i)] = make([]byte, 400<<10)
+	}
+	f.startAll()
+	f.await("whole", f.mustApply(large), inForce, nil)
+	f.await("delta", f.mustApply(large), inForce, nil)
+	for _, h := range f.hosts {
+		_, entries := h.source.Snapshot()
+		assert.Equal(t, len(entries), len(large)+1)
+	}
+}
+
+// TestStoreCallsGrowWithDomains counts the calls to the store while one change a
+// second is made.
+func TestStoreCallsGrowWithDomains(t *testing.T) {
+	t.Parallel()
+	sizes := [][2]int{{15, 3}}
+	if *measure {
+		sizes = append(sizes, [][2]int{{60, 3}, {120, 3}, {60, 6}, {120, 6}}...)
+	}
+	for _, s := range sizes {
+		n, domains := s[0], s[1]
+		t.Run(fmt.Sprintf("%d hosts in %d domains", n, domains), func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, n, domains)
+			r := f.mustApply(value("0"))
+			f.startAll()
+			f.await("start", r, inForce, nil)
+			time.Sleep(2 * time.Second)
+			before := f.server.Counts()
+			began := time.Now()
+			var worst time.Duration
+			for i := range 4 {
+				worst = max(worst, f.await("change", f.mustApply(value(fmt.Sprint(i))), inForce, nil))
+				time.Sleep(time.Second)
+			}
+			after := f.server.Counts()
+			// The operator's own listing before each change is not the fleet's.
+			reads := float64(after.Reads-before.Reads-4) / time.Since(began).Seconds()
+			watches := float64(after.Watches-before.Watches) / time.Since(began).Seconds()
+			t.Logf("%d hosts in %d domains: %.1f reads/s and %.1f watches/s, in force after at most %v",
+				n, domains, reads, watches, worst.Round(time.Millisecond))
+			assert.Assert(t, reads+watches < float64(8*domains))
+		})
+	}
+}
+
+// TestFanOut measures what a push costs the host that sends most, against the time
+// until all hosts of a domain have it, also with dead hosts in the tree.
+func TestFanOut(t *testing.T) {
+	if !*measure {
+		t.Skip("measuring only: -measure")
+	}
+	for _, fan := range []int{2, 4, 8, 16, 121} {
+		t.Run(fmt.Sprint(fan), func(t *testing.T) {
+			f := newFleet(t, 122, 1)
+			f.fan = fan
+			f.startAll()
+			f.await("start", f.mustApply(value("0")), inForce, nil)
+			time.Sleep(time.Second)
+			whole, most := f.pushes(5)
+			order := f.hosts["h000"].source.(*Feed).order("d0")
+			for _, name := range []string{order[2], order[len(order)-1]} {
+				f.mesh.Leave(name)
+				f.hosts[name].stop()
+				delete(f.hosts, name)
+			}
+			dead, _ := f.pushes(1)
+			t.Logf("fan-out %d: in force after %v, after %v with two dead inner hosts, at most %d bytes sent by a host for each change",
+				fan, whole, dead, most)
+		})
+	}
+}
+
+// pushes makes changes of 2 KB and returns the longest time until one was in force
+// everywhere, and the most bytes that one host sent for each.
+func (f *fleet) pushes(changes int) (worst time.Duration, most int) {
+	before := make(map[string]int)
+	for n, h := range f.hosts {
+		before[n] = h.port.Sent(Duty).Bytes
+	}
+	for i := range changes {
+		r := f.mustApply(map[string][]byte{"k": make([]byte, 2000+i)})
+		worst = max(worst, f.await("change", r, inForce, nil))
+		time.Sleep(300 * time.Millisecond)
+	}
+	for n, h := range f.hosts {
+		most = max(most, (h.port.Sent(Duty).Bytes-before[n])/changes)
+	}
+	return worst, most
+}
--- a/io/member/view_test.go
+++ b/io/member/view_test.go
@@ -39,7 +39,6 @@
 
 func newFleet(t *testing.T, s *plat.Server) *fleet {
 	t.Helper()
-	t.Parallel()
 	f := &fleet{
 		t:     t,
 		mesh:  &mesh.Mesh{Delay: time.Millisecond},
@@ -136,6 +135,7 @@
 }
 
 func TestLeavingUpstreamIsKnownEverywhereThoughTheListLags(t *testing.T) {
+	t.Parallel()
 	s := &plat.Server{}
 	f := newFleet(t, s)
 	u := coltsfootloft.NewHost("u", "d0", "10.0.0.9:1").AsUpstream()
@@ -156,6 +156,7 @@
 }
 
 func TestListedLeavingReachesHostsCutFromThePlatform(t *testing.T) {
+	t.Parallel()
 	s := &plat.Server{}
 	f := newFleet(t, s)
 	u := coltsfootloft.NewHost("u", "d0", "10.0.0.9:1").AsUpstream()
@@ -178,6 +179,7 @@
 }
 
 func TestHostsDieComeAndArePartitioned(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, nil)
 	var all []coltsfootloft.HostRecord
 	for i := range 15 {
@@ -220,12 +222,14 @@
 
 // TestHeartbeatLoad measures what heartbeats cost each host.
 func TestHeartbeatLoad(t *testing.T) {
+	t.Parallel()
 	sizes := []int{15}
 	if *measure {
 		sizes = append(sizes, 60, 120)
 	}
 	for _, n := range sizes {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			t.Parallel()
 			f := newFleet(t, nil)
 			var all []coltsfootloft.HostRecord
 			for i := range n {
@@ -236,9 +240,10 @@
 			}
 			f.await("joined", 5*time.Second, holds(n))
 			// The rumours of the start end before the load is even.
-			last, c := load{}, f.load(3500*time.Millisecond)
+			c := f.load(3500 * time.Millisecond)
 			for range 15 {
-				if last, c = c, f.load(3500*time.Millisecond); c.bytes > last.bytes*0.98 {
+				last := c
+				if c = f.load(3500 * time.Millisecond); c.bytes > last.bytes*0.98 {
 					break
 				}
 			}
