--- a/io/watch/group.go
+++ b/io/watch/group.go
@@ -13,6 +13,10 @@
 	"github.com/jonboulle/clockwork"
 )
 
+// newsAfter is how long a database must have been silent for its next answer to
+// be a change, even with the same reading.
+const newsAfter = 500 * time.Millisecond
+
 // group is what this host knows of one database group.
 type group struct {
 	settings coltsfootloft.Group
@@ -77,15 +81,19 @@
 
 // take is apply with the lock held.
 func (g *group) take(database string, asked, answered time.Time, r coltsfootloft.Reading) {
+	again := answered.Sub(g.answered[database]) > newsAfter
 	g.asked[database] = asked
 	g.answered[database] = answered
 	g.bounds.Note(database, asked, r)
 	g.note(database, r)
-	if old, ok := g.readings[database]; ok && old == r {
+	old, known := g.readings[database]
+	if known && old == r && !again {
 		return
 	}
-	g.readings[database] = r
-	g.sequence = g.bell.ring()
+	if old != r || !known {
+		g.readings[database] = r
+		g.sequence = g.bell.ring()
+	}
 	close(g.changed)
 	g.changed = make(chan struct{})
 }
--- a/io/watch/relay.go
+++ b/io/watch/relay.go
@@ -12,14 +12,14 @@
 	// dutyName names the peer messages of this package.
 	dutyName = "watch"
 	// relayWait is how long an observer may hold a poll without news.
-	relayWait = 500 * time.Millisecond
+	relayWait = 350 * time.Millisecond
 	// rushWait is how long it may hold one that callers wait for.
 	rushWait = 250 * time.Millisecond
 	// relaySlack is how much later than that the answer may arrive.
 	relaySlack = 300 * time.Millisecond
 	// gatherPeriod is how long an observer brings changes together for a poll that
 	// no caller waits for.
-	gatherPeriod = 50 * time.Millisecond
+	gatherPeriod = 100 * time.Millisecond
 	// quietLimit is how recently a database must have been asked for its group to
 	// be quiet. It is above the longest poll of a healthy one.
 	quietLimit = time.Second
--- a/io/watch/watch_test.go
+++ b/io/watch/watch_test.go
@@ -9,6 +9,7 @@
 	"coltsfootloft"
 	"coltsfootloft/stand/memdb"
 
+	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 )
 
@@ -113,3 +114,29 @@
 		<-w.Changed(groupName)
 	}
 }
+
+// TestHeardAgainIsAChange: callers that passed over a silent database wait for the
+// group to change, and must learn that it answers again.
+func TestHeardAgainIsAChange(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	w := &Watcher{
+		Clock: clock,
+	}
+	w.Configure([]coltsfootloft.Group{settings()})
+	g := w.group(groupName)
+	r := coltsfootloft.NewReading(coltsfootloft.Replica, coltsfootloft.NewTerm(1, "first"), coltsfootloft.Position{}, coltsfootloft.Position{})
+	answers := func(after time.Duration) bool {
+		clock.Advance(after)
+		changed := w.Changed(groupName)
+		g.apply("a", clock.Now(), clock.Now(), r)
+		select {
+		case <-changed:
+			return true
+		default:
+			return false
+		}
+	}
+	assert.Assert(t, answers(0))
+	assert.Assert(t, !answers(300*time.Millisecond))
+	assert.Assert(t, answers(2*time.Second))
+}
