dbase: end sessions of a rebuilt database only between their messages

The race detector saw terminate write to a session that was still greeting its caller (1 of 8 runs of the package, in TestHistoriesLoseNoAcknowledgedWrite).

--- a/stand/dbase/greet.go
+++ b/stand/dbase/greet.go
@@ -56,11 +56,7 @@
 			x.server.cancel(m.ProcessID, m.SecretKey)
 			return false
 		case *pgproto3.StartupMessage:
-			if err := x.startUp(ctx, m); err != nil {
-				x.fatal(err)
-				return false
-			}
-			return x.ready(ctx)
+			return x.startUp(ctx, m)
 		}
 	}
 }
@@ -81,15 +77,20 @@
 	return true
 }
 
-func (x *session) startUp(ctx context.Context, m *pgproto3.StartupMessage) error {
+// startUp logs the caller in and tells it the state of the session.
+func (x *session) startUp(ctx context.Context, m *pgproto3.StartupMessage) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
 	x.user = m.Parameters["user"]
 	x.platform = x.user == PlatformUser
 	x.database = m.Parameters["database"]
-	if err := x.authenticate(); err != nil {
-		return err
+	err := x.authenticate()
+	if err == nil {
+		err = x.server.register(x)
 	}
-	if err := x.server.register(x); err != nil {
-		return err
+	if err != nil {
+		x.fatal(err)
+		return false
 	}
 	x.startup = startupSettings(m.Parameters)
 	x.startup["session_authorization"] = x.user
@@ -102,7 +103,7 @@
 		ProcessID: x.pid,
 		SecretKey: x.secret,
 	})
-	return ctx.Err()
+	return x.ready(ctx)
 }
 
 // startupSettings reads the settings of a startup message: its own parameters
--- a/stand/dbase/session.go
+++ b/stand/dbase/session.go
@@ -96,14 +96,7 @@
 // next handles one message and reports whether more may come.
 func (x *session) next(ctx context.Context) bool {
 	m, err := x.receive()
-	if err != nil {
-		x.fatal(err)
-		return false
-	}
-	if m == nil {
-		return false
-	}
-	if x.server.thaw(ctx) != nil {
+	if m == nil && err == nil || x.server.thaw(ctx) != nil {
 		return false
 	}
 	x.mu.Lock()
@@ -111,6 +104,10 @@
 	if x.closing {
 		return false
 	}
+	if err != nil {
+		x.fatal(err)
+		return false
+	}
 	return x.dispatch(ctx, m)
 }
 
