--- a/cmd/standin/process_test.go
+++ b/cmd/standin/process_test.go
@@ -23,7 +23,7 @@
 )
 
 // build compiles the command.
-func build(t *testing.T) string {
+func build(t testing.TB) string {
 	t.Helper()
 	binary := filepath.Join(t.TempDir(), "standin")
 	out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput()
@@ -38,7 +38,7 @@
 }
 
 // launch starts the command and waits for its line.
-func launch(t *testing.T, binary string, args ...string) *process {
+func launch(t testing.TB, binary string, args ...string) *process {
 	t.Helper()
 	c := exec.Command(binary, args...)
 	c.Stderr = os.Stderr
@@ -92,7 +92,7 @@
 // lastPort is the port that freeAddress has tried last.
 var lastPort = 20_000 + os.Getpid()%10_000
 
-func connect(t *testing.T, address string) *pgx.Conn {
+func connect(t testing.TB, address string) *pgx.Conn {
 	t.Helper()
 	c, err := pgx.Connect(t.Context(), "postgres://caroni@"+address+"/news?sslmode=disable")
 	assert.NilError(t, err)
