--- a/core/conf/host.go
+++ b/core/conf/host.go
@@ -7,9 +7,9 @@
 	domain        string
 	listen        string
 	peer          string
+	peerListen    string
 	admin         string
 	store         string
-	storeToken    string
 	peers         []string
 	upstreamUser  string
 	upstreamPass  string
@@ -65,15 +65,21 @@
 // Peer is the IP:port for other hosts, as they reach it. Port 0 takes a free one.
 func (h *Host) Peer() string { return h.peer }
 
+// PeerListen is the IP:port to listen on for other hosts: Peer, unless addresses
+// are translated on the way.
+func (h *Host) PeerListen() string {
+	if h.peerListen == "" {
+		return h.peer
+	}
+	return h.peerListen
+}
+
 // Admin is the IP:port for operators and monitoring. Port 0 takes a free one.
 func (h *Host) Admin() string { return h.admin }
 
 // Store is the base URL of the platform's store.
 func (h *Host) Store() string { return h.store }
 
-// StoreTokenFile holds the token sent to the store; empty for none.
-func (h *Host) StoreTokenFile() string { return h.storeToken }
-
 // Peers are peer addresses of other hosts, as IP:port, to ask for settings when
 // the store can't be reached at the start.
 func (h *Host) Peers() []string { return h.peers }
--- a/io/share/lenders.go
+++ b/io/share/lenders.go
@@ -14,8 +14,10 @@
 const (
 	// lendTimeout bounds a request for loans.
 	lendTimeout = 400 * time.Millisecond
-	// lenderPause is how long a lender isn't asked that didn't answer.
-	lenderPause = time.Second
+	// firstPause and lastPause bound how long a lender isn't asked that didn't
+	// answer; the pause doubles each time.
+	firstPause = 100 * time.Millisecond
+	lastPause  = 8 * time.Second
 	// maxBatch bounds the asks of one request.
 	maxBatch = 256
 	// maxGuesses bounds the hosts asked while the holders of seats are unknown.
@@ -35,6 +37,7 @@
 	host      string
 	queue     []*errand
 	busy      bool
+	pause     time.Duration
 	downUntil time.Time
 }
 
@@ -84,12 +87,21 @@
 		if n == 0 {
 			return
 		}
-		if !s.deliver(ctx, d.host, batch) {
-			s.mutex.Lock()
-			d.downUntil = s.ledger.Clock.Now().Add(lenderPause)
-			s.mutex.Unlock()
-		}
+		ok := s.deliver(ctx, d.host, batch)
+		s.mutex.Lock()
+		d.answered(s.ledger.Clock.Now(), ok)
+		s.mutex.Unlock()
+	}
+}
+
+// answered notes whether the lender answered. The mutex of lenders is held.
+func (d *desk) answered(now time.Time, ok bool) {
+	if ok {
+		d.pause = 0
+		return
 	}
+	d.pause = min(max(2*d.pause, firstPause), lastPause)
+	d.downUntil = now.Add(d.pause)
 }
 
 // deliver sends one batch and reports whether it was answered.
@@ -173,6 +185,7 @@
 		Room:      e.ask.Room,
 		Returned:  e.ask.Returned,
 		Urgent:    e.urgent,
+		Same:      e.ask.Same,
 	}
 }
 
@@ -184,6 +197,7 @@
 		Tokens:   a.GetTokens(),
 		Room:     a.GetRoom(),
 		Returned: a.GetReturned(),
+		Same:     a.GetSame(),
 	}
 }
 
@@ -193,6 +207,7 @@
 		Burst:              g.Part.Burst(),
 		Tokens:             g.Tokens,
 		Left:               g.Left,
+		Same:               g.Same,
 		PeriodMilliseconds: g.Period.Milliseconds(),
 	}
 }
@@ -202,6 +217,7 @@
 		Part:   loan.NewPart(g.GetRate(), g.GetBurst()),
 		Tokens: g.GetTokens(),
 		Left:   g.GetLeft(),
+		Same:   g.GetSame(),
 		Period: time.Duration(g.GetPeriodMilliseconds()) * time.Millisecond,
 	}
 }
