dbase: know the types of more expressions and of inserts without names

Sums of fractions had the type of whole numbers and failed in binary form; conditions had the type of their first column; INSERT without column names left booleans and bytes as text. Inserts now use the order of the table's columns.

--- a/stand/dbase/extended.go
+++ b/stand/dbase/extended.go
@@ -16,9 +16,9 @@
 // description is what a statement's text tells of its parameters and result.
 type description struct {
 	statement *statement
-	types     map[string]uint32
+	schema    *tables
 	columns   []column
-	schema    uint64
+	version   uint64
 }
 
 // maxDescribed bounds the descriptions that a session keeps.
@@ -54,7 +54,7 @@
 			return err
 		}
 		p.statement = d.statement
-		p.params = d.statement.paramTypes(m.ParameterOIDs, d.types)
+		p.params = d.statement.paramTypes(m.ParameterOIDs, d.schema)
 	}
 	x.prepared[m.Name] = p
 	x.backend.Send(&pgproto3.ParseComplete{})
@@ -63,8 +63,8 @@
 
 // examine parses text that holds at most one statement. It is nil for none.
 func (x *session) examine(text string) (*description, error) {
-	schema := x.server.ddl.Load()
-	if d := x.described[text]; d != nil && d.schema == schema && !x.tx.schema {
+	version := x.server.ddl.Load()
+	if d := x.described[text]; d != nil && d.version == version && !x.tx.schema {
 		return d, nil
 	}
 	list := parse(text)
@@ -76,7 +76,7 @@
 	}
 	d := &description{
 		statement: list[0],
-		schema:    schema,
+		version:   version,
 	}
 	if err := x.check(d.statement); err != nil {
 		return nil, err
@@ -113,7 +113,7 @@
 		return err
 	}
 	defer c.release()
-	d.types = x.schema()
+	d.schema = x.schema()
 	sample := false
 	if c.readOnly() && c.columns > 0 {
 		if err := c.bind(make([]any, s.params())); err != nil {
@@ -122,22 +122,22 @@
 		sample, _ = c.step()
 	}
 	if c.columns > 0 {
-		d.columns = s.columnsOf(c, d.types, sample)
+		d.columns = s.columnsOf(c, d.schema, sample)
 	}
 	return nil
 }
 
-// schema returns the column types of all tables.
-func (x *session) schema() map[string]uint32 {
+// schema returns the tables that statements are checked against.
+func (x *session) schema() *tables {
 	at := x.server.ddl.Load()
-	if x.columns == nil || x.columnsAt != at || x.tx.schema {
-		x.columns = schema(x.handle)
-		x.columnsAt = at
+	if x.tables == nil || x.tablesAt != at || x.tx.schema {
+		x.tables = readTables(x.handle)
+		x.tablesAt = at
 	}
 	if x.tx.schema {
-		defer func() { x.columns = nil }()
+		defer func() { x.tables = nil }()
 	}
-	return x.columns
+	return x.tables
 }
 
 func (x *session) bind(m *pgproto3.Bind) error {
--- a/stand/dbase/fuzz_test.go
+++ b/stand/dbase/fuzz_test.go
@@ -29,8 +29,10 @@
 		}
 		assert.Equal(t, b.String(), text)
 		for _, s := range parse(text) {
-			s.paramTypes(nil, map[string]uint32{"a": 23})
-			s.items()
+			s.paramTypes(nil, &tables{types: map[string]uint32{"a": 23}})
+			for _, i := range s.items() {
+				s.itemType(i, nil)
+			}
 			if s.verb == verbCall {
 				s.call(nil)
 			}
--- a/stand/dbase/infer.go
+++ b/stand/dbase/infer.go
@@ -6,30 +6,10 @@
 	"github.com/jackc/pgx/v5/pgtype"
 )
 
-// schema finds the declared types of the columns of all tables by their names.
-// A name with different types in several tables has the type of one of them.
-func schema(h *handle) map[string]uint32 {
-	out := make(map[string]uint32)
-	c, err := h.prepare("SELECT lower(c.name), c.type FROM sqlite_master t, pragma_table_info(t.name) c WHERE t.type = 'table'")
-	if err != nil {
-		return out
-	}
-	defer c.release()
-	for {
-		more, err := c.step()
-		if err != nil || !more {
-			return out
-		}
-		name, _ := c.value(0).(string)
-		declared, _ := c.value(1).(string)
-		out[name] = typeOf(declared)
-	}
-}
-
 // paramTypes returns the OIDs of parameters $1, $2 and so on: as the caller says,
 // as a cast says, or as the column's that the parameter is compared with or
 // stored in; 0 where none tells.
-func (s *statement) paramTypes(given []uint32, types map[string]uint32) []uint32 {
+func (s *statement) paramTypes(given []uint32, schema *tables) []uint32 {
 	out := make([]uint32, max(s.params(), len(given)))
 	copy(out, given)
 	set := func(t token, oid uint32) {
@@ -42,36 +22,50 @@
 			out[n-1] = oid
 		}
 	}
-	s.insertTypes(types, set)
-	s.compareTypes(types, set)
+	s.insertTypes(schema, set)
+	s.compareTypes(schema, set)
 	return out
 }
 
-// insertTypes reads INSERT INTO t (a, b) VALUES ($1, $2).
-func (s *statement) insertTypes(types map[string]uint32, set func(token, uint32)) {
+// insertTypes reads INSERT INTO t (a, b) VALUES ($1, $2), with or without names.
+func (s *statement) insertTypes(schema *tables, set func(token, uint32)) {
 	w := s.tokens
-	if s.tag != "INSERT" || len(w) < 4 || !w[3].is("(") {
+	if s.tag != "INSERT" || len(w) < 4 || schema == nil {
 		return
 	}
-	var names []string
-	i := 4
-	for ; i < len(w) && !w[i].is(")"); i++ {
-		if w[i].kind == tokenWord {
-			names = append(names, strings.ToLower(unquote(w[i])))
-		}
+	names, rest := insertColumns(w[3:])
+	if names == nil {
+		names = schema.columnsOf(w[2])
 	}
 	var v valueList
-	for _, t := range w[min(i+1, len(w)):] {
+	for _, t := range rest {
 		if t.is("on") || t.is("returning") {
 			return
 		}
 		v.next(t)
 		if t.kind == tokenParam && v.depth == 1 && v.place < len(names) {
-			set(t, types[names[v.place]])
+			set(t, schema.types[names[v.place]])
 		}
 	}
 }
 
+// insertColumns reads the names in parentheses at the start of w, if there are any,
+// and returns what comes after them.
+func insertColumns(w []token) (names []string, rest []token) {
+	if !w[0].is("(") {
+		return nil, w
+	}
+	for i, t := range w {
+		if t.is(")") {
+			return names, w[i+1:]
+		}
+		if t.kind == tokenWord {
+			names = append(names, strings.ToLower(unquote(t)))
+		}
+	}
+	return names, nil
+}
+
 // valueList tells which place of a list in parentheses a token is in.
 type valueList struct {
 	depth int
@@ -93,7 +87,7 @@
 }
 
 // compareTypes reads a = $1, $1 < a, a + $1, a IN ($1, $2), LIMIT $1.
-func (s *statement) compareTypes(types map[string]uint32, set func(token, uint32)) {
+func (s *statement) compareTypes(schema *tables, set func(token, uint32)) {
 	w := s.tokens
 	for i, t := range w {
 		if t.kind != tokenParam {
@@ -105,12 +99,12 @@
 		}
 		for j := i - 1; j >= max(0, i-24) && isOperator(w[j]); j-- {
 			if j > 0 && w[j-1].kind == tokenWord {
-				set(t, types[strings.ToLower(unquote(w[j-1]))])
+				set(t, schema.typeOf(w[j-1]))
 			}
 		}
 		for j := i + 1; j < min(len(w), i+4) && isOperator(w[j]); j++ {
 			if j+1 < len(w) && w[j+1].kind == tokenWord {
-				set(t, types[strings.ToLower(unquote(w[j+1]))])
+				set(t, schema.typeOf(w[j+1]))
 			}
 		}
 	}
@@ -134,7 +128,7 @@
 
 // columnsOf names and types the columns of a statement's result. With sample set,
 // the cursor stands on a row whose values may tell more.
-func (s *statement) columnsOf(c *cursor, types map[string]uint32, sample bool) []column {
+func (s *statement) columnsOf(c *cursor, schema *tables, sample bool) []column {
 	items := s.items()
 	out := make([]column, c.columns)
 	for i := range out {
@@ -143,7 +137,7 @@
 			oid:  typeOf(c.declared(i)),
 		}
 		if out[i].oid == 0 && i < len(items) && len(items) == c.columns {
-			out[i].oid = s.itemType(items[i], types)
+			out[i].oid = s.itemType(items[i], schema)
 		}
 		if out[i].oid == 0 && sample {
 			out[i].oid = typeOfValue(c.value(i))
@@ -199,7 +193,6 @@
 	"not":               pgtype.BoolOID,
 	"count":             pgtype.Int8OID,
 	"length":            pgtype.Int8OID,
-	"sum":               pgtype.Int8OID,
 	"row_number":        pgtype.Int8OID,
 	"avg":               pgtype.Float8OID,
 	"random":            pgtype.Float8OID,
@@ -215,13 +208,15 @@
 	"abs":      true,
 }
 
-// itemType guesses the type of an expression from its first token.
-func (s *statement) itemType(item []token, types map[string]uint32) uint32 {
+// itemType guesses the type of an expression from its first tokens.
+func (s *statement) itemType(item []token, schema *tables) uint32 {
 	if len(item) == 0 {
 		return 0
 	}
-	t := item[0]
-	switch t.kind {
+	if isCondition(item) {
+		return pgtype.BoolOID
+	}
+	switch t := item[0]; t.kind {
 	case tokenNumber:
 		if strings.Contains(t.text, ".") {
 			return pgtype.Float8OID
@@ -232,18 +227,61 @@
 	case tokenParam:
 		return s.casts[parseParam(t.text).number]
 	case tokenWord:
+		return s.wordType(item, schema)
 	default:
 		return 0
 	}
-	word := strings.ToLower(t.text)
+}
+
+// wordType guesses the type of an expression that starts with a word.
+func (s *statement) wordType(item []token, schema *tables) uint32 {
+	word := strings.ToLower(item[0].text)
 	if oid, ok := wordTypes[word]; ok {
 		return oid
 	}
-	if sameType[word] && len(item) > 2 {
-		return s.itemType(item[2:], types)
-	}
-	if len(item) == 1 || !item[1].is("(") {
-		return types[strings.ToLower(unquote(t))]
+	switch {
+	case len(item) > 2 && item[1].is("."):
+		return schema.typeOf(item[2])
+	case len(item) > 2 && sameType[word]:
+		return s.itemType(item[2:], schema)
+	case len(item) > 2 && word == "sum":
+		return sumType(s.itemType(item[2:], schema))
+	case len(item) == 1 || !item[1].is("("):
+		return schema.typeOf(item[0])
 	}
 	return 0
 }
+
+// sumType is the type of a sum over values of a type.
+func sumType(oid uint32) uint32 {
+	switch oid {
+	case pgtype.Float4OID, pgtype.Float8OID:
+		return pgtype.Float8OID
+	case pgtype.NumericOID:
+		return oid
+	}
+	return pgtype.Int8OID
+}
+
+// isCondition reports whether an expression compares, outside of parentheses.
+func isCondition(item []token) bool {
+	if item[0].is("case") {
+		return false
+	}
+	depth := 0
+	for _, t := range item {
+		switch {
+		case t.is("("):
+			depth++
+		case t.is(")"):
+			depth--
+			if depth < 0 {
+				return false
+			}
+		case depth > 0:
+		case t.is("="), t.is("<"), t.is(">"), t.is("like"), t.is("in"), t.is("is"), t.is("and"), t.is("or"):
+			return true
+		}
+	}
+	return false
+}
--- a/stand/dbase/proto_test.go
+++ b/stand/dbase/proto_test.go
@@ -56,6 +56,15 @@
 	assert.Assert(t, nothing == nil)
 	assert.NilError(t, c.QueryRow(t.Context(), "SELECT coalesce(sum(pages), 0) AS total FROM notices").Scan(&n))
 	assert.Equal(t, n, int64(3))
+	var total, half float64
+	var cheap, found bool
+	err = c.QueryRow(t.Context(), "SELECT sum(price), max(n.price) / 2 AS half, n.price < $1, EXISTS(SELECT 1 FROM notices) FROM notices n", 3.5).Scan(&total, &half, &cheap, &found)
+	assert.NilError(t, err)
+	assert.Assert(t, total == 2.5 && half == 1.25 && cheap && found)
+	exec(t, c, "CREATE TABLE flags (name TEXT, raised BOOLEAN, mark BYTEA)")
+	exec(t, c, "INSERT INTO flags VALUES ($1, $2, $3)", "a", true, []byte{0, 255})
+	assert.NilError(t, c.QueryRow(t.Context(), "SELECT raised, mark FROM flags WHERE raised").Scan(&found, &body))
+	assert.DeepEqual(t, body, []byte{0, 255})
 	tag, err := c.Exec(t.Context(), "UPDATE notices SET pages = pages + $1 WHERE title = $2", 2, "bake sale")
 	assert.NilError(t, err)
 	assert.Equal(t, tag.String(), "UPDATE 1")
--- a/stand/dbase/session.go
+++ b/stand/dbase/session.go
@@ -38,10 +38,10 @@
 	prepared  map[string]*prepared
 	portals   map[string]*portal
 	described map[string]*description
-	columns   map[string]uint32
-	// columnsAt is the schema's version that columns was read at.
-	columnsAt uint64
-	skip      bool
+	tables    *tables
+	// tablesAt is the schema's version that tables was read at.
+	tablesAt uint64
+	skip     bool
 	// quick lets one answer pass a freeze, so that the one who froze is told.
 	quick   bool
 	closing bool
