io/elect: a hand-over that kept the old primary is not a success

With replicas that can't catch up in 200 ms the old primary is promoted again; HandOver reported that as done, and the duty would have tried again at once instead of waiting longer each time. Red: no error in TestHandOverToReplicasBehind; green five times in a row.

--- a/io/elect/attempt.go
+++ b/io/elect/attempt.go
@@ -47,6 +47,9 @@
 		return errors.Errorf("election of term %q: %s", c.Term(), c.Reason())
 	}
 	k.record("election done", "term", c.Term().String(), "primary", c.Chosen(), "took", took)
+	if need.Kind() == elect.LeavingPrimary && c.Chosen() == need.Primary() {
+		return errors.Errorf("primary %s stays: no replica caught up in time", need.Primary())
+	}
 	return nil
 }
 
--- a/io/elect/fault_test.go
+++ b/io/elect/fault_test.go
@@ -175,6 +175,29 @@
 	assert.Assert(t, gap < 300*time.Millisecond)
 }
 
+// TestHandOverToReplicasBehind: no replica can take over what the leaving primary
+// has committed, so it goes on, and nothing is dropped.
+func TestHandOverToReplicasBehind(t *testing.T) {
+	t.Parallel()
+	b := newBench(t)
+	b.group.Cut("a", "b")
+	b.group.Cut("a", "c")
+	_, err := b.group.Commit("a", "not yet shipped")
+	assert.NilError(t, err)
+	n := b.nodes["h00"]
+	b.until(func() bool { return n.watcher.Readings(groupName)["a"].Received().Offset() > 1 })
+	assert.ErrorContains(t, n.duty.HandOver(t.Context(), groupName), "stays")
+	p, term := b.primary()
+	assert.Equal(t, p, "a")
+	assert.Assert(t, term.Counter() > 1)
+	b.group.Heal()
+	b.until(func() bool { return len(b.group.Values("b")) == 1 && len(b.group.Values("c")) == 1 })
+	assert.NilError(t, n.duty.HandOver(t.Context(), groupName))
+	p, _ = b.primary()
+	assert.Assert(t, p != "a")
+	assert.Equal(t, len(b.group.Values(p)), 1)
+}
+
 func TestNewGroupGetsAPrimary(t *testing.T) {
 	t.Parallel()
 	b := newBench(t)
