--- a/io/dbops/dbops.go
+++ b/io/dbops/dbops.go
@@ -13,6 +13,7 @@
 	"crypto/tls"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
@@ -76,34 +77,39 @@
 
 // Status reads the database now.
 func (d *Database) Status(ctx context.Context) (coltsfootloft.Reading, error) {
-	return d.call(ctx, &d.state, statusCall())
+	return d.call(ctx, &d.state, statusCall)
 }
 
 // Await returns the first reading whose version differs from seen, or the current
 // one when ctx is about to end or half a minute has passed.
 func (d *Database) Await(ctx context.Context, seen uint64) (coltsfootloft.Reading, error) {
-	d.init()
+	return d.call(ctx, &d.watch, func() string { return awaitCall(seen, d.patience(ctx)) })
+}
+
+// patience is how long the database may wait so that its answer still comes
+// before ctx ends.
+func (d *Database) patience(ctx context.Context) time.Duration {
 	wait := awaitLongest
 	if end, ok := ctx.Deadline(); ok {
 		left := d.Clock.Until(end)
-		wait = min(wait, left-min(awaitMargin, left/4))
+		wait = min(wait, left-min(awaitMargin, left/2))
 	}
-	return d.call(ctx, &d.watch, awaitCall(seen, max(wait, 0)))
+	return max(wait, 0)
 }
 
 // Fence raises the fence term and returns a reading taken after it.
 func (d *Database) Fence(ctx context.Context, term coltsfootloft.Term) (coltsfootloft.Reading, error) {
-	return d.call(ctx, &d.state, fenceCall(term))
+	return d.call(ctx, &d.state, func() string { return fenceCall(term) })
 }
 
 // Promote makes the database primary of term.
 func (d *Database) Promote(ctx context.Context, term coltsfootloft.Term) (coltsfootloft.Reading, error) {
-	return d.call(ctx, &d.state, promoteCall(term))
+	return d.call(ctx, &d.state, func() string { return promoteCall(term) })
 }
 
 // Follow makes the database a replica of the named primary.
 func (d *Database) Follow(ctx context.Context, term coltsfootloft.Term, primary string) (coltsfootloft.Reading, error) {
-	return d.call(ctx, &d.state, followCall(term, primary))
+	return d.call(ctx, &d.state, func() string { return followCall(term, primary) })
 }
 
 // Close ends both connections. A later call opens them again.
@@ -116,10 +122,10 @@
 	}
 }
 
-// call runs query on the line. A connection that was opened by an earlier call
+// call runs query on the line; the text is made once the line is free and open. A connection that was opened by an earlier call
 // may have died since, so that failure is tried again on a new one: every
 // operation is idempotent.
-func (d *Database) call(ctx context.Context, l *line, query string) (coltsfootloft.Reading, error) {
+func (d *Database) call(ctx context.Context, l *line, query func() string) (coltsfootloft.Reading, error) {
 	d.init()
 	select {
 	case l.turn <- struct{}{}:
@@ -137,7 +143,7 @@
 
 // try runs query once. It drops the connection unless the database itself has
 // answered.
-func (d *Database) try(ctx context.Context, l *line, query string) (coltsfootloft.Reading, error) {
+func (d *Database) try(ctx context.Context, l *line, query func() string) (coltsfootloft.Reading, error) {
 	if l.conn == nil {
 		c, err := d.connect(ctx)
 		if err != nil {
@@ -145,7 +151,7 @@
 		}
 		l.conn = c
 	}
-	results, err := l.conn.Exec(ctx, query).ReadAll()
+	results, err := l.conn.Exec(ctx, query()).ReadAll()
 	if err != nil {
 		if l.conn.IsClosed() || !isAnswer(err) {
 			l.drop()
@@ -186,6 +192,22 @@
 	if c.ConnectTimeout == 0 {
 		c.ConnectTimeout = DefaultConnectTimeout
 	}
+	c.DialFunc = dialOnce()
 	conn, err := pgconn.ConnectConfig(ctx, c)
 	return conn, errors.Wrap(err, "connect")
 }
+
+// dialOnce returns a dial function that works once. The library opens a second
+// connection to cancel a statement whose answer was abandoned; it would pile up
+// before a database that does not answer, and the database notices the end of
+// the first one by itself.
+func dialOnce() pgconn.DialFunc {
+	var used atomic.Bool
+	var d net.Dialer
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		if used.Swap(true) {
+			return nil, errors.New("connection was abandoned")
+		}
+		return d.DialContext(ctx, network, address)
+	}
+}
--- a/io/dbops/dbops_test.go
+++ b/io/dbops/dbops_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
 	"coltsfootloft"
@@ -16,6 +17,8 @@
 	"coltsfootloft/stand/dbase"
 )
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 func open(t *testing.T) (*dbase.Server, *dbops.Database) {
 	t.Helper()
 	s := &dbase.Server{
--- a/stand/dbase/help_test.go
+++ b/stand/dbase/help_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
 	"coltsfootloft/stand/dbase"
@@ -90,3 +91,5 @@
 	_, err := c.Exec(t.Context(), query, args...)
 	assert.NilError(t, err, query)
 }
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
