--- a/cmd/standin/database.go
+++ b/cmd/standin/database.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"flag"
 	"fmt"
 	"os"
@@ -21,6 +22,9 @@
 	server  dbase.Server
 	peers   peerFlag
 	verbose bool
+	// certificate and key are PEM files.
+	certificate string
+	key         string
 }
 
 // Name is the word on the command line.
@@ -51,6 +55,8 @@
 	f.StringVar(&s.User, "user", "", "user that callers log in as")
 	f.StringVar(&s.Password, "password", "", "password of callers and the platform; empty lets all in")
 	f.BoolVar(&s.Cleartext, "cleartext", false, "ask for the password itself instead of SCRAM-SHA-256")
+	f.StringVar(&c.certificate, "tls-cert", "", "PEM file of the certificate; empty offers no TLS")
+	f.StringVar(&c.key, "tls-key", "", "PEM file of the certificate's key")
 	f.BoolVar(&c.verbose, "v", false, "log to standard error")
 }
 
@@ -59,6 +65,17 @@
 	s := &c.server
 	s.Peers = c.peers
 	s.Log = logger(c.verbose)
+	if c.certificate != "" {
+		pair, err := tls.LoadX509KeyPair(c.certificate, c.key)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return subcommands.ExitUsageError
+		}
+		s.TLS = &tls.Config{
+			Certificates: []tls.Certificate{pair},
+			MinVersion:   tls.VersionTLS12,
+		}
+	}
 	go func() {
 		select {
 		case <-s.Ready():
