--- a/test/measure_test.go
+++ b/test/measure_test.go
@@ -12,16 +12,17 @@
 )
 
 var (
-	measureRun    = flag.Bool("measure", false, "run the measurement in full instead of the ten-second smoke run")
-	measureDeploy = flag.String("deployment", "caroni", "caroni or quishpe")
-	measureMix    = flag.String("mix", "", "bulletin or rush; the deployment's own by default")
-	measureTime   = flag.Duration("for", 20*time.Second, "length of the load")
-	measureFault  = flag.String("fault", "", "none, kill, freeze, cut or platform")
-	measureNaive  = flag.Bool("naive", false, "everything to the primary, static parts, no loans")
-	measureSeed   = flag.Uint64("seed", 20261204, "seed of the load")
-	measureJSON   = flag.String("json", "", "file for the result as JSON")
-	measureHosts  = flag.Int("hosts", 0, "number of hosts; the deployment's own by default")
-	measureScale  = flag.Float64("scale", 1, "factor on every account's rate and load")
+	measureRun     = flag.Bool("measure", false, "run the measurement in full instead of the ten-second smoke run")
+	measureDeploy  = flag.String("deployment", "caroni", "caroni or quishpe")
+	measureMix     = flag.String("mix", "", "bulletin or rush; the deployment's own by default")
+	measureTime    = flag.Duration("for", 20*time.Second, "length of the load")
+	measureFault   = flag.String("fault", "", "none, kill, freeze, cut or platform")
+	measureNaive   = flag.Bool("naive", false, "everything to the primary, static parts, no loans")
+	measureSeed    = flag.Uint64("seed", 20261204, "seed of the load")
+	measureJSON    = flag.String("json", "", "file for the result as JSON")
+	measureHosts   = flag.Int("hosts", 0, "number of hosts; the deployment's own by default")
+	measureProfile = flag.String("profile", "", "file for a processor profile of one idle host")
+	measureScale   = flag.Float64("scale", 1, "factor on every account's rate and load")
 )
 
 // deployment is a site of the users, as large as it is today.
--- a/test/result_test.go
+++ b/test/result_test.go
@@ -109,8 +109,10 @@
 	return c.Reads + c.Writes + c.Watches
 }
 
-func get(url string) ([]byte, error) {
-	c := http.Client{Timeout: 2 * time.Second}
+func get(url string) ([]byte, error) { return getSlow(url, 2*time.Second) }
+
+func getSlow(url string, timeout time.Duration) ([]byte, error) {
+	c := http.Client{Timeout: timeout}
 	r, err := c.Get(url)
 	if err != nil {
 		return nil, err
