watch, caller: hurry the observer only while a caller waits

Groups gets Hurry, which the caller's wait for a change asks for; Changed no longer hurries by itself. Sessions keep a view of each group for which they ask Changed after every change, so every host with traffic was in a hurry all the time.

The interface Groups in the root package and one line of io/caller change.

--- a/io/caller/place.go
+++ b/io/caller/place.go
@@ -92,6 +92,7 @@
 	}
 	timer := s.Env.Clock.NewTimer(wait)
 	defer timer.Stop()
+	s.Env.Groups.Hurry(s.Route.Group())
 	select {
 	case <-changed:
 	case <-timer.Chan():
--- a/io/elect/keeper.go
+++ b/io/elect/keeper.go
@@ -46,7 +46,7 @@
 	var suspicion elect.Suspicion
 	var last elect.NeedKind
 	for ctx.Err() == nil {
-		changed := k.changed()
+		changed := k.duty.Source.Changed(k.group.Name())
 		view := k.view()
 		need := elect.Assess(view)
 		if need.Kind() != last {
@@ -66,15 +66,6 @@
 	}
 }
 
-// changed wakes the keeper of the host that observes the group. The one behind it
-// only looks now and then, because waiting for changes would hurry the observer.
-func (k *keeper) changed() <-chan struct{} {
-	if !k.duty.proposers(k.group.Name()).observes() {
-		return nil
-	}
-	return k.duty.Source.Changed(k.group.Name())
-}
-
 // act meets the need, or holds back.
 func (k *keeper) act(ctx context.Context, need elect.Need, view elect.View, suspicion *elect.Suspicion) {
 	switch need.Kind() {
--- a/io/elect/proposer.go
+++ b/io/elect/proposer.go
@@ -18,9 +18,6 @@
 	rank int
 }
 
-// observes reports whether this host is the first of its failure domain.
-func (p proposers) observes() bool { return p.rank >= 0 && p.rank < len(p.first) }
-
 // proposers returns who may propose for the group.
 func (d *Duty) proposers(group string) proposers {
 	d.mu.Lock()
--- a/io/watch/group.go
+++ b/io/watch/group.go
@@ -164,7 +164,6 @@
 func (g *group) change() <-chan struct{} {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.relay.hurry = g.clock.Now().Add(hurryPeriod)
 	return g.changed
 }
 
--- a/io/watch/relay.go
+++ b/io/watch/relay.go
@@ -23,7 +23,7 @@
 	// quietLimit is how recently a database must have been asked for its group to
 	// be quiet. It is above the longest poll of a healthy one.
 	quietLimit = time.Second
-	// hurryPeriod is how long a host hurries after Changed was asked for.
+	// hurryPeriod is how long a host hurries after a caller began to wait.
 	hurryPeriod = 100 * time.Millisecond
 )
 
@@ -97,6 +97,12 @@
 	}
 }
 
+func (g *group) hurry() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.relay.hurry = g.clock.Now().Add(hurryPeriod)
+}
+
 // rushes returns the observer to hurry and what to ask it, and whether to. If
 // not, the rush is over.
 func (g *group) rushes() (host string, poll *watchpb.Poll, more bool) {
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -135,9 +135,16 @@
 		close(c)
 		return c
 	}
-	c := g.change()
-	w.rush(g)
-	return c
+	return g.change()
+}
+
+// Hurry has another host that observes the group send changes at once for the
+// next 100 ms. It does nothing where this host observes the group itself.
+func (w *Watcher) Hurry(name string) {
+	if g := w.group(name); g != nil {
+		g.hurry()
+		w.rush(g)
+	}
 }
 
 // Barrier returns a position that covers every write acknowledged before the
--- a/shares.go
+++ b/shares.go
@@ -25,6 +25,9 @@
 	Readings(group string) map[string]Reading
 	// Changed returns a channel that is closed at the next change of the group.
 	Changed(group string) <-chan struct{}
+	// Hurry has changes of the group brought here without delay for a short
+	// while, because a caller waits for one. It doesn't block.
+	Hurry(group string)
 	// Barrier returns a position that covers every write acknowledged before
 	// the call, from readings of a majority that were all taken after it.
 	Barrier(ctx context.Context, group string) (Position, error)
