--- a/core/beat/ring.go
+++ b/core/beat/ring.go
@@ -39,6 +39,13 @@
 
 // Neighbours returns the hosts that this one heartbeats, at most five.
 func (t *Table) Neighbours() []string {
+	if t.neighbours == nil {
+		t.neighbours = t.choose()
+	}
+	return slices.Clone(t.neighbours)
+}
+
+func (t *Table) choose() []string {
 	own := t.Self().record.Domain()
 	var ring, rest []string
 	for _, h := range t.Alive() {
--- a/core/beat/table.go
+++ b/core/beat/table.go
@@ -28,6 +28,7 @@
 	"cmp"
 	"hash/fnv"
 	"maps"
+	"math"
 	"math/bits"
 	"slices"
 	"time"
@@ -51,6 +52,8 @@
 	listLag time.Duration
 	members map[string]*slot
 	digest  uint64
+	// neighbours are kept until a claim changes.
+	neighbours []string
 }
 
 // slot is a member with its local state.
@@ -117,7 +120,8 @@
 	t.put(self, now)
 }
 
-// List takes in the platform's list and reports whether it changed anything.
+// List takes in the platform's list and reports whether it changed anything. Of
+// upstreams only those that leave, or have left, are kept.
 func (t *Table) List(hosts []coltsfootloft.HostRecord, now time.Time) bool {
 	changed := false
 	listed := make(map[string]bool, len(hosts))
@@ -126,20 +130,30 @@
 		if t.listOne(h, now) {
 			changed = true
 		}
-		t.members[h.Name()].listed = true
 	}
 	for n, s := range t.members {
-		if !listed[n] {
-			s.listed = false
-		}
+		s.listed = listed[n]
 	}
 	return changed
 }
 
+// Quiet takes all claims so far as known to the others. A host that starts has
+// nothing to pass on but what it says of itself.
+func (t *Table) Quiet() {
+	for n, s := range t.members {
+		if n != t.self {
+			s.sends = math.MaxInt32
+		}
+	}
+}
+
 func (t *Table) listOne(h coltsfootloft.HostRecord, now time.Time) bool {
 	old := t.members[h.Name()]
 	m := NewMember(h, 0)
 	if old == nil {
+		if h.Upstream() && !h.Leaving() {
+			return false
+		}
 		t.put(m, now)
 		return true
 	}
@@ -194,6 +208,7 @@
 		}
 		if s.status == Dead && age >= ForgetTime && !s.listed {
 			t.digest ^= s.hash()
+			t.neighbours = nil
 			delete(t.members, n)
 		}
 	}
@@ -255,6 +270,7 @@
 	s.since = now
 	s.sends = 0
 	t.digest ^= s.hash()
+	t.neighbours = nil
 }
 
 // hash covers all that compare does.
--- a/io/member/beats.go
+++ b/io/member/beats.go
@@ -113,7 +113,10 @@
 	v.take(host, a.GetBeat())
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.joined = true
+	if !v.joined {
+		v.joined = true
+		v.table.Quiet()
+	}
 	v.differed[host]++
 	if whole || a.GetBeat().GetDigest() == v.table.Digest() {
 		delete(v.differed, host)
--- a/io/member/view.go
+++ b/io/member/view.go
@@ -144,6 +144,7 @@
 				v.table.Hear(beat.NewMember(h, 0), now)
 			}
 		}
+		v.table.Quiet()
 	})
 }
 
--- a/io/store/consul.go
+++ b/io/store/consul.go
@@ -105,26 +105,39 @@
 
 // Hosts returns the platform's lagging host list.
 func (c *Consul) Hosts(ctx context.Context) ([]coltsfootloft.HostRecord, error) {
+	hosts, _, err := c.WatchHosts(ctx, 0, 0)
+	return hosts, err
+}
+
+// WatchHosts is Hosts, but waits until the index of the list differs from after,
+// or for about wait. It does not wait if after is 0.
+func (c *Consul) WatchHosts(ctx context.Context, after uint64, wait time.Duration) ([]coltsfootloft.HostRecord, uint64, error) {
 	service := c.Service
 	if service == "" {
 		service = DefaultService
 	}
-	a, err := c.read(ctx, "/v1/catalog/service/"+url.PathEscape(service), 0)
+	path := "/v1/catalog/service/" + url.PathEscape(service)
+	if after > 0 {
+		path += "?index=" + strconv.FormatUint(after, 10) + "&wait=" + wait.String()
+		wait += watchGrace
+	}
+	a, err := c.read(ctx, path, wait)
 	if err != nil {
-		return nil, errors.Wrap(err, "host list")
+		return nil, 0, errors.Wrap(err, "host list")
 	}
-	if a.code != http.StatusOK {
-		return nil, errors.Wrap(a.down(), "host list")
+	index, err := strconv.ParseUint(a.header.Get("X-Consul-Index"), 10, 64)
+	if err != nil || a.code != http.StatusOK {
+		return nil, 0, errors.Wrap(a.down(), "host list")
 	}
 	var lines []hostLine
 	if err := json.Unmarshal(a.body, &lines); err != nil {
-		return nil, errors.Wrapf(coltsfootloft.ErrStoreDown, "host list: %v", err)
+		return nil, 0, errors.Wrapf(coltsfootloft.ErrStoreDown, "host list: %v", err)
 	}
 	hosts := make([]coltsfootloft.HostRecord, 0, len(lines))
 	for _, l := range lines {
 		hosts = append(hosts, l.record())
 	}
-	return hosts, nil
+	return hosts, index, nil
 }
 
 func (c *Consul) get(ctx context.Context, key string, q url.Values, wait time.Duration) ([]pair, uint64, error) {
--- a/io/store/consul_test.go
+++ b/io/store/consul_test.go
@@ -207,6 +207,16 @@
 	assert.NilError(t, err)
 	assert.Equal(t, got[0], h)
 	assert.Equal(t, got[1], u.AsLeaving())
+
+	_, index, err := c.WatchHosts(t.Context(), 0, 0)
+	assert.NilError(t, err)
+	_, same, err := c.WatchHosts(t.Context(), index, 20*time.Millisecond)
+	assert.NilError(t, err)
+	assert.Equal(t, same, index)
+	go s.Deregister("u1")
+	got, _, err = c.WatchHosts(t.Context(), index, 5*time.Second)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, names(got), []string{h.Name()})
 }
 
 func names(hosts []coltsfootloft.HostRecord) []string {
--- a/stand/plat/catalog.go
+++ b/stand/plat/catalog.go
@@ -1,6 +1,7 @@
 package plat
 
 import (
+	"context"
 	"encoding/json"
 	"maps"
 	"net"
@@ -41,6 +42,7 @@
 // catalog is the host list since one moment.
 type catalog struct {
 	since time.Time
+	index uint64
 	hosts map[string]service
 }
 
@@ -84,8 +86,10 @@
 	s.prepare()
 	now := s.clock().Now()
 	next := make(map[string]service)
+	index := uint64(2)
 	if n := len(s.catalogs); n > 0 {
 		next = maps.Clone(s.catalogs[n-1].hosts)
+		index = s.catalogs[n-1].index + 1
 	}
 	delete(next, name)
 	if line != nil {
@@ -97,20 +101,24 @@
 	}
 	s.catalogs = append(s.catalogs[old:], catalog{
 		since: now,
+		index: index,
 		hosts: next,
 	})
 }
 
-// hosts returns the list as it was before its lag.
-func (s *Server) hosts(name string) []service {
+// hosts returns the list as it was before its lag, and the index of its last
+// change.
+func (s *Server) hosts(name string) ([]service, uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	when := s.clock().Now().Add(-s.faults.ListLag)
 	found := []service{}
+	index := uint64(1)
 	for _, c := range slices.Backward(s.catalogs) {
 		if c.since.After(when) {
 			continue
 		}
+		index = c.index
 		for _, n := range slices.Sorted(maps.Keys(c.hosts)) {
 			if c.hosts[n].ServiceName == name {
 				found = append(found, c.hosts[n])
@@ -118,16 +126,41 @@
 		}
 		break
 	}
-	return found
+	return found, index
+}
+
+// awaitHosts returns the list once its index differs from seen, or after wait.
+func (s *Server) awaitHosts(ctx context.Context, name string, seen uint64, wait time.Duration) ([]service, uint64) {
+	timer := s.clock().NewTimer(wait)
+	defer timer.Stop()
+	for {
+		found, index := s.hosts(name)
+		if seen == 0 || index != seen {
+			return found, index
+		}
+		select {
+		case <-s.clock().After(oldPoll):
+		case <-timer.Chan():
+			return found, index
+		case <-ctx.Done():
+			return found, index
+		}
+	}
 }
 
 func (s *Server) serveCatalog(w http.ResponseWriter, r *http.Request) {
 	name := strings.TrimPrefix(r.URL.Path, "/v1/catalog/service/")
-	if !s.admitRead(w, false) {
+	after, wait, err := blocking(r.URL.Query())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if !s.admitRead(w, after > 0) {
 		return
 	}
-	w.Header().Set(indexHeader, "1")
-	writeJSON(w, http.StatusOK, s.hosts(name))
+	found, index := s.awaitHosts(r.Context(), name, after, wait)
+	w.Header().Set(indexHeader, strconv.FormatUint(index, 10))
+	writeJSON(w, http.StatusOK, found)
 }
 
 // serveRegister takes Consul's catalog registrations; they count as no call,
--- a/stand/plat/keys.go
+++ b/stand/plat/keys.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 const (
@@ -37,22 +39,15 @@
 
 func (s *Server) readKey(w http.ResponseWriter, r *http.Request, key string) {
 	q := r.URL.Query()
-	after, err := number(q, "index")
+	after, wait, err := blocking(q)
 	if err != nil {
-		http.Error(w, "Invalid index", http.StatusBadRequest)
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	wait := defaultWait
-	if v := q.Get("wait"); v != "" {
-		if wait, err = time.ParseDuration(v); err != nil {
-			http.Error(w, "Invalid wait time", http.StatusBadRequest)
-			return
-		}
-	}
 	if !s.admitRead(w, after > 0) {
 		return
 	}
-	found, index := s.await(r.Context(), key, q.Has("recurse"), after, min(wait, maxWait))
+	found, index := s.await(r.Context(), key, q.Has("recurse"), after, wait)
 	w.Header().Set(indexHeader, strconv.FormatUint(index, 10))
 	if len(found) == 0 {
 		w.WriteHeader(http.StatusNotFound)
@@ -169,6 +164,22 @@
 	writeJSON(w, http.StatusOK, len(answer.Errors) == 0)
 }
 
+// blocking reads the index that a query waits past, 0 if it doesn't wait, and for
+// how long.
+func blocking(q url.Values) (after uint64, wait time.Duration, err error) {
+	after, err = number(q, "index")
+	if err != nil {
+		return 0, 0, errors.New("Invalid index")
+	}
+	wait = defaultWait
+	if v := q.Get("wait"); v != "" {
+		if wait, err = time.ParseDuration(v); err != nil {
+			return 0, 0, errors.New("Invalid wait time")
+		}
+	}
+	return after, min(wait, maxWait), nil
+}
+
 func number(q url.Values, name string) (uint64, error) {
 	v := q.Get(name)
 	if v == "" {
