--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -8,6 +8,7 @@
 	"coltsfootloft"
 	"coltsfootloft/core/delta"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 	"github.com/jonboulle/clockwork"
 )
@@ -54,10 +55,13 @@
 	// Fan is the number of hosts that one host passes a push on to; DefaultFan
 	// if 0.
 	Fan int
+	// Metrics receives the counters; a private set if nil.
+	Metrics *metrics.Set
 
 	once   sync.Once
 	hinted chan struct{}
 	jobs   chan push
+	counts counters
 
 	mu        sync.Mutex
 	table     delta.Table
@@ -127,6 +131,7 @@
 		if f.Fan == 0 {
 			f.Fan = DefaultFan
 		}
+		f.counts = newCounters(f.Metrics, f.Revision)
 		f.hinted = make(chan struct{}, 1)
 		f.jobs = make(chan push, maxJobs)
 		f.changed = make(chan struct{})
@@ -151,6 +156,7 @@
 		f.Log.Info("store holds older values than are in force", "keys", kept)
 	}
 	if rose {
+		f.counts.fromStore.Inc()
 		f.Log.Info("settings taken", "revision", index, "from", "store")
 		f.spread(before, "")
 	}
@@ -167,6 +173,7 @@
 	}
 	f.mu.Unlock()
 	if rose {
+		f.counts.fromHost.Inc()
 		f.Log.Info("settings taken", "revision", d.Revision(), "from", from)
 		f.spread(before, root)
 	}
--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -100,7 +100,8 @@
 	f.await("others", r, inForce, reachable)
 	time.Sleep(4 * time.Second)
 	f.isolate("d2", false)
-	f.await("healed", r, inForce, nil)
+	f.cut["d2"].Store(true)
+	f.await("healed, still cut from the store", r, inForce, nil)
 	assert.Equal(t, f.back.Load(), int64(0), "steps back")
 }
 
--- a/io/feed/fleet_test.go
+++ b/io/feed/fleet_test.go
@@ -27,6 +27,8 @@
 var (
 	// naive makes every host read the store itself each second.
 	naive = flag.Bool("naive", false, "let every host poll the store")
+	// deaf makes hosts ignore the revisions in heartbeats.
+	deaf = flag.Bool("deaf", false, "ignore revisions in heartbeats")
 	// measure adds the larger fleets to the measuring tests.
 	measure = flag.Bool("measure", false, "measure larger fleets")
 )
@@ -201,7 +203,9 @@
 		Fan:     f.fan,
 	}
 	view.Revision = feed.Revision
-	view.OnRevision = feed.Hear
+	if !*deaf {
+		view.OnRevision = feed.Hear
+	}
 	h.source = feed
 	if *naive {
 		h.source = &poller{
--- a/io/feed/push.go
+++ b/io/feed/push.go
@@ -74,6 +74,7 @@
 	select {
 	case f.jobs <- p:
 	default:
+		f.counts.dropped.Inc()
 		f.Log.V(1).Info("push dropped", "revision", p.delta.Revision())
 	}
 }
--- a/io/feed/relay.go
+++ b/io/feed/relay.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"coltsfootloft"
 	"coltsfootloft/core/rank"
 )
 
@@ -113,6 +112,7 @@
 		if ctx.Err() != nil {
 			return
 		}
+		f.counts.failed.Inc()
 		f.Log.V(1).Info("settings not read", "reason", err.Error())
 		f.pause(ctx, w.retry)
 		w.retry = min(2*w.retry, lastRetry)
@@ -127,6 +127,7 @@
 	}
 	call, cancel := context.WithTimeout(ctx, wait+watchMargin)
 	defer cancel()
+	f.counts.calls.Inc()
 	list, index, err := f.Store.Watch(call, f.Prefix+f.Head, w.after, wait)
 	if err != nil {
 		return err
@@ -151,7 +152,7 @@
 func (f *Feed) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	var list []coltsfootloft.Entry
+	f.counts.calls.Inc()
 	list, index, err := f.Store.List(ctx, f.Prefix)
 	if err != nil {
 		return err
--- a/io/member/beats.go
+++ b/io/member/beats.go
@@ -96,6 +96,7 @@
 		return
 	}
 	if v.change(func(t *beat.Table, now time.Time) bool { return t.Suspect(host, now) }) {
+		v.counts.suspected.Inc()
 		v.Log.Info("host suspect", "host", host)
 	}
 }
@@ -104,6 +105,9 @@
 func (v *View) exchange(ctx context.Context, host string) error {
 	v.mu.Lock()
 	whole := !v.joined || v.differed[host] >= maxDiffer
+	if whole {
+		v.counts.exchanges.Inc()
+	}
 	b := v.compose(host, whole)
 	v.mu.Unlock()
 	a, err := v.call(ctx, host, &memberpb.Request{Kind: &memberpb.Request_Beat{Beat: b}})
--- /dev/null
+++ b/io/member/count.go
@@ -0,0 +1,45 @@
+package member
+
+import (
+	"fmt"
+
+	"coltsfootloft/core/beat"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// counters are the view's metrics.
+type counters struct {
+	suspected *metrics.Counter
+	polls     *metrics.Counter
+	failed    *metrics.Counter
+	exchanges *metrics.Counter
+}
+
+func newCounters(set *metrics.Set, hosts func(beat.Status) int) counters {
+	if set == nil {
+		set = metrics.NewSet()
+	}
+	for _, s := range []beat.Status{beat.Alive, beat.Suspect, beat.Dead} {
+		set.GetOrCreateGauge(fmt.Sprintf("coltsfootloft_hosts{status=%q}", s), func() float64 { return float64(hosts(s)) })
+	}
+	return counters{
+		suspected: set.GetOrCreateCounter("coltsfootloft_hosts_suspected_total"),
+		polls:     set.GetOrCreateCounter("coltsfootloft_host_list_store_calls_total"),
+		failed:    set.GetOrCreateCounter("coltsfootloft_host_list_store_failures_total"),
+		exchanges: set.GetOrCreateCounter("coltsfootloft_hosts_whole_exchanges_total"),
+	}
+}
+
+// count returns the number of entry hosts with a status.
+func (v *View) count(s beat.Status) int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	n := 0
+	for _, m := range v.table.Members() {
+		if m.Status() == s && !m.Record().Upstream() {
+			n++
+		}
+	}
+	return n
+}
--- a/io/member/list.go
+++ b/io/member/list.go
@@ -56,6 +56,7 @@
 func (v *View) poll(ctx context.Context, seen uint64, period time.Duration) (uint64, time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout+listWait)
 	defer cancel()
+	v.counts.polls.Inc()
 	var hosts []coltsfootloft.HostRecord
 	var err error
 	if w, ok := v.Store.(hostWatcher); ok {
@@ -64,6 +65,7 @@
 		hosts, err = v.Store.Hosts(ctx)
 	}
 	if err != nil {
+		v.counts.failed.Inc()
 		v.Log.V(1).Info("host list not read", "reason", err.Error())
 		return 0, min(2*period, maxListPeriod)
 	}
--- a/io/member/view.go
+++ b/io/member/view.go
@@ -8,6 +8,7 @@
 	"coltsfootloft"
 	"coltsfootloft/core/beat"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 	"github.com/jonboulle/clockwork"
 )
@@ -48,9 +49,12 @@
 	// OnRevision is called with the revision in every heartbeat that comes in;
 	// it must not block.
 	OnRevision func(host string, revision uint64)
+	// Metrics receives the counters; a private set if nil.
+	Metrics *metrics.Set
 
 	once   sync.Once
 	urgent chan struct{}
+	counts counters
 
 	mu       sync.Mutex
 	table    *beat.Table
@@ -134,6 +138,7 @@
 		if v.ListLag == 0 {
 			v.ListLag = DefaultListLag
 		}
+		v.counts = newCounters(v.Metrics, v.count)
 		now := v.Clock.Now()
 		v.urgent = make(chan struct{}, 1)
 		v.calling = make(map[string]bool)
