--- a/io/feed/links_test.go
+++ b/io/feed/links_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"sync"
 	"testing"
 	"time"
@@ -53,26 +54,45 @@
 	return h, links
 }
 
+// TestOverPeerLinks measures what hosts write to real links when nothing changes,
+// and the memory that the links take.
 func TestOverPeerLinks(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t, 0, 1)
-	var all []*peer.Links
-	var first []coltsfootloft.HostRecord
-	for i := range 15 {
-		h, l := f.startOverLinks(fmt.Sprintf("h%03d", i), fmt.Sprintf("d%d", i%3), first...)
-		all = append(all, l)
-		if i == 0 {
-			first = append(first, h.record)
+	sizes := []int{15}
+	if *measure {
+		sizes = []int{15, 60, 120}
+	}
+	for _, n := range sizes {
+		f := newFleet(t, 0, 1)
+		var all []*peer.Links
+		var first []coltsfootloft.HostRecord
+		for i := range n {
+			h, l := f.startOverLinks(fmt.Sprintf("h%03d", i), fmt.Sprintf("d%d", i%3), first...)
+			all = append(all, l)
+			if i < 3 {
+				first = append(first, h.record)
+			}
+		}
+		f.await("start", f.mustApply(value("0")), inForce, nil)
+		f.await("change", f.mustApply(value("1")), inForce, nil)
+		settle := time.Second
+		if *measure {
+			settle = 20 * time.Second
+		}
+		time.Sleep(settle)
+		before := wire(all)
+		time.Sleep(3500 * time.Millisecond)
+		rate := float64(wire(all)-before) / 3.5 / float64(n)
+		var memory runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&memory)
+		t.Logf("%d hosts: %.0f B/s a host written to links, %d KB of heap and stacks a host",
+			n, rate, (memory.HeapInuse+memory.StackInuse)/uint64(n)/1024)
+		assert.Assert(t, rate < 4096)
+		for _, h := range f.hosts {
+			h.stop()
 		}
 	}
-	f.await("start", f.mustApply(value("0")), inForce, nil)
-	f.await("change", f.mustApply(value("1")), inForce, nil)
-	time.Sleep(time.Second)
-	before := wire(all)
-	time.Sleep(3 * time.Second)
-	rate := float64(wire(all)-before) / 3 / float64(len(all))
-	t.Logf("15 hosts: %.0f B/s a host written to links when nothing changes", rate)
-	assert.Assert(t, rate < 4096)
 }
 
 func wire(all []*peer.Links) uint64 {
