--- a/core/loan/part.go
+++ b/core/loan/part.go
@@ -58,6 +58,8 @@
 	Room float64
 	// Same asks for tokens only and leaves the loan as it is.
 	Same bool
+	// Partial accepts less than a whole token, because others will add to it.
+	Partial bool
 	// Returned are tokens that it hands back; it has lowered Kept by as much.
 	Returned float64
 }
--- a/core/loan/rate.go
+++ b/core/loan/rate.go
@@ -14,7 +14,7 @@
 	prefetch = 100 * time.Millisecond
 	// least is the smallest demand worth a loan of rate, in tokens over Period;
 	// below it single tokens are lent.
-	least = 15
+	least = 30
 	// RatePeriod is the length of a loan of rate.
 	RatePeriod = 2 * time.Second
 	// TokenPeriod is the length of a loan of tokens alone, which are used at once;
@@ -184,7 +184,7 @@
 	all := mine.Plus(r.book.Wanted(now, borrower)).Plus(a.Want)
 	offer := divide(own, a.Want, all)
 	tokens := max(r.bucket.Available(now)-mine.burst, 0)
-	if tokens < a.Tokens {
+	if tokens < a.Tokens && !a.Partial {
 		tokens = math.Floor(tokens)
 	}
 	tokens = min(tokens, a.Tokens)
--- a/core/seat/decide.go
+++ b/core/seat/decide.go
@@ -20,6 +20,8 @@
 	settle  time.Duration
 	fresh   bool
 	tokens  map[string]float64
+	session string
+	version uint64
 }
 
 // Kind tells what the step does.
@@ -101,33 +103,37 @@
 }
 
 func (t *Table) take(n int, s *seat) Step {
+	settle := s.record.settle
+	if t.layout.Changed && s.version < t.layoutVersion {
+		settle = LeaseTime
+	}
 	record := Record{
 		host:   t.Host,
 		run:    t.Run,
+		wait:   settle,
 		settle: Settle,
 	}
-	step := Step{
-		kind:   Take,
-		seat:   n,
-		settle: s.record.settle,
-		fresh:  s.version == 0 && !t.layout.Changed,
-		tokens: s.record.tokens,
+	return Step{
+		kind:    Take,
+		seat:    n,
+		session: t.session,
+		settle:  settle,
+		fresh:   s.version == 0 && !t.layout.Changed,
+		tokens:  s.record.tokens,
 		changes: []coltsfootloft.Change{
 			coltsfootloft.Require(t.Prefix+"layout", t.layoutVersion),
 			coltsfootloft.Put(t.key(n), encode(record), s.version),
 			coltsfootloft.Put(t.lockKey(n), []byte(t.Host), s.lockVersion).Locked(t.session),
 		},
 	}
-	if t.layout.Changed && s.version < t.layoutVersion {
-		step.settle = LeaseTime
-	}
-	return step
 }
 
 func (t *Table) relock(n int, s *seat) Step {
 	return Step{
-		kind: Relock,
-		seat: n,
+		kind:    Relock,
+		seat:    n,
+		session: t.session,
+		version: s.taken,
 		changes: []coltsfootloft.Change{
 			coltsfootloft.Require(t.key(n), s.taken),
 			coltsfootloft.Put(t.lockKey(n), []byte(t.Host), s.lockVersion).Locked(t.session),
--- a/core/seat/doc.go
+++ b/core/seat/doc.go
@@ -29,7 +29,8 @@
 // # Taking over
 //
 // A new holder of a seat that was not handed back waits for the longest
-// confirmation of the old one before it starts; loans end with the lease or
+// confirmation of the old one before it starts, and must be running all that time:
+// the mates of a paused host take its silence for death. Loans end with the lease or
 // confirmation that they were made under. A holder that hands a seat back writes
 // how long its last loan still lasts, usually not at all, and the tokens that are
 // left.
--- a/core/seat/hold.go
+++ b/core/seat/hold.go
@@ -15,26 +15,52 @@
 	s := t.seat(step.seat)
 	switch step.kind {
 	case Take:
-		s.state = locked
-		s.taken = index
-		s.version = index
-		s.record = Record{
-			host:   t.Host,
-			run:    t.Run,
-			settle: Settle,
-		}
-		s.from = now.Add(step.settle)
+		t.took(now, s, step, index)
 	case Relock:
-		s.state = locked
+		t.relocked(s, step, index)
 	case Drain:
-		s.state = draining
-		return
+		if s.held() {
+			s.state = draining
+		}
 	case ChangeLayout:
 	}
+	t.cover()
+}
+
+// took records a taking, unless a later one is known already.
+func (t *Table) took(now time.Time, s *seat, step Step, index uint64) {
+	if s.version > index {
+		return
+	}
+	s.taken = index
+	s.version = index
+	s.record = Record{
+		host:   t.Host,
+		run:    t.Run,
+		settle: Settle,
+	}
+	s.state = unlocked
+	s.wait(now, step.settle)
+	t.relocked(s, step, index)
+}
+
+// relocked records a lock, if the session that took it still lives.
+func (t *Table) relocked(s *seat, step Step, index uint64) {
+	if s.state != unlocked || step.session != t.session || step.taken(s) != s.taken {
+		return
+	}
+	s.state = locked
 	s.session = t.session
 	s.lockVersion = index
 	s.movedSince = time.Time{}
-	t.cover()
+}
+
+// taken is the taking that the step locks.
+func (s Step) taken(of *seat) uint64 {
+	if s.kind == Relock {
+		return s.version
+	}
+	return of.taken
 }
 
 // Draining returns the seats that are to be released once nothing of them is in
@@ -53,9 +79,12 @@
 // the last loan still lasts that was made from it; tokens are left to its next
 // holder. After an unknown outcome it is to be called again: the changes stay the
 // same until the outcome is known.
-func (t *Table) Release(n int, settle time.Duration, tokens map[string]float64) []coltsfootloft.Change {
+func (t *Table) Release(now time.Time, n int, settle time.Duration, tokens map[string]float64) []coltsfootloft.Change {
 	s := t.seat(n)
 	s.state = releasing
+	if !s.usable {
+		settle = max(settle, s.settle, s.from.Sub(now))
+	}
 	r := Record{
 		settle: settle,
 		tokens: tokens,
--- a/core/seat/record.go
+++ b/core/seat/record.go
@@ -11,6 +11,7 @@
 type Record struct {
 	host   string
 	run    string
+	wait   time.Duration
 	settle time.Duration
 	tokens map[string]float64
 }
@@ -21,6 +22,9 @@
 // Run names the run of the holder's process.
 func (r Record) Run() string { return r.run }
 
+// Wait is how long the holder itself had to wait after it took the seat.
+func (r Record) Wait() time.Duration { return r.wait }
+
 // Settle is how long the next holder must wait after it has taken the seat.
 func (r Record) Settle() time.Duration { return r.settle }
 
@@ -40,6 +44,7 @@
 type recordValue struct {
 	Host               string             `json:"host,omitempty"`
 	Run                string             `json:"run,omitempty"`
+	WaitMilliseconds   int64              `json:"wait_ms,omitempty"`
 	SettleMilliseconds int64              `json:"settle_ms,omitempty"`
 	Tokens             map[string]float64 `json:"tokens,omitempty"`
 }
@@ -48,7 +53,8 @@
 	b, err := json.Marshal(recordValue{
 		Host:               r.host,
 		Run:                r.run,
-		SettleMilliseconds: r.settle.Milliseconds(),
+		WaitMilliseconds:   roundUp(r.wait),
+		SettleMilliseconds: roundUp(r.settle),
 		Tokens:             r.tokens,
 	})
 	if err != nil {
@@ -66,7 +72,13 @@
 	return Record{
 		host:   v.Host,
 		run:    v.Run,
+		wait:   time.Duration(v.WaitMilliseconds) * time.Millisecond,
 		settle: time.Duration(v.SettleMilliseconds) * time.Millisecond,
 		tokens: v.Tokens,
 	}
 }
+
+// roundUp returns whole milliseconds.
+func roundUp(d time.Duration) int64 {
+	return (d + time.Millisecond - 1).Milliseconds()
+}
--- a/core/seat/table.go
+++ b/core/seat/table.go
@@ -41,9 +41,12 @@
 	movedSince  time.Time
 	keepUntil   time.Time
 
-	state state
-	taken uint64
-	from  time.Time
+	state  state
+	taken  uint64
+	settle time.Duration
+	from   time.Time
+	ticked time.Time
+	usable bool
 }
 
 // state is this host's hold on a seat.
@@ -115,7 +118,32 @@
 	}
 	s.state = locked
 	s.taken = s.version
-	s.from = now.Add(Settle)
+	s.wait(now, max(s.record.wait, Settle))
+}
+
+// wait begins the time before a seat that was taken may be used.
+func (s *seat) wait(now time.Time, settle time.Duration) {
+	s.settle = settle
+	s.from = now.Add(settle)
+	s.ticked = now
+	s.usable = settle <= 0
+}
+
+// Tick is to be called at least every [TickEvery]. A seat that was taken becomes
+// usable only after this host has been running without a pause for the time that
+// it must wait: a mate that asked during a pause, for the old holder, got no
+// answer and so a confirmation.
+func (t *Table) Tick(now time.Time) {
+	for _, s := range t.seats {
+		if !s.held() || s.usable {
+			continue
+		}
+		if now.Sub(s.ticked) > tickGap {
+			s.from = now.Add(s.settle)
+		}
+		s.ticked = now
+		s.usable = !now.Before(s.from)
+	}
 }
 
 func (t *Table) seat(n int) *seat {
@@ -144,15 +172,10 @@
 	return ""
 }
 
-// Held returns the seats that this host may use now, in order, and until when;
-// changes is when that next grows.
-func (t *Table) Held(now time.Time) (numbers []int, until, changes time.Time) {
+// Held returns the seats that this host may use now, in order, and until when.
+func (t *Table) Held(now time.Time) (numbers []int, until time.Time) {
 	for n, s := range t.seats {
-		if !s.held() || t.layout != t.inForce() {
-			continue
-		}
-		if now.Before(s.from) {
-			changes = earlier(changes, s.from)
+		if !s.held() || !s.usable || t.layout != t.inForce() {
 			continue
 		}
 		end := t.lease.confirmed
@@ -165,7 +188,7 @@
 		}
 	}
 	slices.Sort(numbers)
-	return numbers, until, changes
+	return numbers, until
 }
 
 // inForce is the layout that the settings ask for, as it would be stored.
@@ -186,6 +209,14 @@
 	return r
 }
 
+// Lost records that a mate knows of a later taking of a seat than this one.
+func (t *Table) Lost(n int, taken uint64) {
+	if s := t.seat(n); s.held() && s.taken == taken {
+		s.state = others
+		t.observed = false
+	}
+}
+
 // KnowsLater reports whether this host knows of a taking of the seat by another
 // than the one with this version.
 func (t *Table) KnowsLater(n int, version uint64) bool {
--- a/core/seat/terms.go
+++ b/core/seat/terms.go
@@ -20,6 +20,10 @@
 	ConfirmAhead = 3 * time.Second
 	// Settle is how long the new holder of a seat waits that was not handed back.
 	Settle = ConfirmTime + ConfirmTime/4
+	// TickEvery is the longest time between ticks.
+	TickEvery = 100 * time.Millisecond
+	// tickGap is a pause that mates may have noticed.
+	tickGap = 250 * time.Millisecond
 	// MoveAfter is how long a seat must belong to another host before its holder
 	// hands it back.
 	MoveAfter = 2 * time.Second
--- a/io/share/borrow.go
+++ b/io/share/borrow.go
@@ -14,7 +14,7 @@
 	// firstBackoff and lastBackoff bound the pause between rounds that did not
 	// find enough.
 	firstBackoff = 20 * time.Millisecond
-	lastBackoff  = 400 * time.Millisecond
+	lastBackoff  = 100 * time.Millisecond
 	// rateBackoff is the pause while the rate falls short and nothing waits.
 	rateBackoff = time.Second
 	// maxKicks bounds the rounds that wait to begin.
@@ -22,6 +22,9 @@
 	// worthAsking is the number of tokens that a lender must probably have, unless
 	// fewer are missing.
 	worthAsking = 1
+	// partialSlack is how many times the missing tokens all lenders must probably
+	// have together before parts of tokens are asked for.
+	partialSlack = 1.5
 	// worthRaising is how much larger than a loan that is not due the wanted part
 	// must be for another ask.
 	worthRaising = 1.1
@@ -131,18 +134,10 @@
 	all := slices.Concat(near, far)
 	bulk, more := e.isBulk(len(all))
 	if bulk {
-		e.borrow(ctx, near, all, more)
-		e.borrow(ctx, far, far, more)
-	}
-	for len(all) > 0 && e.isShort() {
-		i, ok := e.fullest(all)
-		if !ok {
-			break
-		}
-		h := all[i : i+1]
-		e.borrow(ctx, h, h, false)
-		all = slices.Delete(all, i, i+1)
+		e.borrow(ctx, near, all, borrowing{more: more})
+		e.borrow(ctx, far, far, borrowing{more: more})
 	}
+	e.gather(ctx, all)
 	now := e.ledger.Clock.Now()
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
@@ -155,6 +150,35 @@
 	}
 }
 
+// gather asks lender by lender for the tokens that requests wait for, the fullest
+// first: for whole tokens, and where there are none left, for parts of tokens if
+// all of them make up one.
+func (e *account) gather(ctx context.Context, lenders []string) {
+	whole := borrowing{}
+	rest := slices.Clone(lenders)
+	for len(rest) > 0 && e.isShort() {
+		i, most, all := e.fullest(rest)
+		switch missing := e.missing(); {
+		case most >= min(worthAsking, missing):
+		case all >= missing*partialSlack:
+			whole.partial = true
+		default:
+			return
+		}
+		h := rest[i : i+1]
+		e.borrow(ctx, h, h, whole)
+		rest = slices.Delete(rest, i, i+1)
+	}
+}
+
+// borrowing is how lenders are asked.
+type borrowing struct {
+	// more raises loans that are not due for renewal.
+	more bool
+	// partial accepts parts of tokens.
+	partial bool
+}
+
 // isBulk reports whether a round is worth asking several lenders at once: for
 // rate, to renew or return loans, or for many tokens; and whether loans that are
 // not due for renewal should be raised.
@@ -195,12 +219,12 @@
 
 // borrow asks some lenders, side by side, for equal parts of what is missing when
 // the loans from the lenders in without are not counted. Loans that are not due
-// for renewal are left as they are, unless more is set.
-func (e *account) borrow(ctx context.Context, from, without []string, more bool) {
+// for renewal are left as they are, unless how says more.
+func (e *account) borrow(ctx context.Context, from, without []string, how borrowing) {
 	if len(from) == 0 || ctx.Err() != nil {
 		return
 	}
-	sent := e.open(ctx, from, without, more)
+	sent := e.open(ctx, from, without, how)
 	for host, q := range sent {
 		g, ok := <-q.answer
 		now := e.ledger.Clock.Now()
@@ -231,20 +255,28 @@
 	}
 }
 
-// fullest returns the index of the lender that probably has most tokens: what it
-// had left, filled up since at its own rate; a lender not asked yet is full. It
-// reports false if none has enough to be worth asking.
-func (e *account) fullest(hosts []string) (int, bool) {
+// fullest returns the index and the stock of the lender that probably has most
+// tokens, and the tokens that all of them probably have.
+func (e *account) fullest(hosts []string) (best int, most, all float64) {
 	now := e.ledger.Clock.Now()
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	best, most := 0, -1.0
+	most = -1
 	for i, h := range hosts {
-		if n := e.stock(now, h); n > most {
+		n := e.stock(now, h)
+		all += n
+		if n > most {
 			best, most = i, n
 		}
 	}
-	return best, most >= min(worthAsking, e.waiting-e.rate.Available(now))
+	return best, most, all
+}
+
+// missing is how many tokens requests wait for beyond those that there are.
+func (e *account) missing() float64 {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.waiting - e.rate.Available(e.ledger.Clock.Now())
 }
 
 // stock estimates the tokens of a lender. The mutex is held.
@@ -259,7 +291,7 @@
 }
 
 // open sends the asks of borrow.
-func (e *account) open(ctx context.Context, from, without []string, more bool) map[string]*errand {
+func (e *account) open(ctx context.Context, from, without []string, how borrowing) map[string]*errand {
 	now := e.ledger.Clock.Now()
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
@@ -274,7 +306,7 @@
 	tokens := max(wanted.Burst()-e.rate.Available(now), 0) * share
 	sent := make(map[string]*errand)
 	for _, h := range from {
-		a, ok := e.ask(now, h, want, tokens, more)
+		a, ok := e.ask(now, h, want, tokens, how)
 		if !ok {
 			continue
 		}
@@ -282,6 +314,7 @@
 			name: e.limit.Name(),
 			ask:  a,
 		}
+		q.ask.Partial = how.partial
 		e.ledger.lenders.send(ctx, h, q)
 		sent[h] = q
 	}
@@ -289,14 +322,14 @@
 }
 
 // ask opens a request to one lender, if there is reason to. The mutex is held.
-func (e *account) ask(now time.Time, host string, want loan.Part, tokens float64, more bool) (loan.Ask, bool) {
+func (e *account) ask(now time.Time, host string, want loan.Part, tokens float64, how borrowing) (loan.Ask, bool) {
 	have, _ := e.rate.Book().Loan(now, host)
 	due := e.rate.Book().Due(now, host)
-	empty := tokens < negligible || e.stock(now, host) < worthAsking
+	empty := tokens < negligible || (!how.partial && e.stock(now, host) < min(worthAsking, tokens))
 	switch {
 	case have.IsZero() && want.Rate() < negligible && empty:
 		return loan.Ask{}, false
-	case have.Rate() == 0 || due || (more && want.Rate() > have.Rate()*worthRaising):
+	case have.Rate() == 0 || due || (how.more && want.Rate() > have.Rate()*worthRaising):
 		return e.rate.Ask(now, host, want, tokens), true
 	case empty:
 		return loan.Ask{}, false
--- a/io/share/confirm.go
+++ b/io/share/confirm.go
@@ -43,7 +43,10 @@
 	for _, a := range answers {
 		renewed = renewed || a.GetRenewed()
 		ended = ended || a.GetEnded()
-		taken = taken || a.GetTaken()
+		for _, n := range a.GetTaken() {
+			taken = true
+			s.table.Lost(int(n), versionOf(question, n))
+		}
 	}
 	switch {
 	case renewed:
@@ -55,6 +58,15 @@
 	}
 }
 
+func versionOf(q *sharepb.ConfirmRequest, n int64) uint64 {
+	for _, a := range q.GetSeats() {
+		if a.GetNumber() == n {
+			return a.GetVersion()
+		}
+	}
+	return 0
+}
+
 func (s *seating) question() (*sharepb.ConfirmRequest, string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -96,14 +108,16 @@
 // confirmFor answers a mate's question.
 func (s *seating) confirmFor(ctx context.Context, q *sharepb.ConfirmRequest) *sharepb.ConfirmResponse {
 	s.mutex.Lock()
-	taken := false
+	var taken []int64
 	for _, a := range q.GetSeats() {
-		taken = taken || s.table.KnowsLater(int(a.GetNumber()), a.GetVersion())
+		if s.table.KnowsLater(int(a.GetNumber()), a.GetVersion()) {
+			taken = append(taken, a.GetNumber())
+		}
 	}
 	now := s.ledger.Clock.Now()
 	down := s.failed.After(s.reached) && now.Sub(s.failed) < unreachableFor
 	s.mutex.Unlock()
-	if taken || down {
+	if len(taken) > 0 || down {
 		return &sharepb.ConfirmResponse{Taken: taken}
 	}
 	err := s.reach(ctx, q.GetSession())
--- a/io/share/hold.go
+++ b/io/share/hold.go
@@ -123,7 +123,7 @@
 		return
 	}
 	s.mutex.Lock()
-	changes := s.table.Release(n, settle, s.left[n])
+	changes := s.table.Release(now, n, settle, s.left[n])
 	s.mutex.Unlock()
 	call, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
--- a/io/share/ledger.go
+++ b/io/share/ledger.go
@@ -27,7 +27,7 @@
 	DefaultHomes = 4
 	// leastAtHome is the burst, in tokens or connections, that a home seat should
 	// own at least.
-	leastAtHome = 2
+	leastAtHome = 4
 	// changeTime is how long new settings take to reach all hosts; until then a
 	// seat owns the smaller part if the home seats of an account change.
 	changeTime = 10 * time.Second
--- a/io/share/lenders.go
+++ b/io/share/lenders.go
@@ -186,6 +186,7 @@
 		Returned:  e.ask.Returned,
 		Urgent:    e.urgent,
 		Same:      e.ask.Same,
+		Partial:   e.ask.Partial,
 	}
 }
 
@@ -198,6 +199,7 @@
 		Room:     a.GetRoom(),
 		Returned: a.GetReturned(),
 		Same:     a.GetSame(),
+		Partial:  a.GetPartial(),
 	}
 }
 
--- a/io/share/seating.go
+++ b/io/share/seating.go
@@ -100,7 +100,7 @@
 func (s *seating) use(now time.Time) use {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	numbers, until, _ := s.table.Held(now)
+	numbers, until := s.table.Held(now)
 	started := make(map[int]start)
 	for _, n := range numbers {
 		if b, ok := s.starts[n]; ok {
@@ -124,8 +124,13 @@
 func (s *seating) held() (numbers []int, until time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	numbers, until, _ = s.table.Held(s.ledger.Clock.Now())
-	return numbers, until
+	return s.table.Held(s.ledger.Clock.Now())
+}
+
+func (s *seating) tick() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.table.Tick(s.ledger.Clock.Now())
 }
 
 // holder names the host that holds a seat, as far as known.
--- a/io/share/serve.go
+++ b/io/share/serve.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"coltsfootloft/core/loan"
+	"coltsfootloft/core/seat"
 	"coltsfootloft/io/share/sharepb"
 )
 
@@ -20,7 +21,7 @@
 	// closed.
 	RevokeAhead = 150 * time.Millisecond
 	// closeEvery is the time between looks at rights that are about to end.
-	closeEvery = 50 * time.Millisecond
+	closeEvery = seat.TickEvery / 2
 )
 
 // handle answers the requests of other hosts.
@@ -118,10 +119,12 @@
 	}
 }
 
-// closeDuty has connections closed whose rights are about to end.
+// closeDuty has connections closed whose rights are about to end, and ticks the
+// seats.
 func (l *Ledger) closeDuty(ctx context.Context) {
 	for ctx.Err() == nil {
 		l.pause(ctx, closeEvery)
+		l.seating.tick()
 		for _, d := range load(&l.databases) {
 			d.closeExcess()
 		}
