share: proof that a loud account does not crowd out others

15 hosts that serve 1500 statements a second in all, five accounts at 80% of their rates, a sixth at five times its rate of 300/s.

--- /dev/null
+++ b/io/share/fair_test.go
@@ -0,0 +1,160 @@
+package share
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootloft"
+	"coltsfootloft/core/fair"
+)
+
+const (
+	// slotsOfHost connections of each host, busy for serviceTime a statement,
+	// serve 100 statements a second and host.
+	slotsOfHost = 2
+	serviceTime = 20 * time.Millisecond
+)
+
+// server is the connections of one host, waited for in the order of a queue.
+type server struct {
+	mutex sync.Mutex
+	queue fair.Queue[chan struct{}]
+	free  int
+}
+
+// serve runs one statement and reports false if the queue is full.
+func (s *server) serve(account string) bool {
+	s.mutex.Lock()
+	if s.free > 0 {
+		s.free--
+		s.mutex.Unlock()
+	} else {
+		ready := make(chan struct{})
+		_, ok := s.queue.Push(account, 1, ready)
+		s.mutex.Unlock()
+		if !ok {
+			return false
+		}
+		<-ready
+	}
+	time.Sleep(serviceTime)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if next, _, ok := s.queue.Pop(); ok {
+		close(next)
+	} else {
+		s.free++
+	}
+	return true
+}
+
+// crowd is one account's callers.
+type crowd struct {
+	account  coltsfootloft.Account
+	factor   float64
+	mutex    sync.Mutex
+	latency  []time.Duration
+	throttle bool
+}
+
+func (c *crowd) run(f *fleet, servers map[string]*server, seed uint64, d time.Duration) {
+	random := rand.New(rand.NewPCG(seed, 4))
+	names := f.names()
+	end := time.Now().Add(d)
+	var all sync.WaitGroup
+	for time.Now().Before(end) {
+		gap := random.ExpFloat64() / (c.account.Rate() * c.factor)
+		time.Sleep(time.Duration(gap * float64(time.Second)))
+		name := names[random.IntN(len(names))]
+		all.Go(func() { c.one(f.node(name), servers[name]) })
+	}
+	all.Wait()
+}
+
+func (c *crowd) one(n *node, s *server) {
+	start := time.Now()
+	queue := c.account.Name()
+	if !c.throttle {
+		queue = "all"
+	} else if n.ledger.Admit(context.Background(), c.account.Name(), 1) != nil {
+		return
+	}
+	if !s.serve(queue) {
+		return
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.latency = append(c.latency, time.Since(start))
+}
+
+func (c *crowd) p99() time.Duration {
+	slices.Sort(c.latency)
+	return c.latency[len(c.latency)*99/100]
+}
+
+// crowded runs all accounts at 80% of their rates, the first at five times its
+// rate or not at all, through the ledger and fair queues or through neither.
+func crowded(t *testing.T, loud, throttle bool) []*crowd {
+	var all []*crowd
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, caroni(300, 200, 100, 60, 40, 20), testSeed)
+		f.start()
+		time.Sleep(20 * time.Second)
+		servers := map[string]*server{}
+		for _, name := range f.names() {
+			servers[name] = &server{free: slotsOfHost}
+		}
+		var running sync.WaitGroup
+		for i, a := range f.plan.Accounts {
+			c := &crowd{
+				account:  a,
+				factor:   0.8,
+				throttle: throttle,
+			}
+			all = append(all, c)
+			if i == 0 {
+				c.factor = 5
+				if !loud {
+					continue
+				}
+			}
+			running.Go(func() { c.run(f, servers, uint64(i), 20*time.Second) })
+		}
+		running.Wait()
+		f.stop()
+	})
+	return all
+}
+
+// worst compares accounts with and without the loud one beside them.
+func worst(t *testing.T, throttle bool) (throughput, p99 float64) {
+	alone := crowded(t, false, throttle)
+	beside := crowded(t, true, throttle)
+	throughput = 1
+	for i := 1; i < len(alone); i++ {
+		a, b := alone[i], beside[i]
+		share := float64(len(b.latency)) / float64(len(a.latency))
+		ratio := b.p99().Seconds() / a.p99().Seconds()
+		t.Logf("%s throttled %v: served %d beside %d alone (%.3f), p99 %v beside %v (%.2f times)",
+			a.account.Name(), throttle, len(b.latency), len(a.latency), share, b.p99(), a.p99(), ratio)
+		throughput = min(throughput, share)
+		p99 = max(p99, ratio)
+	}
+	return throughput, p99
+}
+
+// TestLoudAccountDoesNotCrowdOutOthers has one account send five times its rate.
+func TestLoudAccountDoesNotCrowdOutOthers(t *testing.T) {
+	throughput, p99 := worst(t, true)
+	assert.Assert(t, throughput >= 0.95)
+	assert.Assert(t, p99 <= 2)
+	naive, _ := worst(t, false)
+	assert.Assert(t, naive < 0.95, "one queue and no rates serve as well")
+}
