--- a/io/share/borrow.go
+++ b/io/share/borrow.go
@@ -22,6 +22,10 @@
 	// worthAsking is the number of tokens that a lender must probably have, unless
 	// fewer are missing.
 	worthAsking = 1
+	// firstPauseAtEmpty and lastPauseAtEmpty bound how long a lender is left alone
+	// that had too few tokens.
+	firstPauseAtEmpty = 50 * time.Millisecond
+	lastPauseAtEmpty  = time.Second
 	// partialSlack is how many times the missing tokens all lenders must probably
 	// have together before parts of tokens are asked for.
 	partialSlack = 1.5
@@ -232,26 +236,34 @@
 		if !ok || !e.rate.Accept(now, host, q.ask, g) {
 			e.rate.Abandon(now, host, q.ask)
 		}
-		e.note(now, host, g.Left)
+		e.note(now, host, q.ask.Tokens, g)
 		e.serveLocked(now)
 		e.mutex.Unlock()
 	}
 }
 
-// stock is what a lender had left when it last answered.
+// stock is what a lender had left when it last answered. One that had less than
+// was asked for is left alone for a while, twice as long each time.
 type stock struct {
 	tokens float64
 	at     time.Time
+	pause  time.Duration
 }
 
-// note remembers what a lender has left. The mutex is held.
-func (e *account) note(now time.Time, host string, left float64) {
+// note remembers what a lender has left and whether it gave too little. The mutex
+// is held.
+func (e *account) note(now time.Time, host string, asked float64, g loan.Grant) {
 	if e.stocks == nil {
 		e.stocks = make(map[string]stock)
 	}
+	pause := time.Duration(0)
+	if asked > negligible && g.Tokens < min(asked, worthAsking) {
+		pause = min(max(2*e.stocks[host].pause, firstPauseAtEmpty), lastPauseAtEmpty)
+	}
 	e.stocks[host] = stock{
-		tokens: left,
+		tokens: g.Left,
 		at:     now,
+		pause:  pause,
 	}
 }
 
@@ -285,6 +297,9 @@
 	if !ok {
 		return e.limit.Burst()
 	}
+	if now.Sub(s.at) < s.pause {
+		return 0
+	}
 	part := 1 / float64(len(e.homes)*len(e.homes[0].seats))
 	filled := s.tokens + e.limit.Rate()*part*now.Sub(s.at).Seconds()
 	return min(filled, e.limit.Burst()*part)
