share: proof that changed settings never sum above the larger

15 hosts take new settings up to 5 s apart under three times the load. Red, home seats moved at once: 16.95/s and 35 of burst in use on the way from 11/s to 13/s (larger limit 13/s and 26). Green, the smaller of the old and new part for 6 s where home seats move: never above the larger, the new rate in use within 15 s. Changing the numbers of seats keeps the parts within the whole, hosts 1 s apart.

--- a/io/share/ledger.go
+++ b/io/share/ledger.go
@@ -30,7 +30,7 @@
 	leastAtHome = 4
 	// changeTime is how long new settings take to reach all hosts; until then a
 	// seat owns the smaller part if the home seats of an account change.
-	changeTime = 10 * time.Second
+	changeTime = 6 * time.Second
 	// forever is later than every lease.
 	forever = 100 * 365 * 24 * time.Hour
 )
--- a/io/share/plan.go
+++ b/io/share/plan.go
@@ -32,7 +32,9 @@
 // Hosts take new settings at different times. A host's own part of a limit is at
 // most the larger of the old and the new, and loans made under the old limit
 // count against the new part, so the parts of all hosts never sum to more than
-// the larger limit.
+// the larger limit. A change that also moves the home seats of an account takes
+// effect at a seat in two steps: first the smaller of the two parts, and the new
+// one after 6 s, when all hosts have the settings.
 func (l *Ledger) Configure(p Plan) {
 	l.register.Do(l.start)
 	l.configure.Lock()
@@ -46,6 +48,7 @@
 	}
 	l.seating.configure(p.Domains)
 	l.apply()
+	l.Clock.AfterFunc(changeTime, l.apply)
 }
 
 // start prepares what needs the exported fields.
