share: the test of changed seats has one host learn late

Before, no host was late enough to matter, and a mutant without the layout key passed. Red, layout key neither required nor checked: 108.33/s and 216.67 of 100/s and 200 held. Green: never above.

--- a/io/share/change_test.go
+++ b/io/share/change_test.go
@@ -46,7 +46,8 @@
 	})
 }
 
-// TestChangedSeatsAreNeverHeldTwice changes the number of seats of the domains.
+// TestChangedSeatsAreNeverHeldTwice changes the number of seats of the domains,
+// which one host learns long after the others.
 func TestChangedSeatsAreNeverHeldTwice(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, caroni(100), testSeed)
@@ -57,7 +58,11 @@
 		plan.Domains = []Domain{{Name: "d1", Seats: 3}, {Name: "d2", Seats: 8}, {Name: "d3", Seats: 5}}
 		for i, name := range f.names() {
 			n := f.node(name)
-			time.AfterFunc(time.Duration(i)*time.Second, func() { n.ledger.Configure(plan) })
+			delay := time.Duration(i) * 300 * time.Millisecond
+			if name == "d1h4" {
+				delay = 30 * time.Second
+			}
+			time.AfterFunc(delay, func() { n.ledger.Configure(plan) })
 		}
 		time.Sleep(60 * time.Second)
 		held := f.held("team/a1")
