--- /dev/null
+++ b/io/caller/place.go
@@ -0,0 +1,137 @@
+package caller
+
+import (
+	"context"
+	"time"
+
+	"coltsfootloft"
+	"coltsfootloft/core/journ"
+	"coltsfootloft/core/route"
+	"coltsfootloft/io/pool"
+
+	"github.com/pkg/errors"
+)
+
+// SilenceBound is how long a database may not have answered its observer before
+// no request is sent to it.
+const SilenceBound = time.Second
+
+// need is what the batch asks of a database.
+func (s *Session) need(ctx context.Context, write bool) (route.Need, error) {
+	n := route.Need{
+		Write:  write,
+		MaxAge: s.Route.MaxAge(),
+		Domain: s.Env.Domain,
+		Last:   s.last,
+		Avoid:  make(map[string]bool),
+	}
+	p, ok := s.Token.Position(s.Route.Group())
+	if ok || n.MaxAge > 0 {
+		n.Position = p
+		return n, nil
+	}
+	p, err := s.Env.Groups.Barrier(ctx, s.Route.Group())
+	if err != nil {
+		return n, coltsfootloft.Refuse(coltsfootloft.CodeUnavailable, "no majority of group "+s.Route.Group()+" can be reached")
+	}
+	s.Token = s.Token.Advance(s.Route.Group(), p)
+	n.Position = p
+	return n, nil
+}
+
+// place finds a database for the need and a connection to it.
+func (s *Session) place(ctx context.Context, n *route.Need) (*pool.Conn, error) {
+	started := s.Env.Clock.Now()
+	for {
+		v := s.Env.view(s.Route.Group())
+		c := s.choose(v, *n, s.Env.Clock.Since(started))
+		switch c.Verdict() {
+		case route.ToReplica, route.ToPrimary:
+			conn, err := s.acquire(ctx, c.Database())
+			if err == nil {
+				countPlaced(*n, c.Verdict())
+				s.observe(placeSeconds, started)
+				s.onPrimary = c.Verdict() == route.ToPrimary
+				s.note(journ.Routed, c.Verdict().String(), c.Database())
+				return conn, nil
+			}
+			if ctx.Err() != nil || !isElsewhere(err) {
+				return nil, err
+			}
+			n.Avoid[c.Database()] = true
+		default:
+			s.note(journ.Held, c.Verdict().String(), "")
+			if err := s.await(ctx, v.changed, c.Verdict(), started); err != nil {
+				return nil, err
+			}
+			if c.Verdict() == route.NoPrimary {
+				clear(n.Avoid)
+			}
+		}
+	}
+}
+
+// choose picks a database, the primary once reads have waited long enough.
+func (s *Session) choose(v *view, n route.Need, waited time.Duration) route.Choice {
+	all := s.candidates(v)
+	c := route.Pick(n, all)
+	if c.Verdict() == route.Behind && waited >= s.Env.Fleet().Defaults().ReadWait() {
+		f := route.Fallback(n, all)
+		if f.Verdict() == route.ToPrimary {
+			return f
+		}
+	}
+	return c
+}
+
+// await waits for the group to change.
+func (s *Session) await(ctx context.Context, changed <-chan struct{}, v route.Verdict, started time.Time) error {
+	wait := s.Env.Fleet().Defaults().ReadWait() - s.Env.Clock.Since(started)
+	if v == route.NoPrimary || wait <= 0 {
+		wait = s.Env.Fleet().Defaults().QueueWait()
+	}
+	timer := s.Env.Clock.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.Chan():
+	case <-ctx.Done():
+		return coltsfootloft.Refuse(coltsfootloft.CodeUnavailable, "no database of group "+s.Route.Group()+" could serve in time: "+v.String())
+	}
+	return nil
+}
+
+func (s *Session) acquire(ctx context.Context, database string) (*pool.Conn, error) {
+	p, ok := s.Env.Pool(database)
+	if !ok {
+		return nil, coltsfootloft.Refuse(coltsfootloft.CodeUnavailable, "database "+database+" is not in the settings")
+	}
+	return p.Acquire(ctx, s.Account)
+}
+
+// candidates describes the databases of the group that answer.
+func (s *Session) candidates(v *view) []route.Candidate {
+	group := s.Route.Group()
+	all := s.scratch[:0]
+	for i, c := range v.candidates {
+		name := c.Upstream.Name()
+		silence, heard := s.Env.Groups.Silent(group, name)
+		if !heard || silence > SilenceBound {
+			continue
+		}
+		c.Leaving = s.Env.Members.Leaving(name)
+		c.Load = v.pools[i].Load()
+		if s.Route.MaxAge() > 0 {
+			c.Age, c.Aged = s.Env.Groups.Age(group, name)
+		}
+		all = append(all, c)
+	}
+	s.scratch = all
+	return all
+}
+
+// isElsewhere reports whether another database may serve what this one can't.
+func isElsewhere(err error) bool {
+	var r *coltsfootloft.RefusalError
+	return errors.As(err, &r) && r.Code() == coltsfootloft.CodeUnavailable
+}
--- /dev/null
+++ b/io/host/provide.go
@@ -0,0 +1,245 @@
+package host
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"coltsfootloft"
+	"coltsfootloft/core/conf"
+	"coltsfootloft/core/journ"
+	"coltsfootloft/io/caller"
+	"coltsfootloft/io/dbops"
+	"coltsfootloft/io/dial"
+	"coltsfootloft/io/elect"
+	"coltsfootloft/io/feed"
+	"coltsfootloft/io/front"
+	"coltsfootloft/io/member"
+	"coltsfootloft/io/peer"
+	"coltsfootloft/io/pool"
+	"coltsfootloft/io/share"
+	"coltsfootloft/io/store"
+	"coltsfootloft/io/watch"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+)
+
+// seatsPrefix is where the store keeps the seats.
+const seatsPrefix = "coltsfootloft/seats/"
+
+func provideStore(settings *conf.Host) (*store.Consul, error) {
+	return &store.Consul{
+		Addresses: []string{settings.Store()},
+		Dial:      dial.From(settings.Peer(), connectTimeout),
+	}, nil
+}
+
+func provideSelf(settings *conf.Host) coltsfootloft.HostRecord {
+	return coltsfootloft.NewHost(settings.Name(), settings.Domain(), settings.Peer())
+}
+
+func provideCurrent() *current { return &current{} }
+
+// book finds the peer addresses of hosts. The view of the fleet that it asks needs
+// the links itself, so it is set later.
+type book struct{ view *member.View }
+
+func (b *book) resolve(host string) (address string, ok bool) { return b.view.Resolve(host) }
+
+func provideBook() *book { return &book{} }
+
+func provideLinks(settings *conf.Host, b *book, clock clockwork.Clock, log logr.Logger) *peer.Links {
+	return &peer.Links{
+		Self:    settings.Name(),
+		Listen:  settings.PeerListen(),
+		Resolve: b.resolve,
+		Dial:    dial.From(settings.Peer(), 0),
+		Clock:   clock,
+		Log:     log.WithName("peer"),
+		Metrics: metrics.GetDefaultSet(),
+	}
+}
+
+func provideMembers(settings *conf.Host, self coltsfootloft.HostRecord, b *book, l *peer.Links, s *store.Consul, c *current, clock clockwork.Clock, log logr.Logger) *member.View {
+	b.view = &member.View{
+		Host:      self,
+		Peers:     l,
+		Store:     s,
+		Bootstrap: settings.Peers(),
+		Clock:     clock,
+		Log:       log.WithName("member"),
+		Revision:  func() uint64 { return c.Fleet().Revision() },
+	}
+	return b.view
+}
+
+func provideFeed(l *peer.Links, m *member.View, s *store.Consul, clock clockwork.Clock, log logr.Logger) *feed.Feed {
+	f := &feed.Feed{
+		Store:   s,
+		Peers:   l,
+		Members: m,
+		Clock:   clock,
+		Log:     log.WithName("feed"),
+		Prefix:  conf.StorePrefix,
+		Head:    conf.StorePrefix + conf.HeadPath,
+	}
+	m.OnRevision = f.Hear
+	return f
+}
+
+func provideWatch(clock clockwork.Clock, log logr.Logger, self coltsfootloft.HostRecord, l *peer.Links, m *member.View, open opener) *watch.Watcher {
+	return &watch.Watcher{
+		Clock:   clock,
+		Log:     log.WithName("watch"),
+		Self:    self,
+		Peers:   l,
+		Members: m,
+		Open:    open,
+	}
+}
+
+// connectTimeout bounds the opening of connections to the platform.
+const connectTimeout = 2 * time.Second
+
+// opener opens the platform's interface to a database.
+type opener func(u coltsfootloft.Upstream) coltsfootloft.Database
+
+func provideOpener(settings *conf.Host) opener {
+	from := dial.From(settings.Peer(), 0)
+	return func(u coltsfootloft.Upstream) coltsfootloft.Database {
+		return &dbops.Database{
+			Address: u.Address(),
+			Dial:    from,
+		}
+	}
+}
+
+func provideElect(clock clockwork.Clock, log logr.Logger, self coltsfootloft.HostRecord, run runName, l *peer.Links, m *member.View, w *watch.Watcher, j *journ.Journal, open opener) *elect.Duty {
+	return &elect.Duty{
+		Clock:       clock,
+		Log:         log.WithName("elect"),
+		Self:        self,
+		Incarnation: string(run),
+		Peers:       l,
+		Members:     m,
+		Source:      w,
+		Open:        open,
+		Journal:     noteElection(j),
+	}
+}
+
+// noteElection writes an event of the election duty to the journal.
+func noteElection(j *journ.Journal) func(event string, keyvals ...any) {
+	return func(event string, keyvals ...any) {
+		reason := event
+		for i := 0; i+1 < len(keyvals); i += 2 {
+			reason += fmt.Sprintf(" %v=%v", keyvals[i], keyvals[i+1])
+		}
+		j.Note(journ.Decided(journ.Promoted, reason))
+	}
+}
+
+func provideJournal(clock clockwork.Clock) *journ.Journal { return &journ.Journal{Clock: clock} }
+
+// runName is unique to this run of the process.
+type runName string
+
+func provideRun() (runName, error) {
+	b := make([]byte, 6)
+	_, err := rand.Read(b)
+	return runName(hex.EncodeToString(b)), errors.Wrap(err, "random name")
+}
+
+func provideLedger(run runName, l *peer.Links, m *member.View, s *store.Consul, clock clockwork.Clock, log logr.Logger) *share.Ledger {
+	return &share.Ledger{
+		Clock:   clock,
+		Log:     log.WithName("share"),
+		Store:   s,
+		Peers:   l,
+		Members: m,
+		RunName: string(run),
+		Prefix:  seatsPrefix,
+	}
+}
+
+func provideLogin(settings *conf.Host) (pool.Login, error) {
+	l := pool.Login{
+		User: settings.UpstreamUser(),
+		Dial: dial.From(settings.Peer(), 0),
+	}
+	if settings.UpstreamPasswordFile() == "" {
+		return l, nil
+	}
+	b, err := os.ReadFile(settings.UpstreamPasswordFile())
+	l.Password = strings.TrimSpace(string(b))
+	return l, errors.Wrap(err, "upstream password")
+}
+
+func providePools(c *current, login pool.Login, ledger *share.Ledger, clock clockwork.Clock, log logr.Logger) *pools {
+	return &pools{
+		login:  login,
+		shares: ledger,
+		weight: func(account string) int { return c.Fleet().Weight(account) },
+		clock:  clock,
+		log:    log.WithName("pool"),
+	}
+}
+
+func provideRetries(c *current, clock clockwork.Clock) *retries {
+	return &retries{
+		clock: clock,
+		share: func() float64 { return c.Fleet().Defaults().RetryBudget() },
+	}
+}
+
+func provideEnv(settings *conf.Host, c *current, w *watch.Watcher, m *member.View, l *share.Ledger, p *pools, r *retries, j *journ.Journal, clock clockwork.Clock, log logr.Logger) *caller.Env {
+	return &caller.Env{
+		Domain:  settings.Domain(),
+		Groups:  w,
+		Members: m,
+		Shares:  l,
+		Fleet:   c.Fleet,
+		Pool:    p.get,
+		Retry:   r,
+		Journal: j,
+		Clock:   clock,
+		Log:     log.WithName("caller"),
+	}
+}
+
+func provideFront(settings *conf.Host, env *caller.Env, l *peer.Links, clock clockwork.Clock, log logr.Logger) *front.Server {
+	return &front.Server{
+		Name:   settings.Name(),
+		Listen: settings.Listen(),
+		Env:    env,
+		Peers:  l,
+		Clock:  clock,
+		Log:    log.WithName("front"),
+	}
+}
+
+func provideHost(settings *conf.Host, clock clockwork.Clock, log logr.Logger, links *peer.Links, m *member.View, source *feed.Feed, j *journ.Journal, w *watch.Watcher, e *elect.Duty, l *share.Ledger, f *front.Server, c *current, p *pools) *Host {
+	return &Host{
+		Settings: settings,
+		Clock:    clock,
+		Log:      log,
+		Links:    links,
+		Members:  m,
+		Feed:     source,
+		Journal:  j,
+		Watch:    w,
+		Elect:    e,
+		Ledger:   l,
+		Front:    f,
+		current:  c,
+		pools:    p,
+		ready:    make(chan struct{}),
+		leave:    make(chan struct{}),
+	}
+}
--- /dev/null
+++ b/io/host/wire.go
@@ -0,0 +1,39 @@
+//go:build wireinject
+
+package host
+
+import (
+	"coltsfootloft/core/conf"
+
+	"github.com/go-logr/logr"
+	"github.com/google/wire"
+	"github.com/jonboulle/clockwork"
+)
+
+var providers = wire.NewSet(
+	provideStore,
+	provideSelf,
+	provideRun,
+	provideBook,
+	provideLinks,
+	provideMembers,
+	provideFeed,
+	provideCurrent,
+	provideJournal,
+	provideOpener,
+	provideWatch,
+	provideElect,
+	provideLedger,
+	provideLogin,
+	providePools,
+	provideRetries,
+	provideEnv,
+	provideFront,
+	provideHost,
+)
+
+// Build makes a host from its process settings.
+func Build(settings *conf.Host, clock clockwork.Clock, log logr.Logger) (*Host, error) {
+	wire.Build(providers)
+	return nil, nil
+}
--- /dev/null
+++ b/test/fleet_test.go
@@ -0,0 +1,270 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"coltsfootloft/core/keys"
+	"coltsfootloft/io/change"
+	"coltsfootloft/io/store"
+
+	"github.com/jackc/pgx/v5"
+	"gotest.tools/v3/assert"
+)
+
+// layout is what a fleet under test consists of.
+type layout struct {
+	domains  int
+	hosts    int
+	groups   int
+	lag      time.Duration
+	delay    time.Duration
+	conns    int
+	network  bool
+	settings map[string]string
+}
+
+// fleet is a running deployment.
+type fleet struct {
+	t        testing.TB
+	layout   layout
+	network  *network
+	platform *process
+	control  string
+
+	platformAddress string
+
+	store     *store.Consul
+	databases map[string]*database
+	hosts     []*entry
+	secrets   map[string]string
+}
+
+// database is one upstream, with its stand-in.
+type database struct {
+	process   *process
+	name      string
+	address   string
+	listen    string
+	replicate string
+	args      []string
+}
+
+// entry is one entry host.
+type entry struct {
+	process *process
+	name    string
+	address string
+	peer    string
+	admin   string
+	args    []string
+}
+
+// newFleet starts the platform, the databases and the hosts.
+func newFleet(t testing.TB, l layout) *fleet {
+	t.Helper()
+	f := &fleet{
+		t:         t,
+		layout:    l,
+		databases: make(map[string]*database),
+		secrets:   make(map[string]string),
+	}
+	if l.network {
+		f.network = newNetwork(t)
+	}
+	p := portsAt(t, placeIP(outside, 1), 2)
+	f.control = p[1]
+	f.platform = start(t, "platform", "standin", "platform listening", "platform", "-listen", p[0], "-control", p[1])
+	f.store = &store.Consul{Addresses: []string{"http://" + p[0]}}
+	f.platformAddress = f.reach(p[0], outside)
+	for g := range l.groups {
+		f.startGroup(fmt.Sprint("g", g+1))
+	}
+	f.writeSettings()
+	for i := range l.hosts {
+		f.hosts = append(f.hosts, f.startHost(i))
+	}
+	return f
+}
+
+func (f *fleet) startGroup(group string) {
+	f.t.Helper()
+	const size = 3
+	peers := make([]string, size)
+	for i := range size {
+		p := portsAt(f.t, f.databaseIP(i), 2)
+		d := &database{
+			name:      fmt.Sprint(group, "-", i+1),
+			listen:    p[0],
+			replicate: p[1],
+			address:   f.reach(p[0], i%f.layout.domains+1),
+		}
+		peers[i] = d.name + "=" + f.reach(p[1], i%f.layout.domains+1)
+		f.databases[d.name] = d
+		f.register(d.name, f.domain(i), d.address, "upstream", "live")
+		d.args = []string{
+			"database", "-name", d.name, "-listen", d.listen, "-replicate", d.replicate,
+			"-initial", group + "-1", "-lag", f.layout.lag.String(), "-connect-delay", f.layout.delay.String(),
+			"-max-conns", fmt.Sprint(f.connections()), "-dir", f.t.TempDir(),
+		}
+	}
+	for i := range size {
+		d := f.databases[fmt.Sprint(group, "-", i+1)]
+		for j, p := range peers {
+			if j != i {
+				d.args = append(d.args, "-peer", p)
+			}
+		}
+		f.startDatabase(d)
+	}
+}
+
+// reach returns the address at which others reach target, which lies in a place.
+func (f *fleet) reach(target string, place int) string {
+	if f.network == nil {
+		return target
+	}
+	return f.network.expose(target, place)
+}
+
+// databaseIP is the address of the i-th database of a group.
+func (f *fleet) databaseIP(i int) string { return placeIP(i%f.layout.domains+1, 100+i) }
+
+func (f *fleet) startDatabase(d *database) {
+	f.t.Helper()
+	d.process = start(f.t, d.name, "standin", "listening on", d.args...)
+}
+
+func (f *fleet) connections() int {
+	if f.layout.conns == 0 {
+		return 35
+	}
+	return f.layout.conns
+}
+
+func (f *fleet) domain(i int) string { return fmt.Sprint("d", i%f.layout.domains+1) }
+
+// writeSettings puts the fleet's settings into the store.
+func (f *fleet) writeSettings() {
+	f.t.Helper()
+	all := make(map[string]string)
+	for d := range f.layout.domains {
+		all["fleet/domains/"+f.domain(d)] = fmt.Sprintf(`{"region": "r1", "seats": %d}`, max(1, f.layout.hosts/f.layout.domains))
+	}
+	names := make([]string, 0, f.layout.groups)
+	for g := range f.layout.groups {
+		group := fmt.Sprint("g", g+1)
+		names = append(names, `"`+group+`"`)
+		all["fleet/groups/"+group] = f.groupSettings(group)
+		all["teams/alpha/routes/"+group] = fmt.Sprintf(`{"group": %q}`, group)
+	}
+	all["fleet/teams/alpha"] = fmt.Sprintf(`{"groups": [%s]}`, strings.Join(names, ", "))
+	all["teams/alpha/accounts/main"] = `{"rate": "20000/s", "burst": 20000}`
+	all["teams/alpha/keys/app"] = f.newKey("alpha.app", "main")
+	maps.Copy(all, f.layout.settings)
+	f.apply(all)
+}
+
+func (f *fleet) groupSettings(group string) string {
+	var parts []string
+	for i := range 3 {
+		name := fmt.Sprint(group, "-", i+1)
+		parts = append(parts, fmt.Sprintf(`%q: {"address": %q, "domain": %q}`, name, f.databases[name].address, f.domain(i)))
+	}
+	return fmt.Sprintf(`{"databases": {%s}, "connections": %d, "slots": 2, "upstream_database": "main"}`,
+		strings.Join(parts, ", "), f.connections())
+}
+
+// newKey issues a key and returns its settings.
+func (f *fleet) newKey(name, account string) string {
+	f.t.Helper()
+	secret, v, err := keys.Issue()
+	assert.NilError(f.t, err)
+	f.secrets[name] = secret
+	return fmt.Sprintf(`{"account": %q, "verifier": %q}`, account, v.String())
+}
+
+// apply puts settings and returns their revision.
+func (f *fleet) apply(all map[string]string) uint64 {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	edit := change.Edit{Put: make(map[string][]byte)}
+	for path, value := range all {
+		edit.Put[path] = []byte(value)
+	}
+	e := change.Editor{
+		Store:  f.store,
+		Author: "test",
+	}
+	r, err := e.Apply(ctx, edit)
+	assert.NilError(f.t, err)
+	return r.Revision()
+}
+
+// register puts an entry host or an upstream on the platform's list.
+func (f *fleet) register(name, domain, address, kind, state string) {
+	f.t.Helper()
+	ip, port, err := net.SplitHostPort(address)
+	assert.NilError(f.t, err)
+	body := fmt.Sprintf(`{"Node": %q, "Address": %q, "Service": {"Service": "coltsfootloft", "Address": %q, "Port": %s,
+		"Meta": {"domain": %q, "kind": %q, "state": %q}}}`, name, ip, ip, port, domain, kind, state)
+	put(f.t, f.store.Addresses[0]+"/v1/catalog/register", body)
+}
+
+// put makes an HTTP PUT that must succeed.
+func put(t testing.TB, url, body string) {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPut, url, strings.NewReader(body))
+	assert.NilError(t, err)
+	a, err := http.DefaultClient.Do(r)
+	assert.NilError(t, err)
+	defer a.Body.Close()
+	assert.Equal(t, a.StatusCode, http.StatusOK, url)
+}
+
+func (f *fleet) startHost(i int) *entry {
+	f.t.Helper()
+	place := i%f.layout.domains + 1
+	p := portsAt(f.t, placeIP(place, 10+i), 3)
+	e := &entry{
+		name:    fmt.Sprint("h", i+1),
+		address: f.reach(p[0], place),
+		peer:    f.reach(p[1], place),
+		admin:   p[2],
+	}
+	e.args = []string{
+		"serve", "-name", e.name, "-domain", f.domain(i), "-listen", p[0], "-peer", e.peer, "-peer-listen", p[1],
+		"-admin", p[2], "-store", "http://" + f.platformAddress, "-log-level", "debug",
+	}
+	f.register(e.name, f.domain(i), e.peer, "entry", "live")
+	f.runHost(e)
+	return e
+}
+
+func (f *fleet) runHost(e *entry) {
+	f.t.Helper()
+	e.process = start(f.t, e.name, "coltsfootloft", "serving", e.args...)
+}
+
+// dsn is how a caller with the key reaches a route on the host.
+func (f *fleet) dsn(e *entry, key, route string) string {
+	return fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable", key, f.secrets[key], e.address, route)
+}
+
+// connect opens a session.
+func (f *fleet) connect(e *entry) *pgx.Conn {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	c, err := pgx.Connect(ctx, f.dsn(e, "alpha.app", "g1"))
+	assert.NilError(f.t, err)
+	f.t.Cleanup(func() { c.Close(context.Background()) })
+	return c
+}
