host, certs: TLS to callers, databases and between hosts, reloaded without restart

Cause: io/certs stood alone; nothing offered TLS, and require_tls and the certificate settings had no effect. A client configuration was fixed when it was made, so a replaced certificate would only have reached new pools. Client configurations now follow the files at each handshake, and Link serves both directions of a peer link. Where an upstream's configuration can't be had, no handshake passes; the connection never goes in clear. certs: TestMutualTLSBetweenHosts took the client's certificate away by clearing Certificates; it now clears GetClientCertificate, where the certificate comes from.

--- a/cmd/standin/database.go
+++ b/cmd/standin/database.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"flag"
 	"fmt"
 	"os"
@@ -20,6 +21,8 @@
 type databaseCommand struct {
 	server  dbase.Server
 	peers   peerFlag
+	cert    string
+	key     string
 	verbose bool
 }
 
@@ -51,6 +54,8 @@
 	f.StringVar(&s.User, "user", "", "user that callers log in as")
 	f.StringVar(&s.Password, "password", "", "password of callers and the platform; empty lets all in")
 	f.BoolVar(&s.Cleartext, "cleartext", false, "ask for the password itself instead of SCRAM-SHA-256")
+	f.StringVar(&c.cert, "cert", "", "certificate chain in PEM; with it the database offers TLS")
+	f.StringVar(&c.key, "key", "", "private key of -cert in PEM")
 	f.BoolVar(&c.verbose, "v", false, "log to standard error")
 }
 
@@ -59,6 +64,17 @@
 	s := &c.server
 	s.Peers = c.peers
 	s.Log = logger(c.verbose)
+	if c.cert != "" {
+		p, err := tls.LoadX509KeyPair(c.cert, c.key)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return subcommands.ExitUsageError
+		}
+		s.TLS = &tls.Config{
+			MinVersion:   tls.VersionTLS12,
+			Certificates: []tls.Certificate{p},
+		}
+	}
 	go func() {
 		select {
 		case <-s.Ready():
--- a/io/certs/certs.go
+++ b/io/certs/certs.go
@@ -105,10 +105,10 @@
 	}
 }
 
-// Client returns the configuration for one connection to IP:port.
+// Client returns the configuration for connections to one IP:port. It follows the
+// files too: each handshake uses what they hold by then.
 func (r *Reloader) Client(address string) (*tls.Config, error) {
-	m, err := r.current()
-	if err != nil {
+	if _, err := r.current(); err != nil {
 		return nil, err
 	}
 	host, _, err := net.SplitHostPort(address)
@@ -116,26 +116,58 @@
 		return nil, errors.Wrap(err, "tls")
 	}
 	c := &tls.Config{
-		MinVersion:   tls.VersionTLS12,
-		NextProtos:   r.Protocols,
-		Certificates: m.certificates,
-		RootCAs:      m.authorities,
-		ServerName:   host,
+		MinVersion: tls.VersionTLS12,
+		NextProtos: r.Protocols,
+		ServerName: host,
 	}
 	if r.AnyName {
-		// VerifyConnection checks the chain instead.
-		c.InsecureSkipVerify = true
-		c.VerifyConnection = func(s tls.ConnectionState) error { return verifyChain(s, m.authorities) }
+		host = ""
 	}
+	r.follow(c, host)
 	return c, nil
 }
 
-// verifyChain checks that the certificate comes from the authorities.
-func verifyChain(s tls.ConnectionState, authorities *x509.CertPool) error {
+// linkName stands in handshakes between hosts in place of a host's name: any
+// certificate from the authorities is a host's.
+const linkName = "coltsfootloft"
+
+// Link returns the configuration for both directions of the links between hosts.
+func (r *Reloader) Link() *tls.Config {
+	c := r.Server()
+	c.ServerName = linkName
+	r.follow(c, "")
+	return c
+}
+
+// follow has a client's handshakes use what the files hold by then. The server's
+// certificate must be for host, unless that is empty.
+func (r *Reloader) follow(c *tls.Config, host string) {
+	c.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+		m, err := r.current()
+		if err != nil || len(m.certificates) == 0 {
+			return &tls.Certificate{}, err
+		}
+		return &m.certificates[0], nil
+	}
+	// VerifyConnection checks the chain instead, with the authorities of then.
+	c.InsecureSkipVerify = true
+	c.VerifyConnection = func(s tls.ConnectionState) error {
+		m, err := r.current()
+		if err != nil {
+			return err
+		}
+		return verifyChain(s, m.authorities, host)
+	}
+}
+
+// verifyChain checks that the certificate comes from the authorities, and is for
+// host if that is not empty.
+func verifyChain(s tls.ConnectionState, authorities *x509.CertPool, host string) error {
 	if len(s.PeerCertificates) == 0 {
 		return errors.New("tls: no certificate")
 	}
 	o := x509.VerifyOptions{
+		DNSName:       host,
 		Roots:         authorities,
 		Intermediates: x509.NewCertPool(),
 		KeyUsages:     []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth},
--- a/io/certs/certs_test.go
+++ b/io/certs/certs_test.go
@@ -148,11 +148,42 @@
 	_, _, other = shake(t, one.Server(), client(t, stranger, "127.0.0.1:1"))
 	assert.Assert(t, other != nil)
 	plain := client(t, two, "127.0.0.1:1")
-	plain.Certificates = nil
+	plain.GetClientCertificate = nil
 	_, _, other = shake(t, one.Server(), plain)
 	assert.ErrorContains(t, other, "certificate")
 }
 
+// One configuration serves both directions of a link, and a connection that is
+// opened after a change of the files uses the new ones without a new configuration.
+func TestLinkFollowsTheFilesInBothDirections(t *testing.T) {
+	a := newAuthority(t)
+	clock := clockwork.NewFakeClock()
+	dir := t.TempDir()
+	one := &certs.Reloader{
+		Files: a.issue(t, dir, "one", "10.0.0.1"),
+		Clock: clock,
+	}
+	two := &certs.Reloader{Files: a.issue(t, t.TempDir(), "two", "10.0.0.2")}
+	first, second := one.Link(), two.Link()
+	name, err, other := shake(t, first, second)
+	assert.NilError(t, err)
+	assert.NilError(t, other)
+	assert.Equal(t, name, "one")
+	strangers := newAuthority(t)
+	strangers.issue(t, dir, "moved", "10.0.0.1")
+	clock.Advance(certs.DefaultInterval)
+	_, err, _ = shake(t, first, second)
+	assert.ErrorContains(t, err, "unknown authority")
+	_, _, other = shake(t, second, first)
+	assert.Assert(t, other != nil)
+	a.issue(t, dir, "renewed", "10.0.0.1")
+	clock.Advance(certs.DefaultInterval)
+	name, err, other = shake(t, first, second)
+	assert.NilError(t, err)
+	assert.NilError(t, other)
+	assert.Equal(t, name, "renewed")
+}
+
 func TestAddressMustBeInTheCertificate(t *testing.T) {
 	a := newAuthority(t)
 	dir := t.TempDir()
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -27,6 +27,8 @@
 	Env *caller.Env
 	// TLS is the certificate for callers; nil offers no TLS.
 	TLS *tls.Config
+	// RequireTLS refuses callers without TLS.
+	RequireTLS bool
 	// Peers carries cancel requests to other hosts; nil keeps them here.
 	Peers coltsfootloft.Peers
 	// Clock tells the time.
--- a/io/front/startup.go
+++ b/io/front/startup.go
@@ -73,7 +73,7 @@
 		}
 	}
 	if h.user == "" {
-		return h, coltsfootloft.Refuse("28000", "no user in the startup message")
+		return h, coltsfootloft.Refuse(codeAuthorization, "no user in the startup message")
 	}
 	if h.database == "" {
 		h.database = h.user
--- a/io/front/visit.go
+++ b/io/front/visit.go
@@ -15,6 +15,10 @@
 // handshakeTimeout bounds all that comes before the first request.
 const handshakeTimeout = 10 * time.Second
 
+// codeAuthorization is the SQLSTATE of a caller that is refused before its key is
+// asked for.
+const codeAuthorization = "28000"
+
 // visit is one connection from a caller.
 type visit struct {
 	server   *Server
@@ -59,6 +63,9 @@
 
 // open admits the caller and makes its session.
 func (v *visit) open(m *pgproto3.StartupMessage) error {
+	if v.server.RequireTLS && !v.isSecure {
+		return coltsfootloft.Refuse(codeAuthorization, "this host takes callers over TLS only")
+	}
 	h, err := parseHello(m)
 	if err != nil {
 		return err
--- a/io/host/pools.go
+++ b/io/host/pools.go
@@ -14,6 +14,7 @@
 // pools holds the connections to every database of the settings.
 type pools struct {
 	login  pool.Login
+	secure security
 	shares coltsfootloft.Shares
 	weight func(account string) int
 	clock  clockwork.Clock
@@ -57,6 +58,7 @@
 	}
 	login := p.login
 	login.Database = g.UpstreamDatabase()
+	login.TLS = p.secure.upstream(u.Address())
 	return &pool.Pool{
 		Upstream:       u,
 		Login:          login,
--- a/io/host/provide.go
+++ b/io/host/provide.go
@@ -54,12 +54,13 @@
 
 func provideBook() *book { return &book{} }
 
-func provideLinks(settings *conf.Host, b *book, clock clockwork.Clock, log logr.Logger) *peer.Links {
+func provideLinks(settings *conf.Host, secure security, b *book, clock clockwork.Clock, log logr.Logger) *peer.Links {
 	return &peer.Links{
 		Self:    settings.Name(),
 		Listen:  settings.PeerListen(),
 		Resolve: b.resolve,
 		Dial:    dial.From(settings.Peer(), 0),
+		TLS:     secure.peer(),
 		Clock:   clock,
 		Log:     log.WithName("peer"),
 		Metrics: metrics.GetDefaultSet(),
@@ -110,11 +111,12 @@
 // opener opens the platform's interface to a database.
 type opener func(u coltsfootloft.Upstream) coltsfootloft.Database
 
-func provideOpener(settings *conf.Host) opener {
+func provideOpener(settings *conf.Host, secure security) opener {
 	from := dial.From(settings.Peer(), 0)
 	return func(u coltsfootloft.Upstream) coltsfootloft.Database {
 		return &dbops.Database{
 			Address: u.Address(),
+			TLS:     secure.upstream(u.Address()),
 			Dial:    from,
 		}
 	}
@@ -181,9 +183,10 @@
 	return l, errors.Wrap(err, "upstream password")
 }
 
-func providePools(c *current, login pool.Login, ledger *share.Ledger, clock clockwork.Clock, log logr.Logger) *pools {
+func providePools(c *current, login pool.Login, secure security, ledger *share.Ledger, clock clockwork.Clock, log logr.Logger) *pools {
 	return &pools{
 		login:  login,
+		secure: secure,
 		shares: ledger,
 		weight: func(account string) int { return c.Fleet().Weight(account) },
 		clock:  clock,
@@ -213,14 +216,16 @@
 	}
 }
 
-func provideFront(settings *conf.Host, env *caller.Env, l *peer.Links, clock clockwork.Clock, log logr.Logger) *front.Server {
+func provideFront(settings *conf.Host, secure security, env *caller.Env, l *peer.Links, clock clockwork.Clock, log logr.Logger) *front.Server {
 	return &front.Server{
-		Name:   settings.Name(),
-		Listen: settings.Listen(),
-		Env:    env,
-		Peers:  l,
-		Clock:  clock,
-		Log:    log.WithName("front"),
+		Name:       settings.Name(),
+		Listen:     settings.Listen(),
+		Env:        env,
+		TLS:        secure.caller(),
+		RequireTLS: settings.RequireTLS(),
+		Peers:      l,
+		Clock:      clock,
+		Log:        log.WithName("front"),
 	}
 }
 
--- a/io/host/wire.go
+++ b/io/host/wire.go
@@ -11,6 +11,7 @@
 )
 
 var providers = wire.NewSet(
+	provideSecurity,
 	provideStore,
 	provideSelf,
 	provideRun,
--- a/io/host/wire_gen.go
+++ b/io/host/wire_gen.go
@@ -17,8 +17,12 @@
 
 // Build makes a host from its process settings.
 func Build(settings *conf.Host, clock clockwork.Clock, log logr.Logger) (*Host, error) {
+	hostSecurity, err := provideSecurity(settings, clock, log)
+	if err != nil {
+		return nil, err
+	}
 	hostBook := provideBook()
-	links := provideLinks(settings, hostBook, clock, log)
+	links := provideLinks(settings, hostSecurity, hostBook, clock, log)
 	hostRecord := provideSelf(settings)
 	consul, err := provideStore(settings)
 	if err != nil {
@@ -28,7 +32,7 @@
 	view := provideMembers(settings, hostRecord, hostBook, links, consul, hostCurrent, clock, log)
 	feed := provideFeed(links, view, consul, clock, log)
 	journal := provideJournal(clock)
-	hostOpener := provideOpener(settings)
+	hostOpener := provideOpener(settings, hostSecurity)
 	watcher := provideWatch(clock, log, hostRecord, links, view, hostOpener)
 	hostRunName, err := provideRun()
 	if err != nil {
@@ -40,10 +44,10 @@
 	if err != nil {
 		return nil, err
 	}
-	hostPools := providePools(hostCurrent, login, ledger, clock, log)
+	hostPools := providePools(hostCurrent, login, hostSecurity, ledger, clock, log)
 	hostRetries := provideRetries(hostCurrent, clock)
 	env := provideEnv(settings, hostCurrent, watcher, view, ledger, hostPools, hostRetries, journal, clock, log)
-	server := provideFront(settings, env, links, clock, log)
+	server := provideFront(settings, hostSecurity, env, links, clock, log)
 	host := provideHost(settings, clock, log, links, view, feed, journal, watcher, electDuty, ledger, server, hostCurrent, hostPools)
 	return host, nil
 }
@@ -51,6 +55,7 @@
 // wire.go:
 
 var providers = wire.NewSet(
+	provideSecurity,
 	provideStore,
 	provideSelf,
 	provideRun,
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -28,6 +28,9 @@
 	conns    int
 	network  bool
 	settings map[string]string
+	// hostArgs and databaseArgs are further arguments by name.
+	hostArgs     func(name string) []string
+	databaseArgs func(name string) []string
 }
 
 // fleet is a running deployment.
@@ -121,6 +124,9 @@
 				d.args = append(d.args, "-peer", p)
 			}
 		}
+		if f.layout.databaseArgs != nil {
+			d.args = append(d.args, f.layout.databaseArgs(d.name)...)
+		}
 		f.startDatabase(d)
 	}
 }
@@ -243,6 +249,9 @@
 		"serve", "-name", e.name, "-domain", f.domain(i), "-listen", p[0], "-peer", e.peer, "-peer-listen", p[1],
 		"-admin", p[2], "-store", "http://" + f.platformAddress, "-log-level", "debug",
 	}
+	if f.layout.hostArgs != nil {
+		e.args = append(e.args, f.layout.hostArgs(e.name)...)
+	}
 	f.register(e.name, f.domain(i), e.peer, "entry", "live")
 	f.runHost(e)
 	return e
