--- a/io/caller/place.go
+++ b/io/caller/place.go
@@ -16,6 +16,10 @@
 // no request is sent to it.
 const SilenceBound = time.Second
 
+// lookPeriod is how often a held request looks again though its group has not
+// changed: a database that falls silent is no change.
+const lookPeriod = 250 * time.Millisecond
+
 // need is what the batch asks of a database.
 func (s *Session) need(ctx context.Context, write bool) (route.Need, error) {
 	n := route.Need{
@@ -30,6 +34,8 @@
 		n.Position = p
 		return n, nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, s.Env.Fleet().Defaults().BarrierWait())
+	defer cancel()
 	p, err := s.Env.Groups.Barrier(ctx, s.Route.Group())
 	if err != nil {
 		return n, coltsfootloft.Refuse(coltsfootloft.CodeUnavailable, "no majority of group "+s.Route.Group()+" can be reached")
@@ -88,7 +94,7 @@
 func (s *Session) await(ctx context.Context, changed <-chan struct{}, v route.Verdict, started time.Time) error {
 	wait := s.Env.Fleet().Defaults().ReadWait() - s.Env.Clock.Since(started)
 	if v == route.NoPrimary || wait <= 0 {
-		wait = s.Env.Fleet().Defaults().QueueWait()
+		wait = lookPeriod
 	}
 	timer := s.Env.Clock.NewTimer(wait)
 	defer timer.Stop()
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -270,6 +270,10 @@
 	p := share.Plan{
 		Accounts: f.Accounts(),
 		Groups:   f.Groups(),
+		Queue: &share.Queue{
+			Wait:    f.Defaults().QueueWait(),
+			Waiters: f.Defaults().QueueLength(),
+		},
 	}
 	for _, d := range f.Domains() {
 		p.Domains = append(p.Domains, share.Domain{
--- a/io/host/pools.go
+++ b/io/host/pools.go
@@ -53,7 +53,7 @@
 }
 
 func (p *pools) keepOrOpen(g conf.Group, u coltsfootloft.Upstream) *pool.Pool {
-	if old, ok := p.all[u.Name()]; ok && old.Upstream == u && old.Login.Database == g.UpstreamDatabase() {
+	if old, ok := p.all[u.Name()]; ok && isSame(old, g, u) {
 		return old
 	}
 	login := p.login
@@ -70,6 +70,13 @@
 	}
 }
 
+// isSame reports whether the settings of a pool's connections still hold.
+func isSame(old *pool.Pool, g conf.Group, u coltsfootloft.Upstream) bool {
+	return old.Upstream == u &&
+		old.Login.Database == g.UpstreamDatabase() &&
+		old.ConnectTimeout == g.ConnectTimeout()
+}
+
 // reclaim gives up an idle connection of a database for another host.
 func (p *pools) reclaim(database string) bool {
 	found, ok := p.get(database)
--- a/io/share/ledger.go
+++ b/io/share/ledger.go
@@ -66,6 +66,7 @@
 	// [DefaultWaiters].
 	Waiters int
 
+	queue     atomic.Pointer[Queue]
 	configure sync.Mutex
 	plan      Plan
 	accounts  atomic.Pointer[map[string]*account]
@@ -170,13 +171,21 @@
 }
 
 func (l *Ledger) wait() time.Duration {
+	if q := l.queue.Load(); q != nil {
+		return q.Wait
+	}
 	if l.Wait <= 0 {
 		return DefaultWait
 	}
 	return l.Wait
 }
 
-func (l *Ledger) waiters() int { return orDefault(l.Waiters, DefaultWaiters) }
+func (l *Ledger) waiters() int {
+	if q := l.queue.Load(); q != nil {
+		return q.Waiters
+	}
+	return orDefault(l.Waiters, DefaultWaiters)
+}
 
 func (l *Ledger) homes() int { return orDefault(l.Homes, DefaultHomes) }
 
--- a/io/share/plan.go
+++ b/io/share/plan.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strconv"
+	"time"
 
 	"coltsfootloft"
 	"coltsfootloft/core/loan"
@@ -16,6 +17,16 @@
 	Groups []coltsfootloft.Group
 	// Domains are the failure domains that have entry hosts.
 	Domains []Domain
+	// Queue bounds the waiting for tokens; nil leaves it to the ledger's fields.
+	Queue *Queue
+}
+
+// Queue bounds the waiting for tokens of a rate.
+type Queue struct {
+	// Wait is the longest wait of a statement; zero refuses at once.
+	Wait time.Duration
+	// Waiters is the most waiters of one account or database.
+	Waiters int
 }
 
 // Domain is a failure domain. Every domain owns an equal part of each limit.
@@ -37,6 +48,7 @@
 	l.register.Do(l.start)
 	l.configure.Lock()
 	l.plan = p
+	l.queue.Store(p.Queue)
 	l.configureAccounts(p.Accounts)
 	l.configureDatabases(p.Groups)
 	l.configure.Unlock()
