host, share: a host's status tells of the whole fleet

Cause: a status held the revision and seats of the answering host alone, so that config apply -wait with one -admin address never came to an end; parts of rates, connection limits and the state of the store were empty. The revisions come from member.View.Revisions, by the relays of each domain; seats of other hosts from the ledger's table.

--- a/io/admin/status.go
+++ b/io/admin/status.go
@@ -38,8 +38,8 @@
 	Revision uint64 `json:"revision"`
 	// Since is when this revision came into force.
 	Since time.Time `json:"since"`
-	// StoreReachable tells whether the host, or the relay it learns from, has
-	// heard from the store within its lease.
+	// StoreReachable tells whether the store's newest answer to this host is a
+	// good one and younger than a lease.
 	StoreReachable bool `json:"store_reachable"`
 	// Problems are the bad values in the store, one line each.
 	Problems []string `json:"problems,omitempty"`
--- a/io/host/status.go
+++ b/io/host/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"coltsfootloft"
 	"coltsfootloft/core/conf"
@@ -14,6 +15,9 @@
 // Version is the version of the program.
 const Version = "0.1.0"
 
+// askTimeout bounds the asking of other hosts for a status.
+const askTimeout = 3 * time.Second
+
 var (
 	errStarting = errors.New("no settings in force yet")
 	errDraining = errors.New("draining")
@@ -33,7 +37,7 @@
 }
 
 // status tells what this host knows of itself and of the fleet.
-func (h *Host) status(context.Context) admin.Status {
+func (h *Host) status(ctx context.Context) admin.Status {
 	f := h.current.Fleet()
 	s := admin.Status{
 		Host:     h.Settings.Name(),
@@ -43,7 +47,7 @@
 		Draining: h.draining.Load(),
 		Sessions: h.Front.Sessions(),
 		Settings: h.settingsStatus(f),
-		Hosts:    h.hostStatus(f),
+		Hosts:    h.hostStatus(ctx, f),
 	}
 	if err := h.readiness(); err != nil {
 		s.Reason = err.Error()
@@ -56,15 +60,16 @@
 		s.Groups = append(s.Groups, h.groupStatus(g))
 	}
 	for _, a := range f.Accounts() {
-		s.Accounts = append(s.Accounts, admin.AccountStatus{Name: a.Name()})
+		s.Accounts = append(s.Accounts, h.accountStatus(a.Name()))
 	}
 	return s
 }
 
 func (h *Host) settingsStatus(f *conf.Fleet) admin.SettingsStatus {
 	s := admin.SettingsStatus{
-		Revision: f.Revision(),
-		Since:    h.current.since(),
+		Revision:       f.Revision(),
+		Since:          h.current.since(),
+		StoreReachable: h.Ledger.StoreReachable(),
 	}
 	for _, p := range h.current.problems() {
 		s.Problems = append(s.Problems, p.String())
@@ -72,7 +77,23 @@
 	return s
 }
 
-func (h *Host) hostStatus(f *conf.Fleet) []admin.HostStatus {
+// accountStatus tells this host's part of an account's rate and burst.
+func (h *Host) accountStatus(name string) admin.AccountStatus {
+	s := h.Ledger.Standing(name)
+	return admin.AccountStatus{
+		Name:    name,
+		Rate:    s.Rate(),
+		Tokens:  s.Tokens(),
+		Waiting: s.Waiting(),
+	}
+}
+
+// hostStatus asks every live host for its revision.
+func (h *Host) hostStatus(ctx context.Context, f *conf.Fleet) []admin.HostStatus {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	revisions := h.Members.Revisions(ctx)
+	seats := h.seatHolders(f)
 	var list []admin.HostStatus
 	for _, r := range h.Members.Alive() {
 		s := admin.HostStatus{
@@ -82,6 +103,8 @@
 			Alive:   true,
 			Leaving: r.Leaving(),
 		}
+		s.Revision = revisions[r.Name()]
+		s.Seats = seats[r.Name()]
 		if r.Name() == h.Settings.Name() {
 			s.Revision = f.Revision()
 			s.Seats, _ = h.Ledger.Seats()
@@ -91,6 +114,18 @@
 	return list
 }
 
+// seatHolders returns the seats that each host holds, as far as is known here.
+func (h *Host) seatHolders(f *conf.Fleet) map[string][]int {
+	seats := make(map[string][]int)
+	for _, d := range f.Domains() {
+		for n := 1; n <= d.Seats(); n++ {
+			holder := h.Ledger.Holder(d.Name(), n)
+			seats[holder] = append(seats[holder], n)
+		}
+	}
+	return seats
+}
+
 func (*Host) domainStatus(d conf.Domain, hosts []admin.HostStatus) admin.DomainStatus {
 	s := admin.DomainStatus{
 		Name:   d.Name(),
@@ -129,6 +164,7 @@
 		Age:     -1,
 		Leaving: h.Members.Leaving(u.Name()),
 	}
+	s.Limit = h.Ledger.Rights(u.Name())
 	if p, ok := h.pools.get(u.Name()); ok {
 		s.Connections = p.Stats().Open()
 	}
--- a/test/operate_test.go
+++ b/test/operate_test.go
@@ -2,8 +2,13 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
 
 	"coltsfootloft/io/admin"
 
@@ -31,3 +36,50 @@
 	assert.NilError(f.t, json.Unmarshal([]byte(out), &s), out)
 	return s
 }
+
+// TestApplyWaitsForEveryHost changes a setting by the operators' command, which
+// asks a single host whether the change is in force on all.
+func TestApplyWaitsForEveryHost(t *testing.T) {
+	f := newFleet(t, layout{
+		domains: 2,
+		hosts:   3,
+		groups:  1,
+	})
+	dir := t.TempDir()
+	apply := func(rate int) (string, int) {
+		name := filepath.Join(dir, "teams", "alpha", "accounts", "main.jsonc")
+		assert.NilError(t, os.MkdirAll(filepath.Dir(name), 0o700))
+		assert.NilError(t, os.WriteFile(name, fmt.Appendf(nil, `{"rate": "%d/s"}`, rate), 0o600))
+		return f.tool("config", "apply", "-wait", "-wait-limit", "6s", "-admin", f.hosts[0].admin, "-note", "test", dir)
+	}
+	f.await("all hosts", func() bool { return len(f.status(f.hosts[0]).Hosts) == 3 })
+
+	out, exit := apply(900)
+	assert.Equal(t, exit, 0, out)
+	assert.Assert(t, strings.Contains(out, "in force on 3 hosts"), out)
+	revision := f.status(f.hosts[0]).Settings.Revision
+	for _, e := range f.hosts {
+		s := f.status(e)
+		assert.Equal(t, s.Settings.Revision, revision)
+		assert.Assert(t, s.Settings.StoreReachable)
+		for _, h := range s.Hosts {
+			assert.Equal(t, h.Revision, revision, h.Name)
+		}
+	}
+	f.await("the parts of the limits", func() bool { return hasParts(f.status(f.hosts[0])) })
+
+	// A host that does not answer is not taken for one that has the change.
+	f.hosts[2].process.signal(syscall.SIGSTOP)
+	out, exit = apply(800)
+	f.hosts[2].process.signal(syscall.SIGCONT)
+	assert.Assert(t, exit == 0 && strings.Contains(out, "in force on 2 hosts") || exit == 6 && strings.Contains(out, "h3"), out)
+}
+
+// hasParts reports whether a status shows this host's seat and its parts.
+func hasParts(s admin.Status) bool {
+	taken := 0
+	for _, h := range s.Hosts {
+		taken += len(h.Seats)
+	}
+	return taken >= 2 && s.Accounts[0].Rate > 0 && s.Accounts[0].Tokens > 0 && s.Groups[0].Databases[0].Limit > 0
+}
