--- a/cmd/standin/database.go
+++ b/cmd/standin/database.go
@@ -21,9 +21,10 @@
 type databaseCommand struct {
 	server  dbase.Server
 	peers   peerFlag
-	cert    string
-	key     string
 	verbose bool
+	// certificate and key are PEM files.
+	certificate string
+	key         string
 }
 
 // Name is the word on the command line.
@@ -54,8 +55,8 @@
 	f.StringVar(&s.User, "user", "", "user that callers log in as")
 	f.StringVar(&s.Password, "password", "", "password of callers and the platform; empty lets all in")
 	f.BoolVar(&s.Cleartext, "cleartext", false, "ask for the password itself instead of SCRAM-SHA-256")
-	f.StringVar(&c.cert, "cert", "", "certificate chain in PEM; with it the database offers TLS")
-	f.StringVar(&c.key, "key", "", "private key of -cert in PEM")
+	f.StringVar(&c.certificate, "tls-cert", "", "PEM file of the certificate; empty offers no TLS")
+	f.StringVar(&c.key, "tls-key", "", "PEM file of the certificate's key")
 	f.BoolVar(&c.verbose, "v", false, "log to standard error")
 }
 
@@ -64,15 +65,15 @@
 	s := &c.server
 	s.Peers = c.peers
 	s.Log = logger(c.verbose)
-	if c.cert != "" {
-		p, err := tls.LoadX509KeyPair(c.cert, c.key)
+	if c.certificate != "" {
+		pair, err := tls.LoadX509KeyPair(c.certificate, c.key)
 		if err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			return subcommands.ExitUsageError
 		}
 		s.TLS = &tls.Config{
+			Certificates: []tls.Certificate{pair},
 			MinVersion:   tls.VersionTLS12,
-			Certificates: []tls.Certificate{p},
 		}
 	}
 	go func() {
--- a/test/secure_test.go
+++ b/test/secure_test.go
@@ -108,7 +108,7 @@
 		hosts:   3,
 		groups:  1,
 		databaseArgs: func(string) []string {
-			return []string{"-cert", a.file("db.cert"), "-key", a.file("db.key")}
+			return []string{"-tls-cert", a.file("db.cert"), "-tls-key", a.file("db.key")}
 		},
 		hostArgs: func(name string) []string {
 			args := []string{
