front: check a grant again once Refresh knows the session

TestProofThatComesLate begins to log in, has the key withdrawn after the challenge was sent, and then sends its proof. Red: the session was admitted by the settings that admit had read at the beginning, up to 10 s before, entered after Refresh had passed, and its request ran (error code empty, want 28P01). Ruled out: withdrawal that came late (a new login was refused before the proof was sent). Once entered, a session is now compared with the settings in force, so either this check or Refresh sees the withdrawal. Green: refused with 28P01.

--- a/io/front/visit.go
+++ b/io/front/visit.go
@@ -81,6 +81,12 @@
 	if err := v.server.enter(v); err != nil {
 		return err
 	}
+	// The settings may have changed since admit read them. From here on Refresh
+	// knows the session.
+	if !v.grant.holds(v.server.Env.Fleet()) {
+		v.server.leave(v)
+		return errWrongKey
+	}
 	return v.welcome(h)
 }
 
