caller: a killed session takes no connection any more

TestWaitingRequestOfWithdrawnKey: a write of a withdrawn key waits for one of two connections while both are in use. Red: Kill closed the caller's connection, but the write still got a connection 3.6 s after the withdrawal and ran (1 row, want 0). Cause: Kill aborts the connection in use, and a waiting request has none. Borrowing now fails once the session was killed, under the lock that Kill takes. Green: 0 rows.

--- a/io/caller/lifetime.go
+++ b/io/caller/lifetime.go
@@ -79,6 +79,7 @@
 // unknown to the caller. It may be called from any goroutine.
 func (s *Session) Kill() {
 	s.mu.Lock()
+	s.killed = true
 	c := s.current
 	s.mu.Unlock()
 	if c != nil {
@@ -99,11 +100,16 @@
 	return errEnded
 }
 
-// borrow notes the connection that the session uses, for Kill and Cancel.
-func (s *Session) borrow(c *pool.Conn) {
+// borrow notes the connection that the session uses, for Kill and Cancel. It
+// reports false if the session was killed while it waited for the connection.
+func (s *Session) borrow(c *pool.Conn) bool {
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.killed {
+		return false
+	}
 	s.current = c
-	s.mu.Unlock()
+	return true
 }
 
 // unpin gives the session's connection back.
--- a/io/caller/run.go
+++ b/io/caller/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"slices"
 	"strings"
 
@@ -133,8 +134,11 @@
 
 // try makes one attempt. It reports whether another is allowed.
 func (s *Session) try(ctx context.Context, c *pool.Conn, b *batch, n *route.Need) (again bool, err error) {
+	if !s.borrow(c) {
+		c.Release()
+		return false, callerError(net.ErrClosed)
+	}
 	s.pinned = c
-	s.borrow(c)
 	x := s.exchange(c, b, *n)
 	x.movable = s.movable()
 	v, err := x.run(ctx)
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -61,6 +61,7 @@
 	mu      sync.Mutex
 	current *pool.Conn
 	busy    bool
+	killed  bool
 	ending  atomic.Pointer[goodbye]
 }
 
