test: keys under withdrawal, cuts and capture

TestSecretsStayInside, 12 words (secret, name of the key, nonces, proofs) in what passes the databases' relays.

TestOnlyTheKeysAccount, wrong secret, unknown key, other team's and ungranted routes.

No more than four fleets run at once, so that the proofs do not disturb each other's times.

--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -69,6 +69,7 @@
 // newFleet starts the platform, the databases and the hosts.
 func newFleet(t testing.TB, l layout) *fleet {
 	t.Helper()
+	takeTurn(t)
 	f := &fleet{
 		t:         t,
 		layout:    l,
--- a/test/network_test.go
+++ b/test/network_test.go
@@ -24,6 +24,7 @@
 	mu      sync.Mutex
 	policy  map[way]policy
 	relays  map[way][]*relay.Relay
+	capture bool
 	running sync.WaitGroup
 }
 
@@ -105,6 +106,7 @@
 	defer n.mu.Unlock()
 	n.relays[w] = append(n.relays[w], r)
 	n.policy[w].apply(r)
+	r.Capture(n.capture)
 }
 
 func (p policy) apply(r *relay.Relay) {
