--- a/io/share/ledger.go
+++ b/io/share/ledger.go
@@ -27,10 +27,10 @@
 	DefaultHomes = 4
 	// leastAtHome is the burst, in tokens or connections, that a home seat should
 	// own at least.
-	leastAtHome = 2
+	leastAtHome = 4
 	// changeTime is how long new settings take to reach all hosts; until then a
 	// seat owns the smaller part if the home seats of an account change.
-	changeTime = 10 * time.Second
+	changeTime = 6 * time.Second
 	// forever is later than every lease.
 	forever = 100 * 365 * 24 * time.Hour
 )
@@ -66,6 +66,7 @@
 	// [DefaultWaiters].
 	Waiters int
 
+	queue     atomic.Pointer[Queue]
 	configure sync.Mutex
 	plan      Plan
 	accounts  atomic.Pointer[map[string]*account]
@@ -170,13 +171,21 @@
 }
 
 func (l *Ledger) wait() time.Duration {
+	if q := l.queue.Load(); q != nil {
+		return q.Wait
+	}
 	if l.Wait <= 0 {
 		return DefaultWait
 	}
 	return l.Wait
 }
 
-func (l *Ledger) waiters() int { return orDefault(l.Waiters, DefaultWaiters) }
+func (l *Ledger) waiters() int {
+	if q := l.queue.Load(); q != nil {
+		return q.Waiters
+	}
+	return orDefault(l.Waiters, DefaultWaiters)
+}
 
 func (l *Ledger) homes() int { return orDefault(l.Homes, DefaultHomes) }
 
--- a/io/share/plan.go
+++ b/io/share/plan.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strconv"
+	"time"
 
 	"coltsfootloft"
 	"coltsfootloft/core/loan"
@@ -16,6 +17,16 @@
 	Groups []coltsfootloft.Group
 	// Domains are the failure domains that have entry hosts.
 	Domains []Domain
+	// Queue bounds the waiting for tokens; nil leaves it to the ledger's fields.
+	Queue *Queue
+}
+
+// Queue bounds the waiting for tokens of a rate.
+type Queue struct {
+	// Wait is the longest wait of a statement; zero refuses at once.
+	Wait time.Duration
+	// Waiters is the most waiters of one account or database.
+	Waiters int
 }
 
 // Domain is a failure domain. Every domain owns an equal part of each limit.
@@ -32,11 +43,14 @@
 // Hosts take new settings at different times. A host's own part of a limit is at
 // most the larger of the old and the new, and loans made under the old limit
 // count against the new part, so the parts of all hosts never sum to more than
-// the larger limit.
+// the larger limit. A change that also moves the home seats of an account takes
+// effect at a seat in two steps: first the smaller of the two parts, and the new
+// one after 6 s, when all hosts have the settings.
 func (l *Ledger) Configure(p Plan) {
 	l.register.Do(l.start)
 	l.configure.Lock()
 	l.plan = p
+	l.queue.Store(p.Queue)
 	l.configureAccounts(p.Accounts)
 	l.configureDatabases(p.Groups)
 	l.configure.Unlock()
@@ -46,6 +60,7 @@
 	}
 	l.seating.configure(p.Domains)
 	l.apply()
+	l.Clock.AfterFunc(changeTime, l.apply)
 }
 
 // start prepares what needs the exported fields.
