--- a/io/watch/relay_test.go
+++ b/io/watch/relay_test.go
@@ -165,6 +165,43 @@
 	}
 }
 
+// TestObserverRestarts: a new run of the observer knows neither the sets of groups
+// that others poll nor their numbers of changes.
+func TestObserverRestarts(t *testing.T) {
+	d := startDomain(t, startGroup(t), 2)
+	until(t, func() bool { return len(d.observers()) == 1 })
+	host := d.first()
+	d.stops[host]()
+	again := &Watcher{
+		Self:    d.links[host].Self(),
+		Members: d.links[host],
+		Peers:   d.links[host],
+		Open:    d.watchers[host].Open,
+	}
+	again.Register()
+	again.Configure([]coltsfootloft.Group{settings()})
+	t.Cleanup(run(again))
+	for n, w := range d.watchers {
+		if n == host {
+			continue
+		}
+		for i := range 20 {
+			p, err := d.group.Commit("a", fmt.Sprint(n, i))
+			assert.NilError(t, err)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			assert.NilError(t, w.Held(ctx, groupName, p))
+			cancel()
+		}
+		p := d.group.Reading("c").Applied()
+		until(t, func() bool { return w.Readings(groupName)["c"].Applied().Covers(p) })
+		until(t, func() bool {
+			silence, ok := w.Silent(groupName, "a")
+			age, known := w.Age(groupName, "c")
+			return ok && silence < time.Second && known && age < time.Second
+		})
+	}
+}
+
 // slowPeers answers from another watcher; each answer is under way for long.
 type slowPeers struct {
 	clock *clockwork.FakeClock
