--- a/test/operate_test.go
+++ b/test/operate_test.go
@@ -27,8 +27,8 @@
 	return string(b), c.ProcessState.ExitCode()
 }
 
-// status asks a host.
-func (f *fleet) status(e *entry) admin.Status {
+// toolStatus asks a host by the operators' command.
+func (f *fleet) toolStatus(e *entry) admin.Status {
 	f.t.Helper()
 	out, exit := f.tool("status", "-json", "-admin", e.admin)
 	assert.Equal(f.t, exit, 0, out)
@@ -52,21 +52,21 @@
 		assert.NilError(t, os.WriteFile(name, fmt.Appendf(nil, `{"rate": "%d/s"}`, rate), 0o600))
 		return f.tool("config", "apply", "-wait", "-wait-limit", "6s", "-admin", f.hosts[0].admin, "-note", "test", dir)
 	}
-	f.await("all hosts", func() bool { return len(f.status(f.hosts[0]).Hosts) == 3 })
+	f.await("all hosts", func() bool { return len(f.toolStatus(f.hosts[0]).Hosts) == 3 })
 
 	out, exit := apply(900)
 	assert.Equal(t, exit, 0, out)
 	assert.Assert(t, strings.Contains(out, "in force on 3 hosts"), out)
-	revision := f.status(f.hosts[0]).Settings.Revision
+	revision := f.toolStatus(f.hosts[0]).Settings.Revision
 	for _, e := range f.hosts {
-		s := f.status(e)
+		s := f.toolStatus(e)
 		assert.Equal(t, s.Settings.Revision, revision)
 		assert.Assert(t, s.Settings.StoreReachable)
 		for _, h := range s.Hosts {
 			assert.Equal(t, h.Revision, revision, h.Name)
 		}
 	}
-	f.await("the parts of the limits", func() bool { return hasParts(f.status(f.hosts[0])) })
+	f.await("the parts of the limits", func() bool { return hasParts(f.toolStatus(f.hosts[0])) })
 
 	// A host that does not answer is not taken for one that has the change.
 	f.hosts[2].process.signal(syscall.SIGSTOP)
--- a/test/setting_test.go
+++ b/test/setting_test.go
@@ -37,7 +37,7 @@
 			"teams/alpha/accounts/main":  account,
 			"teams/alpha/accounts/spare": account,
 		})
-		f.await("the revision", func() bool { return f.status(f.hosts[0]).Settings.Revision == revision })
+		f.await("the revision", func() bool { return f.toolStatus(f.hosts[0]).Settings.Revision == revision })
 	}
 
 	t.Run("message_limit", func(t *testing.T) {
