--- a/test/load_test.go
+++ b/test/load_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"os"
 	"slices"
 	"sync"
 	"syscall"
@@ -145,6 +146,7 @@
 		m.startAccount(ctx, &sessions, i, name)
 	}
 	m.inject(ctx)
+	m.profile()
 	sessions.Wait()
 	after := m.sample()
 	r := m.result(before, after)
@@ -152,6 +154,17 @@
 	return r
 }
 
+// profile takes a processor profile of one host under load, if asked for.
+func (m *measurement) profile() {
+	if *measureProfile == "" {
+		return
+	}
+	url := fmt.Sprintf("http://%s/debug/pprof/profile?seconds=%d", m.fleet.hosts[0].admin, int(m.length.Seconds()/2))
+	b, err := getSlow(url, m.length)
+	assert.NilError(m.t, err)
+	assert.NilError(m.t, os.WriteFile(*measureProfile, b, 0o600))
+}
+
 // startAccount starts the sessions of an account, bunched on few hosts.
 func (m *measurement) startAccount(ctx context.Context, sessions *sync.WaitGroup, index int, name string) {
 	a := m.accounts[name]
--- a/test/measure_test.go
+++ b/test/measure_test.go
@@ -21,7 +21,7 @@
 	measureSeed    = flag.Uint64("seed", 20261204, "seed of the load")
 	measureJSON    = flag.String("json", "", "file for the result as JSON")
 	measureHosts   = flag.Int("hosts", 0, "number of hosts; the deployment's own by default")
-	measureProfile = flag.String("profile", "", "file for a processor profile of one idle host")
+	measureProfile = flag.String("profile", "", "file for a processor profile of one host")
 	measureScale   = flag.Float64("scale", 1, "factor on every account's rate and load")
 )
 
