--- a/io/watch/relay.go
+++ b/io/watch/relay.go
@@ -156,11 +156,12 @@
 // that are asked for while one request is under way share the next.
 func (w *Watcher) fetch(g *group) {
 	g.mu.Lock()
+	asked := len(g.barriers) > 0
 	own := g.relay.host == ""
-	start := !own && !g.relay.fetching && len(g.barriers) > 0
+	start := asked && !own && !g.relay.fetching
 	g.relay.fetching = g.relay.fetching || start
 	g.mu.Unlock()
-	if own {
+	if asked && own {
 		g.ring()
 	}
 	if !start {
