--- a/io/caller/batch.go
+++ b/io/caller/batch.go
@@ -39,6 +39,8 @@
 	writes bool
 	// only is the single statement it runs, if it runs just one.
 	only stmt.Statement
+	// sql is the first statement that it runs.
+	sql string
 	// simple batches are one simple query.
 	simple bool
 	// open batches end in a Flush, with the Sync to come.
--- a/io/caller/env.go
+++ b/io/caller/env.go
@@ -9,6 +9,7 @@
 	"coltsfootloft/core/conf"
 	"coltsfootloft/core/journ"
 	"coltsfootloft/io/pool"
+	"coltsfootloft/io/trace"
 
 	"github.com/go-logr/logr"
 	"github.com/jonboulle/clockwork"
@@ -31,6 +32,8 @@
 	Pool func(database string) (*pool.Pool, bool)
 	// Retry spends from the client account's retry budget.
 	Retry Budget
+	// Trace decides which requests are traced; nil traces none.
+	Trace *trace.Tracer
 	// Journal takes decisions for explanations; nil drops them.
 	Journal *journ.Journal
 	// Clock tells the time.
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -10,6 +10,7 @@
 	"coltsfootloft/core/stmt"
 	"coltsfootloft/io/dbops"
 	"coltsfootloft/io/pool"
+	"coltsfootloft/io/trace"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/pkg/errors"
@@ -130,23 +131,31 @@
 
 // run sends the batch and gathers its answer.
 func (x *exchange) run(ctx context.Context) (verdict, error) {
-	if err := x.send(); err != nil {
-		return x.broke(err)
-	}
-	if err := x.receive(); err != nil {
+	if err := x.converse(); err != nil {
 		return x.broke(err)
 	}
 	if x.recorded != nil {
 		return x.already(ctx)
 	}
-	if x.idempotent {
-		if err := x.finish(); err != nil {
-			return x.broke(err)
-		}
-	}
 	return x.settle(ctx)
 }
 
+// converse sends the batch and reads every reply.
+func (x *exchange) converse() (err error) {
+	span := x.session.spanAt(trace.Database, x.conn.Database())
+	defer func() { span.End(err) }()
+	if err := x.send(); err != nil {
+		return err
+	}
+	if err := x.receive(); err != nil {
+		return err
+	}
+	if x.recorded != nil || !x.idempotent {
+		return nil
+	}
+	return x.finish()
+}
+
 // send writes every step in one go.
 func (x *exchange) send() error {
 	f := x.conn.Frontend()
@@ -350,7 +359,7 @@
 	}
 	x.refusedWrite = x.refusedWrite || e.Code == coltsfootloft.CodeReadOnly
 	if t.hidden && t.ends == atQuery {
-		return errors.Errorf("%s refused a statement of the host: %s", x.conn.Database(), e.Message)
+		return errors.Errorf("%s refused a statement of the host: SQLSTATE %s", x.conn.Database(), e.Code)
 	}
 	return callerError(x.session.out.add(e))
 }
@@ -442,7 +451,9 @@
 	ctx, cancel := context.WithTimeout(ctx, s.Env.ackTimeout(group))
 	defer cancel()
 	defer s.observe(ackSeconds, s.now())
+	wait := s.trace.Start(trace.AckWait)
 	err := s.Env.Groups.Held(ctx, group, x.position)
+	wait.End(err)
 	if err != nil {
 		s.out.revoke()
 		s.note(journ.Refused, "commit not acknowledged: "+err.Error(), x.conn.Database())
--- a/io/caller/extended.go
+++ b/io/caller/extended.go
@@ -82,6 +82,9 @@
 		s.batch.refused = coltsfootloft.Refuse("34000", "portal "+quote(m.Portal)+" does not exist")
 		return
 	}
+	if s.batch.cost == 0 {
+		s.batch.sql = t.sql
+	}
 	s.batch.runs(t.script)
 	if isHostStatement(t.script) {
 		only, _ := t.script.Only()
--- a/io/caller/place.go
+++ b/io/caller/place.go
@@ -8,6 +8,7 @@
 	"coltsfootloft/core/journ"
 	"coltsfootloft/core/route"
 	"coltsfootloft/io/pool"
+	"coltsfootloft/io/trace"
 
 	"github.com/pkg/errors"
 )
@@ -36,7 +37,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.Env.Fleet().Defaults().BarrierWait())
 	defer cancel()
+	wait := s.trace.Start(trace.Freshness)
 	p, err := s.Env.Groups.Barrier(ctx, s.Route.Group())
+	wait.End(err)
 	if err != nil {
 		return n, coltsfootloft.Refuse(coltsfootloft.CodeUnavailable, "no majority of group "+s.Route.Group()+" can be reached")
 	}
@@ -67,7 +70,10 @@
 			n.Avoid[c.Database()] = true
 		default:
 			s.note(journ.Held, c.Verdict().String(), "")
-			if err := s.await(ctx, v.changed, c.Verdict(), started); err != nil {
+			wait := s.trace.Start(trace.Freshness)
+			err := s.await(ctx, v.changed, c.Verdict(), started)
+			wait.End(err)
+			if err != nil {
 				return nil, err
 			}
 			if c.Verdict() == route.NoPrimary {
@@ -112,7 +118,10 @@
 	if !ok {
 		return nil, coltsfootloft.Refuse(coltsfootloft.CodeUnavailable, "database "+database+" is not in the settings")
 	}
-	return p.Acquire(ctx, s.Account)
+	wait := s.spanAt(trace.PoolWait, database)
+	c, err := p.Acquire(ctx, s.Account)
+	wait.End(err)
+	return c, err
 }
 
 // candidates describes the databases of the group that answer.
--- a/io/caller/run.go
+++ b/io/caller/run.go
@@ -10,6 +10,7 @@
 	"coltsfootloft/core/route"
 	"coltsfootloft/core/stmt"
 	"coltsfootloft/io/pool"
+	"coltsfootloft/io/trace"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 )
@@ -22,7 +23,10 @@
 	if b.cost > 0 {
 		defer s.observe(requestSeconds, s.now())
 	}
+	s.beginTrace(&b)
+	defer s.endTrace()
 	if err := s.answer(ctx, &b); err != nil {
+		s.failure = err
 		return err
 	}
 	if b.open {
@@ -47,6 +51,7 @@
 	if isCallerError(err) {
 		return err
 	}
+	s.failure = err
 	s.fail()
 	s.note(journ.Refused, err.Error(), "")
 	countRefused(err)
@@ -67,7 +72,10 @@
 		return err
 	}
 	if b.cost > 0 {
-		if err := s.Env.Shares.Admit(ctx, s.Account, b.cost); err != nil {
+		wait := s.trace.Start(trace.Admission)
+		err := s.Env.Shares.Admit(ctx, s.Account, b.cost)
+		wait.End(err)
+		if err != nil {
 			return err
 		}
 	}
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -14,6 +14,7 @@
 	"coltsfootloft/core/stmt"
 	"coltsfootloft/core/token"
 	"coltsfootloft/io/pool"
+	"coltsfootloft/io/trace"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 )
@@ -48,6 +49,8 @@
 	last     string
 	told     string
 	scratch  []route.Candidate
+	trace    *trace.Request
+	failure  error
 
 	tx        byte
 	midBatch  bool
@@ -146,6 +149,7 @@
 	p := stmt.Parse(sql)
 	s.batch = batch{simple: true}
 	s.batch.runs(p)
+	s.batch.sql = sql
 	q := step{
 		ends:    atQuery,
 		message: encode(&pgproto3.Query{String: sql}),
@@ -213,6 +217,7 @@
 func (s *Session) note(k journ.Kind, reason, database string) {
 	s.Env.Journal.Note(journ.Decided(k, reason).
 		Session(uint64(s.ID)).
+		Trace(s.trace.ID()).
 		Account(s.Account).
 		Group(s.Route.Group()).
 		Database(database))
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -17,6 +17,7 @@
 	"coltsfootloft/io/member"
 	"coltsfootloft/io/peer"
 	"coltsfootloft/io/share"
+	"coltsfootloft/io/trace"
 	"coltsfootloft/io/watch"
 
 	"github.com/go-logr/logr"
@@ -50,6 +51,8 @@
 	Admin *admin.Server
 	// Front takes callers.
 	Front *front.Server
+	// Tracer delivers the spans of traced requests.
+	Tracer *trace.Tracer
 
 	current *current
 	pools   *pools
@@ -68,6 +71,8 @@
 	seatsWait = 3 * time.Second
 	// seatsPause is how often it looks.
 	seatsPause = 10 * time.Millisecond
+	// flushTimeout bounds the delivery of spans at the end.
+	flushTimeout = 2 * time.Second
 )
 
 // duty is a goroutine of the host.
@@ -79,6 +84,10 @@
 // Run serves callers until ctx ends, and then until every transaction is over or
 // the drain wait has passed.
 func (h *Host) Run(ctx context.Context) error {
+	if err := h.Tracer.Open(ctx); err != nil {
+		return err
+	}
+	defer h.closeTracer()
 	if err := h.startFront(ctx); err != nil {
 		return err
 	}
@@ -188,6 +197,15 @@
 	return nil
 }
 
+// closeTracer delivers the spans that are left.
+func (h *Host) closeTracer() {
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	if err := h.Tracer.Close(ctx); err != nil {
+		h.Log.Error(err, "delivering the last spans")
+	}
+}
+
 func firstError(all ...error) error {
 	for _, err := range all {
 		if err != nil {
--- a/io/host/provide.go
+++ b/io/host/provide.go
@@ -22,6 +22,7 @@
 	"coltsfootloft/io/pool"
 	"coltsfootloft/io/share"
 	"coltsfootloft/io/store"
+	"coltsfootloft/io/trace"
 	"coltsfootloft/io/watch"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -201,7 +202,17 @@
 	}
 }
 
-func provideEnv(settings *conf.Host, c *current, w *watch.Watcher, m *member.View, l *share.Ledger, p *pools, r *retries, j *journ.Journal, clock clockwork.Clock, log logr.Logger) *caller.Env {
+func provideTracer(settings *conf.Host, log logr.Logger) *trace.Tracer {
+	return &trace.Tracer{
+		Target:   settings.Trace(),
+		Fraction: settings.TraceFraction(),
+		Host:     settings.Name(),
+		Version:  Version,
+		Log:      log.WithName("trace"),
+	}
+}
+
+func provideEnv(settings *conf.Host, t *trace.Tracer, c *current, w *watch.Watcher, m *member.View, l *share.Ledger, p *pools, r *retries, j *journ.Journal, clock clockwork.Clock, log logr.Logger) *caller.Env {
 	return &caller.Env{
 		Domain:  settings.Domain(),
 		Groups:  w,
@@ -210,6 +221,7 @@
 		Fleet:   c.Fleet,
 		Pool:    p.get,
 		Retry:   r,
+		Trace:   t,
 		Journal: j,
 		Clock:   clock,
 		Log:     log.WithName("caller"),
@@ -229,7 +241,7 @@
 	}
 }
 
-func provideHost(settings *conf.Host, clock clockwork.Clock, log logr.Logger, links *peer.Links, m *member.View, source *feed.Feed, j *journ.Journal, w *watch.Watcher, e *elect.Duty, l *share.Ledger, f *front.Server, c *current, p *pools) *Host {
+func provideHost(settings *conf.Host, clock clockwork.Clock, log logr.Logger, links *peer.Links, m *member.View, source *feed.Feed, j *journ.Journal, w *watch.Watcher, e *elect.Duty, l *share.Ledger, f *front.Server, t *trace.Tracer, c *current, p *pools) *Host {
 	return &Host{
 		Settings: settings,
 		Clock:    clock,
@@ -242,6 +254,7 @@
 		Elect:    e,
 		Ledger:   l,
 		Front:    f,
+		Tracer:   t,
 		current:  c,
 		pools:    p,
 		ready:    make(chan struct{}),
--- a/io/host/wire.go
+++ b/io/host/wire.go
@@ -28,6 +28,7 @@
 	provideLogin,
 	providePools,
 	provideRetries,
+	provideTracer,
 	provideEnv,
 	provideFront,
 	provideHost,
--- a/io/host/wire_gen.go
+++ b/io/host/wire_gen.go
@@ -40,15 +40,16 @@
 	}
 	electDuty := provideElect(clock, log, hostRecord, hostRunName, links, view, watcher, journal, hostOpener)
 	ledger := provideLedger(hostRunName, links, view, consul, clock, log)
+	tracer := provideTracer(settings, log)
 	login, err := provideLogin(settings)
 	if err != nil {
 		return nil, err
 	}
 	hostPools := providePools(hostCurrent, login, hostSecurity, ledger, clock, log)
 	hostRetries := provideRetries(hostCurrent, clock)
-	env := provideEnv(settings, hostCurrent, watcher, view, ledger, hostPools, hostRetries, journal, clock, log)
+	env := provideEnv(settings, tracer, hostCurrent, watcher, view, ledger, hostPools, hostRetries, journal, clock, log)
 	server := provideFront(settings, hostSecurity, env, links, clock, log)
-	host := provideHost(settings, clock, log, links, view, feed, journal, watcher, electDuty, ledger, server, hostCurrent, hostPools)
+	host := provideHost(settings, clock, log, links, view, feed, journal, watcher, electDuty, ledger, server, tracer, hostCurrent, hostPools)
 	return host, nil
 }
 
@@ -72,6 +73,7 @@
 	provideLogin,
 	providePools,
 	provideRetries,
+	provideTracer,
 	provideEnv,
 	provideFront,
 	provideHost,
