--- a/core/beat/table.go
+++ b/core/beat/table.go
@@ -13,9 +13,12 @@
 // # Neighbours
 //
 // Each host heartbeats a constant number of others: in its failure domain the
-// hosts at three distances on the ring of names, and two in other domains, chosen
-// by rendezvous hashing. Distances of 1, about n^(1/3) and about n^(2/3) make any
-// host reachable from any other in few steps.
+// hosts at three distances on the ring of names, and the host at its own place in
+// each of two other domains. Distances of 1, about n^(1/3) and about n^(2/3) make
+// any host reachable from any other in few steps. Where domains are of one size
+// every host has neighbours in two other domains, of which one is in the other half
+// of the domains, so that hosts on both sides notice when domains or regions are
+// cut from each other.
 //
 // # Rumours
 //
@@ -28,6 +31,7 @@
 	"cmp"
 	"hash/fnv"
 	"maps"
+	"math"
 	"math/bits"
 	"slices"
 	"time"
@@ -51,6 +55,8 @@
 	listLag time.Duration
 	members map[string]*slot
 	digest  uint64
+	// neighbours are kept until a claim changes.
+	neighbours []string
 }
 
 // slot is a member with its local state.
@@ -117,7 +123,8 @@
 	t.put(self, now)
 }
 
-// List takes in the platform's list and reports whether it changed anything.
+// List takes in the platform's list and reports whether it changed anything. Of
+// upstreams only those that leave, or have left, are kept.
 func (t *Table) List(hosts []coltsfootloft.HostRecord, now time.Time) bool {
 	changed := false
 	listed := make(map[string]bool, len(hosts))
@@ -126,20 +133,30 @@
 		if t.listOne(h, now) {
 			changed = true
 		}
-		t.members[h.Name()].listed = true
 	}
 	for n, s := range t.members {
-		if !listed[n] {
-			s.listed = false
-		}
+		s.listed = listed[n]
 	}
 	return changed
 }
 
+// Quiet takes all claims so far as known to the others. A host that starts has
+// nothing to pass on but what it says of itself.
+func (t *Table) Quiet() {
+	for n, s := range t.members {
+		if n != t.self {
+			s.sends = math.MaxInt32
+		}
+	}
+}
+
 func (t *Table) listOne(h coltsfootloft.HostRecord, now time.Time) bool {
 	old := t.members[h.Name()]
 	m := NewMember(h, 0)
 	if old == nil {
+		if h.Upstream() && !h.Leaving() {
+			return false
+		}
 		t.put(m, now)
 		return true
 	}
@@ -194,6 +211,7 @@
 		}
 		if s.status == Dead && age >= ForgetTime && !s.listed {
 			t.digest ^= s.hash()
+			t.neighbours = nil
 			delete(t.members, n)
 		}
 	}
@@ -255,6 +273,7 @@
 	s.since = now
 	s.sends = 0
 	t.digest ^= s.hash()
+	t.neighbours = nil
 }
 
 // hash covers all that compare does.
--- a/io/feed/fleet_test.go
+++ b/io/feed/fleet_test.go
@@ -27,6 +27,8 @@
 var (
 	// naive makes every host read the store itself each second.
 	naive = flag.Bool("naive", false, "let every host poll the store")
+	// deaf makes hosts ignore the revisions in heartbeats.
+	deaf = flag.Bool("deaf", false, "ignore revisions in heartbeats")
 	// measure adds the larger fleets to the measuring tests.
 	measure = flag.Bool("measure", false, "measure larger fleets")
 )
@@ -130,11 +132,11 @@
 	return list, index, err
 }
 
-func (s cutStore) Hosts(ctx context.Context) ([]coltsfootloft.HostRecord, error) {
+func (s cutStore) WatchHosts(ctx context.Context, after uint64, wait time.Duration) ([]coltsfootloft.HostRecord, uint64, error) {
 	if s.cut.Load() {
-		return nil, coltsfootloft.ErrStoreDown
+		return nil, 0, coltsfootloft.ErrStoreDown
 	}
-	return s.Consul.Hosts(ctx)
+	return s.Consul.WatchHosts(ctx, after, wait)
 }
 
 func newFleet(t *testing.T, n, domains int) *fleet {
@@ -201,7 +203,9 @@
 		Fan:     f.fan,
 	}
 	view.Revision = feed.Revision
-	view.OnRevision = feed.Hear
+	if !*deaf {
+		view.OnRevision = feed.Hear
+	}
 	h.source = feed
 	if *naive {
 		h.source = &poller{
