--- a/io/caller/run.go
+++ b/io/caller/run.go
@@ -11,6 +11,7 @@
 	"coltsfootloft/core/route"
 	"coltsfootloft/core/stmt"
 	"coltsfootloft/io/pool"
+	"coltsfootloft/io/trace"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 )
@@ -23,7 +24,10 @@
 	if b.cost > 0 {
 		defer s.observe(requestSeconds, s.now())
 	}
+	s.beginTrace(&b)
+	defer s.endTrace()
 	if err := s.answer(ctx, &b); err != nil {
+		s.failure = err
 		return err
 	}
 	if b.open {
@@ -48,6 +52,7 @@
 	if isCallerError(err) {
 		return err
 	}
+	s.failure = err
 	s.fail()
 	s.note(journ.Refused, err.Error(), "")
 	countRefused(err)
@@ -68,7 +73,10 @@
 		return err
 	}
 	if b.cost > 0 {
-		if err := s.Env.Shares.Admit(ctx, s.Account, b.cost); err != nil {
+		wait := s.trace.Start(trace.Admission)
+		err := s.Env.Shares.Admit(ctx, s.Account, b.cost)
+		wait.End(err)
+		if err != nil {
 			return err
 		}
 	}
