caller: a repeated request whose answer was lost is not called not run

TestLostAnswerIsNotCalledNotRun commits a payment with a request id, loses the answer on the way to the host, and lets the host reach no database any more. Red: the caller was told 57P03 not run, and the payment had run once. Cause: the attempt was repeated, which is safe with an id, and the refusal of the second attempt (no primary in reach) was passed on alone. Seen only when the account has a retry budget; without one the first outcome, unknown, was told. Refusals after an attempt that may have run now say unknown (08007). Green: 08007, outcome unknown.

--- a/io/caller/refuse.go
+++ b/io/caller/refuse.go
@@ -36,6 +36,22 @@
 	}
 }
 
+// isNotRun reports whether err says that nothing has run.
+func isNotRun(err error) bool {
+	var r *coltsfootloft.RefusalError
+	return errors.As(err, &r) && r.Outcome() == coltsfootloft.NotRun
+}
+
+// weaken returns what can be said of a request whose last attempt has not run,
+// but of which an earlier one may have.
+func weaken(err error, mayHaveRun bool) error {
+	var r *coltsfootloft.RefusalError
+	if !mayHaveRun || !errors.As(err, &r) || r.Outcome() != coltsfootloft.NotRun {
+		return err
+	}
+	return coltsfootloft.Unsure("the answer to an earlier attempt was lost; then: " + r.Message()).WithHint(r.Hint())
+}
+
 func unsupported(what string) error {
 	return coltsfootloft.Refuse(coltsfootloft.CodeUnsupported, what+" is not carried by this proxy")
 }
--- a/io/caller/run.go
+++ b/io/caller/run.go
@@ -106,18 +106,20 @@
 		return err
 	}
 	s.Env.Retry.Offer(s.Account)
+	mayHaveRun := false
 	for {
 		c, err := s.place(waiting, &n)
 		if err != nil {
-			return err
+			return weaken(err, mayHaveRun)
 		}
 		again, err := s.try(ctx, c, b, &n)
 		if !again {
-			return err
+			return weaken(err, mayHaveRun)
 		}
+		mayHaveRun = mayHaveRun || !isNotRun(err)
 		repeats.Inc()
 		if waiting.Err() != nil || !s.out.restart() {
-			return err
+			return weaken(err, mayHaveRun)
 		}
 	}
 }
