--- a/test/fault_test.go
+++ b/test/fault_test.go
@@ -26,7 +26,6 @@
 	t.Cleanup(func() { <-fleets })
 }
 
-
 // remove takes settings away.
 func (f *fleet) remove(paths ...string) {
 	f.t.Helper()
