--- a/io/host/host.go
+++ b/io/host/host.go
@@ -164,6 +164,7 @@
 func (h *Host) startFront(ctx context.Context) error {
 	h.Ledger.OnReclaim(h.pools.reclaim)
 	h.Ledger.OnRevoke(h.pools.revoke)
+	h.Watch.Register()
 	h.Elect.Register()
 	a, err := h.Front.Start(ctx)
 	h.address = a
@@ -270,6 +271,10 @@
 	p := share.Plan{
 		Accounts: f.Accounts(),
 		Groups:   f.Groups(),
+		Queue: &share.Queue{
+			Wait:    f.Defaults().QueueWait(),
+			Waiters: f.Defaults().QueueLength(),
+		},
 	}
 	for _, d := range f.Domains() {
 		p.Domains = append(p.Domains, share.Domain{
--- a/test/result_test.go
+++ b/test/result_test.go
@@ -109,8 +109,10 @@
 	return c.Reads + c.Writes + c.Watches
 }
 
-func get(url string) ([]byte, error) {
-	c := http.Client{Timeout: 2 * time.Second}
+func get(url string) ([]byte, error) { return getSlow(url, 2*time.Second) }
+
+func getSlow(url string, timeout time.Duration) ([]byte, error) {
+	c := http.Client{Timeout: timeout}
 	r, err := c.Get(url)
 	if err != nil {
 		return nil, err
@@ -179,7 +181,7 @@
 		x := a.result(m.length.Seconds())
 		r.Accounts = append(r.Accounts, x)
 		offered += a.offered
-		wrongful += a.wrongful
+		wrongful += a.wrongful()
 		if x.Share < r.WorstShare {
 			r.WorstShare, r.WorstServed = x.Share, name
 		}
@@ -197,7 +199,7 @@
 		P50:      a.latency.ValueAtQuantile(50),
 		P99:      a.latency.ValueAtQuantile(99),
 		Refused:  a.refused,
-		Wrongful: a.wrongful,
+		Wrongful: a.wrongful(),
 		Failed:   a.failed,
 		Codes:    a.codes,
 	}
