cmds, admin, host: an operator takes an upstream out ahead of the platform's list

Members could announce that an upstream leaves, but nothing called it: with a list that lags by 10 s an upstream got new work for that long. drain -upstream NAME asks one host, which tells the others.

--- a/io/admin/server.go
+++ b/io/admin/server.go
@@ -42,6 +42,9 @@
 	Journal *journ.Journal
 	// Drain starts a graceful shutdown and returns at once.
 	Drain func()
+	// Announce tells the fleet that an upstream leaves; false if there is none
+	// of that name.
+	Announce func(upstream string) bool
 	// Metrics writes metrics besides those of the default set and the process.
 	Metrics func(w io.Writer)
 	// Log takes events.
@@ -92,6 +95,9 @@
 	if s.Drain != nil {
 		m.HandleFunc("POST /v1/drain", s.drain)
 	}
+	if s.Announce != nil {
+		m.HandleFunc("POST /v1/upstreams/{name}/drain", s.announce)
+	}
 	return m
 }
 
@@ -128,6 +134,20 @@
 	s.answer(w, http.StatusOK, found)
 }
 
+func (s *Server) announce(w http.ResponseWriter, r *http.Request) {
+	name := r.PathValue("name")
+	s.Log.Info("drain of an upstream asked for", "upstream", name, "from", r.RemoteAddr)
+	if !s.Announce(name) {
+		say(w, http.StatusNotFound, "no upstream "+strconv.Quote(name))
+		return
+	}
+	s.answer(w, http.StatusAccepted, struct {
+		Draining bool `json:"draining"`
+	}{
+		Draining: true,
+	})
+}
+
 func (s *Server) drain(w http.ResponseWriter, r *http.Request) {
 	s.Log.Info("drain asked for", "from", r.RemoteAddr)
 	s.Drain()
--- a/io/cmds/drain.go
+++ b/io/cmds/drain.go
@@ -4,12 +4,14 @@
 	"context"
 	"flag"
 	"net/http"
+	"net/url"
 
 	"github.com/google/subcommands"
 )
 
 type drain struct {
-	tools *Tools
+	tools    *Tools
+	upstream string
 	adminFlags
 }
 
@@ -17,12 +19,18 @@
 func (*drain) Name() string { return "drain" }
 
 // Synopsis says in a line what the command does.
-func (*drain) Synopsis() string { return "shut one host down without cutting a request" }
+func (*drain) Synopsis() string {
+	return "shut one host down, or take an upstream out, without cutting a request"
+}
 
 // Usage explains the command.
 func (*drain) Usage() string {
 	return `drain -admin ADDRESS: start the graceful shutdown of one host.
 
+drain -upstream NAME -admin ADDRESS: tell the fleet through that host that an
+upstream leaves, ahead of the platform's list. No host gives it new work; if it is
+a primary, another database is promoted. The list counts again after a minute.
+
 The host turns unready, takes no new callers, lets running transactions finish,
 ends idle sessions with SQLSTATE 57P01, gives back what it holds, and exits with
 0. The command returns once the shutdown has begun. SIGTERM does the same.
@@ -33,6 +41,7 @@
 func (d *drain) SetFlags(f *flag.FlagSet) {
 	d.adminFlags.tools = d.tools
 	d.set(f)
+	f.StringVar(&d.upstream, "upstream", "", "upstream that leaves, in place of the host")
 }
 
 // Execute starts the shutdown.
@@ -43,9 +52,13 @@
 	var answer struct {
 		Draining bool `json:"draining"`
 	}
-	if err := d.ask(ctx, http.MethodPost, "/v1/drain", &answer); err != nil {
+	path, what := "/v1/drain", d.admin
+	if d.upstream != "" {
+		path, what = "/v1/upstreams/"+url.PathEscape(d.upstream)+"/drain", d.upstream
+	}
+	if err := d.ask(ctx, http.MethodPost, path, &answer); err != nil {
 		return d.tools.fail(err)
 	}
-	d.tools.printf("%s is draining\n", d.admin)
+	d.tools.printf("%s is draining\n", what)
 	return ExitDone
 }
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"coltsfootloft"
 	"coltsfootloft/core/conf"
 	"coltsfootloft/core/journ"
 	"coltsfootloft/io/admin"
@@ -184,6 +185,7 @@
 		Status:   h.status,
 		Journal:  h.Journal,
 		Drain:    h.Leave,
+		Announce: h.announce,
 		Log:      h.Log.WithName("admin"),
 	}
 	return nil
@@ -288,6 +290,19 @@
 // Leave starts a graceful shutdown, as the end of Run's ctx does.
 func (h *Host) Leave() { h.once.Do(func() { close(h.leave) }) }
 
+// announce tells the fleet that an upstream of the settings leaves.
+func (h *Host) announce(upstream string) bool {
+	for _, g := range h.current.Fleet().Groups() {
+		for _, u := range g.Upstreams() {
+			if u.Name() == upstream {
+				h.Members.Announce(coltsfootloft.NewHost(u.Name(), u.Domain(), u.Address()))
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (h *Host) drain() error {
 	h.draining.Store(true)
 	h.Members.Leave()
