host: a naive build to measure against

With the build tag 'naive' every read goes to the primary and limits are equal static parts without loans. A build tag and not a setting: it has no use in operation.

--- a/io/caller/env.go
+++ b/io/caller/env.go
@@ -20,6 +20,8 @@
 type Env struct {
 	// Domain is the host's own failure domain.
 	Domain string
+	// PrimaryOnly sends reads to the primary too; measurements compare with it.
+	PrimaryOnly bool
 	// Groups knows the databases' readings.
 	Groups coltsfootloft.Groups
 	// Members knows which upstreams leave.
--- a/io/host/provide.go
+++ b/io/host/provide.go
@@ -160,7 +160,7 @@
 }
 
 func provideLedger(run runName, l *peer.Links, m *member.View, s *store.Consul, clock clockwork.Clock, log logr.Logger) *share.Ledger {
-	return &share.Ledger{
+	ledger := &share.Ledger{
 		Clock:   clock,
 		Log:     log.WithName("share"),
 		Store:   s,
@@ -169,6 +169,11 @@
 		RunName: string(run),
 		Prefix:  seatsPrefix,
 	}
+	if naive {
+		ledger.Peers = noLoans{Peers: l}
+		ledger.Homes = everySeat
+	}
+	return ledger
 }
 
 func provideLogin(settings *conf.Host) (pool.Login, error) {
@@ -214,17 +219,18 @@
 
 func provideEnv(settings *conf.Host, t *trace.Tracer, c *current, w *watch.Watcher, m *member.View, l *share.Ledger, p *pools, r *retries, j *journ.Journal, clock clockwork.Clock, log logr.Logger) *caller.Env {
 	return &caller.Env{
-		Domain:  settings.Domain(),
-		Groups:  w,
-		Members: m,
-		Shares:  l,
-		Fleet:   c.Fleet,
-		Pool:    p.get,
-		Retry:   r,
-		Trace:   t,
-		Journal: j,
-		Clock:   clock,
-		Log:     log.WithName("caller"),
+		Domain:      settings.Domain(),
+		PrimaryOnly: naive,
+		Groups:      w,
+		Members:     m,
+		Shares:      l,
+		Fleet:       c.Fleet,
+		Pool:        p.get,
+		Retry:       r,
+		Trace:       t,
+		Journal:     j,
+		Clock:       clock,
+		Log:         log.WithName("caller"),
 	}
 }
 
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"flag"
 	"fmt"
 	"os"
 	"os/exec"
@@ -22,6 +23,7 @@
 }
 
 func run(m *testing.M) int {
+	flag.Parse()
 	dir, err := os.MkdirTemp("", "coltsfootloft")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -30,7 +32,11 @@
 	defer os.RemoveAll(dir)
 	binaries = dir
 	for _, name := range []string{"coltsfootloft", "standin"} {
-		out, err := exec.Command("go", "build", "-o", filepath.Join(dir, name), "coltsfootloft/cmd/"+name).CombinedOutput()
+		args := []string{"build", "-o", filepath.Join(dir, name)}
+		if *measureNaive {
+			args = append(args, "-tags", "naive")
+		}
+		out, err := exec.Command("go", append(args, "coltsfootloft/cmd/"+name)...).CombinedOutput()
 		if err != nil {
 			fmt.Fprintln(os.Stderr, string(out), err)
 			return 1
