--- a/io/share/change_test.go
+++ b/io/share/change_test.go
@@ -15,6 +15,7 @@
 // TestChangedRateNeverExceedsTheLarger lets hosts take new settings up to 5 s apart
 // while callers load every part, and checks the parts they hold meanwhile.
 func TestChangedRateNeverExceedsTheLarger(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, caroni(100), testSeed)
 		f.start()
@@ -49,6 +50,7 @@
 // TestChangedSeatsAreNeverHeldTwice changes the number of seats of the domains,
 // which one host learns long after the others.
 func TestChangedSeatsAreNeverHeldTwice(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, caroni(100), testSeed)
 		f.start()
--- a/io/share/fair_test.go
+++ b/io/share/fair_test.go
@@ -152,6 +152,7 @@
 
 // TestLoudAccountDoesNotCrowdOutOthers has one account send five times its rate.
 func TestLoudAccountDoesNotCrowdOutOthers(t *testing.T) {
+	t.Parallel()
 	throughput, p99 := worst(t, true)
 	assert.Assert(t, throughput >= 0.95)
 	assert.Assert(t, p99 <= 2)
--- a/io/share/rights_test.go
+++ b/io/share/rights_test.go
@@ -230,6 +230,7 @@
 }
 
 func TestConnectionsNeverExceedTheLimit(t *testing.T) {
+	t.Parallel()
 	most, _, failed := connections(t, func(*fleet, *census) {})
 	assert.Assert(t, most <= 35)
 	assert.Assert(t, most >= 30, "rights do not move to where they are needed")
