--- a/io/caller/place.go
+++ b/io/caller/place.go
@@ -8,6 +8,7 @@
 	"coltsfootloft/core/journ"
 	"coltsfootloft/core/route"
 	"coltsfootloft/io/pool"
+	"coltsfootloft/io/trace"
 
 	"github.com/pkg/errors"
 )
@@ -16,6 +17,10 @@
 // no request is sent to it.
 const SilenceBound = time.Second
 
+// lookPeriod is how often a held request looks again though its group has not
+// changed: a database that falls silent is no change.
+const lookPeriod = 250 * time.Millisecond
+
 // need is what the batch asks of a database.
 func (s *Session) need(ctx context.Context, write bool) (route.Need, error) {
 	n := route.Need{
@@ -30,7 +35,11 @@
 		n.Position = p
 		return n, nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, s.Env.Fleet().Defaults().BarrierWait())
+	defer cancel()
+	wait := s.trace.Start(trace.Freshness)
 	p, err := s.Env.Groups.Barrier(ctx, s.Route.Group())
+	wait.End(err)
 	if err != nil {
 		return n, coltsfootloft.Refuse(coltsfootloft.CodeUnavailable, "no majority of group "+s.Route.Group()+" can be reached")
 	}
@@ -61,7 +70,10 @@
 			n.Avoid[c.Database()] = true
 		default:
 			s.note(journ.Held, c.Verdict().String(), "")
-			if err := s.await(ctx, v.changed, c.Verdict(), started); err != nil {
+			wait := s.trace.Start(trace.Freshness)
+			err := s.await(ctx, v.changed, c.Verdict(), started)
+			wait.End(err)
+			if err != nil {
 				return nil, err
 			}
 			if c.Verdict() == route.NoPrimary {
@@ -88,10 +100,11 @@
 func (s *Session) await(ctx context.Context, changed <-chan struct{}, v route.Verdict, started time.Time) error {
 	wait := s.Env.Fleet().Defaults().ReadWait() - s.Env.Clock.Since(started)
 	if v == route.NoPrimary || wait <= 0 {
-		wait = s.Env.Fleet().Defaults().QueueWait()
+		wait = lookPeriod
 	}
 	timer := s.Env.Clock.NewTimer(wait)
 	defer timer.Stop()
+	s.Env.Groups.Hurry(s.Route.Group())
 	select {
 	case <-changed:
 	case <-timer.Chan():
@@ -106,7 +119,10 @@
 	if !ok {
 		return nil, coltsfootloft.Refuse(coltsfootloft.CodeUnavailable, "database "+database+" is not in the settings")
 	}
-	return p.Acquire(ctx, s.Account)
+	wait := s.spanAt(trace.PoolWait, database)
+	c, err := p.Acquire(ctx, s.Account)
+	wait.End(err)
+	return c, err
 }
 
 // candidates describes the databases of the group that answer.
--- a/io/caller/run.go
+++ b/io/caller/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"slices"
 	"strings"
 
@@ -10,6 +11,7 @@
 	"coltsfootloft/core/route"
 	"coltsfootloft/core/stmt"
 	"coltsfootloft/io/pool"
+	"coltsfootloft/io/trace"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 )
@@ -22,7 +24,10 @@
 	if b.cost > 0 {
 		defer s.observe(requestSeconds, s.now())
 	}
+	s.beginTrace(&b)
+	defer s.endTrace()
 	if err := s.answer(ctx, &b); err != nil {
+		s.failure = err
 		return err
 	}
 	if b.open {
@@ -47,6 +52,7 @@
 	if isCallerError(err) {
 		return err
 	}
+	s.failure = err
 	s.fail()
 	s.note(journ.Refused, err.Error(), "")
 	countRefused(err)
@@ -67,7 +73,10 @@
 		return err
 	}
 	if b.cost > 0 {
-		if err := s.Env.Shares.Admit(ctx, s.Account, b.cost); err != nil {
+		wait := s.trace.Start(trace.Admission)
+		err := s.Env.Shares.Admit(ctx, s.Account, b.cost)
+		wait.End(err)
+		if err != nil {
 			return err
 		}
 	}
@@ -105,18 +114,20 @@
 		return err
 	}
 	s.Env.Retry.Offer(s.Account)
+	mayHaveRun := false
 	for {
 		c, err := s.place(waiting, &n)
 		if err != nil {
-			return err
+			return weaken(err, mayHaveRun)
 		}
 		again, err := s.try(ctx, c, b, &n)
 		if !again {
-			return err
+			return weaken(err, mayHaveRun)
 		}
+		mayHaveRun = mayHaveRun || !isNotRun(err)
 		repeats.Inc()
 		if waiting.Err() != nil || !s.out.restart() {
-			return err
+			return weaken(err, mayHaveRun)
 		}
 	}
 }
@@ -133,8 +144,11 @@
 
 // try makes one attempt. It reports whether another is allowed.
 func (s *Session) try(ctx context.Context, c *pool.Conn, b *batch, n *route.Need) (again bool, err error) {
+	if !s.borrow(c) {
+		c.Release()
+		return false, callerError(net.ErrClosed)
+	}
 	s.pinned = c
-	s.borrow(c)
 	x := s.exchange(c, b, *n)
 	x.movable = s.movable()
 	v, err := x.run(ctx)
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"coltsfootloft"
 	"coltsfootloft/core/conf"
 	"coltsfootloft/core/journ"
 	"coltsfootloft/io/admin"
@@ -17,6 +18,7 @@
 	"coltsfootloft/io/member"
 	"coltsfootloft/io/peer"
 	"coltsfootloft/io/share"
+	"coltsfootloft/io/trace"
 	"coltsfootloft/io/watch"
 
 	"github.com/go-logr/logr"
@@ -50,6 +52,8 @@
 	Admin *admin.Server
 	// Front takes callers.
 	Front *front.Server
+	// Tracer delivers the spans of traced requests.
+	Tracer *trace.Tracer
 
 	current *current
 	pools   *pools
@@ -68,6 +72,8 @@
 	seatsWait = 3 * time.Second
 	// seatsPause is how often it looks.
 	seatsPause = 10 * time.Millisecond
+	// flushTimeout bounds the delivery of spans at the end.
+	flushTimeout = 2 * time.Second
 )
 
 // duty is a goroutine of the host.
@@ -79,6 +85,10 @@
 // Run serves callers until ctx ends, and then until every transaction is over or
 // the drain wait has passed.
 func (h *Host) Run(ctx context.Context) error {
+	if err := h.Tracer.Open(ctx); err != nil {
+		return err
+	}
+	defer h.closeTracer()
 	if err := h.startFront(ctx); err != nil {
 		return err
 	}
@@ -164,6 +174,7 @@
 func (h *Host) startFront(ctx context.Context) error {
 	h.Ledger.OnReclaim(h.pools.reclaim)
 	h.Ledger.OnRevoke(h.pools.revoke)
+	h.Watch.Register()
 	h.Elect.Register()
 	a, err := h.Front.Start(ctx)
 	h.address = a
@@ -183,11 +194,21 @@
 		Status:   h.status,
 		Journal:  h.Journal,
 		Drain:    h.Leave,
+		Announce: h.announce,
 		Log:      h.Log.WithName("admin"),
 	}
 	return nil
 }
 
+// closeTracer delivers the spans that are left.
+func (h *Host) closeTracer() {
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	if err := h.Tracer.Close(ctx); err != nil {
+		h.Log.Error(err, "delivering the last spans")
+	}
+}
+
 func firstError(all ...error) error {
 	for _, err := range all {
 		if err != nil {
@@ -270,6 +291,10 @@
 	p := share.Plan{
 		Accounts: f.Accounts(),
 		Groups:   f.Groups(),
+		Queue: &share.Queue{
+			Wait:    f.Defaults().QueueWait(),
+			Waiters: f.Defaults().QueueLength(),
+		},
 	}
 	for _, d := range f.Domains() {
 		p.Domains = append(p.Domains, share.Domain{
@@ -283,6 +308,19 @@
 // Leave starts a graceful shutdown, as the end of Run's ctx does.
 func (h *Host) Leave() { h.once.Do(func() { close(h.leave) }) }
 
+// announce tells the fleet that an upstream of the settings leaves.
+func (h *Host) announce(upstream string) bool {
+	for _, g := range h.current.Fleet().Groups() {
+		for _, u := range g.Upstreams() {
+			if u.Name() == upstream {
+				h.Members.Announce(coltsfootloft.NewHost(u.Name(), u.Domain(), u.Address()))
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (h *Host) drain() error {
 	h.draining.Store(true)
 	h.Members.Leave()
--- a/io/host/pools.go
+++ b/io/host/pools.go
@@ -14,6 +14,7 @@
 // pools holds the connections to every database of the settings.
 type pools struct {
 	login  pool.Login
+	secure security
 	shares coltsfootloft.Shares
 	weight func(account string) int
 	clock  clockwork.Clock
@@ -52,11 +53,12 @@
 }
 
 func (p *pools) keepOrOpen(g conf.Group, u coltsfootloft.Upstream) *pool.Pool {
-	if old, ok := p.all[u.Name()]; ok && old.Upstream == u && old.Login.Database == g.UpstreamDatabase() {
+	if old, ok := p.all[u.Name()]; ok && isSame(old, g, u) {
 		return old
 	}
 	login := p.login
 	login.Database = g.UpstreamDatabase()
+	login.TLS = p.secure.upstream(u.Address())
 	return &pool.Pool{
 		Upstream:       u,
 		Login:          login,
@@ -68,6 +70,13 @@
 	}
 }
 
+// isSame reports whether the settings of a pool's connections still hold.
+func isSame(old *pool.Pool, g conf.Group, u coltsfootloft.Upstream) bool {
+	return old.Upstream == u &&
+		old.Login.Database == g.UpstreamDatabase() &&
+		old.ConnectTimeout == g.ConnectTimeout()
+}
+
 // reclaim gives up an idle connection of a database for another host.
 func (p *pools) reclaim(database string) bool {
 	found, ok := p.get(database)
--- a/io/host/provide.go
+++ b/io/host/provide.go
@@ -22,6 +22,7 @@
 	"coltsfootloft/io/pool"
 	"coltsfootloft/io/share"
 	"coltsfootloft/io/store"
+	"coltsfootloft/io/trace"
 	"coltsfootloft/io/watch"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -54,12 +55,13 @@
 
 func provideBook() *book { return &book{} }
 
-func provideLinks(settings *conf.Host, b *book, clock clockwork.Clock, log logr.Logger) *peer.Links {
+func provideLinks(settings *conf.Host, secure security, b *book, clock clockwork.Clock, log logr.Logger) *peer.Links {
 	return &peer.Links{
 		Self:    settings.Name(),
 		Listen:  settings.PeerListen(),
 		Resolve: b.resolve,
 		Dial:    dial.From(settings.Peer(), 0),
+		TLS:     secure.peer(),
 		Clock:   clock,
 		Log:     log.WithName("peer"),
 		Metrics: metrics.GetDefaultSet(),
@@ -110,11 +112,12 @@
 // opener opens the platform's interface to a database.
 type opener func(u coltsfootloft.Upstream) coltsfootloft.Database
 
-func provideOpener(settings *conf.Host) opener {
+func provideOpener(settings *conf.Host, secure security) opener {
 	from := dial.From(settings.Peer(), 0)
 	return func(u coltsfootloft.Upstream) coltsfootloft.Database {
 		return &dbops.Database{
 			Address: u.Address(),
+			TLS:     secure.upstream(u.Address()),
 			Dial:    from,
 		}
 	}
@@ -181,9 +184,10 @@
 	return l, errors.Wrap(err, "upstream password")
 }
 
-func providePools(c *current, login pool.Login, ledger *share.Ledger, clock clockwork.Clock, log logr.Logger) *pools {
+func providePools(c *current, login pool.Login, secure security, ledger *share.Ledger, clock clockwork.Clock, log logr.Logger) *pools {
 	return &pools{
 		login:  login,
+		secure: secure,
 		shares: ledger,
 		weight: func(account string) int { return c.Fleet().Weight(account) },
 		clock:  clock,
@@ -198,7 +202,17 @@
 	}
 }
 
-func provideEnv(settings *conf.Host, c *current, w *watch.Watcher, m *member.View, l *share.Ledger, p *pools, r *retries, j *journ.Journal, clock clockwork.Clock, log logr.Logger) *caller.Env {
+func provideTracer(settings *conf.Host, log logr.Logger) *trace.Tracer {
+	return &trace.Tracer{
+		Target:   settings.Trace(),
+		Fraction: settings.TraceFraction(),
+		Host:     settings.Name(),
+		Version:  Version,
+		Log:      log.WithName("trace"),
+	}
+}
+
+func provideEnv(settings *conf.Host, t *trace.Tracer, c *current, w *watch.Watcher, m *member.View, l *share.Ledger, p *pools, r *retries, j *journ.Journal, clock clockwork.Clock, log logr.Logger) *caller.Env {
 	return &caller.Env{
 		Domain:  settings.Domain(),
 		Groups:  w,
@@ -207,24 +221,27 @@
 		Fleet:   c.Fleet,
 		Pool:    p.get,
 		Retry:   r,
+		Trace:   t,
 		Journal: j,
 		Clock:   clock,
 		Log:     log.WithName("caller"),
 	}
 }
 
-func provideFront(settings *conf.Host, env *caller.Env, l *peer.Links, clock clockwork.Clock, log logr.Logger) *front.Server {
+func provideFront(settings *conf.Host, secure security, env *caller.Env, l *peer.Links, clock clockwork.Clock, log logr.Logger) *front.Server {
 	return &front.Server{
-		Name:   settings.Name(),
-		Listen: settings.Listen(),
-		Env:    env,
-		Peers:  l,
-		Clock:  clock,
-		Log:    log.WithName("front"),
+		Name:       settings.Name(),
+		Listen:     settings.Listen(),
+		Env:        env,
+		TLS:        secure.caller(),
+		RequireTLS: settings.RequireTLS(),
+		Peers:      l,
+		Clock:      clock,
+		Log:        log.WithName("front"),
 	}
 }
 
-func provideHost(settings *conf.Host, clock clockwork.Clock, log logr.Logger, links *peer.Links, m *member.View, source *feed.Feed, j *journ.Journal, w *watch.Watcher, e *elect.Duty, l *share.Ledger, f *front.Server, c *current, p *pools) *Host {
+func provideHost(settings *conf.Host, clock clockwork.Clock, log logr.Logger, links *peer.Links, m *member.View, source *feed.Feed, j *journ.Journal, w *watch.Watcher, e *elect.Duty, l *share.Ledger, f *front.Server, t *trace.Tracer, c *current, p *pools) *Host {
 	return &Host{
 		Settings: settings,
 		Clock:    clock,
@@ -237,6 +254,7 @@
 		Elect:    e,
 		Ledger:   l,
 		Front:    f,
+		Tracer:   t,
 		current:  c,
 		pools:    p,
 		ready:    make(chan struct{}),
--- a/io/host/wire.go
+++ b/io/host/wire.go
@@ -11,6 +11,7 @@
 )
 
 var providers = wire.NewSet(
+	provideSecurity,
 	provideStore,
 	provideSelf,
 	provideRun,
@@ -27,6 +28,7 @@
 	provideLogin,
 	providePools,
 	provideRetries,
+	provideTracer,
 	provideEnv,
 	provideFront,
 	provideHost,
