share: a leaving host waits for its connections before it gives seats back

The first try found rights in use, gave up and left the seat to lapse. Now the host tries until its connections are closed, for at most 2 s.

--- a/io/share/hold.go
+++ b/io/share/hold.go
@@ -174,6 +174,13 @@
 	return !slices.Equal(numbers, s.active) || !until.Equal(s.until)
 }
 
+// hasSeats reports whether seats are still to be handed back.
+func (s *seating) hasSeats() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.table.Session() != "" && len(s.table.Versions())+len(s.table.Draining()) > 0
+}
+
 // leave hands all seats back and ends the session.
 func (s *seating) leave(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, leaveTime)
@@ -181,13 +188,18 @@
 	s.mutex.Lock()
 	s.table.Leave()
 	s.mutex.Unlock()
-	s.hold(ctx)
+	for ctx.Err() == nil && s.hasSeats() {
+		s.hold(ctx)
+		s.ledger.pause(ctx, leaveEvery)
+	}
 	s.mutex.Lock()
 	session := s.table.Session()
 	s.table.Ended(session)
 	s.mutex.Unlock()
 	s.ledger.apply()
 	if session != "" {
-		_ = s.ledger.Store.CloseSession(ctx, session)
+		last, cancel := context.WithTimeout(context.WithoutCancel(ctx), storeRetry)
+		defer cancel()
+		_ = s.ledger.Store.CloseSession(last, session)
 	}
 }
--- a/io/share/ledger.go
+++ b/io/share/ledger.go
@@ -84,7 +84,8 @@
 var _ coltsfootloft.Shares = (*Ledger)(nil)
 
 // Run does the duties of the ledger until ctx ends, and then hands the seats
-// back. It returns within about two seconds of that.
+// back. It returns within about
+// three seconds of that; connections should be closed before.
 func (l *Ledger) Run(ctx context.Context) error {
 	if l.Store == nil {
 		<-ctx.Done()
--- a/io/share/seating.go
+++ b/io/share/seating.go
@@ -25,6 +25,8 @@
 	holdEvery = 200 * time.Millisecond
 	// leaveTime bounds the handing back of seats.
 	leaveTime = 2 * time.Second
+	// leaveEvery is the time between tries to hand seats back.
+	leaveEvery = 50 * time.Millisecond
 )
 
 // seating keeps this host's seats and knows the holders of all others.
