share: a host with more than its share of connections gives some up

Cause: rights moved only when connections were idle, so a host whose hundred callers kept all 35 connections busy left another host's two callers with none. OnShed now has the pool close connections as they come back, up to what another host is entitled to in proportion to what both want, at least one.

--- a/io/share/ledger.go
+++ b/io/share/ledger.go
@@ -73,6 +73,7 @@
 	databases atomic.Pointer[map[string]*database]
 	reclaim   atomic.Pointer[func(string) bool]
 	revoke    atomic.Pointer[func(string, int)]
+	shed      atomic.Pointer[func(string, int)]
 
 	register sync.Once
 	seating  seating
@@ -141,6 +142,12 @@
 // renewed. They must be closed at once, in use or not, and released.
 func (l *Ledger) OnRevoke(f func(database string, count int)) { l.revoke.Store(&f) }
 
+// OnShed sets what is told to close up to this many connections of a database as
+// they come back from callers, though others wait for them, because this host has
+// more than its share of the rights and another has less. A later call replaces
+// the count of the one before. The function must not block.
+func (l *Ledger) OnShed(f func(database string, count int)) { l.shed.Store(&f) }
+
 // Seats returns the seats that this host uses now and until when, for status
 // reports.
 func (l *Ledger) Seats() (numbers []int, until time.Time) {
--- a/io/share/rights.go
+++ b/io/share/rights.go
@@ -110,8 +110,9 @@
 			d.reclaim(n)
 		}
 		if n := d.missing(a); n > 0 {
-			d.recall(ctx, borrower, n)
+			d.recall(ctx, borrower, n, d.due(borrower, a))
 		}
+		d.shedOwn(borrower, a)
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -135,13 +136,53 @@
 }
 
 // entitled is the borrower's share of what this host owns, in proportion to what
-// it wants.
+// it wants, and at least one.
 func (d *database) entitled(now time.Time, borrower string, a loan.Ask) int {
-	own := d.rights.Owned(now)
+	return d.share(now, a.Want.Burst(), d.allWanted(now, borrower, a))
+}
+
+// allWanted sums what this host and all borrowers want.
+func (d *database) allWanted(now time.Time, borrower string, a loan.Ask) float64 {
 	all := a.Want.Burst() + d.rights.Book().Wanted(now, borrower).Burst()
-	all += float64(d.rights.Used() + len(d.waiters))
-	if all <= float64(own) {
-		return int(a.Want.Burst())
+	return all + float64(d.rights.Used()+len(d.waiters))
+}
+
+// share is what a wish gets of the rights owned when all wishes sum to this.
+func (d *database) share(now time.Time, want, all float64) int {
+	own := float64(d.rights.Owned(now))
+	if all <= own {
+		return int(want)
+	}
+	return min(max(int(own*want/all), 1), int(want))
+}
+
+// due is how many rights a borrower is entitled to besides those that it keeps.
+func (d *database) due(borrower string, a loan.Ask) int {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	n := d.entitled(d.ledger.Clock.Now(), borrower, a)
+	return max(n-int(a.Kept.Burst()), 0)
+}
+
+// shedOwn has this host's own callers give up rights that a borrower is entitled
+// to, as far as they hold more than their share.
+func (d *database) shedOwn(borrower string, a loan.Ask) {
+	n := d.due(borrower, a)
+	d.mutex.Lock()
+	now := d.ledger.Clock.Now()
+	n -= max(d.rights.Free(now), 0)
+	mine := d.share(now, float64(d.rights.Used()+len(d.waiters)), d.allWanted(now, borrower, a))
+	lent := 0
+	for _, p := range d.rights.Book().Borrowers(now) {
+		lent += int(p.Burst())
+	}
+	n = min(n, d.rights.Owned(now)-lent-mine)
+	d.mutex.Unlock()
+	d.ledger.shedding(d.name, n)
+}
+
+func (l *Ledger) shedding(name string, n int) {
+	if f := l.shed.Load(); f != nil && n > 0 {
+		(*f)(name, n)
 	}
-	return int(float64(own) * a.Want.Burst() / all)
 }
--- a/io/share/rights_test.go
+++ b/io/share/rights_test.go
@@ -15,17 +15,18 @@
 // pool is the use that one host makes of a database's rights: connections that
 // go from caller to caller and stay open until another host needs them.
 type pool struct {
-	census  *census
-	node    *node
-	mutex   sync.Mutex
-	idle    []func()
-	waiters []chan func()
-	asking  int
-	open    int
-	doomed  int
-	served  int
-	failed  int
-	slowest time.Duration
+	census   *census
+	node     *node
+	mutex    sync.Mutex
+	idle     []func()
+	waiters  []chan func()
+	asking   int
+	open     int
+	doomed   int
+	shedding int
+	served   int
+	failed   int
+	slowest  time.Duration
 }
 
 // use runs one transaction on a connection.
@@ -93,8 +94,9 @@
 func (p *pool) put(release func()) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.doomed > 0 {
-		p.doomed--
+	if p.doomed > 0 || p.shedding > 0 {
+		p.doomed = max(p.doomed-1, 0)
+		p.shedding = max(p.shedding-1, 0)
 		p.open--
 		release()
 		return
@@ -146,6 +148,13 @@
 	p.doomed = n
 }
 
+// shed closes connections as they come back.
+func (p *pool) shed(_ string, n int) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.shedding = n
+}
+
 // census counts the connections of all hosts to a database.
 type census struct {
 	database string
@@ -153,6 +162,8 @@
 	pools    map[*node]*pool
 	most     int
 	paused   map[*node]bool
+	// keep has hosts keep connections while callers wait.
+	keep bool
 }
 
 func (c *census) check() {
@@ -180,6 +191,9 @@
 	c.pools[n] = p
 	n.ledger.OnReclaim(p.reclaim)
 	n.ledger.OnRevoke(p.revoke)
+	if !c.keep {
+		n.ledger.OnShed(p.shed)
+	}
 	return p
 }
 
@@ -268,3 +282,52 @@
 	c.mutex.Unlock()
 	c.check()
 }
+
+// hogged runs one host whose callers keep every connection busy, and another with
+// two callers, and returns what the latter got done in 20 s.
+func hogged(t *testing.T, keep bool) (served int) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, caroni(5), testSeed)
+		c := &census{
+			database: "g1db1",
+			pools:    map[*node]*pool{},
+			keep:     keep,
+		}
+		f.onAdd = func(n *node) { c.join(n) }
+		f.start()
+		time.Sleep(20 * time.Second)
+		end := time.Now().Add(20 * time.Second)
+		var all sync.WaitGroup
+		callers := func(host string, n int) *pool {
+			p := c.pools[f.node(host)]
+			for range n {
+				all.Go(func() {
+					for time.Now().Before(end) {
+						p.use(10 * time.Millisecond)
+					}
+				})
+			}
+			return p
+		}
+		large := callers("d1h1", 100)
+		time.Sleep(2 * time.Second)
+		small := callers("d2h2", 2)
+		all.Wait()
+		served = small.served
+		t.Logf("keep %v: large host %d, small host %d transactions, slowest %v, most connections %d",
+			keep, large.served, small.served, small.slowest, c.most)
+		time.Sleep(3 * time.Second)
+		f.stop()
+	})
+	return served
+}
+
+// TestBusyHostGivesUpRights has two callers beside a hundred on another host. Alone
+// they would do 3600 transactions.
+func TestBusyHostGivesUpRights(t *testing.T) {
+	t.Parallel()
+	naive := hogged(t, true)
+	served := hogged(t, false)
+	assert.Assert(t, served > 3000)
+	assert.Assert(t, served > 2*naive)
+}
--- a/io/share/serve.go
+++ b/io/share/serve.go
@@ -64,27 +64,37 @@
 	return r
 }
 
-// recall orders borrowers other than one to give back up to n rights in all that
-// they don't use.
-func (d *database) recall(ctx context.Context, except string, n int) {
+// recall orders borrowers other than one to give back up to n rights each that they
+// don't use, and up to shed that they do, if they have more than their share.
+func (d *database) recall(ctx context.Context, except string, n, shed int) {
 	d.mutex.Lock()
-	borrowers := d.rights.Book().Borrowers(d.ledger.Clock.Now())
+	now := d.ledger.Clock.Now()
+	borrowers := d.rights.Book().Borrowers(now)
 	d.mutex.Unlock()
+	equal := float64(d.ownedNow()) / float64(len(borrowers)+1)
 	var all sync.WaitGroup
 	for b, part := range borrowers {
 		if b == except || part.Burst() == 0 {
 			continue
 		}
-		all.Go(func() { d.recallFrom(ctx, b, n) })
+		more := min(shed, max(int(part.Burst()-equal), 0))
+		all.Go(func() { d.recallFrom(ctx, b, n, more) })
 	}
 	all.Wait()
 }
 
-func (d *database) recallFrom(ctx context.Context, borrower string, n int) {
+func (d *database) ownedNow() int {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.rights.Owned(d.ledger.Clock.Now())
+}
+
+func (d *database) recallFrom(ctx context.Context, borrower string, n, shed int) {
 	host := borrower[:strings.LastIndex(borrower, "/")]
 	r, err := d.ledger.call(ctx, host, &sharepb.Request{Recall: &sharepb.RecallRequest{
 		Database: d.name,
 		Count:    int64(n),
+		Shed:     int64(shed),
 	}})
 	if err != nil || r.GetRecall().GetSequence() == 0 {
 		return
@@ -107,6 +117,7 @@
 	d.owe(l.Clock.Now(), 1)
 	d.mutex.Unlock()
 	d.reclaim(n - max(free, 0))
+	l.shedding(d.name, int(q.GetShed()))
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	sequence, kept, ok := d.rights.Yield(l.Clock.Now(), lender, n)
