caller, front: batches in parts, prepared statement names, and bad input of every kind

Causes, found by the new tests against a small fake of a database that keeps account of transactions: - A Sync after a Flush was answered by the host alone, and the connection went back to its pool inside of the transaction: the write was not committed, and the next borrower's statements joined it. The same after a refusal behind a Flush. - A Parse whose name is taken replaced the statement; one that failed or was skipped stayed defined; a Close that was skipped had closed. Changes of names are now taken back where their step was not done. 42P05 as PostgreSQL does. - After an error behind a Flush the rest up to Sync was run. - A write with a request id in a batch with a Flush was run without its record, or rolled back after its answer; it is refused, not run. - A simple query dropped the messages of an unfinished batch; it refuses them. - Messages right behind the startup message were swallowed until more came. - Startup nonsense got no answer; now 08P01. A message out of order got an error without an end and the session went on; now it ends. A function call is 0A000. Ruled out: ending the database's implicit transaction at each Flush, which would commit half of a batch.

--- a/io/caller/batch.go
+++ b/io/caller/batch.go
@@ -20,6 +20,8 @@
 	needs *statement
 	// adds is the statement that the step itself prepares.
 	adds *statement
+	// change is what the step does to the session's prepared statements.
+	change *change
 	// script is what an execution runs.
 	script stmt.Script
 	// hidden steps are the host's own.
@@ -68,15 +70,22 @@
 	for _, t := range s.Statements() {
 		switch {
 		case t.Kind() == stmt.Copy:
-			b.refused = unsupported("COPY")
+			b.refuse(unsupported("COPY"))
 		case t.Kind() == stmt.Unsupported:
-			b.refused = unsupported("a statement that needs a server session of its own")
+			b.refuse(unsupported("a statement that needs a server session of its own"))
 		case t.IsProxy() && (s.Len() > 1 || b.cost > 1):
-			b.refused = unsupported("a setting of the proxy among several statements")
+			b.refuse(unsupported("a setting of the proxy among several statements"))
 		}
 	}
 }
 
+// refuse notes the first reason why the batch can't be run.
+func (b *batch) refuse(err error) {
+	if b.refused == nil {
+		b.refused = err
+	}
+}
+
 // has reports whether any executed script has a statement of the kind.
 func (b *batch) has(k stmt.Kind) bool {
 	for _, t := range b.steps {
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -72,6 +72,7 @@
 	x.idempotent = s.request != "" && s.tx == txIdle && b.has(stmt.Write)
 	x.commits = s.onPrimary && !b.open && (s.tx == txIdle || b.has(stmt.Commit))
 	x.prefix(b)
+	b.begin()
 	x.steps = append(x.steps, b.steps...)
 	if b.open {
 		x.steps = append(x.steps, step{
@@ -176,7 +177,9 @@
 func (x *exchange) expand(all []step, t step) []step {
 	if t.adds != nil {
 		if x.conn.HasStatement(t.adds.name, t.adds.key) {
-			return append(all, answer(atParse, &pgproto3.ParseComplete{}))
+			a := answer(atParse, &pgproto3.ParseComplete{})
+			a.change = t.change
+			return append(all, a)
 		}
 		return append(x.evict(all, t.adds), t)
 	}
@@ -225,6 +228,11 @@
 		if err != nil {
 			return err
 		}
+		if ok {
+			t.change.finished()
+		} else {
+			t.change.failed()
+		}
 		skipping = !ok && t.ends != atSync && t.ends != atQuery
 	}
 	return nil
--- a/io/caller/extended.go
+++ b/io/caller/extended.go
@@ -8,26 +8,38 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 )
 
-// maxStatements bounds the prepared statements of one session.
-const maxStatements = 4096
+const (
+	// maxStatements bounds the prepared statements of one session.
+	maxStatements = 4096
+	// codeDuplicateStatement is the SQLSTATE of a Parse whose name is taken.
+	codeDuplicateStatement = "42P05"
+)
 
 // addParse takes a Parse into the batch.
 func (s *Session) addParse(m *pgproto3.Parse) {
-	if _, ok := s.prepared[m.Name]; !ok && len(s.prepared) >= maxStatements {
-		s.batch.refused = coltsfootloft.Refuse("53400", "too many prepared statements in one session")
+	_, taken := s.prepared[m.Name]
+	if taken && m.Name != "" {
+		s.batch.refuse(coltsfootloft.Refuse(codeDuplicateStatement, "prepared statement "+quote(m.Name)+" already exists"))
+		return
+	}
+	if !taken && len(s.prepared) >= maxStatements {
+		s.batch.refuse(coltsfootloft.Refuse("53400", "too many prepared statements in one session"))
 		return
 	}
 	t := newStatement(m)
 	s.batch.check(t.script)
-	s.prepared[m.Name] = t
+	c := s.set(m.Name, t)
 	if isHostStatement(t.script) {
-		s.batch.steps = append(s.batch.steps, answer(atParse, &pgproto3.ParseComplete{}))
+		a := answer(atParse, &pgproto3.ParseComplete{})
+		a.change = c
+		s.batch.steps = append(s.batch.steps, a)
 		return
 	}
 	s.batch.steps = append(s.batch.steps, step{
 		ends:    atParse,
 		message: t.parse(),
 		adds:    t,
+		change:  c,
 	})
 }
 
@@ -35,7 +47,7 @@
 func (s *Session) addBind(m *pgproto3.Bind) {
 	t, ok := s.prepared[m.PreparedStatement]
 	if !ok {
-		s.batch.refused = unknownStatement(m.PreparedStatement)
+		s.batch.refuse(unknownStatement(m.PreparedStatement))
 		return
 	}
 	s.portals[m.DestinationPortal] = t
@@ -57,7 +69,7 @@
 		t, ok = s.prepared[m.Name]
 	}
 	if !ok {
-		s.batch.refused = unknownStatement(m.Name)
+		s.batch.refuse(unknownStatement(m.Name))
 		return
 	}
 	if isHostStatement(t.script) {
@@ -79,7 +91,7 @@
 func (s *Session) addExecute(m *pgproto3.Execute) {
 	t, ok := s.portals[m.Portal]
 	if !ok {
-		s.batch.refused = coltsfootloft.Refuse("34000", "portal "+quote(m.Portal)+" does not exist")
+		s.batch.refuse(coltsfootloft.Refuse("34000", "portal "+quote(m.Portal)+" does not exist"))
 		return
 	}
 	if s.batch.cost == 0 {
@@ -106,8 +118,9 @@
 // other sessions.
 func (s *Session) addClose(m *pgproto3.Close) {
 	if m.ObjectType == 'S' {
-		delete(s.prepared, m.Name)
-		s.batch.steps = append(s.batch.steps, answer(atClose, &pgproto3.CloseComplete{}))
+		a := answer(atClose, &pgproto3.CloseComplete{})
+		a.change = s.set(m.Name, nil)
+		s.batch.steps = append(s.batch.steps, a)
 		return
 	}
 	t, ok := s.portals[m.Name]
--- a/io/caller/run.go
+++ b/io/caller/run.go
@@ -45,6 +45,7 @@
 // answer adds the whole answer to the batch, less the final ReadyForQuery. Its
 // errors are about the caller's connection.
 func (s *Session) answer(ctx context.Context, b *batch) error {
+	defer s.takeBack(b)
 	err := s.attempt(ctx, b)
 	if err == nil {
 		return nil
@@ -54,6 +55,7 @@
 	}
 	s.failure = err
 	s.fail()
+	s.discarding = b.open
 	s.note(journ.Refused, err.Error(), "")
 	countRefused(err)
 	return s.out.add(response(err))
@@ -72,6 +74,9 @@
 	if err := s.checkReadOnly(b); err != nil {
 		return err
 	}
+	if err := s.checkParts(b); err != nil {
+		return err
+	}
 	if b.cost > 0 {
 		wait := s.trace.Start(trace.Admission)
 		err := s.Env.Shares.Admit(ctx, s.Account, b.cost)
@@ -97,6 +102,15 @@
 	return nil
 }
 
+// checkParts refuses a write with a request id in a batch that comes in parts: the
+// id is recorded in the transaction of the whole batch.
+func (s *Session) checkParts(b *batch) error {
+	if !b.open && !s.midBatch || s.request == "" || s.tx != txIdle || !b.has(stmt.Write) {
+		return nil
+	}
+	return unsupported("a write with a request id in a batch with a Flush")
+}
+
 // onPinned runs the batch on the connection of the open transaction.
 func (s *Session) onPinned(ctx context.Context, b *batch) error {
 	x := s.exchange(s.pinned, b, route.Need{})
@@ -184,6 +198,9 @@
 // fail puts an open transaction into the failed state and gives its connection
 // up: nothing of it lasts.
 func (s *Session) fail() {
+	if s.midBatch && s.pinned != nil {
+		s.pinned.Abort()
+	}
 	s.midBatch = false
 	if s.tx == txIdle {
 		s.unpin()
@@ -211,6 +228,9 @@
 
 // answersAlone reports whether the host answers the batch without a database.
 func (s *Session) answersAlone(b *batch) bool {
+	if s.midBatch {
+		return false
+	}
 	if b.isLocal() {
 		return true
 	}
@@ -272,6 +292,7 @@
 }
 
 func (s *Session) answerStep(t *step, tag string) error {
+	t.change.finished()
 	if t.local != nil {
 		return t.local(&s.out)
 	}
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -17,6 +17,7 @@
 	"coltsfootloft/io/trace"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
 )
 
 // Session serves one caller from ReadyForQuery to the end of the connection. Its
@@ -52,14 +53,16 @@
 	trace    *trace.Request
 	failure  error
 
-	tx        byte
-	midBatch  bool
-	skipping  bool
-	begin     string
-	beginRead bool
-	saved     settings
-	pinned    *pool.Conn
-	onPrimary bool
+	tx       byte
+	midBatch bool
+	skipping bool
+	// discarding drops what comes before the next Sync.
+	discarding bool
+	begin      string
+	beginRead  bool
+	saved      settings
+	pinned     *pool.Conn
+	onPrimary  bool
 
 	mu      sync.Mutex
 	current *pool.Conn
@@ -119,6 +122,10 @@
 
 // take handles one message.
 func (s *Session) take(ctx context.Context, m pgproto3.FrontendMessage) error {
+	if _, ok := m.(*pgproto3.Sync); s.discarding && !ok {
+		return nil
+	}
+	s.discarding = false
 	switch m := m.(type) {
 	case *pgproto3.Query:
 		return s.query(ctx, m.String)
@@ -139,8 +146,11 @@
 		s.addSync()
 		return s.run(ctx)
 	case *pgproto3.CopyData, *pgproto3.CopyDone, *pgproto3.CopyFail:
+	case *pgproto3.FunctionCall:
+		s.batch.refuse(unsupported("a function call message"))
+		return s.run(ctx)
 	default:
-		return s.refuseMessage("message of this type")
+		return s.malformed(errors.Errorf("message of type %T is out of order", m))
 	}
 	return nil
 }
@@ -148,6 +158,10 @@
 // query takes a simple query as a batch of its own.
 func (s *Session) query(ctx context.Context, sql string) error {
 	p := stmt.Parse(sql)
+	if s.midBatch || len(s.batch.steps) > 0 || s.batch.refused != nil {
+		s.batch.refuse(unsupported("a simple query inside of a batch of the extended protocol"))
+		return s.run(ctx)
+	}
 	s.batch = batch{simple: true}
 	s.batch.runs(p)
 	s.batch.sql = sql
@@ -183,13 +197,6 @@
 	return s.out.flush()
 }
 
-func (s *Session) refuseMessage(what string) error {
-	if err := s.out.add(response(coltsfootloft.Refuse(coltsfootloft.CodeProtocol, what+" is out of order"))); err != nil {
-		return err
-	}
-	return s.out.flush()
-}
-
 // malformed answers a message that could not be read. There is no way to find
 // the next one, so the session ends.
 func (s *Session) malformed(err error) error {
--- /dev/null
+++ b/io/front/stand_test.go
@@ -0,0 +1,239 @@
+package front
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"coltsfootloft"
+	"coltsfootloft/core/conf"
+	"coltsfootloft/core/keys"
+	"coltsfootloft/io/caller"
+	"coltsfootloft/io/pool"
+)
+
+// stand is a host's front with one database behind it.
+type stand struct {
+	t        testing.TB
+	server   *Server
+	address  string
+	upstream *upstream
+	pool     *pool.Pool
+	secret   string
+}
+
+func newStand(t testing.TB) *stand {
+	t.Helper()
+	s := &stand{
+		t:        t,
+		upstream: newUpstream(t),
+	}
+	secret, verifier, err := keys.Issue()
+	assert.NilError(t, err)
+	s.secret = secret
+	address := s.upstream.listener.Addr().String()
+	fleet, problems := conf.Merge(nil, map[string][]byte{
+		"fleet/defaults":            []byte(`{"message_limit": "64KiB", "pool_wait": "2s"}`),
+		"fleet/domains/d1":          []byte(`{"region": "r1", "seats": 1}`),
+		"fleet/groups/g1":           fmt.Appendf(nil, `{"databases": {"g1-1": {"address": %q, "domain": "d1"}}, "connections": 10}`, address),
+		"fleet/teams/alpha":         []byte(`{"groups": ["g1"]}`),
+		"teams/alpha/accounts/main": []byte(`{"rate": "1000/s"}`),
+		"teams/alpha/keys/app":      fmt.Appendf(nil, `{"account": "main", "verifier": %q}`, verifier.String()),
+		"teams/alpha/routes/open":   []byte(`{"group": "g1", "open": true, "account": "main"}`),
+		"teams/alpha/routes/keyed":  []byte(`{"group": "g1"}`),
+		"teams/alpha/routes/reads":  []byte(`{"group": "g1", "open": true, "account": "main", "read_only": true}`),
+	})
+	assert.NilError(t, problems.Err())
+	s.pool = &pool.Pool{
+		Upstream: coltsfootloft.NewUpstream("g1-1", "d1", address),
+		Login:    pool.Login{User: "x"},
+		Shares:   free{},
+	}
+	s.server = &Server{
+		Name:   "h1",
+		Listen: "127.0.0.1:0",
+		Clock:  clockwork.NewRealClock(),
+		Env: &caller.Env{
+			Domain:  "d1",
+			Groups:  known{},
+			Members: alone{},
+			Shares:  free{},
+			Fleet:   func() *conf.Fleet { return fleet },
+			Pool:    func(string) (*pool.Pool, bool) { return s.pool, true },
+			Retry:   free{},
+			Clock:   clockwork.NewRealClock(),
+		},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	at, err := s.server.Start(ctx)
+	assert.NilError(t, err)
+	s.address = at.String()
+	done := make(chan error, 1)
+	go func() { done <- s.server.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-done)
+		s.server.running.Wait()
+		s.pool.Close()
+	})
+	return s
+}
+
+// free grants everything.
+type free struct{}
+
+func (free) Admit(context.Context, string, int) error        { return nil }
+func (free) Connect(context.Context, string) (func(), error) { return func() {}, nil }
+func (free) OnReclaim(func(string) bool)                     {}
+func (free) Offer(string)                                    {}
+func (free) Succeed(string)                                  {}
+func (free) Spend(string) bool                               { return true }
+
+// alone is a fleet of one host.
+type alone struct{}
+
+func (alone) Self() coltsfootloft.HostRecord      { return coltsfootloft.NewHost("h1", "d1", "127.0.0.1:1") }
+func (a alone) Alive() []coltsfootloft.HostRecord { return []coltsfootloft.HostRecord{a.Self()} }
+func (alone) Leaving(string) bool                 { return false }
+
+// known is a group whose only database is its primary and answers.
+type known struct{}
+
+func (known) Readings(string) map[string]coltsfootloft.Reading {
+	term := coltsfootloft.NewTerm(1, "x")
+	p := coltsfootloft.NewPosition(term, 0)
+	return map[string]coltsfootloft.Reading{"g1-1": coltsfootloft.NewReading(coltsfootloft.Primary, term, p, p)}
+}
+func (known) Changed(string) <-chan struct{} { return make(chan struct{}) }
+func (known) Barrier(context.Context, string) (coltsfootloft.Position, error) {
+	return coltsfootloft.Position{}, nil
+}
+func (known) Held(context.Context, string, coltsfootloft.Position) error { return nil }
+func (known) Silent(string, string) (time.Duration, bool)                { return 0, true }
+func (known) Age(string, string) (time.Duration, bool)                   { return 0, true }
+
+// send writes bytes to a new connection, says that no more will come and returns
+// the whole answer.
+func (s *stand) send(input []byte) []byte {
+	s.t.Helper()
+	c, err := net.Dial("tcp", s.address)
+	assert.NilError(s.t, err)
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	go func() {
+		_, _ = c.Write(input)
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.CloseWrite()
+		}
+	}()
+	answer, err := io.ReadAll(c)
+	var n net.Error
+	assert.Assert(s.t, !errors.As(err, &n) || !n.Timeout(), "no end of the session")
+	return answer
+}
+
+// talk opens a session on a route without a key, sends messages and returns the
+// answers after the first ReadyForQuery, one word each.
+func (s *stand) talk(messages ...pgproto3.FrontendMessage) []string {
+	s.t.Helper()
+	input := hi("open")
+	for _, m := range messages {
+		input = add(input, m)
+	}
+	words := s.words(s.send(input))
+	for i, w := range words {
+		if w == "Z I" {
+			return slices.DeleteFunc(words[i+1:], func(w string) bool { return w == "S" })
+		}
+	}
+	s.t.Fatalf("no session: %q", words)
+	return nil
+}
+
+// words decodes an answer; what is not a message fails the test.
+func (s *stand) words(answer []byte) []string {
+	s.t.Helper()
+	var words []string
+	for len(answer) > 0 {
+		assert.Assert(s.t, len(answer) >= headerBytes, "torn answer after %q", words)
+		n := 1 + int(binary.BigEndian.Uint32(answer[1:]))
+		assert.Assert(s.t, n >= headerBytes && n <= len(answer), "torn answer after %q", words)
+		m, err := pgproto3.NewFrontend(bytes.NewReader(answer[:n]), io.Discard).Receive()
+		assert.NilError(s.t, err, "%q after %q", answer[:n], words)
+		words = append(words, word(m))
+		answer = answer[n:]
+	}
+	return words
+}
+
+func word(m pgproto3.BackendMessage) string {
+	switch m := m.(type) {
+	case *pgproto3.ErrorResponse:
+		w := m.Severity + " " + m.Code
+		if m.Detail != "" {
+			w += " " + m.Detail
+		}
+		return w
+	case *pgproto3.ReadyForQuery:
+		return "Z " + string(m.TxStatus)
+	case *pgproto3.CommandComplete:
+		return string(m.CommandTag)
+	case *pgproto3.ParameterStatus:
+		return "S"
+	case *pgproto3.ParseComplete:
+		return "1"
+	case *pgproto3.BindComplete:
+		return "2"
+	case *pgproto3.CloseComplete:
+		return "3"
+	}
+	return fmt.Sprintf("%T", m)
+}
+
+// hi is the startup message for a route of team alpha.
+func hi(route string) []byte {
+	return add(nil, &pgproto3.StartupMessage{
+		ProtocolVersion: pgproto3.ProtocolVersionNumber,
+		Parameters: map[string]string{
+			"user":     "alpha.app",
+			"database": "alpha." + route,
+		},
+	})
+}
+
+func add(to []byte, m pgproto3.FrontendMessage) []byte {
+	b, err := m.Encode(to)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+// settled waits until the sessions are gone, and checks that they have left
+// nothing behind.
+func (s *stand) settled() {
+	s.t.Helper()
+	for end := time.Now().Add(5 * time.Second); s.server.Sessions() > 0 || s.pool.Load() > 0; {
+		assert.Assert(s.t, time.Now().Before(end), "%d sessions, load %d", s.server.Sessions(), s.pool.Load())
+		time.Sleep(time.Millisecond)
+	}
+	for end := time.Now().Add(5 * time.Second); ; {
+		_, inside := s.upstream.open()
+		if inside == 0 {
+			return
+		}
+		assert.Assert(s.t, time.Now().Before(end), "%d connections inside of a transaction", inside)
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/io/front/startup.go
+++ b/io/front/startup.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
+	"net"
 	"strings"
 
 	"coltsfootloft"
@@ -26,7 +28,7 @@
 	for {
 		m, err := v.backend.ReceiveStartupMessage()
 		if err != nil {
-			return nil, errors.Wrap(err, "startup message")
+			return nil, malformed(err)
 		}
 		switch m := m.(type) {
 		case *pgproto3.SSLRequest:
@@ -43,6 +45,16 @@
 	}
 }
 
+// malformed turns what is wrong with a startup message into a refusal. A caller
+// that has gone or is silent is told nothing.
+func malformed(err error) error {
+	var n net.Error
+	if errors.As(err, &n) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) {
+		return errors.Wrap(err, "startup message")
+	}
+	return coltsfootloft.Refuse(coltsfootloft.CodeProtocol, "malformed startup message")
+}
+
 // secure starts TLS if the host has a certificate.
 func (v *visit) secure(ctx context.Context) error {
 	if v.server.TLS == nil || v.isSecure {
--- a/io/front/visit.go
+++ b/io/front/visit.go
@@ -41,7 +41,7 @@
 	_ = v.conn.SetDeadline(time.Now().Add(handshakeTimeout))
 	m, err := v.greet(ctx)
 	if err != nil {
-		return err
+		return v.reject(err)
 	}
 	switch m := m.(type) {
 	case *pgproto3.CancelRequest:
@@ -56,7 +56,6 @@
 		return v.reject(err)
 	}
 	defer v.server.leave(v)
-	v.conn.framed = true
 	_ = v.conn.SetDeadline(time.Time{})
 	return v.session.Run(ctx)
 }
@@ -70,7 +69,7 @@
 	if err != nil {
 		return err
 	}
-	v.conn.framed = true
+	v.conn.typed = true
 	v.grant, err = v.admit(h)
 	if err != nil {
 		return err
--- a/test/shutdown_test.go
+++ b/test/shutdown_test.go
@@ -72,7 +72,7 @@
 	t.Run("sessions that do not end in time are an exit code of 1", func(t *testing.T) {
 		e := f.hosts[2]
 		revision := f.apply(map[string]string{"fleet/defaults": `{"drain_wait": "500ms"}`})
-		f.await("the setting", func() bool { return f.status(e).Settings.Revision == revision })
+		f.await("the setting", func() bool { return f.toolStatus(e).Settings.Revision == revision })
 		_, err := f.connect(e).Begin(ctx)
 		assert.NilError(t, err)
 		e.process.signal(os.Interrupt)
