test: start the hosts of a fleet together

Cause: hosts were started one after another, each waiting up to 3 s for its seats; the package took 174.6 s of a busy machine, near the 3 minutes that all may take.

--- a/io/front/stand_test.go
+++ b/io/front/stand_test.go
@@ -115,6 +115,7 @@
 	p := coltsfootloft.NewPosition(term, 0)
 	return map[string]coltsfootloft.Reading{"g1-1": coltsfootloft.NewReading(coltsfootloft.Primary, term, p, p)}
 }
+func (known) Hurry(string)                   {}
 func (known) Changed(string) <-chan struct{} { return make(chan struct{}) }
 func (known) Barrier(context.Context, string) (coltsfootloft.Position, error) {
 	return coltsfootloft.Position{}, nil
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -94,6 +94,9 @@
 	for i := range l.hosts {
 		f.hosts = append(f.hosts, f.startHost(i))
 	}
+	for _, e := range f.hosts {
+		e.process.awaitLog(t, serving)
+	}
 	return f
 }
 
@@ -236,6 +239,7 @@
 	assert.Equal(t, a.StatusCode, http.StatusOK, url)
 }
 
+// startHost starts a host without waiting until it takes callers.
 func (f *fleet) startHost(i int) *entry {
 	f.t.Helper()
 	place := i%f.layout.domains + 1
@@ -254,13 +258,16 @@
 		e.args = append(e.args, f.layout.hostArgs(e.name)...)
 	}
 	f.register(e.name, f.domain(i), e.peer, "entry", "live")
-	f.runHost(e)
+	e.process = launch(f.t, e.name, "coltsfootloft", e.args...)
 	return e
 }
 
+// serving is what a host prints once it takes callers.
+const serving = "serving"
+
 func (f *fleet) runHost(e *entry) {
 	f.t.Helper()
-	e.process = start(f.t, e.name, "coltsfootloft", "serving", e.args...)
+	e.process = start(f.t, e.name, "coltsfootloft", serving, e.args...)
 }
 
 // dsn is how a caller with the key reaches a route on the host.
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -68,6 +68,14 @@
 
 // start runs a program and waits until it prints the line that it serves.
 func start(t testing.TB, name, binary, serving string, args ...string) *process {
+	t.Helper()
+	p := launch(t, name, binary, args...)
+	p.awaitLog(t, serving)
+	return p
+}
+
+// launch runs a program without waiting for it.
+func launch(t testing.TB, name, binary string, args ...string) *process {
 	t.Helper()
 	p := &process{
 		name: name,
@@ -89,7 +97,6 @@
 			t.Logf("%s printed:\n%s", name, tail(p.log.String()))
 		}
 	})
-	p.awaitLog(t, serving)
 	return p
 }
 
