pool: a right to connect comes free once the upstream has ended the connection

TestConnectionsStayWithinTheLimit, three hosts, 30 callers, limit 12, the database has room for 20 more and counts. Cause: a host closed a connection and passed its right on at once; another host's connection came before the database had seen the end of the first. Ruled out: killed or frozen hosts (no more with them than without). Closing now shuts the sending side, waits up to 1 s for the upstream's end, and then frees the right; a broken connection is no longer closed under its reader but woken by a deadline.

--- a/io/host/pools.go
+++ b/io/host/pools.go
@@ -46,7 +46,7 @@
 	}
 	for name, old := range p.all {
 		if next[name] != old {
-			old.Close()
+			go old.Close()
 		}
 	}
 	p.all = next
--- a/io/pool/conn.go
+++ b/io/pool/conn.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"io"
 	"net"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,12 @@
 // maxPrepared bounds the named statements kept on one connection.
 const maxPrepared = 256
 
+// closeTimeout is how long the upstream may take to end a connection.
+const closeTimeout = time.Second
+
+// longAgo ends reads and writes at once when set as a deadline.
+var longAgo = time.Unix(1, 0)
+
 // Conn is an open connection to an upstream, lent to one session at a time.
 type Conn struct {
 	conn     net.Conn
@@ -113,17 +120,24 @@
 // from any goroutine.
 func (c *Conn) Break() { c.broken.Store(true) }
 
-// Abort breaks the connection and ends whatever waits for it.
+// Abort breaks the connection and ends whatever waits for it. Release closes it.
 func (c *Conn) Abort() {
 	c.Break()
-	c.conn.Close()
+	_ = c.conn.SetDeadline(longAgo)
 }
 
 // Release gives the connection back to its pool, which closes it if it is
 // broken.
 func (c *Conn) Release() { c.pool.put(c) }
 
+// close ends the connection and waits until the upstream has ended it too, before
+// its right goes to another: else there are more connections than rights for a
+// moment. No Terminate is sent, because a message may have been written in part.
 func (c *Conn) close() {
+	_ = c.conn.SetDeadline(time.Now().Add(closeTimeout))
+	if h, ok := c.conn.(interface{ CloseWrite() error }); ok && h.CloseWrite() == nil {
+		_, _ = io.Copy(io.Discard, c.conn)
+	}
 	c.conn.Close()
 	c.release()
 }
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -159,7 +159,7 @@
 	p.idle = p.idle[1:]
 	p.open--
 	p.mu.Unlock()
-	c.close()
+	go c.close()
 	return true
 }
 
@@ -172,9 +172,11 @@
 	p.open -= len(idle)
 	p.failAll(unavailable(p.Upstream.Name(), "is no longer in use"))
 	p.mu.Unlock()
+	var closing sync.WaitGroup
 	for _, c := range idle {
-		c.close()
+		closing.Go(c.close)
 	}
+	closing.Wait()
 }
 
 func (p *Pool) put(c *Conn) {
@@ -184,16 +186,21 @@
 	if c.broken.Load() || p.closed {
 		p.open--
 		p.mu.Unlock()
-		c.close()
-		p.mu.Lock()
-		p.openMore()
-		p.mu.Unlock()
+		go p.replace(c)
 		return
 	}
 	p.hand(c)
 	p.mu.Unlock()
 }
 
+// replace closes a connection and opens others for those who wait.
+func (p *Pool) replace(c *Conn) {
+	c.close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.openMore()
+}
+
 // hand gives a free connection to the next waiter. The lock is held.
 func (p *Pool) hand(c *Conn) {
 	w, _, ok := p.waiters.Pop()
@@ -231,7 +238,7 @@
 	}
 	p.mu.Unlock()
 	for _, c := range idle {
-		c.close()
+		go c.close()
 	}
 	for _, c := range overdue {
 		c.Abort()
@@ -250,7 +257,7 @@
 	lent := slices.SortedFunc(maps.Keys(p.lent), func(a, b *Conn) int { return p.lent[a].Compare(p.lent[b]) })
 	p.mu.Unlock()
 	for _, c := range idle {
-		c.close()
+		go c.close()
 	}
 	for _, c := range lent[:min(count-n, len(lent))] {
 		c.Abort()
