--- a/stand/dbase/call.go
+++ b/stand/dbase/call.go
@@ -196,6 +196,16 @@
 			s.Cut(arg)
 			return nil
 		}),
+		"standin_connections": {
+			columns: []column{
+				{name: "most", oid: pgtype.Int8OID},
+			},
+			platform: true,
+			quiet:    true,
+			run: func(_ context.Context, x *session, _ []string) ([][]any, error) {
+				return [][]any{{x.server.mostConnections()}}, nil
+			},
+		},
 		"standin_executed": {
 			columns: []column{
 				{name: "kind", oid: pgtype.TextOID},
@@ -211,6 +221,14 @@
 	}
 }
 
+// mostConnections is the greatest number of connections, without the platform's,
+// that there were at once.
+func (s *Server) mostConnections() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return int64(s.most)
+}
+
 func (s *Server) setDuration(text string, set func(time.Duration)) error {
 	d, err := time.ParseDuration(text)
 	if err != nil {
--- a/stand/dbase/doc.go
+++ b/stand/dbase/doc.go
@@ -14,7 +14,7 @@
 // Faults are functions as well: standin_lag('50ms'), standin_freeze('2s') and
 // standin_cut('<peer>'). standin_executed() lists the statements that have run,
 // by kind, with their number; it tells whether a refusal that says "not run" is
-// true.
+// true. standin_connections() tells how many connections there were at most.
 //
 // # Differences from PostgreSQL
 //
--- a/stand/dbase/greet.go
+++ b/stand/dbase/greet.go
@@ -163,6 +163,9 @@
 	x.pid = s.pid
 	x.secret = binary.BigEndian.AppendUint32(nil, randomSecret())
 	s.sessions[x.pid] = x
+	if !x.platform {
+		s.most = max(s.most, n+1)
+	}
 	return nil
 }
 
--- a/stand/dbase/server.go
+++ b/stand/dbase/server.go
@@ -90,6 +90,7 @@
 	cuts     map[string]bool
 	frozen   time.Time
 	sessions map[uint32]*session
+	most     int
 	pid      uint32
 
 	tmp    string
