--- a/test/fault_test.go
+++ b/test/fault_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"testing"
 	"time"
 
@@ -94,3 +95,51 @@
 	f.t.Cleanup(func() { c.Close(context.Background()) })
 	return c
 }
+
+// trouble changes how the platform misbehaves, given as JSON.
+func (f *fleet) trouble(faults string) {
+	f.t.Helper()
+	put(f.t, "http://"+f.control+"/standin/faults", faults)
+}
+
+// askDatabase runs a query of the platform's user at a database.
+func (f *fleet) askDatabase(t testing.TB, name, sql string, read func(rows pgx.Rows) error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	c, err := pgx.Connect(ctx, "postgres://platform@"+f.databases[name].listen+"/main?sslmode=disable")
+	assert.NilError(t, err)
+	defer c.Close(ctx)
+	rows, err := c.Query(ctx, sql, pgx.QueryExecModeSimpleProtocol)
+	assert.NilError(t, err)
+	assert.NilError(t, read(rows))
+}
+
+// executed asks a database how many statements on the table history it has run for
+// callers.
+func (f *fleet) executed(t testing.TB, name string) int {
+	t.Helper()
+	var kind, statement string
+	var n, total int
+	f.askDatabase(t, name, "SELECT * FROM standin_executed()", func(rows pgx.Rows) error {
+		_, err := pgx.ForEachRow(rows, []any{&kind, &statement, &n}, func() error {
+			if strings.Contains(statement, "history") {
+				total += n
+			}
+			return nil
+		})
+		return err
+	})
+	return total
+}
+
+// mostConnections asks a database how many connections it had at most.
+func (f *fleet) mostConnections(t testing.TB, name string) (most int) {
+	t.Helper()
+	f.askDatabase(t, name, "SELECT * FROM standin_connections()", func(rows pgx.Rows) error {
+		var err error
+		most, err = pgx.CollectOneRow(rows, pgx.RowTo[int])
+		return err
+	})
+	return most
+}
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -26,6 +26,7 @@
 	lag      time.Duration
 	delay    time.Duration
 	conns    int
+	room     int
 	network  bool
 	settings map[string]string
 	// hostArgs and databaseArgs are further arguments by name.
@@ -115,7 +116,7 @@
 		d.args = []string{
 			"database", "-name", d.name, "-listen", d.listen, "-replicate", d.replicate,
 			"-initial", group + "-1", "-lag", f.layout.lag.String(), "-connect-delay", f.layout.delay.String(),
-			"-max-conns", fmt.Sprint(f.connections()), "-dir", f.t.TempDir(),
+			"-max-conns", fmt.Sprint(f.connections() + f.layout.room), "-dir", f.t.TempDir(),
 		}
 	}
 	for i := range size {
