caller: a second arrival is answered whole; a late request id is refused

Cause: the answer to a request whose id is already recorded was a CommandComplete alone. lib/pq sends Parse, Bind and Execute in one batch and gave up with "unexpected Bind response (C) CommandComplete", so its caller took a payment that was done for one that failed. pgx does not check the replies and hid it. The batch is now answered step by step, as other batches that need no database are.

A request id that was set after the first statement of a transaction was dropped without a word, and both runs of the transaction took effect. It is refused now (25001, not run).

Red: without the change both new parts of TestRequestIDRunsOnce fail (lib/pq as above; no error instead of 25001). Green with it.

--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -31,6 +31,7 @@
 type exchange struct {
 	session *Session
 	conn    *pool.Conn
+	batch   *batch
 	need    route.Need
 	steps   []step
 	commits bool
@@ -60,6 +61,7 @@
 	x := &exchange{
 		session: s,
 		conn:    c,
+		batch:   b,
 		need:    n,
 		before: state{
 			tx:       s.tx,
--- a/io/caller/idempotent.go
+++ b/io/caller/idempotent.go
@@ -111,7 +111,7 @@
 	if err := s.out.add(notice); err != nil {
 		return answered, callerError(err)
 	}
-	return answered, callerError(s.out.add(&pgproto3.CommandComplete{CommandTag: []byte(tag)}))
+	return answered, callerError(s.answerAll(x.batch, tag))
 }
 
 // firstOutcome returns the command tag of the first request, once a majority
--- a/io/caller/local.go
+++ b/io/caller/local.go
@@ -62,6 +62,9 @@
 		if len(value) > maxRequestID {
 			return coltsfootloft.Refuse("22023", "request id is too long")
 		}
+		if value != "" && s.isMidTransaction() {
+			return coltsfootloft.Refuse("25001", "a request id must be set before the first statement of a transaction")
+		}
 		s.request = value
 		return nil
 	}
--- a/test/request_test.go
+++ b/test/request_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"database/sql"
 	"testing"
 	"time"
 
@@ -41,6 +42,34 @@
 		assert.Equal(t, count(t, b, "SELECT count(*) FROM payments"), 1)
 	})
 
+	t.Run("second arrival through lib/pq", func(t *testing.T) {
+		for _, e := range f.hosts {
+			db, err := sql.Open("postgres", f.dsn(e, "alpha.app", "g1"))
+			assert.NilError(t, err)
+			defer db.Close()
+			db.SetMaxOpenConns(1)
+			_, err = db.ExecContext(ctx, "SET coltsfootloft.request_id = 'p5'")
+			assert.NilError(t, err)
+			r, err := db.ExecContext(ctx, "INSERT INTO payments VALUES ($1)", 11)
+			assert.NilError(t, err)
+			n, err := r.RowsAffected()
+			assert.NilError(t, err)
+			assert.Equal(t, n, int64(1))
+		}
+		assert.Equal(t, count(t, b, "SELECT count(*) FROM payments WHERE amount = 11"), 1)
+	})
+
+	t.Run("too late in a transaction", func(t *testing.T) {
+		tx, err := a.Begin(ctx)
+		assert.NilError(t, err)
+		_, err = tx.Exec(ctx, "INSERT INTO payments VALUES (12)")
+		assert.NilError(t, err)
+		_, err = tx.Exec(ctx, "SET coltsfootloft.request_id = 'p6'")
+		assert.Equal(t, code(err), "25001")
+		assert.NilError(t, tx.Rollback(ctx))
+		assert.Equal(t, count(t, a, "SELECT count(*) FROM payments WHERE amount = 12"), 0)
+	})
+
 	t.Run("the id covers one write only", func(t *testing.T) {
 		mustExec(t, a, "SET coltsfootloft.request_id = 'p2'")
 		mustExec(t, a, "INSERT INTO payments VALUES (8)")
