caller: other encodings are refused after the start too

Cause: client_encoding was checked in the startup message only; SET client_encoding and SET NAMES went to the database. Statements are classified in UTF-8, and pgx refuses to go on. Refused now with 22023, not run. Red: without the change the new part of TestPath gets no error. Green with it.

--- a/io/caller/batch.go
+++ b/io/caller/batch.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 
+	"coltsfootloft"
 	"coltsfootloft/core/stmt"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -69,12 +70,36 @@
 			b.refused = unsupported("COPY")
 		case t.Kind() == stmt.Unsupported:
 			b.refused = unsupported("a statement that needs a server session of its own")
+		case setsEncoding(t):
+			b.refused = coltsfootloft.Refuse("22023", "client_encoding must be UTF8")
 		case t.IsProxy() && (s.Len() > 1 || b.cost > 1):
 			b.refused = unsupported("a setting of the proxy among several statements")
 		}
 	}
 }
 
+// setsEncoding reports whether the statement leaves UTF8, which statements are
+// classified in.
+func setsEncoding(t stmt.Statement) bool {
+	switch t.Kind() {
+	case stmt.Set:
+		return (t.Name() == "client_encoding" || t.Name() == "names") && !IsUTF8(t.Value())
+	case stmt.SetLocal:
+		return strings.Contains(strings.ToLower(t.Text()), "client_encoding")
+	default:
+		return false
+	}
+}
+
+// IsUTF8 reports whether a value of client_encoding stands for UTF8.
+func IsUTF8(value string) bool {
+	switch strings.ToLower(strings.Trim(value, `'"`)) {
+	case "utf8", "utf-8", "unicode", "default":
+		return true
+	}
+	return false
+}
+
 // has reports whether any executed script has a statement of the kind.
 func (b *batch) has(k stmt.Kind) bool {
 	for _, t := range b.steps {
--- a/io/front/startup.go
+++ b/io/front/startup.go
@@ -119,8 +119,7 @@
 
 // checkEncoding takes UTF8 only, which statements are classified in.
 func checkEncoding(value string) error {
-	switch strings.ToLower(strings.Trim(value, `'"`)) {
-	case "utf8", "utf-8", "unicode":
+	if caller.IsUTF8(value) {
 		return nil
 	}
 	return coltsfootloft.Refuse("22023", "client_encoding must be UTF8")
--- a/test/path_test.go
+++ b/test/path_test.go
@@ -82,6 +82,14 @@
 		assert.NilError(t, a.Ping(ctx))
 	})
 
+	t.Run("other encodings are refused", func(t *testing.T) {
+		for _, sql := range []string{"SET client_encoding = 'LATIN1'", "SET NAMES 'SJIS'", "SET LOCAL client_encoding TO latin1"} {
+			_, err := a.Exec(ctx, sql)
+			assert.Equal(t, code(err), "22023", sql)
+		}
+		mustExec(t, a, "SET client_encoding TO 'UTF8'")
+	})
+
 	t.Run("lib/pq", func(t *testing.T) {
 		db, err := sql.Open("postgres", f.dsn(f.hosts[1], "alpha.app", "g1"))
 		assert.NilError(t, err)
