host: metrics of settings and membership are exported

Cause: the view of the fleet and the feed of settings counted into private sets that nothing writes out, so a running host's /metrics had no coltsfootloft_hosts and no coltsfootloft_settings_revision. They count into the default set now, as the links do.

--- a/io/host/provide.go
+++ b/io/host/provide.go
@@ -76,6 +76,7 @@
 		Bootstrap: settings.Peers(),
 		Clock:     clock,
 		Log:       log.WithName("member"),
+		Metrics:   metrics.GetDefaultSet(),
 		Revision:  func() uint64 { return c.Fleet().Revision() },
 	}
 	return b.view
@@ -88,6 +89,7 @@
 		Members: m,
 		Clock:   clock,
 		Log:     log.WithName("feed"),
+		Metrics: metrics.GetDefaultSet(),
 		Prefix:  conf.StorePrefix,
 		Head:    conf.StorePrefix + conf.HeadPath,
 	}
