--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -32,6 +32,7 @@
 type exchange struct {
 	session *Session
 	conn    *pool.Conn
+	batch   *batch
 	need    route.Need
 	steps   []step
 	commits bool
@@ -61,6 +62,7 @@
 	x := &exchange{
 		session: s,
 		conn:    c,
+		batch:   b,
 		need:    n,
 		before: state{
 			tx:       s.tx,
