elect: proposers further apart, and no long wait after being outbid

Suspected, not shown: the second host in rank starts 150 ms after the first, which is still in its survey (150 ms for a frozen suspect, after 100 ms of questions), so they duel, and the loser's waits double. Tests of core/elect and io/elect pass; not yet run with real hosts.

--- a/core/elect/campaign.go
+++ b/core/elect/campaign.go
@@ -29,7 +29,7 @@
 
 // Limits of the phases of a campaign.
 const (
-	surveyLimit  = 150 * time.Millisecond
+	surveyLimit  = 100 * time.Millisecond
 	drainLimit   = 200 * time.Millisecond
 	fenceLimit   = 150 * time.Millisecond
 	promoteLimit = 1500 * time.Millisecond
@@ -40,6 +40,8 @@
 	settlePeriod = 10 * time.Millisecond
 )
 
+const reasonOutbid = "another proposer raised a higher term"
+
 // Campaign is one election. The fields are set before Start.
 type Campaign struct {
 	// Databases are the names of the whole group.
@@ -92,6 +94,9 @@
 // Reason says why the campaign ended, or why it made its choice.
 func (c *Campaign) Reason() string { return c.reason }
 
+// Outbid reports whether the campaign failed because another proposer is at work.
+func (c *Campaign) Outbid() bool { return c.phase == Failed && c.reason == reasonOutbid }
+
 // Positions returns what the fenced databases held, by name.
 func (c *Campaign) Positions() map[string]coltsfootloft.Position {
 	m := make(map[string]coltsfootloft.Position, len(c.fenced))
@@ -279,7 +284,7 @@
 
 func (c *Campaign) refused(err error) []Action {
 	if outbid(err) {
-		return c.fail("another proposer raised a higher term")
+		return c.fail(reasonOutbid)
 	}
 	return c.fail(err.Error())
 }
--- a/core/elect/suspect.go
+++ b/core/elect/suspect.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	// rankDelay separates the hosts that may propose, so that duels are rare.
-	rankDelay = 150 * time.Millisecond
+	// rankDelay separates the hosts that may propose. It is above the time from a
+	// suspicion to the fencing that the next host sees, so that duels are rare.
+	rankDelay = 300 * time.Millisecond
 	// firstCooling is waited after a failed election; it doubles up to
 	// longestCooling while the need lasts.
 	firstCooling   = 200 * time.Millisecond
--- a/io/elect/attempt.go
+++ b/io/elect/attempt.go
@@ -15,6 +15,9 @@
 // most one operation under way on each database and phase.
 const answersKept = 64
 
+// errOutbid says that another proposer's election has overtaken this one.
+var errOutbid = errors.New("another proposer raised a higher term")
+
 // attempt is one campaign and the connections it uses.
 type attempt struct {
 	keeper    *keeper
@@ -44,6 +47,9 @@
 	k.count(need.Kind(), c.Phase() == elect.Done, took.Seconds())
 	if c.Phase() != elect.Done {
 		k.record("election failed", "term", c.Term().String(), "reason", c.Reason(), "took", took)
+		if c.Outbid() {
+			return errOutbid
+		}
 		return errors.Errorf("election of term %q: %s", c.Term(), c.Reason())
 	}
 	k.record("election done", "term", c.Term().String(), "primary", c.Chosen(), "took", took)
--- a/io/elect/keeper.go
+++ b/io/elect/keeper.go
@@ -76,7 +76,10 @@
 		}
 		fallthrough
 	case elect.LeavingPrimary, elect.NoPrimary, elect.Outrun:
-		if k.elect(ctx, need, view) != nil {
+		switch err := k.elect(ctx, need, view); {
+		case errors.Is(err, errOutbid):
+			suspicion.Hold(k.duty.clock().Now())
+		case err != nil:
 			suspicion.Cool(k.duty.clock().Now())
 		}
 	case elect.Astray:
