dbops: dial from the host's own address again

A cut of failure domains between 127.0.x addresses no longer reached the observers: in a fleet with domain 1 cut off all their connections to databases came from 127.0.0.1 (relays of the way 0 to 1, 0 to 2 and 0 to 3 had 6 open each), the primary stayed silent to nobody, and nobody promoted (0 writes in 2.8 s).

--- a/io/dbops/dbops.go
+++ b/io/dbops/dbops.go
@@ -187,12 +187,11 @@
 	c.Password = d.Password
 	c.TLSConfig = d.TLS
 	c.Fallbacks = nil
-	c.DialFunc = pgconn.DialFunc(dial.Or(d.Dial, 0))
 	c.ConnectTimeout = d.ConnectTimeout
 	if c.ConnectTimeout == 0 {
 		c.ConnectTimeout = DefaultConnectTimeout
 	}
-	c.DialFunc = dialOnce()
+	c.DialFunc = dialOnce(dial.Or(d.Dial, 0))
 	conn, err := pgconn.ConnectConfig(ctx, c)
 	return conn, errors.Wrap(err, "connect")
 }
@@ -201,13 +200,12 @@
 // connection to cancel a statement whose answer was abandoned; it would pile up
 // before a database that does not answer, and the database notices the end of
 // the first one by itself.
-func dialOnce() pgconn.DialFunc {
+func dialOnce(open dial.Func) pgconn.DialFunc {
 	var used atomic.Bool
-	var d net.Dialer
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		if used.Swap(true) {
 			return nil, errors.New("connection was abandoned")
 		}
-		return d.DialContext(ctx, network, address)
+		return open(ctx, network, address)
 	}
 }
