route: the stated age holds at the primary too

TestStatedAge cuts off the failure domain of the primary. Red: the hosts there went on reading at it past the stated age of 600 ms, as the primary that reads fall back on: 442 of 11064 reads were older, the oldest by 148 writes, while the others wrote at a new primary. The age of a database that no majority vouches for grows, so the check of the replicas serves for the primary as well.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -103,7 +103,7 @@
 		if !c.IsPrimary || n.Avoid[c.Upstream.Name()] {
 			continue
 		}
-		if !c.Reading.Applied().Covers(n.Position) {
+		if !c.Reading.Applied().Covers(n.Position) || !n.Write && !isYoung(n, c) {
 			return Choice{verdict: NoPrimary}
 		}
 		return chosen(n, c, ToPrimary)
@@ -119,10 +119,13 @@
 }
 
 func serves(n Need, c Candidate) bool {
-	if n.MaxAge > 0 && (!c.Aged || c.Age > n.MaxAge) {
-		return false
-	}
-	return c.Reading.Applied().Covers(n.Position)
+	return isYoung(n, c) && c.Reading.Applied().Covers(n.Position)
+}
+
+// isYoung reports whether reads at the database are within the stated age. That
+// concerns the primary too: one that is cut off may be an old one.
+func isYoung(n Need, c Candidate) bool {
+	return n.MaxAge == 0 || c.Aged && c.Age <= n.MaxAge
 }
 
 // prefer orders the replicas that would serve: near before far, then the one
