--- a/io/caller/batch.go
+++ b/io/caller/batch.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 
+	"coltsfootloft"
 	"coltsfootloft/core/stmt"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -20,6 +21,8 @@
 	needs *statement
 	// adds is the statement that the step itself prepares.
 	adds *statement
+	// change is what the step does to the session's prepared statements.
+	change *change
 	// script is what an execution runs.
 	script stmt.Script
 	// hidden steps are the host's own.
@@ -39,6 +42,8 @@
 	writes bool
 	// only is the single statement it runs, if it runs just one.
 	only stmt.Statement
+	// sql is the first statement that it runs.
+	sql string
 	// simple batches are one simple query.
 	simple bool
 	// open batches end in a Flush, with the Sync to come.
@@ -66,15 +71,46 @@
 	for _, t := range s.Statements() {
 		switch {
 		case t.Kind() == stmt.Copy:
-			b.refused = unsupported("COPY")
+			b.refuse(unsupported("COPY"))
 		case t.Kind() == stmt.Unsupported:
-			b.refused = unsupported("a statement that needs a server session of its own")
+			b.refuse(unsupported("a statement that needs a server session of its own"))
+		case setsEncoding(t):
+			b.refuse(coltsfootloft.Refuse("22023", "client_encoding must be UTF8"))
 		case t.IsProxy() && (s.Len() > 1 || b.cost > 1):
-			b.refused = unsupported("a setting of the proxy among several statements")
+			b.refuse(unsupported("a setting of the proxy among several statements"))
 		}
 	}
 }
 
+// refuse notes the first reason why the batch can't be run.
+func (b *batch) refuse(err error) {
+	if b.refused == nil {
+		b.refused = err
+	}
+}
+
+// setsEncoding reports whether the statement leaves UTF8, which statements are
+// classified in.
+func setsEncoding(t stmt.Statement) bool {
+	switch t.Kind() {
+	case stmt.Set:
+		return (t.Name() == "client_encoding" || t.Name() == "names") && !IsUTF8(t.Value())
+	case stmt.SetLocal:
+		return strings.Contains(strings.ToLower(t.Text()), "client_encoding")
+	default:
+		return false
+	}
+}
+
+// IsUTF8 reports whether a value of client_encoding stands for UTF8.
+func IsUTF8(value string) bool {
+	switch strings.ToLower(strings.Trim(value, `'"`)) {
+	case "utf8", "utf-8", "unicode", "default":
+		return true
+	}
+	return false
+}
+
 // has reports whether any executed script has a statement of the kind.
 func (b *batch) has(k stmt.Kind) bool {
 	for _, t := range b.steps {
--- a/io/caller/env.go
+++ b/io/caller/env.go
@@ -9,6 +9,7 @@
 	"coltsfootloft/core/conf"
 	"coltsfootloft/core/journ"
 	"coltsfootloft/io/pool"
+	"coltsfootloft/io/trace"
 
 	"github.com/go-logr/logr"
 	"github.com/jonboulle/clockwork"
@@ -19,6 +20,8 @@
 type Env struct {
 	// Domain is the host's own failure domain.
 	Domain string
+	// PrimaryOnly sends reads to the primary too; measurements compare with it.
+	PrimaryOnly bool
 	// Groups knows the databases' readings.
 	Groups coltsfootloft.Groups
 	// Members knows which upstreams leave.
@@ -31,6 +34,8 @@
 	Pool func(database string) (*pool.Pool, bool)
 	// Retry spends from the client account's retry budget.
 	Retry Budget
+	// Trace decides which requests are traced; nil traces none.
+	Trace *trace.Tracer
 	// Journal takes decisions for explanations; nil drops them.
 	Journal *journ.Journal
 	// Clock tells the time.
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -10,6 +10,7 @@
 	"coltsfootloft/core/stmt"
 	"coltsfootloft/io/dbops"
 	"coltsfootloft/io/pool"
+	"coltsfootloft/io/trace"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/pkg/errors"
@@ -31,6 +32,7 @@
 type exchange struct {
 	session *Session
 	conn    *pool.Conn
+	batch   *batch
 	need    route.Need
 	steps   []step
 	commits bool
@@ -60,6 +62,7 @@
 	x := &exchange{
 		session: s,
 		conn:    c,
+		batch:   b,
 		need:    n,
 		before: state{
 			tx:       s.tx,
@@ -71,6 +74,7 @@
 	x.idempotent = s.request != "" && s.tx == txIdle && b.has(stmt.Write)
 	x.commits = s.onPrimary && !b.open && (s.tx == txIdle || b.has(stmt.Commit))
 	x.prefix(b)
+	b.begin()
 	x.steps = append(x.steps, b.steps...)
 	if b.open {
 		x.steps = append(x.steps, step{
@@ -130,23 +134,31 @@
 
 // run sends the batch and gathers its answer.
 func (x *exchange) run(ctx context.Context) (verdict, error) {
-	if err := x.send(); err != nil {
-		return x.broke(err)
-	}
-	if err := x.receive(); err != nil {
+	if err := x.converse(); err != nil {
 		return x.broke(err)
 	}
 	if x.recorded != nil {
 		return x.already(ctx)
 	}
-	if x.idempotent {
-		if err := x.finish(); err != nil {
-			return x.broke(err)
-		}
-	}
 	return x.settle(ctx)
 }
 
+// converse sends the batch and reads every reply.
+func (x *exchange) converse() (err error) {
+	span := x.session.spanAt(trace.Database, x.conn.Database())
+	defer func() { span.End(err) }()
+	if err := x.send(); err != nil {
+		return err
+	}
+	if err := x.receive(); err != nil {
+		return err
+	}
+	if x.recorded != nil || !x.idempotent {
+		return nil
+	}
+	return x.finish()
+}
+
 // send writes every step in one go.
 func (x *exchange) send() error {
 	f := x.conn.Frontend()
@@ -167,7 +179,9 @@
 func (x *exchange) expand(all []step, t step) []step {
 	if t.adds != nil {
 		if x.conn.HasStatement(t.adds.name, t.adds.key) {
-			return append(all, answer(atParse, &pgproto3.ParseComplete{}))
+			a := answer(atParse, &pgproto3.ParseComplete{})
+			a.change = t.change
+			return append(all, a)
 		}
 		return append(x.evict(all, t.adds), t)
 	}
@@ -216,6 +230,11 @@
 		if err != nil {
 			return err
 		}
+		if ok {
+			t.change.finished()
+		} else {
+			t.change.failed()
+		}
 		skipping = !ok && t.ends != atSync && t.ends != atQuery
 	}
 	return nil
@@ -350,7 +369,7 @@
 	}
 	x.refusedWrite = x.refusedWrite || e.Code == coltsfootloft.CodeReadOnly
 	if t.hidden && t.ends == atQuery {
-		return errors.Errorf("%s refused a statement of the host: %s", x.conn.Database(), e.Message)
+		return errors.Errorf("%s refused a statement of the host: SQLSTATE %s", x.conn.Database(), e.Code)
 	}
 	return callerError(x.session.out.add(e))
 }
@@ -442,7 +461,9 @@
 	ctx, cancel := context.WithTimeout(ctx, s.Env.ackTimeout(group))
 	defer cancel()
 	defer s.observe(ackSeconds, s.now())
+	wait := s.trace.Start(trace.AckWait)
 	err := s.Env.Groups.Held(ctx, group, x.position)
+	wait.End(err)
 	if err != nil {
 		s.out.revoke()
 		s.note(journ.Refused, "commit not acknowledged: "+err.Error(), x.conn.Database())
--- a/io/caller/run.go
+++ b/io/caller/run.go
@@ -11,6 +11,7 @@
 	"coltsfootloft/core/route"
 	"coltsfootloft/core/stmt"
 	"coltsfootloft/io/pool"
+	"coltsfootloft/io/trace"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 )
@@ -23,7 +24,10 @@
 	if b.cost > 0 {
 		defer s.observe(requestSeconds, s.now())
 	}
+	s.beginTrace(&b)
+	defer s.endTrace()
 	if err := s.answer(ctx, &b); err != nil {
+		s.failure = err
 		return err
 	}
 	if b.open {
@@ -41,6 +45,7 @@
 // answer adds the whole answer to the batch, less the final ReadyForQuery. Its
 // errors are about the caller's connection.
 func (s *Session) answer(ctx context.Context, b *batch) error {
+	defer s.takeBack(b)
 	err := s.attempt(ctx, b)
 	if err == nil {
 		return nil
@@ -48,7 +53,9 @@
 	if isCallerError(err) {
 		return err
 	}
+	s.failure = err
 	s.fail()
+	s.discarding = b.open
 	s.note(journ.Refused, err.Error(), "")
 	countRefused(err)
 	return s.out.add(response(err))
@@ -67,8 +74,14 @@
 	if err := s.checkReadOnly(b); err != nil {
 		return err
 	}
+	if err := s.checkParts(b); err != nil {
+		return err
+	}
 	if b.cost > 0 {
-		if err := s.Env.Shares.Admit(ctx, s.Account, b.cost); err != nil {
+		wait := s.trace.Start(trace.Admission)
+		err := s.Env.Shares.Admit(ctx, s.Account, b.cost)
+		wait.End(err)
+		if err != nil {
 			return err
 		}
 	}
@@ -89,6 +102,15 @@
 	return nil
 }
 
+// checkParts refuses a write with a request id in a batch that comes in parts: the
+// id is recorded in the transaction of the whole batch.
+func (s *Session) checkParts(b *batch) error {
+	if !b.open && !s.midBatch || s.request == "" || s.tx != txIdle || !b.has(stmt.Write) {
+		return nil
+	}
+	return unsupported("a write with a request id in a batch with a Flush")
+}
+
 // onPinned runs the batch on the connection of the open transaction.
 func (s *Session) onPinned(ctx context.Context, b *batch) error {
 	x := s.exchange(s.pinned, b, route.Need{})
@@ -125,6 +147,9 @@
 }
 
 func (s *Session) needsPrimary(b *batch) bool {
+	if s.Env.PrimaryOnly {
+		return true
+	}
 	if s.tx == txOpen {
 		return !s.beginRead
 	}
@@ -178,6 +203,9 @@
 // fail puts an open transaction into the failed state and gives its connection
 // up: nothing of it lasts.
 func (s *Session) fail() {
+	if s.midBatch && s.pinned != nil {
+		s.pinned.Abort()
+	}
 	s.midBatch = false
 	if s.tx == txIdle {
 		s.unpin()
@@ -205,6 +233,9 @@
 
 // answersAlone reports whether the host answers the batch without a database.
 func (s *Session) answersAlone(b *batch) bool {
+	if s.midBatch {
+		return false
+	}
 	if b.isLocal() {
 		return true
 	}
@@ -266,6 +297,7 @@
 }
 
 func (s *Session) answerStep(t *step, tag string) error {
+	t.change.finished()
 	if t.local != nil {
 		return t.local(&s.out)
 	}
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -18,6 +18,7 @@
 	"coltsfootloft/io/member"
 	"coltsfootloft/io/peer"
 	"coltsfootloft/io/share"
+	"coltsfootloft/io/trace"
 	"coltsfootloft/io/watch"
 
 	"github.com/go-logr/logr"
@@ -51,6 +52,8 @@
 	Admin *admin.Server
 	// Front takes callers.
 	Front *front.Server
+	// Tracer delivers the spans of traced requests.
+	Tracer *trace.Tracer
 
 	current *current
 	pools   *pools
@@ -69,6 +72,8 @@
 	seatsWait = 3 * time.Second
 	// seatsPause is how often it looks.
 	seatsPause = 10 * time.Millisecond
+	// flushTimeout bounds the delivery of spans at the end.
+	flushTimeout = 2 * time.Second
 )
 
 // duty is a goroutine of the host.
@@ -80,6 +85,10 @@
 // Run serves callers until ctx ends, and then until every transaction is over or
 // the drain wait has passed.
 func (h *Host) Run(ctx context.Context) error {
+	if err := h.Tracer.Open(ctx); err != nil {
+		return err
+	}
+	defer h.closeTracer()
 	if err := h.startFront(ctx); err != nil {
 		return err
 	}
@@ -165,6 +174,7 @@
 func (h *Host) startFront(ctx context.Context) error {
 	h.Ledger.OnReclaim(h.pools.reclaim)
 	h.Ledger.OnRevoke(h.pools.revoke)
+	h.Ledger.OnShed(h.pools.shed)
 	h.Watch.Register()
 	h.Elect.Register()
 	a, err := h.Front.Start(ctx)
@@ -191,6 +201,15 @@
 	return nil
 }
 
+// closeTracer delivers the spans that are left.
+func (h *Host) closeTracer() {
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	if err := h.Tracer.Close(ctx); err != nil {
+		h.Log.Error(err, "delivering the last spans")
+	}
+}
+
 func firstError(all ...error) error {
 	for _, err := range all {
 		if err != nil {
--- a/io/host/provide.go
+++ b/io/host/provide.go
@@ -22,6 +22,7 @@
 	"coltsfootloft/io/pool"
 	"coltsfootloft/io/share"
 	"coltsfootloft/io/store"
+	"coltsfootloft/io/trace"
 	"coltsfootloft/io/watch"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -75,6 +76,7 @@
 		Bootstrap: settings.Peers(),
 		Clock:     clock,
 		Log:       log.WithName("member"),
+		Metrics:   metrics.GetDefaultSet(),
 		Revision:  func() uint64 { return c.Fleet().Revision() },
 	}
 	return b.view
@@ -87,6 +89,7 @@
 		Members: m,
 		Clock:   clock,
 		Log:     log.WithName("feed"),
+		Metrics: metrics.GetDefaultSet(),
 		Prefix:  conf.StorePrefix,
 		Head:    conf.StorePrefix + conf.HeadPath,
 	}
@@ -159,7 +162,7 @@
 }
 
 func provideLedger(run runName, l *peer.Links, m *member.View, s *store.Consul, clock clockwork.Clock, log logr.Logger) *share.Ledger {
-	return &share.Ledger{
+	ledger := &share.Ledger{
 		Clock:   clock,
 		Log:     log.WithName("share"),
 		Store:   s,
@@ -168,6 +171,11 @@
 		RunName: string(run),
 		Prefix:  seatsPrefix,
 	}
+	if naive {
+		ledger.Peers = noLoans{Peers: l}
+		ledger.Homes = everySeat
+	}
+	return ledger
 }
 
 func provideLogin(settings *conf.Host) (pool.Login, error) {
@@ -201,18 +209,30 @@
 	}
 }
 
-func provideEnv(settings *conf.Host, c *current, w *watch.Watcher, m *member.View, l *share.Ledger, p *pools, r *retries, j *journ.Journal, clock clockwork.Clock, log logr.Logger) *caller.Env {
+func provideTracer(settings *conf.Host, log logr.Logger) *trace.Tracer {
+	return &trace.Tracer{
+		Target:   settings.Trace(),
+		Fraction: settings.TraceFraction(),
+		Host:     settings.Name(),
+		Version:  Version,
+		Log:      log.WithName("trace"),
+	}
+}
+
+func provideEnv(settings *conf.Host, t *trace.Tracer, c *current, w *watch.Watcher, m *member.View, l *share.Ledger, p *pools, r *retries, j *journ.Journal, clock clockwork.Clock, log logr.Logger) *caller.Env {
 	return &caller.Env{
-		Domain:  settings.Domain(),
-		Groups:  w,
-		Members: m,
-		Shares:  l,
-		Fleet:   c.Fleet,
-		Pool:    p.get,
-		Retry:   r,
-		Journal: j,
-		Clock:   clock,
-		Log:     log.WithName("caller"),
+		Domain:      settings.Domain(),
+		PrimaryOnly: naive,
+		Groups:      w,
+		Members:     m,
+		Shares:      l,
+		Fleet:       c.Fleet,
+		Pool:        p.get,
+		Retry:       r,
+		Trace:       t,
+		Journal:     j,
+		Clock:       clock,
+		Log:         log.WithName("caller"),
 	}
 }
 
@@ -229,7 +249,7 @@
 	}
 }
 
-func provideHost(settings *conf.Host, clock clockwork.Clock, log logr.Logger, links *peer.Links, m *member.View, source *feed.Feed, j *journ.Journal, w *watch.Watcher, e *elect.Duty, l *share.Ledger, f *front.Server, c *current, p *pools) *Host {
+func provideHost(settings *conf.Host, clock clockwork.Clock, log logr.Logger, links *peer.Links, m *member.View, source *feed.Feed, j *journ.Journal, w *watch.Watcher, e *elect.Duty, l *share.Ledger, f *front.Server, t *trace.Tracer, c *current, p *pools) *Host {
 	return &Host{
 		Settings: settings,
 		Clock:    clock,
@@ -242,6 +262,7 @@
 		Elect:    e,
 		Ledger:   l,
 		Front:    f,
+		Tracer:   t,
 		current:  c,
 		pools:    p,
 		ready:    make(chan struct{}),
