--- /dev/null
+++ b/test/pages_test.go
@@ -0,0 +1,98 @@
+package test
+
+import (
+	"io"
+	"net/http"
+	"os"
+	"regexp"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const operationsPage = "../docs/OPERATIONS.md"
+
+// metricName finds the names of the project's metrics; those of a histogram's parts
+// have a suffix.
+var metricName = regexp.MustCompile(`coltsfootloft_[a-z_]+(?:_bucket|_sum|_count)?`)
+
+var histogramPart = regexp.MustCompile(`_(bucket|sum|count)$`)
+
+// metricsIn returns the names of metrics in a text.
+func metricsIn(text []byte) []string {
+	var names []string
+	for _, n := range metricName.FindAll(text, -1) {
+		names = append(names, histogramPart.ReplaceAllString(string(n), ""))
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// metrics returns the names of the metrics that a host exports.
+func (f *fleet) metrics(e *entry) []string {
+	f.t.Helper()
+	a, err := http.Get("http://" + e.admin + "/metrics")
+	assert.NilError(f.t, err)
+	defer a.Body.Close()
+	text, err := io.ReadAll(a.Body)
+	assert.NilError(f.t, err)
+	return metricsIn(text)
+}
+
+// TestMetricsPage compares the metrics of a running host with those of the page
+// for operators.
+func TestMetricsPage(t *testing.T) {
+	f := newFleet(t, layout{
+		domains: 1,
+		hosts:   2,
+		groups:  1,
+	})
+	c := f.connect(f.hosts[0])
+	mustExec(t, c, "CREATE TABLE notices (id int4)")
+	mustExec(t, c, "SELECT 1")
+	page, err := os.ReadFile(operationsPage)
+	assert.NilError(t, err)
+	told := metricsIn(page)
+	shown := f.metrics(f.hosts[0])
+	f.await("messages between hosts", func() bool {
+		shown = f.metrics(f.hosts[0])
+		return slices.Contains(shown, "coltsfootloft_peer_sent_bytes_total")
+	})
+	for _, n := range shown {
+		assert.Assert(t, slices.Contains(told, n), n)
+	}
+	// These appear with their first event, and the table is no metric.
+	later := []string{"coltsfootloft_election_seconds", "coltsfootloft_elections_total", "coltsfootloft_refusals_total", "coltsfootloft_requests"}
+	for _, n := range told {
+		assert.Assert(t, slices.Contains(shown, n) || slices.Contains(later, n), n)
+	}
+}
+
+// TestCodesPages checks that both pages tell of every SQLSTATE that the program
+// itself gives.
+func TestCodesPages(t *testing.T) {
+	constant := regexp.MustCompile(`\bCode[A-Z][A-Za-z]+ = "([0-9A-Z]{5})"`)
+	literal := regexp.MustCompile(`Refuse\((?:[a-zA-Z]+, )?"([0-9A-Z]{5})"`)
+	var codes []string
+	for _, name := range []string{
+		"../outcome.go", "../io/caller/run.go", "../io/caller/extended.go", "../io/caller/idempotent.go",
+		"../io/caller/local.go", "../io/caller/batch.go", "../io/front/startup.go", "../io/front/visit.go",
+	} {
+		source, err := os.ReadFile(name)
+		assert.NilError(t, err)
+		for _, r := range []*regexp.Regexp{constant, literal} {
+			for _, m := range r.FindAllSubmatch(source, -1) {
+				codes = append(codes, string(m[1]))
+			}
+		}
+	}
+	assert.Assert(t, len(codes) > 15, codes)
+	for _, page := range []string{callersPage, operationsPage} {
+		text, err := os.ReadFile(page)
+		assert.NilError(t, err)
+		for _, c := range append(codes, "28000", "23505", "42P01") {
+			assert.Assert(t, regexp.MustCompile("`"+c+"`").Match(text), "%s in %s", c, page)
+		}
+	}
+}
