--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -206,6 +206,12 @@
 	f.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
+	revision, err := f.tryApply(ctx, all)
+	assert.NilError(f.t, err)
+	return revision
+}
+
+func (f *fleet) tryApply(ctx context.Context, all map[string]string) (revision uint64, err error) {
 	edit := change.Edit{Put: make(map[string][]byte)}
 	for path, value := range all {
 		edit.Put[path] = []byte(value)
@@ -215,8 +221,7 @@
 		Author: "test",
 	}
 	r, err := e.Apply(ctx, edit)
-	assert.NilError(f.t, err)
-	return r.Revision()
+	return r.Revision(), err
 }
 
 // register puts an entry host or an upstream on the platform's list.
--- /dev/null
+++ b/test/soak_test.go
@@ -0,0 +1,259 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	soakSeed = 20261204
+	// soakFaults and soakFaultsLong are how many faults follow each other.
+	soakFaults     = 10
+	soakFaultsLong = 34
+)
+
+// TestSoak mixes all faults, one or two at a time, on six hosts and two groups
+// while callers of every kind go on, and checks every promise at once. With
+// -measure it takes two minutes.
+func TestSoak(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, layout{
+		domains: 3,
+		hosts:   6,
+		groups:  2,
+		lag:     30 * time.Millisecond,
+		conns:   24,
+		network: true,
+		settings: map[string]string{
+			"teams/alpha/accounts/rated": `{"rate": "100/s", "burst": 50}`,
+			"teams/alpha/accounts/gone":  `{"rate": "100/s", "burst": 50}`,
+		},
+	})
+	f.apply(map[string]string{
+		"teams/alpha/keys/rated": f.newKey("alpha.rated", "rated"),
+		"teams/alpha/keys/gone":  f.newKey("alpha.gone", "gone"),
+	})
+	s := newSoak(f)
+	s.start()
+	faults := soakFaults
+	if *measureRun {
+		faults = soakFaultsLong
+	}
+	s.trouble(rand.New(rand.NewPCG(soakSeed, 0)), faults)
+	s.withdraw(t)
+	s.stop()
+	s.check(t)
+}
+
+// faultKinds is the number of kinds of fault.
+const faultKinds = 7
+
+// soak is the callers of every kind and what they were told.
+type soak struct {
+	fleet    *fleet
+	ctx      context.Context
+	cancel   context.CancelFunc
+	callers  sync.WaitGroup
+	history  *history
+	payments *payments
+	rated    admissions
+	reads    atomic.Int64
+	stale    atomic.Int64
+	refused  atomic.Int64
+	backward atomic.Int64
+}
+
+func newSoak(f *fleet) *soak {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := f.connect(f.hosts[0])
+	for _, sql := range []string{
+		"CREATE TABLE history (id text PRIMARY KEY)",
+		"CREATE TABLE filed (caller int4, n int4)",
+		"CREATE TABLE paid (id text)",
+		"CREATE TABLE halves (id text, half int4)",
+		requestTable,
+	} {
+		mustExec(f.t, c, sql)
+	}
+	return &soak{
+		fleet:   f,
+		ctx:     ctx,
+		cancel:  cancel,
+		history: newHistory(),
+		payments: &payments{
+			fleet: f,
+			paid:  make(map[string]promise),
+			pairs: make(map[string]promise),
+		},
+	}
+}
+
+// start lets callers of every kind go.
+func (s *soak) start() {
+	f := s.fleet
+	for i, e := range f.hosts {
+		random := rand.New(rand.NewPCG(soakSeed, uint64(100+i)))
+		r := &roamer{
+			fleet:     f,
+			random:    rand.New(rand.NewPCG(soakSeed, uint64(200+i))),
+			id:        i,
+			withToken: i%2 == 0,
+			reads:     &s.reads,
+			stale:     &s.stale,
+			refused:   &s.refused,
+		}
+		s.callers.Go(func() { s.history.write(s.ctx, f, e, e.name, 10*time.Millisecond) })
+		s.callers.Go(func() { s.repeat(func(int) { r.step() }) })
+		s.callers.Go(func() {
+			s.repeat(func(n int) { s.payments.pay(random, fmt.Sprint("p", i, "-", n), n%3 != 0) })
+		})
+		s.callers.Go(func() { s.repeat(func(n int) { s.payments.transact(random, fmt.Sprint("t", i, "-", n)) }) })
+		for range 3 {
+			s.callers.Go(func() { s.rated.ask(s.ctx, f, e, "alpha.rated") })
+		}
+		s.callers.Go(func() { s.followSettings(e) })
+	}
+	s.callers.Go(func() { s.changeSettings() })
+}
+
+func (s *soak) repeat(step func(n int)) {
+	for n := 0; s.ctx.Err() == nil; n++ {
+		step(n)
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// changeSettings changes a setting now and then; a change may fail in an outage.
+func (s *soak) changeSettings() {
+	s.repeat(func(n int) {
+		time.Sleep(time.Second)
+		_, _ = s.fleet.tryApply(s.ctx, map[string]string{
+			"teams/alpha/accounts/other": fmt.Sprintf(`{"rate": "%d/s", "burst": 50}`, 10+n),
+		})
+	})
+}
+
+// followSettings counts how often a host goes back in revision. A host that was
+// killed starts anew, so only the same run of it counts.
+func (s *soak) followSettings(e *entry) {
+	var last uint64
+	var run *process
+	s.repeat(func(int) {
+		time.Sleep(50 * time.Millisecond)
+		p := e.process
+		st, ok := s.fleet.status(e)
+		if !ok || p != run {
+			run, last = p, 0
+			return
+		}
+		if st.Settings.Revision < last {
+			s.backward.Add(1)
+		}
+		last = max(last, st.Settings.Revision)
+	})
+}
+
+// trouble causes faults, each overlapping the one before, of every kind in turn.
+func (s *soak) trouble(random *rand.Rand, faults int) {
+	f := s.fleet
+	mend := func() {}
+	var kinds []int
+	for i := range faults {
+		if len(kinds) == 0 {
+			kinds = random.Perm(faultKinds)
+		}
+		name, next := f.fault(kinds[0], random)
+		kinds = kinds[1:]
+		f.t.Logf("fault %d: %s", i, name)
+		time.Sleep(time.Second)
+		mend()
+		mend = next
+		time.Sleep(2 * time.Second)
+	}
+	mend()
+	time.Sleep(4 * time.Second)
+}
+
+// fault causes one fault and returns what mends it.
+func (f *fleet) fault(kind int, random *rand.Rand) (name string, mend func()) {
+	place := 1 + random.IntN(3)
+	d := f.databases[fmt.Sprint("g", 1+random.IntN(2), "-", 1+random.IntN(3))]
+	e := f.hosts[random.IntN(len(f.hosts))]
+	switch kind {
+	case 0:
+		f.network.isolate(place, 3, true)
+		return fmt.Sprint("failure domain ", place, " cut off"), func() { f.network.isolate(place, 3, false) }
+	case 1:
+		f.network.holdPlace(place, 3, true)
+		return fmt.Sprint("failure domain ", place, " held"), func() { f.network.holdPlace(place, 3, false) }
+	case 2:
+		d.process.signal(syscall.SIGSTOP)
+		return d.name + " frozen", func() { d.process.signal(syscall.SIGCONT) }
+	case 3:
+		d.process.kill()
+		return d.name + " killed", func() { f.startDatabase(d) }
+	case 4:
+		e.process.signal(syscall.SIGSTOP)
+		return e.name + " frozen", func() { e.process.signal(syscall.SIGCONT) }
+	case 5:
+		e.process.kill()
+		return e.name + " killed", func() { f.runHost(e) }
+	default:
+		f.trouble(`{"down": "refuse"}`)
+		return "platform down", func() { f.trouble(`{"down": "up"}`) }
+	}
+}
+
+// withdraw takes a key back while its callers are connected to every host.
+func (s *soak) withdraw(t testing.TB) {
+	t.Helper()
+	f := s.fleet
+	for _, e := range f.hosts {
+		f.open(e, "alpha.gone", "g2")
+	}
+	f.remove("teams/alpha/keys/gone")
+	for _, e := range f.hosts {
+		assert.Check(t, holdsWithin(3*time.Second, func() bool {
+			c, err := f.dial(e, "alpha.gone", "g2")
+			if err == nil {
+				c.Close(context.Background())
+			}
+			return err != nil
+		}), "%s still takes a withdrawn key", e.name)
+	}
+}
+
+func (s *soak) stop() {
+	s.cancel()
+	s.callers.Wait()
+}
+
+// check compares what callers were told with what the databases hold.
+func (s *soak) check(t testing.TB) {
+	t.Helper()
+	acked, notRun, unknown := s.history.counts()
+	t.Logf("seed %d: writes acknowledged %d, not run %d, unknown %d, %v; longest gap %v", soakSeed, acked, notRun, unknown, s.history.errors, s.history.gap)
+	t.Logf("reads %d, stale %d; settings gone back %d times", s.reads.Load(), s.stale.Load(), s.backward.Load())
+	assert.Check(t, s.stale.Load() == 0)
+	assert.Check(t, s.backward.Load() == 0)
+	assert.Check(t, acked > 500 && s.reads.Load() > 300)
+	for _, window := range []time.Duration{time.Second, 10 * time.Second} {
+		bound := 50 + int(100*window.Seconds())
+		most := s.rated.most(window)
+		t.Logf("rated account in %v: at most %d, bound %d", window, most, bound)
+		assert.Check(t, most <= bound)
+	}
+	for name := range s.fleet.databases {
+		assert.Check(t, s.fleet.mostConnections(t, name) <= s.fleet.connections(), name)
+	}
+	s.history.check(t, s.fleet, s.fleet.hosts[1])
+	s.payments.check(t)
+}
