--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -56,6 +56,7 @@
 	load    atomic.Int64
 	open    int
 	opening int
+	shed    int
 	closed  bool
 }
 
@@ -159,7 +160,7 @@
 	p.idle = p.idle[1:]
 	p.open--
 	p.mu.Unlock()
-	c.close()
+	go c.close()
 	return true
 }
 
@@ -172,28 +173,39 @@
 	p.open -= len(idle)
 	p.failAll(unavailable(p.Upstream.Name(), "is no longer in use"))
 	p.mu.Unlock()
+	var closing sync.WaitGroup
 	for _, c := range idle {
-		c.close()
+		closing.Go(c.close)
 	}
+	closing.Wait()
 }
 
 func (p *Pool) put(c *Conn) {
 	p.mu.Lock()
 	delete(p.lent, c)
 	p.load.Add(-1)
-	if c.broken.Load() || p.closed {
+	isShed := p.shed > 0
+	if isShed {
+		p.shed--
+	}
+	if c.broken.Load() || p.closed || isShed {
 		p.open--
 		p.mu.Unlock()
-		c.close()
-		p.mu.Lock()
-		p.openMore()
-		p.mu.Unlock()
+		go p.replace(c)
 		return
 	}
 	p.hand(c)
 	p.mu.Unlock()
 }
 
+// replace closes a connection and opens others for those who wait.
+func (p *Pool) replace(c *Conn) {
+	c.close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.openMore()
+}
+
 // hand gives a free connection to the next waiter. The lock is held.
 func (p *Pool) hand(c *Conn) {
 	w, _, ok := p.waiters.Pop()
@@ -231,7 +243,7 @@
 	}
 	p.mu.Unlock()
 	for _, c := range idle {
-		c.close()
+		go c.close()
 	}
 	for _, c := range overdue {
 		c.Abort()
@@ -239,6 +251,15 @@
 	return len(overdue)
 }
 
+// Shed has this many connections closed as they come back, though others wait for
+// them: another host has fewer than its share of the rights. A later call replaces
+// the count.
+func (p *Pool) Shed(count int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.shed = count
+}
+
 // Revoke closes this many connections, idle ones first and then those that have
 // been in use the longest: their rights end.
 func (p *Pool) Revoke(count int) {
@@ -250,7 +271,7 @@
 	lent := slices.SortedFunc(maps.Keys(p.lent), func(a, b *Conn) int { return p.lent[a].Compare(p.lent[b]) })
 	p.mu.Unlock()
 	for _, c := range idle {
-		c.close()
+		go c.close()
 	}
 	for _, c := range lent[:min(count-n, len(lent))] {
 		c.Abort()
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"flag"
 	"fmt"
 	"os"
 	"os/exec"
@@ -22,6 +23,7 @@
 }
 
 func run(m *testing.M) int {
+	flag.Parse()
 	dir, err := os.MkdirTemp("", "coltsfootloft")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -30,7 +32,11 @@
 	defer os.RemoveAll(dir)
 	binaries = dir
 	for _, name := range []string{"coltsfootloft", "standin"} {
-		out, err := exec.Command("go", "build", "-o", filepath.Join(dir, name), "coltsfootloft/cmd/"+name).CombinedOutput()
+		args := []string{"build", "-o", filepath.Join(dir, name)}
+		if *measureNaive {
+			args = append(args, "-tags", "naive")
+		}
+		out, err := exec.Command("go", append(args, "coltsfootloft/cmd/"+name)...).CombinedOutput()
 		if err != nil {
 			fmt.Fprintln(os.Stderr, string(out), err)
 			return 1
@@ -68,6 +74,14 @@
 
 // start runs a program and waits until it prints the line that it serves.
 func start(t testing.TB, name, binary, serving string, args ...string) *process {
+	t.Helper()
+	p := launch(t, name, binary, args...)
+	p.awaitLog(t, serving)
+	return p
+}
+
+// launch runs a program without waiting for it.
+func launch(t testing.TB, name, binary string, args ...string) *process {
 	t.Helper()
 	p := &process{
 		name: name,
@@ -89,7 +103,6 @@
 			t.Logf("%s printed:\n%s", name, tail(p.log.String()))
 		}
 	})
-	p.awaitLog(t, serving)
 	return p
 }
 
