--- a/test/pages_test.go
+++ b/test/pages_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"os"
+	"path/filepath"
 	"regexp"
 	"slices"
 	"testing"
@@ -75,10 +76,13 @@
 	constant := regexp.MustCompile(`\bCode[A-Z][A-Za-z]+ = "([0-9A-Z]{5})"`)
 	literal := regexp.MustCompile(`Refuse\((?:[a-zA-Z]+, )?"([0-9A-Z]{5})"`)
 	var codes []string
-	for _, name := range []string{
-		"../outcome.go", "../io/caller/run.go", "../io/caller/extended.go", "../io/caller/idempotent.go",
-		"../io/caller/local.go", "../io/caller/batch.go", "../io/front/startup.go", "../io/front/visit.go",
-	} {
+	names := []string{"../outcome.go"}
+	for _, dir := range []string{"caller", "front", "share", "pool", "watch"} {
+		found, err := filepath.Glob("../io/" + dir + "/*.go")
+		assert.NilError(t, err)
+		names = append(names, found...)
+	}
+	for _, name := range names {
 		source, err := os.ReadFile(name)
 		assert.NilError(t, err)
 		for _, r := range []*regexp.Regexp{constant, literal} {
