--- a/io/elect/keeper.go
+++ b/io/elect/keeper.go
@@ -12,13 +12,8 @@
 	"github.com/pkg/errors"
 )
 
-const (
-	// assessPeriod is how often a group in need is assessed if no reading changes.
-	assessPeriod = 50 * time.Millisecond
-	// quietPeriod is how often one without need is: a wake costs more processor
-	// time than what it does, and a failure is looked for this much later.
-	quietPeriod = 150 * time.Millisecond
-)
+// assessPeriod is how often a group is assessed if no reading changes.
+const assessPeriod = 50 * time.Millisecond
 
 // keeper looks after one group.
 type keeper struct {
@@ -63,14 +58,10 @@
 			k.act(ctx, need, view, &suspicion)
 			continue
 		}
-		period := assessPeriod
-		if need.Kind() == elect.Nothing {
-			period = quietPeriod
-		}
 		select {
 		case <-ctx.Done():
 		case <-changed:
-		case <-k.duty.clock().After(period):
+		case <-k.duty.clock().After(assessPeriod):
 		}
 	}
 }
--- a/io/host/retire.go
+++ b/io/host/retire.go
@@ -11,7 +11,7 @@
 
 const (
 	// retirePeriod is how often connections to failed databases are looked for.
-	retirePeriod = 250 * time.Millisecond
+	retirePeriod = 100 * time.Millisecond
 	// silentGrace is how long an answer from a silent database is waited for.
 	silentGrace = time.Second
 	// overGrace is how long an answer from a primary whose term is over is waited
