--- a/cmd/coltsfootloft/serve.go
+++ b/cmd/coltsfootloft/serve.go
@@ -9,12 +9,12 @@
 	"runtime/debug"
 	"syscall"
 
+	"github.com/google/subcommands"
+	"github.com/jonboulle/clockwork"
+
 	"coltsfootloft/core/conf"
 	"coltsfootloft/io/host"
 	"coltsfootloft/io/logs"
-
-	"github.com/google/subcommands"
-	"github.com/jonboulle/clockwork"
 )
 
 // gcPercent trades memory, of which a host needs little, for processor time.
--- a/cmd/demo/deployment.go
+++ b/cmd/demo/deployment.go
@@ -9,6 +9,10 @@
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
 	"coltsfootloft"
 	"coltsfootloft/core/conf"
 	"coltsfootloft/core/keys"
@@ -17,10 +21,6 @@
 	"coltsfootloft/io/store"
 	"coltsfootloft/stand/dbase"
 	"coltsfootloft/stand/plat"
-
-	"github.com/go-logr/logr"
-	"github.com/jonboulle/clockwork"
-	"github.com/pkg/errors"
 )
 
 const (
--- a/cmd/standin/platform.go
+++ b/cmd/standin/platform.go
@@ -6,9 +6,9 @@
 	"fmt"
 	"os"
 
-	"coltsfootloft/stand/plat"
-
 	"github.com/google/subcommands"
+
+	"coltsfootloft/stand/plat"
 )
 
 // platformCommand runs the stand-in for the platform's key-value service.
--- a/core/beat/table_test.go
+++ b/core/beat/table_test.go
@@ -5,11 +5,11 @@
 	"testing"
 	"time"
 
-	"coltsfootloft"
-	_ "coltsfootloft/stand/seed"
-
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"coltsfootloft"
+	_ "coltsfootloft/stand/seed"
 )
 
 var start = time.Unix(1_800_000_000, 0)
--- a/core/conf/loader_test.go
+++ b/core/conf/loader_test.go
@@ -10,7 +10,6 @@
 	"gotest.tools/v3/assert"
 
 	"coltsfootloft"
-
 	"coltsfootloft/core/conf"
 )
 
--- a/core/delta/table_test.go
+++ b/core/delta/table_test.go
@@ -6,11 +6,11 @@
 	"slices"
 	"testing"
 
-	"coltsfootloft"
-	_ "coltsfootloft/stand/seed"
-
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"coltsfootloft"
+	_ "coltsfootloft/stand/seed"
 )
 
 const prefix = "p/"
--- a/core/elect/action.go
+++ b/core/elect/action.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"coltsfootloft"
-
 	"github.com/pkg/errors"
+
+	"coltsfootloft"
 )
 
 // Action is one platform operation that a campaign asks for.
--- a/core/elect/elect_test.go
+++ b/core/elect/elect_test.go
@@ -6,10 +6,10 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"coltsfootloft"
 	"coltsfootloft/core/quorum"
-
-	"gotest.tools/v3/assert"
 )
 
 const (
--- a/core/fresh/fresh_test.go
+++ b/core/fresh/fresh_test.go
@@ -7,11 +7,11 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"coltsfootloft"
 	"coltsfootloft/core/quorum"
 	"coltsfootloft/stand/memdb"
-
-	"gotest.tools/v3/assert"
 )
 
 const (
--- a/core/quorum/quorum_test.go
+++ b/core/quorum/quorum_test.go
@@ -5,10 +5,10 @@
 	"sync"
 	"testing"
 
+	"gotest.tools/v3/assert"
+
 	"coltsfootloft"
 	"coltsfootloft/stand/memdb"
-
-	"gotest.tools/v3/assert"
 )
 
 const (
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -5,11 +5,11 @@
 	"testing"
 	"time"
 
-	"coltsfootloft"
-	_ "coltsfootloft/stand/seed"
-
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"coltsfootloft"
+	_ "coltsfootloft/stand/seed"
 )
 
 func at(term, offset uint64) coltsfootloft.Position {
--- a/core/token/token.go
+++ b/core/token/token.go
@@ -12,9 +12,9 @@
 	"strconv"
 	"strings"
 
-	"coltsfootloft"
-
 	"github.com/pkg/errors"
+
+	"coltsfootloft"
 )
 
 // MaxLength is the longest token accepted, in bytes.
--- a/core/token/token_test.go
+++ b/core/token/token_test.go
@@ -4,11 +4,11 @@
 	"fmt"
 	"testing"
 
-	"coltsfootloft"
-	_ "coltsfootloft/stand/seed"
-
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"coltsfootloft"
+	_ "coltsfootloft/stand/seed"
 )
 
 func ExampleToken() {
--- a/io/caller/batch.go
+++ b/io/caller/batch.go
@@ -3,10 +3,10 @@
 import (
 	"strings"
 
+	"github.com/jackc/pgx/v5/pgproto3"
+
 	"coltsfootloft"
 	"coltsfootloft/core/stmt"
-
-	"github.com/jackc/pgx/v5/pgproto3"
 )
 
 // step is one message of a batch, or one answer that the host gives itself.
--- a/io/caller/env.go
+++ b/io/caller/env.go
@@ -5,14 +5,14 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+
 	"coltsfootloft"
 	"coltsfootloft/core/conf"
 	"coltsfootloft/core/journ"
 	"coltsfootloft/io/pool"
 	"coltsfootloft/io/trace"
-
-	"github.com/go-logr/logr"
-	"github.com/jonboulle/clockwork"
 )
 
 // Env is what all sessions of a host share. Its fields are set before the first
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -4,14 +4,14 @@
 	"context"
 	"strings"
 
+	"github.com/jackc/pgx/v5/pgproto3"
+
 	"coltsfootloft"
 	"coltsfootloft/core/route"
 	"coltsfootloft/core/stmt"
 	"coltsfootloft/io/dbops"
 	"coltsfootloft/io/pool"
 	"coltsfootloft/io/trace"
-
-	"github.com/jackc/pgx/v5/pgproto3"
 )
 
 // verdict is how one attempt ended.
--- a/io/caller/extended.go
+++ b/io/caller/extended.go
@@ -1,11 +1,10 @@
 package caller
 
 import (
-	"coltsfootloft/core/stmt"
+	"github.com/jackc/pgx/v5/pgproto3"
 
 	"coltsfootloft"
-
-	"github.com/jackc/pgx/v5/pgproto3"
+	"coltsfootloft/core/stmt"
 )
 
 const (
--- a/io/caller/idempotent.go
+++ b/io/caller/idempotent.go
@@ -4,12 +4,12 @@
 	"context"
 	"fmt"
 
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
+
 	"coltsfootloft"
 	"coltsfootloft/core/journ"
 	"coltsfootloft/io/dbops"
-
-	"github.com/jackc/pgx/v5/pgproto3"
-	"github.com/pkg/errors"
 )
 
 // SQLSTATEs that the record of a request id can meet.
--- a/io/caller/lifetime.go
+++ b/io/caller/lifetime.go
@@ -5,9 +5,9 @@
 	"net"
 	"time"
 
-	"coltsfootloft/io/pool"
-
 	"github.com/pkg/errors"
+
+	"coltsfootloft/io/pool"
 )
 
 // errEnded: the host ended the session between requests.
--- a/io/caller/local.go
+++ b/io/caller/local.go
@@ -3,11 +3,11 @@
 import (
 	"strings"
 
+	"github.com/jackc/pgx/v5/pgproto3"
+
 	"coltsfootloft"
 	"coltsfootloft/core/stmt"
 	"coltsfootloft/core/token"
-
-	"github.com/jackc/pgx/v5/pgproto3"
 )
 
 // Names of the settings that the proxy itself takes.
--- a/io/caller/metric.go
+++ b/io/caller/metric.go
@@ -3,11 +3,11 @@
 import (
 	"time"
 
-	"coltsfootloft"
-	"coltsfootloft/core/route"
-
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
+
+	"coltsfootloft"
+	"coltsfootloft/core/route"
 )
 
 // Metrics of all sessions of the process.
--- a/io/caller/place.go
+++ b/io/caller/place.go
@@ -4,13 +4,13 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"coltsfootloft"
 	"coltsfootloft/core/journ"
 	"coltsfootloft/core/route"
 	"coltsfootloft/io/pool"
 	"coltsfootloft/io/trace"
-
-	"github.com/pkg/errors"
 )
 
 // SilenceBound is how long a database may not have answered its observer before
--- a/io/caller/receive.go
+++ b/io/caller/receive.go
@@ -1,11 +1,11 @@
 package caller
 
 import (
-	"coltsfootloft"
-	"coltsfootloft/io/dbops"
-
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/pkg/errors"
+
+	"coltsfootloft"
+	"coltsfootloft/io/dbops"
 )
 
 // receive reads the replies to every step.
--- a/io/caller/refuse.go
+++ b/io/caller/refuse.go
@@ -1,10 +1,10 @@
 package caller
 
 import (
-	"coltsfootloft"
-
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/pkg/errors"
+
+	"coltsfootloft"
 )
 
 // response turns an error into the message that the caller sees. Its DETAIL
--- a/io/caller/run.go
+++ b/io/caller/run.go
@@ -6,14 +6,14 @@
 	"slices"
 	"strings"
 
+	"github.com/jackc/pgx/v5/pgproto3"
+
 	"coltsfootloft"
 	"coltsfootloft/core/journ"
 	"coltsfootloft/core/route"
 	"coltsfootloft/core/stmt"
 	"coltsfootloft/io/pool"
 	"coltsfootloft/io/trace"
-
-	"github.com/jackc/pgx/v5/pgproto3"
 )
 
 // run answers the batch that the caller has sent.
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -7,6 +7,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
+
 	"coltsfootloft"
 	"coltsfootloft/core/conf"
 	"coltsfootloft/core/journ"
@@ -15,9 +18,6 @@
 	"coltsfootloft/core/token"
 	"coltsfootloft/io/pool"
 	"coltsfootloft/io/trace"
-
-	"github.com/jackc/pgx/v5/pgproto3"
-	"github.com/pkg/errors"
 )
 
 // Session serves one caller from ReadyForQuery to the end of the connection. Its
--- a/io/caller/settle.go
+++ b/io/caller/settle.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 
+	"github.com/pkg/errors"
+
 	"coltsfootloft"
 	"coltsfootloft/core/journ"
 	"coltsfootloft/io/trace"
-
-	"github.com/pkg/errors"
 )
 
 // broke ends an attempt whose connection failed.
--- a/io/caller/statement.go
+++ b/io/caller/statement.go
@@ -5,9 +5,9 @@
 	"encoding/base32"
 	"encoding/binary"
 
-	"coltsfootloft/core/stmt"
-
 	"github.com/jackc/pgx/v5/pgproto3"
+
+	"coltsfootloft/core/stmt"
 )
 
 // statement is a prepared statement of the session. On upstream connections it
--- a/io/caller/trace.go
+++ b/io/caller/trace.go
@@ -1,10 +1,10 @@
 package caller
 
 import (
+	"github.com/pkg/errors"
+
 	"coltsfootloft"
 	"coltsfootloft/io/trace"
-
-	"github.com/pkg/errors"
 )
 
 // beginTrace starts the trace of a batch, if it is to be traced.
--- a/io/elect/ask.go
+++ b/io/elect/ask.go
@@ -4,14 +4,14 @@
 	"context"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
 	"coltsfootloft"
 	"coltsfootloft/core/elect"
 	"coltsfootloft/core/quorum"
 	"coltsfootloft/io/elect/electpb"
-
-	"github.com/jonboulle/clockwork"
-	"github.com/pkg/errors"
-	"google.golang.org/protobuf/proto"
 )
 
 const (
--- a/io/elect/attempt.go
+++ b/io/elect/attempt.go
@@ -4,11 +4,11 @@
 	"context"
 	"sync"
 
-	"coltsfootloft"
-	"coltsfootloft/core/elect"
-
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
+
+	"coltsfootloft"
+	"coltsfootloft/core/elect"
 )
 
 // answersKept bounds the answers that wait for the campaign. A campaign has at
--- a/io/elect/elect.go
+++ b/io/elect/elect.go
@@ -18,11 +18,11 @@
 	"sync"
 	"time"
 
-	"coltsfootloft"
-
 	"github.com/go-logr/logr"
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
+
+	"coltsfootloft"
 )
 
 const (
--- a/io/elect/elect_test.go
+++ b/io/elect/elect_test.go
@@ -8,12 +8,12 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"coltsfootloft"
 	"coltsfootloft/core/quorum"
 	"coltsfootloft/io/watch"
 	"coltsfootloft/stand/memdb"
-
-	"gotest.tools/v3/assert"
 )
 
 const (
--- a/io/elect/fault_test.go
+++ b/io/elect/fault_test.go
@@ -5,9 +5,9 @@
 	"testing"
 	"time"
 
-	"coltsfootloft"
-
 	"gotest.tools/v3/assert"
+
+	"coltsfootloft"
 )
 
 var everyHost = []string{"h00", "h10", "h11", "h20"}
--- a/io/elect/keeper.go
+++ b/io/elect/keeper.go
@@ -5,11 +5,11 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"coltsfootloft"
 	"coltsfootloft/core/elect"
 	"coltsfootloft/core/quorum"
-
-	"github.com/pkg/errors"
 )
 
 // assessPeriod is how often a group is assessed if no reading changes.
--- a/io/elect/lead.go
+++ b/io/elect/lead.go
@@ -5,9 +5,9 @@
 	"slices"
 	"time"
 
-	"coltsfootloft/core/elect"
-
 	"github.com/jonboulle/clockwork"
+
+	"coltsfootloft/core/elect"
 )
 
 // followLimit is how long a replica may take to answer that it follows.
--- a/io/elect/metric.go
+++ b/io/elect/metric.go
@@ -6,10 +6,10 @@
 	"slices"
 	"strings"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"coltsfootloft"
 	"coltsfootloft/core/elect"
-
-	"github.com/VictoriaMetrics/metrics"
 )
 
 // count adds an election to its metrics.
--- a/io/elect/proposer.go
+++ b/io/elect/proposer.go
@@ -4,9 +4,9 @@
 	"maps"
 	"slices"
 
-	"coltsfootloft/core/rank"
-
 	"github.com/cespare/xxhash/v2"
+
+	"coltsfootloft/core/rank"
 )
 
 // proposers is who may propose for a group.
--- a/io/elect/stand_test.go
+++ b/io/elect/stand_test.go
@@ -11,17 +11,17 @@
 	"testing"
 	"time"
 
-	"coltsfootloft"
-	"coltsfootloft/io/dbops"
-	"coltsfootloft/io/watch"
-	"coltsfootloft/stand/dbase"
-	"coltsfootloft/stand/memdb"
-
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
+
+	"coltsfootloft"
+	"coltsfootloft/io/dbops"
+	"coltsfootloft/io/watch"
+	"coltsfootloft/stand/dbase"
+	"coltsfootloft/stand/memdb"
 )
 
 // runs is how often each fault is tried; the gaps are printed as percentiles.
--- a/io/feed/code.go
+++ b/io/feed/code.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 
-	"coltsfootloft/core/delta"
-	"coltsfootloft/io/feed/feedpb"
-
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
+
+	"coltsfootloft/core/delta"
+	"coltsfootloft/io/feed/feedpb"
 )
 
 // answer handles a request of another host.
--- a/io/feed/faults_test.go
+++ b/io/feed/faults_test.go
@@ -6,9 +6,9 @@
 	"testing"
 	"time"
 
-	"coltsfootloft/stand/plat"
-
 	"gotest.tools/v3/assert"
+
+	"coltsfootloft/stand/plat"
 )
 
 func TestBothRelaysOfADomainDie(t *testing.T) {
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -5,12 +5,12 @@
 	"sync"
 	"time"
 
-	"coltsfootloft"
-	"coltsfootloft/core/delta"
-
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 	"github.com/jonboulle/clockwork"
+
+	"coltsfootloft"
+	"coltsfootloft/core/delta"
 )
 
 const (
--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -6,11 +6,11 @@
 	"testing"
 	"time"
 
-	"coltsfootloft"
-	"coltsfootloft/stand/plat"
-
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
+
+	"coltsfootloft"
+	"coltsfootloft/stand/plat"
 )
 
 // inForce is how soon an accepted change is in force everywhere.
--- a/io/feed/fleet_test.go
+++ b/io/feed/fleet_test.go
@@ -9,14 +9,14 @@
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
 	"coltsfootloft"
 	"coltsfootloft/io/member"
 	"coltsfootloft/io/store"
 	"coltsfootloft/stand/mesh"
 	"coltsfootloft/stand/plat"
-
-	"go.uber.org/goleak"
-	"gotest.tools/v3/assert"
 )
 
 const (
--- a/io/feed/links_test.go
+++ b/io/feed/links_test.go
@@ -8,11 +8,11 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"coltsfootloft"
 	"coltsfootloft/io/member"
 	"coltsfootloft/io/peer"
-
-	"gotest.tools/v3/assert"
 )
 
 // startOverLinks runs a host on real peer links.
--- a/io/feed/pull.go
+++ b/io/feed/pull.go
@@ -4,10 +4,10 @@
 	"context"
 	"math/rand"
 
+	"github.com/pkg/errors"
+
 	"coltsfootloft/core/delta"
 	"coltsfootloft/io/feed/feedpb"
-
-	"github.com/pkg/errors"
 )
 
 // maxChunk is how many bytes of values one answer to a pull holds, at least one
--- a/io/front/auth.go
+++ b/io/front/auth.go
@@ -1,12 +1,12 @@
 package front
 
 import (
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
+
 	"coltsfootloft"
 	"coltsfootloft/core/conf"
 	"coltsfootloft/core/keys"
-
-	"github.com/jackc/pgx/v5/pgproto3"
-	"github.com/pkg/errors"
 )
 
 // mechanism is the only way to prove a key.
--- a/io/front/cancel.go
+++ b/io/front/cancel.go
@@ -6,11 +6,11 @@
 	"hash/fnv"
 	"time"
 
-	"coltsfootloft/io/front/frontpb"
-	"coltsfootloft/io/pool"
-
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
+
+	"coltsfootloft/io/front/frontpb"
+	"coltsfootloft/io/pool"
 )
 
 const (
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -8,13 +8,13 @@
 	"sync"
 	"time"
 
-	"coltsfootloft"
-	"coltsfootloft/core/conf"
-	"coltsfootloft/io/caller"
-
 	"github.com/go-logr/logr"
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
+
+	"coltsfootloft"
+	"coltsfootloft/core/conf"
+	"coltsfootloft/io/caller"
 )
 
 // Server takes callers' connections. Its exported fields are set before Run.
--- a/io/front/startup.go
+++ b/io/front/startup.go
@@ -7,12 +7,12 @@
 	"net"
 	"strings"
 
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
+
 	"coltsfootloft"
 	"coltsfootloft/core/token"
 	"coltsfootloft/io/caller"
-
-	"github.com/jackc/pgx/v5/pgproto3"
-	"github.com/pkg/errors"
 )
 
 // hello is what a startup message asks for.
--- a/io/front/visit.go
+++ b/io/front/visit.go
@@ -5,11 +5,11 @@
 	"net"
 	"time"
 
-	"coltsfootloft"
-	"coltsfootloft/io/caller"
-
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/pkg/errors"
+
+	"coltsfootloft"
+	"coltsfootloft/io/caller"
 )
 
 // handshakeTimeout bounds all that comes before the first request.
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -8,6 +8,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
 	"coltsfootloft"
 	"coltsfootloft/core/conf"
 	"coltsfootloft/core/journ"
@@ -20,10 +24,6 @@
 	"coltsfootloft/io/share"
 	"coltsfootloft/io/trace"
 	"coltsfootloft/io/watch"
-
-	"github.com/go-logr/logr"
-	"github.com/jonboulle/clockwork"
-	"github.com/pkg/errors"
 )
 
 // Host is one entry host. Build makes one; its fields are set before Run.
--- a/io/host/pools.go
+++ b/io/host/pools.go
@@ -3,12 +3,12 @@
 import (
 	"sync"
 
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+
 	"coltsfootloft"
 	"coltsfootloft/core/conf"
 	"coltsfootloft/io/pool"
-
-	"github.com/go-logr/logr"
-	"github.com/jonboulle/clockwork"
 )
 
 // pools holds the connections to every database of the settings.
--- a/io/host/provide.go
+++ b/io/host/provide.go
@@ -8,6 +8,11 @@
 	"strings"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
 	"coltsfootloft"
 	"coltsfootloft/core/conf"
 	"coltsfootloft/core/journ"
@@ -24,11 +29,6 @@
 	"coltsfootloft/io/store"
 	"coltsfootloft/io/trace"
 	"coltsfootloft/io/watch"
-
-	"github.com/VictoriaMetrics/metrics"
-	"github.com/go-logr/logr"
-	"github.com/jonboulle/clockwork"
-	"github.com/pkg/errors"
 )
 
 // seatsPrefix is where the store keeps the seats.
--- a/io/host/retry.go
+++ b/io/host/retry.go
@@ -3,9 +3,9 @@
 import (
 	"sync"
 
-	"coltsfootloft/core/budget"
-
 	"github.com/jonboulle/clockwork"
+
+	"coltsfootloft/core/budget"
 )
 
 // retries holds the retry budget of each client account.
--- a/io/host/secure.go
+++ b/io/host/secure.go
@@ -3,12 +3,12 @@
 import (
 	"crypto/tls"
 
-	"coltsfootloft/core/conf"
-	"coltsfootloft/io/certs"
-
 	"github.com/go-logr/logr"
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
+
+	"coltsfootloft/core/conf"
+	"coltsfootloft/io/certs"
 )
 
 // security holds the certificates of each role; a role without TLS has none.
--- a/io/host/status.go
+++ b/io/host/status.go
@@ -4,12 +4,12 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"coltsfootloft"
 	"coltsfootloft/core/conf"
 	"coltsfootloft/core/quorum"
 	"coltsfootloft/io/admin"
-
-	"github.com/pkg/errors"
 )
 
 // Version is the version of the program.
--- a/io/host/wire.go
+++ b/io/host/wire.go
@@ -3,11 +3,11 @@
 package host
 
 import (
-	"coltsfootloft/core/conf"
-
 	"github.com/go-logr/logr"
 	"github.com/google/wire"
 	"github.com/jonboulle/clockwork"
+
+	"coltsfootloft/core/conf"
 )
 
 var providers = wire.NewSet(
--- a/io/member/answer.go
+++ b/io/member/answer.go
@@ -6,12 +6,12 @@
 	"slices"
 	"sync"
 
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
 	"coltsfootloft"
 	"coltsfootloft/core/beat"
 	"coltsfootloft/io/member/memberpb"
-
-	"github.com/pkg/errors"
-	"google.golang.org/protobuf/proto"
 )
 
 // call makes a request of the duty.
--- a/io/member/count.go
+++ b/io/member/count.go
@@ -3,9 +3,9 @@
 import (
 	"fmt"
 
-	"coltsfootloft/core/beat"
-
 	"github.com/VictoriaMetrics/metrics"
+
+	"coltsfootloft/core/beat"
 )
 
 // counters are the view's metrics.
--- a/io/member/view.go
+++ b/io/member/view.go
@@ -5,12 +5,12 @@
 	"sync"
 	"time"
 
-	"coltsfootloft"
-	"coltsfootloft/core/beat"
-
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 	"github.com/jonboulle/clockwork"
+
+	"coltsfootloft"
+	"coltsfootloft/core/beat"
 )
 
 const (
--- a/io/member/view_test.go
+++ b/io/member/view_test.go
@@ -9,13 +9,13 @@
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
 	"coltsfootloft"
 	"coltsfootloft/io/store"
 	"coltsfootloft/stand/mesh"
 	"coltsfootloft/stand/plat"
-
-	"go.uber.org/goleak"
-	"gotest.tools/v3/assert"
 )
 
 var (
--- a/io/peer/call.go
+++ b/io/peer/call.go
@@ -4,11 +4,11 @@
 	"context"
 	"time"
 
-	"coltsfootloft/io/peer/peerpb"
-
 	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
 	"go.opentelemetry.io/otel/propagation"
+
+	"coltsfootloft/io/peer/peerpb"
 )
 
 // traceKey is the header field of the W3C trace context.
--- a/io/peer/dial.go
+++ b/io/peer/dial.go
@@ -6,10 +6,10 @@
 	"net"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"coltsfootloft/io/dial"
 	"coltsfootloft/io/peer/peerpb"
-
-	"github.com/pkg/errors"
 )
 
 // openTimeout bounds opening a link, TLS and Hello included.
--- a/io/peer/links.go
+++ b/io/peer/links.go
@@ -8,13 +8,13 @@
 	"sync/atomic"
 	"time"
 
-	"coltsfootloft"
-	"coltsfootloft/io/dial"
-
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
+
+	"coltsfootloft"
+	"coltsfootloft/io/dial"
 )
 
 const (
--- a/io/peer/serve.go
+++ b/io/peer/serve.go
@@ -6,10 +6,10 @@
 	"net"
 	"time"
 
-	"coltsfootloft/io/peer/peerpb"
-
 	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
+
+	"coltsfootloft/io/peer/peerpb"
 )
 
 // accept takes links from other hosts until the listener is closed.
--- a/io/pool/conn.go
+++ b/io/pool/conn.go
@@ -6,9 +6,9 @@
 	"sync/atomic"
 	"time"
 
-	"coltsfootloft"
-
 	"github.com/jackc/pgx/v5/pgproto3"
+
+	"coltsfootloft"
 )
 
 // maxPrepared bounds the named statements kept on one connection.
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -8,13 +8,13 @@
 	"sync/atomic"
 	"time"
 
-	"coltsfootloft"
-	"coltsfootloft/core/fair"
-
 	"github.com/go-logr/logr"
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
+
+	"coltsfootloft"
+	"coltsfootloft/core/fair"
 )
 
 // Defaults of a pool.
--- a/io/store/apply.go
+++ b/io/store/apply.go
@@ -6,9 +6,9 @@
 	"net/http"
 	"strconv"
 
-	"coltsfootloft"
-
 	"github.com/pkg/errors"
+
+	"coltsfootloft"
 )
 
 // operation is one part of a transaction, as Consul encodes it.
--- a/io/store/call.go
+++ b/io/store/call.go
@@ -11,10 +11,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"coltsfootloft"
 	"coltsfootloft/io/dial"
-
-	"github.com/pkg/errors"
 )
 
 const (
--- a/io/store/consul_test.go
+++ b/io/store/consul_test.go
@@ -6,11 +6,11 @@
 	"testing"
 	"time"
 
-	"coltsfootloft"
-	"coltsfootloft/stand/plat"
-
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
+
+	"coltsfootloft"
+	"coltsfootloft/stand/plat"
 )
 
 func start(t *testing.T, s *plat.Server) *Consul {
--- a/io/store/lease.go
+++ b/io/store/lease.go
@@ -6,9 +6,9 @@
 	"net/http"
 	"time"
 
-	"coltsfootloft"
-
 	"github.com/pkg/errors"
+
+	"coltsfootloft"
 )
 
 // sessionRequest asks for a session whose locks are free as soon as it lapses.
--- a/io/watch/ask.go
+++ b/io/watch/ask.go
@@ -4,12 +4,12 @@
 	"context"
 	"time"
 
-	"coltsfootloft"
-	"coltsfootloft/io/watch/watchpb"
-
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
+
+	"coltsfootloft"
+	"coltsfootloft/io/watch/watchpb"
 )
 
 // errUnheard says that the observer heard no majority.
--- a/io/watch/code.go
+++ b/io/watch/code.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"coltsfootloft"
 	"coltsfootloft/io/watch/watchpb"
-
-	"google.golang.org/protobuf/proto"
 )
 
 // encode tells a polling host what has changed in the group since the numbered
--- a/io/watch/feed.go
+++ b/io/watch/feed.go
@@ -6,9 +6,9 @@
 	"strings"
 	"sync"
 
-	"coltsfootloft/io/watch/watchpb"
-
 	"github.com/cespare/xxhash/v2"
+
+	"coltsfootloft/io/watch/watchpb"
 )
 
 // feed polls one other host for all groups that it observes for this one.
--- a/io/watch/group.go
+++ b/io/watch/group.go
@@ -6,11 +6,11 @@
 	"sync"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"coltsfootloft"
 	"coltsfootloft/core/fresh"
 	"coltsfootloft/core/quorum"
-
-	"github.com/jonboulle/clockwork"
 )
 
 // newsAfter is how long a database must have been silent for its next answer to
--- a/io/watch/measure_test.go
+++ b/io/watch/measure_test.go
@@ -10,11 +10,11 @@
 	"testing"
 	"time"
 
-	"coltsfootloft"
-	"coltsfootloft/stand/memdb"
-
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"gotest.tools/v3/assert"
+
+	"coltsfootloft"
+	"coltsfootloft/stand/memdb"
 )
 
 // measure turns on the tests that print figures for docs/CAPACITY.md.
--- a/io/watch/poll.go
+++ b/io/watch/poll.go
@@ -4,10 +4,10 @@
 	"context"
 	"time"
 
-	"coltsfootloft"
-
 	"github.com/go-logr/logr"
 	"github.com/jonboulle/clockwork"
+
+	"coltsfootloft"
 )
 
 const (
--- a/io/watch/probe.go
+++ b/io/watch/probe.go
@@ -7,10 +7,10 @@
 	"slices"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"coltsfootloft"
 	"coltsfootloft/core/quorum"
-
-	"github.com/jonboulle/clockwork"
 )
 
 // probeLimit is when a probe without an answer is given up.
--- a/io/watch/relay_test.go
+++ b/io/watch/relay_test.go
@@ -7,14 +7,14 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
 	"coltsfootloft"
 	"coltsfootloft/core/rank"
 	"coltsfootloft/io/watch/watchpb"
 	"coltsfootloft/stand/memdb"
-
-	"github.com/jonboulle/clockwork"
-	"go.uber.org/goleak"
-	"gotest.tools/v3/assert"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/io/watch/serve.go
+++ b/io/watch/serve.go
@@ -5,12 +5,12 @@
 	"slices"
 	"time"
 
-	"coltsfootloft"
-	"coltsfootloft/io/watch/watchpb"
-
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
+
+	"coltsfootloft"
+	"coltsfootloft/io/watch/watchpb"
 )
 
 // longestWait bounds what another host may ask to be held.
--- a/io/watch/socket_test.go
+++ b/io/watch/socket_test.go
@@ -9,15 +9,15 @@
 	"testing"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/jackc/pgx/v5"
+	"gotest.tools/v3/assert"
+
 	"coltsfootloft"
 	"coltsfootloft/io/dbops"
 	"coltsfootloft/io/peer"
 	"coltsfootloft/stand/dbase"
 	"coltsfootloft/stand/memdb"
-
-	"github.com/HdrHistogram/hdrhistogram-go"
-	"github.com/jackc/pgx/v5"
-	"gotest.tools/v3/assert"
 )
 
 // startStandIns runs three databases over sockets and returns their group.
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -30,10 +30,10 @@
 	"sync"
 	"time"
 
-	"coltsfootloft"
-
 	"github.com/go-logr/logr"
 	"github.com/jonboulle/clockwork"
+
+	"coltsfootloft"
 )
 
 // Watcher implements [coltsfootloft.Groups]. The fields are set before Run.
--- a/io/watch/watch_test.go
+++ b/io/watch/watch_test.go
@@ -6,11 +6,11 @@
 	"testing"
 	"time"
 
-	"coltsfootloft"
-	"coltsfootloft/stand/memdb"
-
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
+
+	"coltsfootloft"
+	"coltsfootloft/stand/memdb"
 )
 
 const groupName = "news"
--- a/stand/memdb/hosts.go
+++ b/stand/memdb/hosts.go
@@ -4,9 +4,9 @@
 	"context"
 	"sync"
 
-	"coltsfootloft"
-
 	"github.com/pkg/errors"
+
+	"coltsfootloft"
 )
 
 // ErrNoHost says that the peer is not there.
--- a/stand/memdb/memdb.go
+++ b/stand/memdb/memdb.go
@@ -15,9 +15,9 @@
 	"sync"
 	"time"
 
-	"coltsfootloft"
-
 	"github.com/pkg/errors"
+
+	"coltsfootloft"
 )
 
 // Errors of a member.
--- a/stand/mesh/mesh.go
+++ b/stand/mesh/mesh.go
@@ -8,10 +8,10 @@
 	"sync"
 	"time"
 
-	"coltsfootloft"
-
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
+
+	"coltsfootloft"
 )
 
 // ErrCut is the error of a call that didn't get through.
--- a/test/fault_test.go
+++ b/test/fault_test.go
@@ -7,12 +7,12 @@
 	"testing"
 	"time"
 
+	"github.com/jackc/pgx/v5"
+	"gotest.tools/v3/assert"
+
 	"coltsfootloft/io/admin"
 	"coltsfootloft/io/change"
 	"coltsfootloft/stand/relay"
-
-	"github.com/jackc/pgx/v5"
-	"gotest.tools/v3/assert"
 )
 
 // maxFleets bounds the fleets that run at once.
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -10,12 +10,12 @@
 	"testing"
 	"time"
 
+	"github.com/jackc/pgx/v5"
+	"gotest.tools/v3/assert"
+
 	"coltsfootloft/core/keys"
 	"coltsfootloft/io/change"
 	"coltsfootloft/io/store"
-
-	"github.com/jackc/pgx/v5"
-	"gotest.tools/v3/assert"
 )
 
 // layout is what a fleet under test consists of.
--- a/test/network_test.go
+++ b/test/network_test.go
@@ -7,9 +7,9 @@
 	"testing"
 	"time"
 
-	"coltsfootloft/stand/relay"
-
 	"gotest.tools/v3/assert"
+
+	"coltsfootloft/stand/relay"
 )
 
 // outside is the place of callers and the platform; failure domains count from 1.
--- a/test/once_test.go
+++ b/test/once_test.go
@@ -8,11 +8,11 @@
 	"testing"
 	"time"
 
-	"coltsfootloft/stand/relay"
-
 	"github.com/jackc/pgx/v5"
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
+
+	"coltsfootloft/stand/relay"
 )
 
 const onceSeed = 20261206
--- a/test/operate_test.go
+++ b/test/operate_test.go
@@ -10,9 +10,9 @@
 	"syscall"
 	"testing"
 
-	"coltsfootloft/io/admin"
-
 	"gotest.tools/v3/assert"
+
+	"coltsfootloft/io/admin"
 )
 
 // tool runs an operators' command and returns what it prints and its exit code.
--- a/test/secret_test.go
+++ b/test/secret_test.go
@@ -10,11 +10,11 @@
 	"testing"
 	"time"
 
-	"coltsfootloft/stand/relay"
-
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
 	"gotest.tools/v3/assert"
+
+	"coltsfootloft/stand/relay"
 )
 
 // spied is a connection that shows what is written before it goes out.
