--- a/core/stmt/stmt.go
+++ b/core/stmt/stmt.go
@@ -106,10 +106,10 @@
 
 func kindOf(first, rest string) Kind {
 	switch first {
-	case "SELECT", "VALUES", "TABLE", "WITH", "EXPLAIN":
-		return readKind(rest)
-	case "":
+	case "SELECT", "VALUES", "TABLE", "EXPLAIN", "":
 		return readKind(rest)
+	case "WITH":
+		return withKind(rest)
 	case "BEGIN", "START":
 		return beginKind(rest)
 	case "COMMIT", "END":
@@ -140,13 +140,33 @@
 
 // readKind tells apart reads that hold state of one server's session.
 func readKind(rest string) Kind {
-	lower := strings.ToLower(rest)
-	if strings.Contains(lower, "pg_advisory") || strings.Contains(lower, "pg_try_advisory") {
+	if containsFold(rest, "pg_advisory") || containsFold(rest, "pg_try_advisory") {
 		return Unsupported
 	}
 	return Read
 }
 
+// withKind takes a statement with any word that changes data for a write. One that
+// only names such a word costs a read at the primary, and no promise.
+func withKind(rest string) Kind {
+	for _, w := range [...]string{"insert", "update", "delete", "merge"} {
+		if containsFold(rest, w) {
+			return Write
+		}
+	}
+	return readKind(rest)
+}
+
+// containsFold reports whether s has the lower-case word in any case.
+func containsFold(s, lower string) bool {
+	for i := 0; i+len(lower) <= len(s); i++ {
+		if s[i]|0x20 == lower[0] && strings.EqualFold(s[i:i+len(lower)], lower) {
+			return true
+		}
+	}
+	return false
+}
+
 // createKind tells apart objects that only their server session sees.
 func createKind(rest string) Kind {
 	first, after := word(rest)
