demo, conf, test: the demo prints each hop; reads wait 100 ms for a replica

read_wait falls from 1 s to 100 ms by default: a read that waits longer than twice today's lag serves its caller worse than the primary would.

--- a/cmd/demo/deployment.go
+++ b/cmd/demo/deployment.go
@@ -15,6 +15,7 @@
 
 	"coltsfootloft"
 	"coltsfootloft/core/conf"
+	"coltsfootloft/core/journ"
 	"coltsfootloft/core/keys"
 	"coltsfootloft/io/change"
 	"coltsfootloft/io/host"
@@ -40,6 +41,7 @@
 	databases []*dbase.Server
 	hosts     []*host.Host
 	secret    string
+	told      map[*host.Host]uint64
 }
 
 // start brings everything up.
@@ -205,6 +207,19 @@
 	fmt.Println()
 }
 
+// hops prints what the hosts have decided since the last call.
+func (d *deployment) hops() {
+	for _, h := range d.hosts {
+		for _, v := range h.Journal.Find(journ.Query{}) {
+			if v.Session == 0 || v.Sequence <= d.told[h] {
+				continue
+			}
+			d.told[h] = v.Sequence
+			fmt.Printf("    %s: %s %s %s\n", h.Settings.Name(), v.Kind, v.Reason, v.Database)
+		}
+	}
+}
+
 func (d *deployment) invite() {
 	fmt.Println()
 	fmt.Println("Connect with a client of your own (run with -stay):")
--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/go-logr/logr"
+
+	"coltsfootloft/io/host"
 )
 
 func main() {
@@ -31,7 +33,10 @@
 func run(ctx context.Context, stay bool) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	d := &deployment{log: logr.Discard()}
+	d := &deployment{
+		log:  logr.Discard(),
+		told: make(map[*host.Host]uint64),
+	}
 	defer d.wait()
 	defer cancel()
 	if err := d.start(ctx); err != nil {
--- a/cmd/demo/session.go
+++ b/cmd/demo/session.go
@@ -19,11 +19,11 @@
 	}
 	defer leave(a)
 	tell("connected to %s with key %s", servedBy(a), keyName)
-	err = timed(ctx, a, "CREATE TABLE notices (id int4 PRIMARY KEY, body text)", "created a table: held by a majority")
+	err = timed(ctx, d, a, "CREATE TABLE notices (id int4 PRIMARY KEY, body text)", "created a table: held by a majority")
 	if err != nil {
 		return err
 	}
-	err = timed(ctx, a, "INSERT INTO notices VALUES (1, 'bake sale moved to Saturday')", "filed a notice: held by a majority")
+	err = timed(ctx, d, a, "INSERT INTO notices VALUES (1, 'bake sale moved to Saturday')", "filed a notice: held by a majority")
 	if err != nil {
 		return err
 	}
@@ -53,15 +53,17 @@
 		return errors.Wrap(err, "reading through the second host")
 	}
 	tell("moved to %s and read %q in %v: %s", servedBy(b), body, time.Since(started).Round(100*time.Microsecond), why)
+	d.hops()
 	return nil
 }
 
-func timed(ctx context.Context, c *pgx.Conn, sql, what string) error {
+func timed(ctx context.Context, d *deployment, c *pgx.Conn, sql, what string) error {
 	started := time.Now()
 	if _, err := c.Exec(ctx, sql); err != nil {
 		return errors.Wrap(err, sql)
 	}
 	tell("%s after %v", what, time.Since(started).Round(100*time.Microsecond))
+	d.hops()
 	return nil
 }
 
--- a/core/conf/defaults.go
+++ b/core/conf/defaults.go
@@ -24,7 +24,7 @@
 	DefaultQueueWait        = 2 * time.Second
 	DefaultQueueLength      = 1000
 	DefaultPoolWait         = 5 * time.Second
-	DefaultReadWait         = time.Second
+	DefaultReadWait         = 100 * time.Millisecond
 	DefaultBarrierWait      = 2 * time.Second
 	DefaultDrainWait        = 30 * time.Second
 	DefaultRetryBudget      = 0.1
--- a/test/callers_test.go
+++ b/test/callers_test.go
@@ -142,6 +142,7 @@
 // TestCallersPageIsRun checks that the Go examples of the page are those that
 // TestCallersPage runs.
 func TestCallersPageIsRun(t *testing.T) {
+	t.Parallel()
 	source, err := os.ReadFile("callers_test.go")
 	assert.NilError(t, err)
 	found := blocks(t, callersPage, "go")
--- a/test/fault_test.go
+++ b/test/fault_test.go
@@ -16,7 +16,7 @@
 )
 
 // maxFleets bounds the fleets that run at once.
-const maxFleets = 4
+const maxFleets = 5
 
 var fleets = make(chan struct{}, maxFleets)
 
--- a/test/mix_test.go
+++ b/test/mix_test.go
@@ -19,6 +19,7 @@
 // few upstream connections. Some abandon a request half way, some cancel it, some
 // leave a transaction open when they go.
 func TestAnswersNeverMix(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, layout{
 		domains: 3,
 		hosts:   2,
--- a/test/operate_test.go
+++ b/test/operate_test.go
@@ -40,6 +40,7 @@
 // TestApplyWaitsForEveryHost changes a setting by the operators' command, which
 // asks a single host whether the change is in force on all.
 func TestApplyWaitsForEveryHost(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, layout{
 		domains: 2,
 		hosts:   3,
--- a/test/pages_test.go
+++ b/test/pages_test.go
@@ -44,6 +44,7 @@
 // TestMetricsPage compares the metrics of a running host with those of the page
 // for operators.
 func TestMetricsPage(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, layout{
 		domains: 1,
 		hosts:   2,
--- a/test/trace_test.go
+++ b/test/trace_test.go
@@ -25,6 +25,7 @@
 // TestTrace follows one write through its host: its hops stand in the file in
 // order, in the caller's trace, and the host's decisions carry the trace's id.
 func TestTrace(t *testing.T) {
+	t.Parallel()
 	file := filepath.Join(t.TempDir(), "spans")
 	f := newFleet(t, layout{
 		domains: 1,
