--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -119,7 +119,7 @@
 		for range 3 {
 			s.callers.Go(func() { s.rated.ask(s.ctx, f, e, "alpha.rated") })
 		}
-		s.callers.Go(func() { s.followSettings(e) })
+		s.callers.Go(func() { f.follow(s.ctx, e, &s.backward) })
 	}
 	s.callers.Go(func() { s.changeSettings() })
 }
@@ -141,26 +141,6 @@
 	})
 }
 
-// followSettings counts how often a host goes back in revision. A host that was
-// killed starts anew, so only the same run of it counts.
-func (s *soak) followSettings(e *entry) {
-	var last uint64
-	var run *process
-	s.repeat(func(int) {
-		time.Sleep(50 * time.Millisecond)
-		p := e.process
-		st, ok := s.fleet.status(e)
-		if !ok || p != run {
-			run, last = p, 0
-			return
-		}
-		if st.Settings.Revision < last {
-			s.backward.Add(1)
-		}
-		last = max(last, st.Settings.Revision)
-	})
-}
-
 // trouble causes faults, each overlapping the one before, of every kind in turn.
 func (s *soak) trouble(random *rand.Rand, faults int) {
 	f := s.fleet
