platform, entry: the whole path on the users' platform, thin

One role on all hosts; the statement engine is neutral to the protocol, platform/ holds names, formats and calls.

--- a/cmd/coltsfootloft/main.go
+++ b/cmd/coltsfootloft/main.go
@@ -18,6 +18,7 @@
 	c.Register(c.HelpCommand(), "")
 	c.Register(c.FlagsCommand(), "")
 	c.Register(&serveCommand{}, "hosts")
+	c.Register(&entryCommand{}, "hosts")
 	tools := &cmds.Tools{
 		Out:     os.Stdout,
 		Err:     os.Stderr,
--- /dev/null
+++ b/core/grant/book.go
@@ -0,0 +1,215 @@
+// Package grant divides the rate of each client account among the hosts.
+//
+// One host keeps the book. Every host reports what its callers ask of each account
+// and gets back a rate that it may serve until a moment. The rates given out never
+// sum to more than the account's: a grant counts as held until it has run out, or
+// until the host has reported a newer one in its place. A keeper that takes over
+// starts from what the hosts report to hold.
+//
+// The burst is divided too: half of it equally among the hosts, the other half
+// stays with the keeper, who lends from it to hosts whose callers came in a bunch.
+package grant
+
+import (
+	"time"
+
+	"coltsfootloft"
+	"coltsfootloft/core/bucket"
+)
+
+const (
+	// Valid is how long a grant may be used: longer than it takes to notice a
+	// lost keeper and choose another (a lease of 2 s), so that service goes on.
+	Valid = 3 * time.Second
+	// headroom is how much more than it asks for a host gets while there is
+	// enough, for the irregular arrival of small demands.
+	headroom = 1.25
+	// idleShare is the part of the free rate that is divided equally, so that a
+	// host whose callers were silent can serve the first of them.
+	idleShare = 0.3
+	// used is the part of the account's rate that is given out as rates.
+	used = 0.9
+	// lent is the part of the rate by which the keeper's part of the burst fills;
+	// what used and lent leave over is for clocks that run unevenly.
+	lent = 0.08
+)
+
+// Line is a host's report of one account, or a grant.
+type Line struct {
+	// Account is the client account.
+	Account string
+	// Demand is what callers ask for, in operations a second.
+	Demand float64
+	// Held is the rate that the host may serve now.
+	Held float64
+	// HeldFor is how long it may, at the most.
+	HeldFor time.Duration
+	// Want is how many operations are waiting for the keeper's part of the burst.
+	Want float64
+	// Rate is what is granted, in operations a second.
+	Rate float64
+	// Burst is the depth of the host's bucket, in operations.
+	Burst float64
+	// Lent are operations out of the keeper's part of the burst.
+	Lent float64
+}
+
+// Book is the keeper's. Its fields are set before use; it is not safe for
+// concurrent use.
+type Book struct {
+	// Started is when this host became keeper.
+	Started time.Duration
+
+	accounts map[string]*account
+	reported map[string]bool
+}
+
+type account struct {
+	hosts map[string]*holding
+	pool  bucket.Bucket
+	rate  float64
+	burst float64
+}
+
+// holding is one host's part.
+type holding struct {
+	demand float64
+	at     time.Duration
+	rate   float64 // the newest grant
+	older  float64 // the most that the host may still serve by an older grant
+	until  time.Duration
+}
+
+// Report takes a host's report and returns its grants. Hosts are those with a
+// lease. Before all of them have reported to a new keeper, or the time of the old
+// keeper's grants has passed, grants only repeat what is held.
+func (b *Book) Report(now time.Duration, host string, lines []Line, hosts []string, limits map[string]coltsfootloft.Account) []Line {
+	if b.accounts == nil {
+		b.accounts = make(map[string]*account)
+		b.reported = make(map[string]bool)
+	}
+	b.reported[host] = true
+	for _, l := range lines {
+		b.note(now, host, l)
+	}
+	settled := b.isSettled(now, hosts)
+	grants := make([]Line, 0, len(lines))
+	for _, l := range lines {
+		limit, ok := limits[l.Account]
+		if !ok {
+			continue
+		}
+		grants = append(grants, b.grant(now, host, l, limit, hosts, settled))
+	}
+	return grants
+}
+
+func (b *Book) note(now time.Duration, host string, l Line) {
+	a := b.accounts[l.Account]
+	if a == nil {
+		a = &account{hosts: make(map[string]*holding)}
+		b.accounts[l.Account] = a
+	}
+	h := a.hosts[host]
+	if h == nil {
+		h = &holding{}
+		a.hosts[host] = h
+	}
+	h.demand = l.Demand
+	h.at = now
+	h.older = l.Held
+	h.until = now + l.HeldFor
+	h.rate = 0
+}
+
+func (b *Book) isSettled(now time.Duration, hosts []string) bool {
+	if now-b.Started >= Valid {
+		return true
+	}
+	for _, h := range hosts {
+		if !b.reported[h] {
+			return false
+		}
+	}
+	return true
+}
+
+func (b *Book) grant(now time.Duration, host string, l Line, limit coltsfootloft.Account, hosts []string, settled bool) Line {
+	a := b.accounts[l.Account]
+	a.resize(now, limit)
+	h := a.hosts[host]
+	n := float64(max(len(hosts), 1))
+	g := Line{
+		Account: l.Account,
+		Burst:   max(limit.Burst()/2/n, 1),
+	}
+	if !settled {
+		g.Rate = min(l.Held, limit.Rate()*used)
+		h.rate = g.Rate
+		return g
+	}
+	others, demand := a.others(now, host)
+	rate := limit.Rate() * used
+	g.Rate = min(share(rate, h.demand, demand, n), max(rate-others, 0))
+	if l.Want > 0 {
+		g.Lent = a.pool.Debit(instant(now), l.Want)
+	}
+	h.rate = g.Rate
+	h.until = max(h.until, now+Valid)
+	return g
+}
+
+// others sums what the other hosts may serve, and what they ask for.
+func (a *account) others(now time.Duration, host string) (held, demand float64) {
+	for name, h := range a.hosts {
+		if name == host {
+			continue
+		}
+		if now >= h.until {
+			delete(a.hosts, name)
+			continue
+		}
+		held += max(h.rate, h.older)
+		demand += h.demand
+	}
+	return held, demand
+}
+
+// share is a host's part of a rate: what it asks for and a little more while there
+// is enough for all, its proportion of the whole when there is not.
+func share(rate, mine, others, hosts float64) float64 {
+	all := (mine + others) * headroom
+	if all >= rate {
+		if mine+others <= 0 {
+			return 0
+		}
+		return rate * mine / (mine + others)
+	}
+	free := rate - all
+	return mine*headroom + free*idleShare/hosts + free*(1-idleShare)*proportion(mine, others, hosts)
+}
+
+func proportion(mine, others, hosts float64) float64 {
+	if mine+others <= 0 {
+		return 1 / hosts
+	}
+	return mine / (mine + others)
+}
+
+func (a *account) resize(now time.Duration, limit coltsfootloft.Account) {
+	if a.rate == limit.Rate() && a.burst == limit.Burst() {
+		return
+	}
+	first := a.rate == 0 && a.burst == 0
+	a.rate = limit.Rate()
+	a.burst = limit.Burst()
+	if first {
+		// The burst may have been spent with the keeper before this one.
+		a.pool = bucket.New(0, a.burst/2, instant(now))
+		a.pool.Debit(instant(now), a.burst)
+	}
+	// The pool fills slowly: its tokens come out of what the rates leave over.
+	a.pool.Resize(instant(now), a.rate*lent, a.burst/2)
+}
+
+func instant(d time.Duration) time.Time { return time.Unix(0, int64(d)) }
--- /dev/null
+++ b/io/entry/single.go
@@ -0,0 +1,291 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"coltsfootloft"
+	"coltsfootloft/core/prep"
+	"coltsfootloft/io/groups"
+	"coltsfootloft/io/lanes"
+)
+
+const (
+	// offerShare is the part of the target latency that an operation may wait
+	// for a database before it is refused: in time for a try at another host.
+	offerShare = 0.24
+	// repeatShare is the part of the target latency within which an operation
+	// that was offered to a database, and has not run, is offered again.
+	repeatShare = 0.9
+	// readShare is the part of the target latency after which a read that is not
+	// answered is sent elsewhere; its answer may have been lost.
+	readShare = 0.5
+	// pauseBetween is the wait before an operation is offered again to databases
+	// that have all refused it.
+	pauseBetween = 8 * time.Millisecond
+	// ageMargin is left of the age that a route allows.
+	ageMargin = 30 * time.Millisecond
+)
+
+// place is where a statement may run, and what it must find there.
+type place struct {
+	reader groups.Reader
+	after  coltsfootloft.Position
+}
+
+// patience is how much longer an operation may wait before it is refused.
+func (o *operation) patience(now time.Duration) time.Duration {
+	share := offerShare
+	if o.offered {
+		share = repeatShare
+	}
+	return time.Duration(float64(o.route.Target)*share) - (now - o.arrived)
+}
+
+// primaryPlace returns the primary, while it may be used.
+func (n *session) primaryPlace(o *operation) (place, bool) {
+	office, ok := n.server.Groups.Primary(o.route.Group)
+	if !ok {
+		return place{}, false
+	}
+	return place{reader: groups.Reader{
+		Target:    office.Target,
+		Office:    office,
+		IsPrimary: true,
+	}}, true
+}
+
+// readPlace chooses a database for a read, the tried ones last.
+func (n *session) readPlace(o *operation, tried map[string]bool) (place, bool) {
+	if o.route.Kind == coltsfootloft.RoutePrimary {
+		return n.primaryPlace(o)
+	}
+	after, fresh := n.least(o)
+	for _, r := range n.server.Groups.Readers(o.route.Group) {
+		if tried[r.Target.ID] || !r.IsPrimary && !fresh {
+			continue
+		}
+		p := place{reader: r}
+		if !r.IsPrimary {
+			p.after = after
+		}
+		return p, true
+	}
+	return place{}, false
+}
+
+// least is the position that a replica must have applied for the route's promise;
+// ok is false if that is not known.
+func (n *session) least(o *operation) (p coltsfootloft.Position, ok bool) {
+	g := n.server.Groups
+	since := o.arrived - o.route.MaxAge + ageMargin
+	p, ok = g.Marks(o.route.Group).Oldest(g.Epoch(o.route.Group), since)
+	if !ok {
+		return p, false
+	}
+	if o.route.Kind == coltsfootloft.RouteOwnWrites && n.wroteIn == o.route.Group && n.wrote.Compare(p) > 0 {
+		p = n.wrote
+	}
+	return p, true
+}
+
+// single runs a statement outside a transaction. A read is repeated until it is
+// answered; a write only while it is known not to have run.
+func (n *session) single(o *operation, st coltsfootloft.Statement, shape *prep.Shape, writes bool) coltsfootloft.Reply {
+	tried := make(map[string]bool)
+	for {
+		p, ok := place{}, false
+		if writes {
+			p, ok = n.primaryPlace(o)
+		} else {
+			p, ok = n.readPlace(o, tried)
+		}
+		if !ok {
+			clear(tried)
+			if !n.pause(o) {
+				return n.giveUp(o, st, coltsfootloft.ReasonBusy, "no database can serve it; come back in 100 ms")
+			}
+			continue
+		}
+		tried[p.reader.Target.ID] = true
+		conn := n.borrow(o, p)
+		if conn == nil {
+			if o.patience(n.server.Clock.Elapsed()) <= 0 {
+				return n.giveUp(o, st, coltsfootloft.ReasonBusy, "no connection came free; come back in 50 ms")
+			}
+			continue
+		}
+		reply, end := n.attempt(o, conn, p, st, shape, writes)
+		if end {
+			n.finish(o, st, p, reply)
+			return reply
+		}
+	}
+}
+
+// pause waits for a change; false means that the operation has waited long enough.
+func (n *session) pause(o *operation) bool {
+	left := o.patience(n.server.Clock.Elapsed())
+	if left <= 0 {
+		return false
+	}
+	timer := time.NewTimer(min(left, pauseBetween))
+	defer timer.Stop()
+	select {
+	case <-n.server.Mirror.Changed():
+	case <-timer.C:
+	}
+	return true
+}
+
+// borrow takes a connection, and returns nil if there is none or if the right to
+// use the primary was lost while waiting.
+func (n *session) borrow(o *operation, p place) *lanes.Conn {
+	s := n.server
+	left := o.patience(s.Clock.Elapsed())
+	if left <= 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), left)
+	defer cancel()
+	conn, err := s.Lanes.Acquire(ctx, p.reader.Target, n.account)
+	if errors.Is(err, lanes.ErrDown) && p.reader.IsPrimary {
+		s.Missing(o.route.Group, p.reader.Target.ID)
+		n.pause(o)
+	}
+	if err != nil {
+		return nil
+	}
+	if p.reader.IsPrimary && !s.Groups.Holds(o.route.Group, p.reader.Office) {
+		s.Lanes.Release(conn, true)
+		return nil
+	}
+	return conn
+}
+
+// attempt sends the statement once; end is false if it is to be tried again.
+func (n *session) attempt(o *operation, conn *lanes.Conn, p place, st coltsfootloft.Statement, shape *prep.Shape, writes bool) (reply coltsfootloft.Reply, end bool) {
+	s := n.server
+	o.offered = true
+	o.tries++
+	sent := s.Clock.Elapsed()
+	final := o.wall.Add(o.route.Timeout)
+	deadline := final
+	if early := time.Now().Add(time.Duration(float64(o.route.Target) * readShare)); !writes && early.Before(final) {
+		deadline = early
+	}
+	reply, err := conn.Exchange(lanes.Request{
+		Statement: st,
+		Wishes:    &n.wishes,
+		Shape:     shape,
+		After:     p.after,
+		Deadline:  deadline,
+	})
+	if err != nil {
+		return n.unanswered(o, conn, p, st, writes, final, err)
+	}
+	s.Lanes.Release(conn, reply.State == coltsfootloft.TxIdle && reply.Reason != coltsfootloft.ReasonNoStatement)
+	if reply.Failed() {
+		return n.refusedBy(o, p, st, reply)
+	}
+	if p.reader.IsPrimary {
+		if writes && !s.Groups.Stood(o.route.Group, p.reader.Office) {
+			return n.doubt(st, "the primary was replaced meanwhile"), true
+		}
+		s.Groups.Marks(o.route.Group).Add(p.reader.Office.Epoch, sent, reply.Position)
+	}
+	if writes {
+		n.wrote = reply.Position
+		n.wroteIn = o.route.Group
+	}
+	return reply, true
+}
+
+// unanswered handles a statement whose answer did not come. The connection of a
+// read that is still awaited is kept until its answer has come, unless it broke.
+func (n *session) unanswered(o *operation, conn *lanes.Conn, p place, st coltsfootloft.Statement, writes bool, final time.Time, err error) (coltsfootloft.Reply, bool) {
+	s := n.server
+	s.Log.Info("no answer", "id", st.ID(), "database", p.reader.Target.ID, "group", o.route.Group, "writes", writes,
+		"reason", err.Error(), "after_ms", time.Since(o.wall).Milliseconds(), "tries", o.tries)
+	if writes {
+		s.Lanes.Release(conn, false)
+		if p.reader.IsPrimary {
+			s.Missing(o.route.Group, p.reader.Target.ID)
+		}
+		return n.doubt(st, "no answer to a write"), true
+	}
+	if isTimeout(err) && time.Now().Before(final) {
+		go s.await(conn, final)
+	} else {
+		s.Lanes.Release(conn, false)
+	}
+	if p.reader.IsPrimary {
+		s.Missing(o.route.Group, p.reader.Target.ID)
+	}
+	if o.patience(s.Clock.Elapsed()) <= 0 {
+		return n.giveUp(o, st, coltsfootloft.ReasonAborted, "no answer to a read; come back at once"), true
+	}
+	return coltsfootloft.Reply{}, false
+}
+
+// await takes a late answer, so that the database's work is not broken off.
+func (s *Server) await(conn *lanes.Conn, final time.Time) {
+	err := conn.Discard(final)
+	s.Lanes.Release(conn, err == nil)
+}
+
+// refusedBy decides on a database's refusal: what did not run is tried elsewhere.
+func (n *session) refusedBy(o *operation, p place, st coltsfootloft.Statement, reply coltsfootloft.Reply) (coltsfootloft.Reply, bool) {
+	switch reply.Reason {
+	case coltsfootloft.ReasonBusy, coltsfootloft.ReasonLagging, coltsfootloft.ReasonReadOnly,
+		coltsfootloft.ReasonMisrouted, coltsfootloft.ReasonConnections, coltsfootloft.ReasonNoStatement:
+	default:
+		return reply, true
+	}
+	if p.reader.IsPrimary && reply.Reason == coltsfootloft.ReasonReadOnly {
+		n.server.Missing(o.route.Group, p.reader.Target.ID)
+	}
+	if o.patience(n.server.Clock.Elapsed()) <= 0 {
+		return reply, true
+	}
+	if reply.Reason == coltsfootloft.ReasonBusy || p.reader.IsPrimary {
+		n.pause(o)
+	}
+	return coltsfootloft.Reply{}, false
+}
+
+func (n *session) doubt(st coltsfootloft.Statement, why string) coltsfootloft.Reply {
+	n.server.Log.Info("outcome unknown", "id", st.ID(), "database", n.greeting.Database(), "account", n.account, "reason", why)
+	return coltsfootloft.RefusedReply(coltsfootloft.ReasonInDoubt, why)
+}
+
+func (n *session) giveUp(o *operation, st coltsfootloft.Statement, reason coltsfootloft.Reason, text string) coltsfootloft.Reply {
+	n.server.refused(st.Verb().String(), st.ID(), n, reason, text)
+	return coltsfootloft.RefusedReply(reason, text)
+}
+
+// finish counts an answered statement, and logs failures, repeats and a sample of
+// the rest.
+func (n *session) finish(o *operation, st coltsfootloft.Statement, p place, reply coltsfootloft.Reply) {
+	s := n.server
+	outcome := reply.Reason.String()
+	if !reply.Failed() {
+		outcome = "done"
+	}
+	s.count(st.Verb().String(), outcome)
+	took := s.Clock.Elapsed() - o.arrived
+	s.Metrics.GetOrCreateHistogram("coltsfootloft_operation_seconds").Update(took.Seconds())
+	if !reply.Failed() && o.tries <= 1 && s.served.Add(1)%logEvery != 0 {
+		return
+	}
+	s.Log.Info("served", "id", st.ID(), "what", st.Verb().String(), "database", n.greeting.Database(), "account", n.account,
+		"upstream", p.reader.Target.ID, "primary", p.reader.IsPrimary, "epoch", s.Groups.Epoch(o.route.Group),
+		"outcome", outcome, "tries", o.tries, "took_ms", took.Milliseconds())
+}
+
+func isTimeout(err error) bool {
+	var t interface{ Timeout() bool }
+	return errors.As(err, &t) && t.Timeout()
+}
--- /dev/null
+++ b/io/lanes/lanes.go
@@ -0,0 +1,358 @@
+// Package lanes keeps the connections to databases.
+//
+// A database counts its connections over all hosts, and a connection speaks for
+// one client account from its start. A host therefore keeps few, closes the one
+// that was longest idle when another account needs its place, and takes a refusal
+// for want of connections as what it is: nothing ran.
+package lanes
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+
+	"coltsfootloft"
+	"coltsfootloft/core/pick"
+)
+
+// Errors of Acquire; nothing was sent.
+var (
+	// ErrBusy: no connection came free in time.
+	ErrBusy = errors.New("no connection came free")
+	// ErrDown: the database can't be reached.
+	ErrDown = errors.New("database unreachable")
+)
+
+const (
+	// dialTimeout bounds opening a connection: 12 ms of work at the database,
+	// behind a full queue of 16 statements of 22 ms on two slots.
+	dialTimeout = 400 * time.Millisecond
+	// full is the wait after a database had no connection left.
+	full = 15 * time.Millisecond
+	// idleLimit closes connections that nobody has used: some seconds keep those
+	// of accounts that call now and then, and leave room for other hosts.
+	idleLimit = 8 * time.Second
+	// sweepEvery is how often idle connections are looked at.
+	sweepEvery = 2 * time.Second
+)
+
+// Opener opens a session at a database.
+type Opener interface {
+	Open(ctx context.Context, address, group, account, id string) (coltsfootloft.Session, coltsfootloft.Position, error)
+}
+
+// Lanes holds the connections of one host. Its fields are set before Run.
+type Lanes struct {
+	// Opener opens connections.
+	Opener Opener
+	// Refused tells a database's refusal of a session from other errors.
+	Refused func(err error) (coltsfootloft.Reason, bool)
+	// Clock counts suspensions.
+	Clock coltsfootloft.Clock
+	// Limit is the most connections of this host to a database of the group.
+	Limit func(group string) int
+	// Log takes a line when a database is lost or found again.
+	Log logr.Logger
+	// Metrics receives the counters.
+	Metrics *metrics.Set
+
+	mu    sync.Mutex
+	lanes map[string]*lane
+}
+
+// lane holds the connections to one database.
+type lane struct {
+	id        string
+	open      int // connections, those being opened included
+	opening   map[string]int
+	idle      []*Conn // the longest idle first
+	waiters   []*waiter
+	candidate pick.Candidate
+	down      bool
+	fullUntil time.Duration
+	retrying  bool
+}
+
+type waiter struct {
+	target  Target
+	account string
+	result  chan granted
+}
+
+type granted struct {
+	conn *Conn
+	err  error
+}
+
+// Target is a database to connect to.
+type Target struct {
+	// ID is the database's, Address its IP:port, Group the group's name.
+	ID, Address, Group string
+}
+
+// Acquire lends a connection of the account, and waits for one as long as the
+// context lasts.
+func (l *Lanes) Acquire(ctx context.Context, t Target, account string) (*Conn, error) {
+	l.mu.Lock()
+	n := l.lane(t.ID)
+	if n.candidate.IsDown(l.Clock.Elapsed()) && len(n.idle) == 0 {
+		l.mu.Unlock()
+		return nil, ErrDown
+	}
+	if c := l.takeIdle(n, account); c != nil {
+		l.mu.Unlock()
+		return c, nil
+	}
+	w := &waiter{
+		target:  t,
+		account: account,
+		result:  make(chan granted, 1),
+	}
+	n.waiters = append(n.waiters, w)
+	l.fill(n)
+	l.mu.Unlock()
+	select {
+	case g := <-w.result:
+		return g.conn, g.err
+	case <-ctx.Done():
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	select {
+	case g := <-w.result:
+		return g.conn, g.err
+	default:
+	}
+	n.drop(w)
+	return nil, ErrBusy
+}
+
+func (l *Lanes) lane(id string) *lane {
+	if l.lanes == nil {
+		l.lanes = make(map[string]*lane)
+	}
+	n := l.lanes[id]
+	if n == nil {
+		n = &lane{
+			id:      id,
+			opening: make(map[string]int),
+		}
+		l.lanes[id] = n
+	}
+	return n
+}
+
+// takeIdle returns the connection of the account that was used last.
+func (l *Lanes) takeIdle(n *lane, account string) *Conn {
+	for i := len(n.idle) - 1; i >= 0; i-- {
+		c := n.idle[i]
+		if c.account != account {
+			continue
+		}
+		n.idle = append(n.idle[:i], n.idle[i+1:]...)
+		if c.session.Idle() {
+			return c
+		}
+		l.discard(n, c)
+	}
+	return nil
+}
+
+// discard closes a connection that is in no list.
+func (l *Lanes) discard(n *lane, c *Conn) {
+	c.session.Close()
+	n.open--
+}
+
+// fill opens connections for waiters that none is being opened for.
+func (l *Lanes) fill(n *lane) {
+	now := l.Clock.Elapsed()
+	if now < n.fullUntil {
+		l.retryLater(n, n.fullUntil-now)
+		return
+	}
+	waiting := make(map[string]int)
+	for _, w := range n.waiters {
+		waiting[w.account]++
+		if waiting[w.account] <= n.opening[w.account] {
+			continue
+		}
+		if !l.makeRoom(n, w.target.Group) {
+			return
+		}
+		n.open++
+		n.opening[w.account]++
+		go l.dial(n, w.target, w.account)
+	}
+}
+
+// makeRoom closes the longest idle connection if the limit is reached.
+func (l *Lanes) makeRoom(n *lane, group string) bool {
+	if n.open < l.Limit(group) {
+		return true
+	}
+	if len(n.idle) == 0 {
+		return false
+	}
+	c := n.idle[0]
+	n.idle = n.idle[1:]
+	l.discard(n, c)
+	return true
+}
+
+func (l *Lanes) retryLater(n *lane, d time.Duration) {
+	if n.retrying {
+		return
+	}
+	n.retrying = true
+	time.AfterFunc(d, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		n.retrying = false
+		l.fill(n)
+	})
+}
+
+func (l *Lanes) dial(n *lane, t Target, account string) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	session, _, err := l.Opener.Open(ctx, t.Address, t.Group, account, t.ID)
+	cancel()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n.opening[account]--
+	if err != nil {
+		n.open--
+		l.failed(n, t, err)
+		return
+	}
+	l.count("opened")
+	if n.down {
+		n.down = false
+		l.Log.Info("database reached again", "database", t.ID, "group", t.Group)
+	}
+	l.give(n, &Conn{
+		session: session,
+		account: account,
+		target:  t,
+		lanes:   l,
+	})
+}
+
+// failed tells waiters that a connection could not be opened. A database without
+// a free connection is asked again; what is behind it may come free.
+func (l *Lanes) failed(n *lane, t Target, err error) {
+	now := l.Clock.Elapsed()
+	reason, refused := l.Refused(err)
+	l.count("refused")
+	if refused && (reason == coltsfootloft.ReasonConnections || reason == coltsfootloft.ReasonBusy) {
+		l.Log.V(1).Info("database has no connection left", "database", t.ID, "group", t.Group, "open", n.open)
+		n.fullUntil = now + full
+		if len(n.waiters) > 0 {
+			l.retryLater(n, full)
+		}
+		return
+	}
+	n.candidate.Down(now)
+	if !n.down {
+		n.down = true
+		l.Log.Info("database not reached", "database", t.ID, "group", t.Group, "address", t.Address, "reason", err.Error())
+	}
+	for _, w := range n.waiters {
+		w.result <- granted{err: errors.Wrap(ErrDown, err.Error())}
+	}
+	n.waiters = nil
+}
+
+// give hands a connection to the first waiter of its account, or keeps it.
+func (l *Lanes) give(n *lane, c *Conn) {
+	for i, w := range n.waiters {
+		if w.account == c.account {
+			n.waiters = append(n.waiters[:i], n.waiters[i+1:]...)
+			w.result <- granted{conn: c}
+			return
+		}
+	}
+	c.since = l.Clock.Elapsed()
+	n.idle = append(n.idle, c)
+	if len(n.waiters) > 0 {
+		l.fill(n)
+	}
+}
+
+func (n *lane) drop(w *waiter) {
+	for i, x := range n.waiters {
+		if x == w {
+			n.waiters = append(n.waiters[:i], n.waiters[i+1:]...)
+			return
+		}
+	}
+}
+
+// Release takes a connection back. One that is not at rest is closed.
+func (l *Lanes) Release(c *Conn, healthy bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := l.lane(c.target.ID)
+	if !healthy {
+		l.discard(n, c)
+		l.fill(n)
+		return
+	}
+	l.give(n, c)
+}
+
+// Run closes idle connections until ctx ends, and then all.
+func (l *Lanes) Run(ctx context.Context) {
+	t := time.NewTicker(sweepEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			l.sweep(0)
+			return
+		case <-t.C:
+			l.sweep(idleLimit)
+		}
+	}
+}
+
+func (l *Lanes) sweep(limit time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Clock.Elapsed()
+	for id, n := range l.lanes {
+		for len(n.idle) > 0 && now-n.idle[0].since >= limit {
+			c := n.idle[0]
+			n.idle = n.idle[1:]
+			l.discard(n, c)
+		}
+		if n.open == 0 && len(n.waiters) == 0 && !n.down {
+			delete(l.lanes, id)
+		}
+	}
+}
+
+// Cost is the expected cost of a read at a database, in ms; ok is false while it
+// is passed over because it could not be reached.
+func (l *Lanes) Cost(id string, near, primary bool) (cost float64, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Clock.Elapsed()
+	c := &l.lane(id).candidate
+	return c.Cost(now, near, primary), !c.IsDown(now)
+}
+
+// observe updates what is known of a database.
+func (l *Lanes) observe(id string, f func(c *pick.Candidate, now time.Duration)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f(&l.lane(id).candidate, l.Clock.Elapsed())
+}
+
+func (l *Lanes) count(what string) {
+	l.Metrics.GetOrCreateCounter(`coltsfootloft_database_connections_total{event="` + what + `"}`).Inc()
+}
--- /dev/null
+++ b/io/mirror/mirror.go
@@ -0,0 +1,271 @@
+// Package mirror keeps a copy of the platform's store on each host.
+//
+// One duty waits on the store's watch and applies what it tells. Another asks the
+// store, twice within the time in which a withdrawn key must stop working, whether
+// the operators' settings are still the ones that the host has; the answer moves
+// the horizon. A watch alone proves nothing: its connection may have gone silent,
+// and the store may have lost the history that it would tell.
+package mirror
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+
+	"coltsfootloft"
+	"coltsfootloft/core/horiz"
+)
+
+const (
+	// watchWait is how long the store may hold a watch. A change that a silent
+	// connection swallows is seen within this and the client's margin.
+	watchWait = 3 * time.Second
+	// retryPause is the wait after a failed call.
+	retryPause = 150 * time.Millisecond
+	// confirmShare is the part of the limit on the horizon after which it is
+	// confirmed anew: three tries fit into the limit.
+	confirmShare = 0.28
+	// keepGone is how long a database that has left stays in the view, so that
+	// its connections can be told apart: longer than any draining.
+	keepGone = 30 * time.Second
+)
+
+// Mirror copies the store. Its fields are set before Run.
+type Mirror struct {
+	// Store is the platform's.
+	Store coltsfootloft.EventStore
+	// Clock counts suspensions.
+	Clock coltsfootloft.Clock
+	// Log takes a line for each change of what is believed.
+	Log logr.Logger
+	// Limit is the age of the horizon past which no key is served.
+	Limit time.Duration
+
+	horizon horiz.Horizon
+	view    atomic.Pointer[View]
+	mu      sync.Mutex
+	changed chan struct{}
+	reached atomic.Bool // whether the newest call to the store was answered
+	once    sync.Once
+}
+
+// Horizon tells how old the knowledge of the operators' settings is.
+func (m *Mirror) Horizon() *horiz.Horizon { return &m.horizon }
+
+// View returns the newest view; it is never nil.
+func (m *Mirror) View() *View {
+	m.prepare()
+	return m.view.Load()
+}
+
+// Changed returns a channel that is closed at the next change of the view.
+func (m *Mirror) Changed() <-chan struct{} {
+	m.prepare()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.changed
+}
+
+// Reaches reports whether the newest call to the store was answered.
+func (m *Mirror) Reaches() bool { return m.reached.Load() }
+
+// Await waits until the view is at a revision of the store or later. After a short
+// wait it has the store listed, in case the watch is deaf.
+func (m *Mirror) Await(ctx context.Context, revision uint64) error {
+	const patience = 40 * time.Millisecond // a watch tells a change within 10 ms
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	for {
+		changed := m.Changed()
+		if m.View().Revision >= revision {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			if err := m.Refresh(ctx); err != nil {
+				return err
+			}
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "view of the store")
+		}
+	}
+}
+
+// Refresh lists the store now.
+func (m *Mirror) Refresh(ctx context.Context) error {
+	sent := m.Clock.Elapsed()
+	all, revision, err := m.Store.Snapshot(ctx)
+	m.reached.Store(err == nil)
+	if err != nil {
+		return errors.Wrap(err, "list the store")
+	}
+	m.update(revision, func(v *View, now time.Duration) []error {
+		if revision < v.Revision {
+			return nil
+		}
+		return v.replace(now, all)
+	})
+	if m.View().Catalog != nil {
+		m.horizon.Advance(sent)
+	}
+	return nil
+}
+
+// Run copies until ctx ends.
+func (m *Mirror) Run(ctx context.Context) {
+	m.prepare()
+	var group sync.WaitGroup
+	group.Add(1)
+	go func() {
+		defer group.Done()
+		m.confirm(ctx)
+	}()
+	m.watch(ctx)
+	group.Wait()
+}
+
+func (m *Mirror) prepare() {
+	m.once.Do(func() {
+		m.changed = make(chan struct{})
+		m.view.Store(emptyView())
+	})
+}
+
+// watch lists once and then follows the changes.
+func (m *Mirror) watch(ctx context.Context) {
+	listed := false
+	for ctx.Err() == nil {
+		if !listed {
+			if err := m.Refresh(ctx); err != nil {
+				m.failed(ctx, err)
+				continue
+			}
+			listed = true
+			m.Log.Info("store listed", "revision", m.View().Revision, "databases", len(m.View().Upstreams))
+		}
+		events, revision, err := m.Store.Events(ctx, m.View().Revision, watchWait)
+		m.reached.Store(err == nil || errors.Is(err, coltsfootloft.ErrHistory))
+		switch {
+		case errors.Is(err, coltsfootloft.ErrHistory):
+			m.Log.Info("history of the store is gone", "revision", m.View().Revision)
+			listed = false
+		case err != nil:
+			m.failed(ctx, err)
+		case len(events) > 0 || revision > m.View().Revision:
+			m.applyAll(events, revision)
+		}
+	}
+}
+
+func (m *Mirror) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	m.Log.Info("store not answering", "call", "watch", "reason", err.Error(), "revision", m.View().Revision)
+	select {
+	case <-ctx.Done():
+	case <-time.After(retryPause):
+	}
+}
+
+func (m *Mirror) applyAll(events []coltsfootloft.Event, revision uint64) {
+	m.update(revision, func(v *View, now time.Duration) []error {
+		var problems []error
+		for _, e := range events {
+			if err := v.apply(now, e); err != nil {
+				problems = append(problems, errors.Wrap(err, e.Key))
+			}
+		}
+		return problems
+	})
+}
+
+// update publishes a changed copy of the view.
+func (m *Mirror) update(revision uint64, change func(v *View, now time.Duration) []error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.Clock.Elapsed()
+	before := m.view.Load()
+	v := before.clone()
+	problems := change(v, now)
+	v.Revision = max(v.Revision, revision)
+	v.forget(now)
+	m.view.Store(v)
+	close(m.changed)
+	m.changed = make(chan struct{})
+	for _, p := range problems {
+		m.Log.Info("entry of the store not usable", "reason", p.Error(), "revision", revision)
+	}
+	m.report(before, v)
+}
+
+// forget drops databases that left long ago.
+func (v *View) forget(now time.Duration) {
+	for id, u := range v.Upstreams {
+		if u.Gone && now-u.Since > keepGone {
+			delete(v.Upstreams, id)
+		}
+	}
+}
+
+// report logs what has changed for requests.
+func (m *Mirror) report(before, after *View) {
+	if after.Catalog != nil && (before.Catalog == nil || before.Catalog.Revision != after.Catalog.Revision) {
+		m.Log.Info("settings in force", "version", after.Catalog.Version, "revision", after.Catalog.Revision,
+			"routes", len(after.Catalog.Routes), "accounts", len(after.Catalog.Accounts), "keys", len(after.Catalog.Keys))
+	}
+	for id, u := range after.Upstreams {
+		old, known := before.Upstreams[id]
+		if !known || old.Gone != u.Gone || old.Leaving != u.Leaving || old.Role != u.Role || old.Born != u.Born {
+			m.Log.Info("database", "database", id, "group", u.Group, "domain", u.Upstream.Domain(), "address", u.Upstream.Address(),
+				"role", u.Role.String(), "leaving", u.Leaving, "gone", u.Gone, "born", u.Born, "revision", u.Revision)
+		}
+	}
+	for name, g := range after.Groups {
+		if before.Groups[name].Revision != g.Revision {
+			m.Log.Info("record of a group", "group", name, "epoch", g.Epoch, "primary", g.Primary, "closing", g.Closing,
+				"candidate", g.Candidate, "revision", g.Revision)
+		}
+	}
+}
+
+// confirm keeps the horizon young.
+func (m *Mirror) confirm(ctx context.Context) {
+	period := time.Duration(float64(m.Limit) * confirmShare)
+	for ctx.Err() == nil {
+		pause := retryPause
+		if m.confirmOnce(ctx) {
+			pause = period
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+}
+
+func (m *Mirror) confirmOnce(ctx context.Context) bool {
+	c := m.View().Catalog
+	if c == nil {
+		return false
+	}
+	sent := m.Clock.Elapsed()
+	current, newer, err := m.Store.Confirm(ctx, c.Revision)
+	m.reached.Store(err == nil)
+	if err != nil {
+		age, _ := m.horizon.Age(m.Clock.Elapsed())
+		m.Log.Info("store not answering", "call", "confirm", "reason", err.Error(), "horizon_age", age.String())
+		return false
+	}
+	if !current {
+		// The store's own revision is not known from this answer.
+		m.applyAll([]coltsfootloft.Event{newer}, 0)
+	}
+	m.horizon.Advance(sent)
+	return true
+}
--- /dev/null
+++ b/io/quota/quota.go
@@ -0,0 +1,352 @@
+// Package quota serves client accounts within their rates over all hosts.
+//
+// Each host has a bucket an account, whose rate and depth the keeper of the book
+// grants (core/grant). Reports go to the keeper twice within the life of a grant,
+// and at once when an operation finds its bucket empty.
+package quota
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"coltsfootloft"
+	"coltsfootloft/core/bucket"
+	"coltsfootloft/core/grant"
+	"coltsfootloft/io/duty"
+	"coltsfootloft/io/mirror"
+	"coltsfootloft/io/quota/quotapb"
+)
+
+// dutyName is the duty on the links between hosts.
+const dutyName = "quota"
+
+const (
+	// reportEvery leaves time for two lost reports within a grant's life.
+	reportEvery = 800 * time.Millisecond
+	// urgentEvery bounds reports because of empty buckets.
+	urgentEvery = 25 * time.Millisecond
+	// callTimeout bounds a report: other hosts answer in 3 ms.
+	callTimeout = 300 * time.Millisecond
+	// forgetAfter is how long an account is reported after its last operation.
+	forgetAfter = 6 * time.Second
+	// smoothing is the weight of the newest period in the demand.
+	smoothing = 0.5
+)
+
+// Quota is the host's part. Its fields are set before Run.
+type Quota struct {
+	// Peers calls the keeper.
+	Peers coltsfootloft.Peers
+	// Duty is that of the keeper.
+	Duty *duty.Duty
+	// Mirror has the accounts and hosts.
+	Mirror *mirror.Mirror
+	// Clock counts suspensions.
+	Clock coltsfootloft.Clock
+	// Log takes a line when the keeper is lost or found again.
+	Log logr.Logger
+	// StoreAge is how long ago the store last answered this host.
+	StoreAge func() time.Duration
+
+	mu       sync.Mutex
+	accounts map[string]*account
+	changed  chan struct{}
+	urgent   chan struct{}
+	reported time.Duration
+	lost     bool
+	others   time.Duration // the keeper's store age, as of its last answer
+	answered time.Duration // when the keeper last answered
+	once     sync.Once
+
+	book      grant.Book
+	bookMutex sync.Mutex
+	bookSince time.Duration
+}
+
+// account is one account on this host.
+type account struct {
+	bucket  bucket.Bucket
+	asked   float64 // operations since the last report
+	demand  float64
+	waiting int
+	used    time.Duration
+	rate    float64
+	until   time.Duration
+	granted bool
+}
+
+// Register sets the keeper's handler. It is called before Run.
+func (q *Quota) Register() {
+	q.prepare()
+	q.Peers.Register(dutyName, q.handle)
+}
+
+func (q *Quota) prepare() {
+	q.once.Do(func() {
+		q.accounts = make(map[string]*account)
+		q.changed = make(chan struct{})
+		q.urgent = make(chan struct{}, 1)
+	})
+}
+
+// Admit takes one operation out of the account's rate. It waits until ctx ends.
+func (q *Quota) Admit(ctx context.Context, name string) bool {
+	q.mu.Lock()
+	a := q.account(name)
+	a.asked++
+	if a.take(q.Clock.Elapsed()) {
+		q.mu.Unlock()
+		return true
+	}
+	a.waiting++
+	for {
+		now := q.Clock.Elapsed()
+		changed := q.changed
+		wait := a.bucket.Wait(instant(now), 1)
+		q.mu.Unlock()
+		q.hurry()
+		ok := sleep(ctx, changed, wait)
+		q.mu.Lock()
+		if a.take(q.Clock.Elapsed()) {
+			a.waiting--
+			q.mu.Unlock()
+			return true
+		}
+		if !ok {
+			a.waiting--
+			q.mu.Unlock()
+			return false
+		}
+	}
+}
+
+// account returns what the host has of an account.
+func (q *Quota) account(name string) *account {
+	q.prepare()
+	a := q.accounts[name]
+	if a == nil {
+		a = &account{}
+		q.accounts[name] = a
+	}
+	a.used = q.Clock.Elapsed()
+	return a
+}
+
+func (a *account) take(now time.Duration) bool {
+	if now >= a.until {
+		return false
+	}
+	return a.bucket.Take(instant(now), 1)
+}
+
+// sleep waits for a grant or for the bucket to fill; false when ctx ends.
+func sleep(ctx context.Context, changed <-chan struct{}, wait time.Duration) bool {
+	timer := time.NewTimer(max(min(wait, time.Second), time.Millisecond))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-changed:
+	case <-timer.C:
+	}
+	return true
+}
+
+func (q *Quota) hurry() {
+	select {
+	case q.urgent <- struct{}{}:
+	default:
+	}
+}
+
+// Run reports until ctx ends.
+func (q *Quota) Run(ctx context.Context) {
+	q.prepare()
+	t := time.NewTicker(reportEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			q.report(ctx)
+		case <-q.urgent:
+			q.report(ctx)
+			rest(ctx, urgentEvery)
+		}
+	}
+}
+
+func rest(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// report tells the keeper what is asked for and takes its grants.
+func (q *Quota) report(ctx context.Context) {
+	sent := q.Clock.Elapsed()
+	keeper, ok := q.Duty.Holder()
+	if !ok {
+		q.keeperLost("no host keeps the book")
+		return
+	}
+	b, err := proto.Marshal(q.lines(sent))
+	if err != nil {
+		panic(err) // messages of plain fields always encode
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	b, err = q.Peers.Call(ctx, keeper, dutyName, b)
+	var g quotapb.Grants
+	if err == nil {
+		err = proto.Unmarshal(b, &g)
+	}
+	if err == nil && !g.GetKeeper() {
+		err = errors.Errorf("%s does not keep the book", keeper)
+	}
+	if err != nil {
+		q.keeperLost(err.Error())
+		return
+	}
+	q.take(sent, &g)
+}
+
+// lines is the report of the accounts that were used of late.
+func (q *Quota) lines(now time.Duration) *quotapb.Report {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	period := max((now - q.reported).Seconds(), urgentEvery.Seconds())
+	whole := now-q.reported >= reportEvery/2
+	r := &quotapb.Report{}
+	for name, a := range q.accounts {
+		if now-a.used > forgetAfter && now >= a.until {
+			delete(q.accounts, name)
+			continue
+		}
+		if whole {
+			a.demand += smoothing * (a.asked/period - a.demand)
+			a.asked = 0
+		} else if floor := a.asked / reportEvery.Seconds(); floor > a.demand {
+			a.demand = floor
+		}
+		l := &quotapb.Line{
+			Account: name,
+			Demand:  a.demand,
+			Want:    float64(a.waiting),
+		}
+		if now < a.until {
+			l.Held = a.rate
+			l.HeldMs = (a.until - now).Milliseconds() + 1
+		}
+		r.Lines = append(r.Lines, l)
+	}
+	if whole {
+		q.reported = now
+	}
+	return r
+}
+
+func (q *Quota) take(sent time.Duration, g *quotapb.Grants) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.Clock.Elapsed()
+	if q.lost {
+		q.lost = false
+		q.Log.Info("keeper of rates answers again")
+	}
+	q.answered = now
+	q.others = time.Duration(g.GetStoreAgeMs()) * time.Millisecond
+	for _, x := range g.GetGrants() {
+		a := q.accounts[x.GetAccount()]
+		if a == nil {
+			continue
+		}
+		if !a.granted {
+			a.granted = true
+			a.bucket = bucket.New(x.GetRate(), x.GetBurst(), instant(now))
+		}
+		a.bucket.Resize(instant(now), x.GetRate(), x.GetBurst())
+		a.bucket.Credit(instant(now), x.GetLent())
+		a.rate = x.GetRate()
+		a.until = sent + grant.Valid
+	}
+	close(q.changed)
+	q.changed = make(chan struct{})
+}
+
+func (q *Quota) keeperLost(reason string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !q.lost {
+		q.lost = true
+		q.Log.Info("keeper of rates does not answer", "reason", reason)
+	}
+}
+
+// Keeper returns how long ago the keeper last answered, and how long before that
+// the store had last answered the keeper.
+func (q *Quota) Keeper() (silent, storeAge time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.Clock.Elapsed() - q.answered, q.others
+}
+
+// handle answers a report, if this host keeps the book.
+func (q *Quota) handle(_ context.Context, from string, body []byte) ([]byte, error) {
+	var r quotapb.Report
+	if err := proto.Unmarshal(body, &r); err != nil {
+		return nil, errors.Wrap(err, "report")
+	}
+	answer := &quotapb.Grants{StoreAgeMs: q.StoreAge().Milliseconds()}
+	if _, ok := q.Duty.Holds(); ok {
+		answer.Keeper = true
+		answer.Grants = q.grants(from, &r)
+	}
+	b, err := proto.Marshal(answer)
+	return b, errors.Wrap(err, "grants")
+}
+
+func (q *Quota) grants(from string, r *quotapb.Report) []*quotapb.Grant {
+	q.bookMutex.Lock()
+	defer q.bookMutex.Unlock()
+	v := q.Mirror.View()
+	if v.Catalog == nil {
+		return nil
+	}
+	if since := q.Duty.Since(); since != q.bookSince {
+		q.bookSince = since
+		q.book = grant.Book{Started: since}
+	}
+	lines := make([]grant.Line, 0, len(r.GetLines()))
+	for _, l := range r.GetLines() {
+		lines = append(lines, grant.Line{
+			Account: l.GetAccount(),
+			Demand:  l.GetDemand(),
+			Held:    l.GetHeld(),
+			HeldFor: time.Duration(l.GetHeldMs()) * time.Millisecond,
+			Want:    l.GetWant(),
+		})
+	}
+	granted := q.book.Report(q.Clock.Elapsed(), from, lines, v.HostNames(), v.Catalog.Accounts)
+	grants := make([]*quotapb.Grant, 0, len(granted))
+	for _, l := range granted {
+		grants = append(grants, &quotapb.Grant{
+			Account: l.Account,
+			Rate:    l.Rate,
+			Burst:   l.Burst,
+			Lent:    l.Lent,
+		})
+	}
+	return grants
+}
+
+func instant(d time.Duration) time.Time { return time.Unix(0, int64(d)) }
--- /dev/null
+++ b/io/steward/serve.go
@@ -0,0 +1,58 @@
+package steward
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"coltsfootloft/io/steward/stewardpb"
+)
+
+// handle answers the questions of the other hosts.
+func (s *Steward) handle(ctx context.Context, _ string, body []byte) ([]byte, error) {
+	var r stewardpb.Request
+	if err := proto.Unmarshal(body, &r); err != nil {
+		return nil, errors.Wrap(err, "question")
+	}
+	answer := &stewardpb.Response{}
+	switch {
+	case r.GetConfirm() != nil:
+		if err := s.Mirror.Await(ctx, r.GetConfirm().GetRevision()); err != nil {
+			return nil, err
+		}
+		answer.Yes = true
+	case r.GetReach() != nil:
+		answer.Yes = s.reaches(ctx, r.GetReach().GetDatabase())
+	case r.GetMissing() != nil:
+		s.report(r.GetMissing())
+		answer.Yes = true
+	}
+	b, err := proto.Marshal(answer)
+	return b, errors.Wrap(err, "answer")
+}
+
+// reaches reports whether a database answers this host now.
+func (s *Steward) reaches(ctx context.Context, id string) bool {
+	u, ok := s.Mirror.View().Upstreams[id]
+	if !ok {
+		return false
+	}
+	_, err := s.status(ctx, targetOf(u))
+	return err == nil
+}
+
+// report notes that a host misses the primary of a group.
+func (s *Steward) report(m *stewardpb.Missing) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.Mirror.View().Groups[m.GetGroup()].Primary != m.GetDatabase() {
+		return
+	}
+	w := s.watched[m.GetGroup()]
+	if w == nil {
+		w = &watched{}
+		s.watched[m.GetGroup()] = w
+	}
+	w.reported = true
+}
--- a/store.go
+++ b/store.go
@@ -159,25 +159,15 @@
 // Leaving is set once the platform has announced the removal.
 func (h HostRecord) Leaving() bool { return h.leaving }
 
-// Store is the platform's key-value service. Every call counts against the
-// platform's limits, a waiting watch as one.
+// Store is the platform's key-value service as the PostgreSQL front uses it. Every
+// call counts against the platform's limits, a waiting watch as one.
 type Store interface {
-	// Read returns one key, with Version 0 if it does not exist.
-	Read(ctx context.Context, key string) (Entry, error)
+	KeyValue
 	// List returns all keys under prefix and the store's index.
 	List(ctx context.Context, prefix string) ([]Entry, uint64, error)
 	// Watch is List, but waits until the index under prefix passes after, or
 	// for about wait.
 	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Entry, uint64, error)
-	// Apply makes all changes or none and returns the store's index after.
-	Apply(ctx context.Context, changes []Change) (uint64, error)
-	// OpenSession starts a lease of length ttl. Locks of the session are
-	// released when it lapses.
-	OpenSession(ctx context.Context, name string, ttl time.Duration) (string, error)
-	// RenewSession extends the lease by its ttl.
-	RenewSession(ctx context.Context, session string) error
-	// CloseSession ends the lease and releases its locks.
-	CloseSession(ctx context.Context, session string) error
 	// Hosts returns the platform's lagging host list.
 	Hosts(ctx context.Context) ([]HostRecord, error)
 }
