--- a/core/grant/book.go
+++ b/core/grant/book.go
@@ -6,11 +6,14 @@
 // until the host has reported a newer one in its place. A keeper that takes over
 // starts from what the hosts report to hold.
 //
-// The burst is divided too: half of it equally among the hosts, the other half
-// stays with the keeper, who lends from it to hosts whose callers came in a bunch.
+// Rates cover what hosts ask for on average. What is left over, rate and burst
+// alike, fills the keeper's own bucket, out of which single operations are lent to
+// hosts whose callers came in a bunch: small demands arrive too irregularly to be
+// served by rates alone.
 package grant
 
 import (
+	"math"
 	"time"
 
 	"coltsfootloft"
@@ -21,17 +24,15 @@
 	// Valid is how long a grant may be used: longer than it takes to notice a
 	// lost keeper and choose another (a lease of 2 s), so that service goes on.
 	Valid = 3 * time.Second
-	// headroom is how much more than it asks for a host gets while there is
-	// enough, for the irregular arrival of small demands.
-	headroom = 1.25
-	// idleShare is the part of the free rate that is divided equally, so that a
-	// host whose callers were silent can serve the first of them.
-	idleShare = 0.3
-	// used is the part of the account's rate that is given out as rates.
-	used = 0.9
-	// lent is the part of the rate by which the keeper's part of the burst fills;
-	// what used and lent leave over is for clocks that run unevenly.
-	lent = 0.08
+	// used is the part of the account's rate that is given out; the rest is for
+	// clocks that run unevenly.
+	used = 0.98
+	// asRates is the most of the account's rate that is given out as rates; what
+	// is lent goes to whoever needs it at the moment.
+	asRates = 0.6
+	// hostBurst is the part of the account's burst that hosts have in their
+	// buckets, divided equally.
+	hostBurst = 0.4
 )
 
 // Line is a host's report of one account, or a grant.
@@ -141,7 +142,7 @@
 	n := float64(max(len(hosts), 1))
 	g := Line{
 		Account: l.Account,
-		Burst:   max(limit.Burst()/2/n, 1),
+		Burst:   max(limit.Burst()*hostBurst/n, 1),
 	}
 	if !settled {
 		g.Rate = min(l.Held, limit.Rate()*used)
@@ -149,16 +150,21 @@
 		return g
 	}
 	others, demand := a.others(now, host)
-	rate := limit.Rate() * used
-	g.Rate = min(share(rate, h.demand, demand, n), max(rate-others, 0))
-	if l.Want > 0 {
-		g.Lent = a.pool.Debit(instant(now), l.Want)
-	}
+	g.Rate = min(share(limit.Rate()*asRates, h.demand, demand), max(limit.Rate()*used-others, 0))
 	h.rate = g.Rate
 	h.until = max(h.until, now+Valid)
+	a.fill(now, max(g.Rate, h.older)+others)
+	if l.Want > 0 {
+		g.Lent = a.pool.Debit(instant(now), math.Floor(min(l.Want, a.pool.Available(instant(now)))))
+	}
 	return g
 }
 
+// fill has the keeper's bucket fill with what the rates leave over.
+func (a *account) fill(now time.Duration, held float64) {
+	a.pool.Resize(instant(now), max(a.rate*used-held, 0), a.burst*(1-hostBurst))
+}
+
 // others sums what the other hosts may serve, and what they ask for.
 func (a *account) others(now time.Duration, host string) (held, demand float64) {
 	for name, h := range a.hosts {
@@ -175,41 +181,22 @@
 	return held, demand
 }
 
-// share is a host's part of a rate: what it asks for and a little more while there
-// is enough for all, its proportion of the whole when there is not.
-func share(rate, mine, others, hosts float64) float64 {
-	all := (mine + others) * headroom
-	if all >= rate {
-		if mine+others <= 0 {
-			return 0
-		}
-		return rate * mine / (mine + others)
+// share is a host's part of a rate: what it asks for while there is enough for
+// all, its proportion of the whole when there is not.
+func share(rate, mine, others float64) float64 {
+	all := mine + others
+	if all <= rate {
+		return mine
 	}
-	free := rate - all
-	return mine*headroom + free*idleShare/hosts + free*(1-idleShare)*proportion(mine, others, hosts)
-}
-
-func proportion(mine, others, hosts float64) float64 {
-	if mine+others <= 0 {
-		return 1 / hosts
-	}
-	return mine / (mine + others)
+	return rate * mine / all
 }
 
 func (a *account) resize(now time.Duration, limit coltsfootloft.Account) {
 	if a.rate == limit.Rate() && a.burst == limit.Burst() {
 		return
 	}
-	first := a.rate == 0 && a.burst == 0
 	a.rate = limit.Rate()
 	a.burst = limit.Burst()
-	if first {
-		// The burst may have been spent with the keeper before this one.
-		a.pool = bucket.New(0, a.burst/2, instant(now))
-		a.pool.Debit(instant(now), a.burst)
-	}
-	// The pool fills slowly: its tokens come out of what the rates leave over.
-	a.pool.Resize(instant(now), a.rate*lent, a.burst/2)
 }
 
 func instant(d time.Duration) time.Time { return time.Unix(0, int64(d)) }
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -33,13 +33,10 @@
 	// keyMargin is left of the time within which a withdrawn key must stop: for
 	// clocks that run unevenly, and for the way to the database.
 	keyMargin = 400 * time.Millisecond
-	// connectionShare is the part of a database's connections that hosts take
-	// by their number; the rest is for uneven loads and for probes.
-	connectionShare = 0.9
-	// moreConnections is how many connections above its share a host may open to
-	// a database: callers come to hosts unevenly. A database refuses what is too
-	// many.
-	moreConnections = 3
+	// connectionShare is the part of a database's connections that hosts share;
+	// the rest is for probes and for connections of hosts that died, which a
+	// database keeps for 3 s.
+	connectionShare = 0.94
 	// linkIdle closes links to other hosts that nothing is asked over.
 	linkIdle = 20 * time.Second
 )
@@ -164,14 +161,30 @@
 	return coltsfootloft.ReasonNone, false
 }
 
-// connections is how many connections this host opens to a database of a group.
-func (e *Edge) connections(group string) int {
+// connections is how many connections this host opens to a database. A primary is
+// shared by all hosts alike. Reads go to the replica of the host's own failure
+// domain, whose hosts share what one connection for each other host leaves.
+func (e *Edge) connections(t lanes.Target) int {
 	v := e.mirror.View()
 	if v.Catalog == nil {
 		return 1
 	}
-	share := float64(v.Catalog.Connections[group]) * connectionShare / float64(max(len(v.Hosts), 1))
-	return int(share) + moreConnections
+	all := float64(v.Catalog.Connections[t.Group]) * connectionShare
+	hosts := float64(max(len(v.Hosts), 1))
+	if v.Groups[t.Group].Primary == t.ID {
+		return max(int(all/hosts), 1)
+	}
+	domain := v.Upstreams[t.ID].Upstream.Domain()
+	near := 0.0
+	for _, p := range v.Hosts {
+		if p.Domain == domain {
+			near++
+		}
+	}
+	if domain != e.settings.Domain {
+		return 1
+	}
+	return max(int((all-(hosts-near))/max(near, 1)), 1)
 }
 
 func (e *Edge) buildDuties(client *platform.Client, opener *platform.Dialer) {
@@ -196,8 +209,9 @@
 		Mirror:   e.mirror,
 		Promoter: client,
 		Prober: &probe.Prober{
-			Opener: opener,
-			Parse:  platform.ParseHealth,
+			Opener:  opener,
+			Refused: refusedBy,
+			Parse:   platform.ParseHealth,
 		},
 		Clock:   e.clock,
 		Log:     e.log.WithName("steward"),
--- a/io/entry/single.go
+++ b/io/entry/single.go
@@ -15,7 +15,7 @@
 const (
 	// offerShare is the part of the target latency that an operation may wait
 	// for a database before it is refused: in time for a try at another host.
-	offerShare = 0.24
+	offerShare = 0.6
 	// repeatShare is the part of the target latency within which an operation
 	// that was offered to a database, and has not run, is offered again.
 	repeatShare = 0.9
@@ -63,7 +63,7 @@
 		return n.primaryPlace(o)
 	}
 	after, fresh := n.least(o)
-	for _, r := range n.server.Groups.Readers(o.route.Group) {
+	for _, r := range n.server.Groups.Readers(o.route.Group, n.account) {
 		if tried[r.Target.ID] || !r.IsPrimary && !fresh {
 			continue
 		}
@@ -262,10 +262,19 @@
 }
 
 func (n *session) giveUp(o *operation, st coltsfootloft.Statement, reason coltsfootloft.Reason, text string) coltsfootloft.Reply {
+	n.refund(o)
 	n.server.refused(st.Verb().String(), st.ID(), n, reason, text)
 	return coltsfootloft.RefusedReply(reason, text)
 }
 
+// refund gives back what an operation took of its account's rate, if no database
+// was offered it.
+func (n *session) refund(o *operation) {
+	if !o.offered && n.account != "" {
+		n.server.Quota.Return(n.account)
+	}
+}
+
 // finish counts an answered statement, and logs failures, repeats and a sample of
 // the rest.
 func (n *session) finish(o *operation, st coltsfootloft.Statement, p place, reply coltsfootloft.Reply) {
--- a/io/entry/transaction.go
+++ b/io/entry/transaction.go
@@ -68,6 +68,7 @@
 	}
 	t.wall = time.Now()
 	if reason := n.enter(st); reason != coltsfootloft.ReasonNone {
+		n.refund(&t.operation)
 		return n.fail(st, reason, "no database took the transaction; come back in 50 ms")
 	}
 	if t.place.reader.IsPrimary && !n.server.Groups.Holds(t.route.Group, t.place.reader.Office) {
--- a/io/lanes/lanes.go
+++ b/io/lanes/lanes.go
@@ -31,11 +31,11 @@
 	// dialTimeout bounds opening a connection: 12 ms of work at the database,
 	// behind a full queue of 16 statements of 22 ms on two slots.
 	dialTimeout = 400 * time.Millisecond
-	// full is the wait after a database had no connection left.
-	full = 15 * time.Millisecond
-	// idleLimit closes connections that nobody has used: some seconds keep those
-	// of accounts that call now and then, and leave room for other hosts.
-	idleLimit = 8 * time.Second
+	// full is the wait after a database had no connection left: a try costs its
+	// place in a slot, and those of other hosts are kept for seconds.
+	full = 60 * time.Millisecond
+	// idleLimit closes connections that nobody has used.
+	idleLimit = 20 * time.Second
 	// sweepEvery is how often idle connections are looked at.
 	sweepEvery = 2 * time.Second
 )
@@ -53,8 +53,8 @@
 	Refused func(err error) (coltsfootloft.Reason, bool)
 	// Clock counts suspensions.
 	Clock coltsfootloft.Clock
-	// Limit is the most connections of this host to a database of the group.
-	Limit func(group string) int
+	// Limit is the most connections of this host to a database.
+	Limit func(t Target) int
 	// Log takes a line when a database is lost or found again.
 	Log logr.Logger
 	// Metrics receives the counters.
@@ -181,7 +181,7 @@
 		if waiting[w.account] <= n.opening[w.account] {
 			continue
 		}
-		if !l.makeRoom(n, w.target.Group) {
+		if !l.makeRoom(n, w.target) {
 			return
 		}
 		n.open++
@@ -191,8 +191,8 @@
 }
 
 // makeRoom closes the longest idle connection if the limit is reached.
-func (l *Lanes) makeRoom(n *lane, group string) bool {
-	if n.open < l.Limit(group) {
+func (l *Lanes) makeRoom(n *lane, t Target) bool {
+	if n.open < l.Limit(t) {
 		return true
 	}
 	if len(n.idle) == 0 {
@@ -336,14 +336,31 @@
 	}
 }
 
-// Cost is the expected cost of a read at a database, in ms; ok is false while it
-// is passed over because it could not be reached.
-func (l *Lanes) Cost(id string, near, primary bool) (cost float64, ok bool) {
+// openCost is what opening a connection adds to the cost of a read, in ms: the
+// database's work for it, and two ways there and back.
+const openCost = 16.0
+
+// Cost is the expected cost of an account's read at a database, in ms; ok is false
+// while it is passed over because it could not be reached.
+func (l *Lanes) Cost(id, account string, near, primary bool) (cost float64, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Clock.Elapsed()
-	c := &l.lane(id).candidate
-	return c.Cost(now, near, primary), !c.IsDown(now)
+	n := l.lane(id)
+	cost = n.candidate.Cost(now, near, primary)
+	if !n.hasIdle(account) {
+		cost += openCost
+	}
+	return cost, !n.candidate.IsDown(now)
+}
+
+func (n *lane) hasIdle(account string) bool {
+	for _, c := range n.idle {
+		if c.account == account {
+			return true
+		}
+	}
+	return false
 }
 
 // observe updates what is known of a database.
--- a/io/probe/probe.go
+++ b/io/probe/probe.go
@@ -16,10 +16,15 @@
 // than the next question of a watched primary.
 const keep = 2 * time.Second
 
+// ErrOccupied: the database is there, but has no room to answer.
+var ErrOccupied = errors.New("database has no room to answer")
+
 // Prober asks databases. Its fields are set before use.
 type Prober struct {
 	// Opener opens sessions.
 	Opener lanes.Opener
+	// Refused tells a database's refusal of a session from other errors.
+	Refused func(err error) (coltsfootloft.Reason, bool)
 	// Parse decodes the answer.
 	Parse func(coltsfootloft.Reply) (coltsfootloft.Health, error)
 
@@ -58,7 +63,7 @@
 	if c.session == nil {
 		fresh = true
 		if err := p.open(ctx, c, t); err != nil {
-			return coltsfootloft.Health{}, err
+			return coltsfootloft.Health{}, p.occupied(err)
 		}
 	}
 	deadline, ok := ctx.Deadline()
@@ -76,9 +81,24 @@
 		return coltsfootloft.Health{}, errors.Wrapf(err, "%s, fresh connection %t", k.Kind, fresh)
 	}
 	c.timer.Reset(keep)
+	if isOccupied(reply.Reason) {
+		return coltsfootloft.Health{}, errors.Wrap(ErrOccupied, reply.Reason.String())
+	}
 	return p.Parse(reply)
 }
 
+// occupied turns a refusal for want of room into ErrOccupied.
+func (p *Prober) occupied(err error) error {
+	if reason, ok := p.Refused(err); ok && isOccupied(reason) {
+		return errors.Wrap(ErrOccupied, err.Error())
+	}
+	return err
+}
+
+func isOccupied(r coltsfootloft.Reason) bool {
+	return r == coltsfootloft.ReasonBusy || r == coltsfootloft.ReasonConnections
+}
+
 func (p *Prober) conn(t lanes.Target) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/io/quota/quota.go
+++ b/io/quota/quota.go
@@ -34,8 +34,11 @@
 	callTimeout = 300 * time.Millisecond
 	// forgetAfter is how long an account is reported after its last operation.
 	forgetAfter = 6 * time.Second
-	// smoothing is the weight of the newest period in the demand.
-	smoothing = 0.5
+	// smoothing is the weight of the newest period in the demand, which so looks
+	// back over some three seconds.
+	smoothing = 0.25
+	// lentFor is how long operations that the keeper lent may wait for their use.
+	lentFor = 500 * time.Millisecond
 )
 
 // Quota is the host's part. Its fields are set before Run.
@@ -78,6 +81,9 @@
 	rate    float64
 	until   time.Duration
 	granted bool
+	// lent are operations out of the keeper's part, until lentUntil.
+	lent      float64
+	lentUntil time.Duration
 }
 
 // Register sets the keeper's handler. It is called before Run.
@@ -119,12 +125,38 @@
 		}
 		if !ok {
 			a.waiting--
+			q.refused(name, a)
 			q.mu.Unlock()
 			return false
 		}
 	}
 }
 
+// Return gives back an operation that was admitted and sent to no database.
+func (q *Quota) Return(name string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.Clock.Elapsed()
+	a := q.account(name)
+	if now >= a.lentUntil {
+		a.lent = 0
+	}
+	a.lent++
+	a.lentUntil = max(a.lentUntil, now+lentFor)
+}
+
+// refused logs what a refusal rests on.
+func (q *Quota) refused(name string, a *account) {
+	now := q.Clock.Elapsed()
+	limit := coltsfootloft.Account{}
+	if c := q.Mirror.View().Catalog; c != nil {
+		limit = c.Accounts[name]
+	}
+	q.Log.Info("account over its rate here", "account", name, "limit", limit.Rate(), "burst", limit.Burst(), "demand", a.demand,
+		"granted", a.rate, "tokens", a.bucket.Available(instant(now)), "valid", (a.until - now).String(),
+		"keeper_silent", (now - q.answered).String(), "waiting", a.waiting, "lent", a.lent)
+}
+
 // account returns what the host has of an account.
 func (q *Quota) account(name string) *account {
 	q.prepare()
@@ -138,6 +170,10 @@
 }
 
 func (a *account) take(now time.Duration) bool {
+	if now < a.lentUntil && a.lent >= 1 {
+		a.lent--
+		return true
+	}
 	if now >= a.until {
 		return false
 	}
@@ -235,8 +271,6 @@
 		if whole {
 			a.demand += smoothing * (a.asked/period - a.demand)
 			a.asked = 0
-		} else if floor := a.asked / reportEvery.Seconds(); floor > a.demand {
-			a.demand = floor
 		}
 		l := &quotapb.Line{
 			Account: name,
@@ -275,7 +309,13 @@
 			a.bucket = bucket.New(x.GetRate(), x.GetBurst(), instant(now))
 		}
 		a.bucket.Resize(instant(now), x.GetRate(), x.GetBurst())
-		a.bucket.Credit(instant(now), x.GetLent())
+		if now >= a.lentUntil {
+			a.lent = 0
+		}
+		if x.GetLent() > 0 {
+			a.lent += x.GetLent()
+			a.lentUntil = sent + lentFor
+		}
 		a.rate = x.GetRate()
 		a.until = sent + grant.Valid
 	}
--- a/io/steward/serve.go
+++ b/io/steward/serve.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"coltsfootloft/io/probe"
 	"coltsfootloft/io/steward/stewardpb"
 )
 
@@ -39,7 +40,7 @@
 		return false
 	}
 	_, err := s.status(ctx, targetOf(u))
-	return err == nil
+	return err == nil || errors.Is(err, probe.ErrOccupied)
 }
 
 // report notes that a host misses the primary of a group.
--- a/io/steward/steward.go
+++ b/io/steward/steward.go
@@ -186,6 +186,8 @@
 		s.watched[name] = w
 	}
 	switch {
+	case errors.Is(err, probe.ErrOccupied):
+		w.misses = 0
 	case err != nil:
 		w.misses++
 	case h.Role == coltsfootloft.Replica:
--- a/io/tenure/tenure.go
+++ b/io/tenure/tenure.go
@@ -49,9 +49,9 @@
 	// failure domain.
 	Host, Address, Domain string
 
-	mu       sync.Mutex
-	session  string
-	until    time.Duration
+	mu      sync.Mutex
+	session string
+	until   time.Duration
 }
 
 // Valid reports whether the host has its lease now.
