relay: statements go to the host that keeps the account's connections

Cause: a connection speaks for one account from its start, a database takes 34 from 15 hosts, and hosts serve most of the 8 accounts: nearly each statement opened one (10,206 for 14,815 requests), 12 ms in a slot each.

--- a/core/prep/prep.go
+++ b/core/prep/prep.go
@@ -17,7 +17,7 @@
 )
 
 // maxPrepared bounds the shapes that one connection holds; past it the connection
-// is reset before it prepares another.
+// is reset before a statement that needs none of them, never inside a transaction.
 const maxPrepared = 256
 
 // Shape is a prepared statement without its name.
@@ -79,7 +79,7 @@
 // to one shape, if that is not nil, and the shape's name there. It records them as
 // done: a connection on which one of them fails must be closed.
 func (h *Held) Align(w *Wishes, s *Shape) (commands []coltsfootloft.Command, name string) {
-	if h.hasMore(w) || len(h.prepared) >= maxPrepared {
+	if h.hasMore(w) || s == nil && len(h.prepared) >= maxPrepared {
 		commands = append(commands, coltsfootloft.Command{Kind: coltsfootloft.CommandReset})
 		*h = Held{next: h.next}
 	}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -24,6 +24,7 @@
 	"coltsfootloft/io/peer"
 	"coltsfootloft/io/probe"
 	"coltsfootloft/io/quota"
+	"coltsfootloft/io/relay"
 	"coltsfootloft/io/steward"
 	"coltsfootloft/io/tenure"
 	"coltsfootloft/platform"
@@ -33,10 +34,9 @@
 	// keyMargin is left of the time within which a withdrawn key must stop: for
 	// clocks that run unevenly, and for the way to the database.
 	keyMargin = 400 * time.Millisecond
-	// connectionShare is the part of a database's connections that hosts share;
-	// the rest is for probes and for connections of hosts that died, which a
-	// database keeps for 3 s.
-	connectionShare = 0.94
+	// holdMargin is how much longer than its own host a transaction's connection
+	// may rest at the host that keeps it.
+	holdMargin = 2 * time.Second
 	// linkIdle closes links to other hosts that nothing is asked over.
 	linkIdle = 20 * time.Second
 )
@@ -51,6 +51,7 @@
 	tenure   *tenure.Tenure
 	lanes    *lanes.Lanes
 	groups   *groups.Groups
+	relay    *relay.Relay
 	peers    *peer.Links
 	duties   []*duty.Duty
 	quota    *quota.Quota
@@ -89,7 +90,7 @@
 		Codec:    func(c net.Conn) coltsfootloft.Caller { return platform.NewFront(c) },
 		Mirror:   e.mirror,
 		Groups:   e.groups,
-		Lanes:    e.lanes,
+		Relay:    e.relay,
 		Quota:    e.quota,
 		Clock:    e.clock,
 		Log:      log.WithName("entry"),
@@ -135,11 +136,15 @@
 }
 
 func (e *Edge) buildDatabases(opener *platform.Dialer) {
+	keepers := &relay.Keepers{
+		Self:   e.settings.Name,
+		Mirror: e.mirror,
+	}
 	e.lanes = &lanes.Lanes{
 		Opener:  opener,
 		Refused: refusedBy,
 		Clock:   e.clock,
-		Limit:   e.connections,
+		Limit:   keepers.Limit,
 		Log:     e.log.WithName("lanes"),
 		Metrics: e.metrics,
 	}
@@ -151,6 +156,18 @@
 		Domain: e.settings.Domain,
 		Drain:  e.settings.Drain(),
 	}
+	e.relay = &relay.Relay{
+		Self:    e.settings.Name,
+		Peers:   e.peers,
+		Keepers: keepers,
+		Lanes:   e.lanes,
+		Groups:  e.groups,
+		Clock:   e.clock,
+		Hold:    e.hold,
+		Log:     e.log.WithName("relay"),
+		Metrics: e.metrics,
+	}
+	e.relay.Register()
 }
 
 func refusedBy(err error) (coltsfootloft.Reason, bool) {
@@ -161,30 +178,12 @@
 	return coltsfootloft.ReasonNone, false
 }
 
-// connections is how many connections this host opens to a database. A primary is
-// shared by all hosts alike. Reads go to the replica of the host's own failure
-// domain, whose hosts share what one connection for each other host leaves.
-func (e *Edge) connections(t lanes.Target) int {
-	v := e.mirror.View()
-	if v.Catalog == nil {
-		return 1
-	}
-	all := float64(v.Catalog.Connections[t.Group]) * connectionShare
-	hosts := float64(max(len(v.Hosts), 1))
-	if v.Groups[t.Group].Primary == t.ID {
-		return max(int(all/hosts), 1)
-	}
-	domain := v.Upstreams[t.ID].Upstream.Domain()
-	near := 0.0
-	for _, p := range v.Hosts {
-		if p.Domain == domain {
-			near++
-		}
-	}
-	if domain != e.settings.Domain {
-		return 1
+// hold is how long a transaction's connection may rest.
+func (e *Edge) hold() time.Duration {
+	if c := e.mirror.View().Catalog; c != nil {
+		return c.IdleTransaction + holdMargin
 	}
-	return max(int((all-(hosts-near))/max(near, 1)), 1)
+	return holdMargin
 }
 
 func (e *Edge) buildDuties(client *platform.Client, opener *platform.Dialer) {
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -24,8 +24,8 @@
 
 	"coltsfootloft"
 	"coltsfootloft/io/groups"
-	"coltsfootloft/io/lanes"
 	"coltsfootloft/io/mirror"
+	"coltsfootloft/io/relay"
 )
 
 const (
@@ -60,8 +60,8 @@
 	Mirror *mirror.Mirror
 	// Groups knows the databases.
 	Groups *groups.Groups
-	// Lanes lends connections.
-	Lanes *lanes.Lanes
+	// Relay lends lines to databases.
+	Relay *relay.Relay
 	// Quota counts operations.
 	Quota Admitter
 	// Clock counts suspensions.
--- a/io/entry/session.go
+++ b/io/entry/session.go
@@ -99,7 +99,7 @@
 	if c := n.server.Mirror.View().Catalog; c != nil {
 		limit = c.IdleTransaction
 	}
-	if limit > 0 && n.tx.conn != nil {
+	if limit > 0 && n.tx.line != nil {
 		n.rest = time.AfterFunc(limit, func() { n.abortIdle("transaction rested too long") })
 	}
 }
@@ -137,7 +137,7 @@
 		return
 	}
 	n.server.Log.Info("transaction aborted", "database", n.greeting.Database(), "account", n.account, "reason", why)
-	n.tx.abandon(n.server.Lanes)
+	n.tx.abandon()
 	n.tx.failed = true
 }
 
@@ -225,7 +225,7 @@
 		n.rest.Stop()
 	}
 	if n.tx != nil {
-		n.tx.abandon(n.server.Lanes)
+		n.tx.abandon()
 		n.tx = nil
 	}
 }
--- a/io/entry/single.go
+++ b/io/entry/single.go
@@ -10,6 +10,7 @@
 	"coltsfootloft/core/prep"
 	"coltsfootloft/io/groups"
 	"coltsfootloft/io/lanes"
+	"coltsfootloft/io/relay"
 )
 
 const (
@@ -63,7 +64,7 @@
 		return n.primaryPlace(o)
 	}
 	after, fresh := n.least(o)
-	for _, r := range n.server.Groups.Readers(o.route.Group, n.account) {
+	for _, r := range n.server.Groups.Readers(o.route.Group) {
 		if tried[r.Target.ID] || !r.IsPrimary && !fresh {
 			continue
 		}
@@ -110,18 +111,21 @@
 			continue
 		}
 		tried[p.reader.Target.ID] = true
-		conn := n.borrow(o, p)
-		if conn == nil {
+		line := n.borrow(o, p)
+		if line == nil {
 			if o.patience(n.server.Clock.Elapsed()) <= 0 {
 				return n.giveUp(o, st, coltsfootloft.ReasonBusy, "no connection came free; come back in 50 ms")
 			}
 			continue
 		}
-		reply, end := n.attempt(o, conn, p, st, shape, writes)
+		reply, end := n.attempt(o, line, p, st, shape, writes)
 		if end {
 			n.finish(o, st, p, reply)
 			return reply
 		}
+		if o.patience(n.server.Clock.Elapsed()) <= 0 {
+			return n.giveUp(o, st, coltsfootloft.ReasonBusy, "no connection came free; come back in 50 ms")
+		}
 	}
 }
 
@@ -140,9 +144,9 @@
 	return true
 }
 
-// borrow takes a connection, and returns nil if there is none or if the right to
-// use the primary was lost while waiting.
-func (n *session) borrow(o *operation, p place) *lanes.Conn {
+// borrow takes a line to a database, and returns nil if there is none or if the
+// right to use the primary was lost while waiting.
+func (n *session) borrow(o *operation, p place) *relay.Line {
 	s := n.server
 	left := o.patience(s.Clock.Elapsed())
 	if left <= 0 {
@@ -150,43 +154,61 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
-	conn, err := s.Lanes.Acquire(ctx, p.reader.Target, n.account)
-	if errors.Is(err, lanes.ErrDown) && p.reader.IsPrimary {
-		s.Missing(o.route.Group, p.reader.Target.ID)
-		n.pause(o)
+	var office *groups.Office
+	if p.reader.IsPrimary {
+		office = &p.reader.Office
 	}
+	line, err := s.Relay.Borrow(ctx, p.reader.Target, n.account, office)
 	if err != nil {
+		n.unreached(o, p, err)
 		return nil
 	}
 	if p.reader.IsPrimary && !s.Groups.Holds(o.route.Group, p.reader.Office) {
-		s.Lanes.Release(conn, true)
+		line.Release(true)
 		return nil
 	}
-	return conn
+	return line
+}
+
+// unreached notes a statement that was not sent.
+func (n *session) unreached(o *operation, p place, err error) {
+	if errors.Is(err, lanes.ErrDown) && p.reader.IsPrimary {
+		n.server.Missing(o.route.Group, p.reader.Target.ID)
+		n.pause(o)
+	}
+}
+
+func wasNotSent(err error) bool {
+	return errors.Is(err, lanes.ErrBusy) || errors.Is(err, lanes.ErrDown)
 }
 
 // attempt sends the statement once; end is false if it is to be tried again.
-func (n *session) attempt(o *operation, conn *lanes.Conn, p place, st coltsfootloft.Statement, shape *prep.Shape, writes bool) (reply coltsfootloft.Reply, end bool) {
+func (n *session) attempt(o *operation, line *relay.Line, p place, st coltsfootloft.Statement, shape *prep.Shape, writes bool) (reply coltsfootloft.Reply, end bool) {
 	s := n.server
-	o.offered = true
-	o.tries++
 	sent := s.Clock.Elapsed()
 	final := o.wall.Add(o.route.Timeout)
 	deadline := final
 	if early := time.Now().Add(time.Duration(float64(o.route.Target) * readShare)); !writes && early.Before(final) {
 		deadline = early
 	}
-	reply, err := conn.Exchange(lanes.Request{
+	reply, err := line.Exchange(lanes.Request{
 		Statement: st,
 		Wishes:    &n.wishes,
 		Shape:     shape,
 		After:     p.after,
 		Deadline:  deadline,
-	})
+	}, final, false)
+	if wasNotSent(err) {
+		n.unreached(o, p, err)
+		return reply, false
+	}
+	o.offered = true
+	o.tries++
 	if err != nil {
-		return n.unanswered(o, conn, p, st, writes, final, err)
+		line.Release(false)
+		return n.unanswered(o, p, st, writes, err)
 	}
-	s.Lanes.Release(conn, reply.State == coltsfootloft.TxIdle && reply.Reason != coltsfootloft.ReasonNoStatement)
+	line.Release(reply.State == coltsfootloft.TxIdle && reply.Reason != coltsfootloft.ReasonNoStatement)
 	if reply.Failed() {
 		return n.refusedBy(o, p, st, reply)
 	}
@@ -203,39 +225,23 @@
 	return reply, true
 }
 
-// unanswered handles a statement whose answer did not come. The connection of a
-// read that is still awaited is kept until its answer has come, unless it broke.
-func (n *session) unanswered(o *operation, conn *lanes.Conn, p place, st coltsfootloft.Statement, writes bool, final time.Time, err error) (coltsfootloft.Reply, bool) {
+// unanswered handles a statement whose answer did not come.
+func (n *session) unanswered(o *operation, p place, st coltsfootloft.Statement, writes bool, err error) (coltsfootloft.Reply, bool) {
 	s := n.server
 	s.Log.Info("no answer", "id", st.ID(), "database", p.reader.Target.ID, "group", o.route.Group, "writes", writes,
 		"reason", err.Error(), "after_ms", time.Since(o.wall).Milliseconds(), "tries", o.tries)
-	if writes {
-		s.Lanes.Release(conn, false)
-		if p.reader.IsPrimary {
-			s.Missing(o.route.Group, p.reader.Target.ID)
-		}
-		return n.doubt(st, "no answer to a write"), true
-	}
-	if isTimeout(err) && time.Now().Before(final) {
-		go s.await(conn, final)
-	} else {
-		s.Lanes.Release(conn, false)
-	}
 	if p.reader.IsPrimary {
 		s.Missing(o.route.Group, p.reader.Target.ID)
 	}
+	if writes {
+		return n.doubt(st, "no answer to a write"), true
+	}
 	if o.patience(s.Clock.Elapsed()) <= 0 {
 		return n.giveUp(o, st, coltsfootloft.ReasonAborted, "no answer to a read; come back at once"), true
 	}
 	return coltsfootloft.Reply{}, false
 }
 
-// await takes a late answer, so that the database's work is not broken off.
-func (s *Server) await(conn *lanes.Conn, final time.Time) {
-	err := conn.Discard(final)
-	s.Lanes.Release(conn, err == nil)
-}
-
 // refusedBy decides on a database's refusal: what did not run is tried elsewhere.
 func (n *session) refusedBy(o *operation, p place, st coltsfootloft.Statement, reply coltsfootloft.Reply) (coltsfootloft.Reply, bool) {
 	switch reply.Reason {
@@ -248,6 +254,7 @@
 		n.server.Missing(o.route.Group, p.reader.Target.ID)
 	}
 	if o.patience(n.server.Clock.Elapsed()) <= 0 {
+		n.server.refused(st.Verb().String(), st.ID(), n, reply.Reason, reply.Text)
 		return reply, true
 	}
 	if reply.Reason == coltsfootloft.ReasonBusy || p.reader.IsPrimary {
@@ -293,8 +300,3 @@
 		"upstream", p.reader.Target.ID, "primary", p.reader.IsPrimary, "epoch", s.Groups.Epoch(o.route.Group),
 		"outcome", outcome, "tries", o.tries, "took_ms", took.Milliseconds())
 }
-
-func isTimeout(err error) bool {
-	var t interface{ Timeout() bool }
-	return errors.As(err, &t) && t.Timeout()
-}
--- a/io/entry/transaction.go
+++ b/io/entry/transaction.go
@@ -6,6 +6,7 @@
 	"coltsfootloft"
 	"coltsfootloft/core/prep"
 	"coltsfootloft/io/lanes"
+	"coltsfootloft/io/relay"
 )
 
 // txShare is how many target latencies a statement in a transaction waits for its
@@ -13,29 +14,26 @@
 // route's whole timeout, and nothing of it is kept either way.
 const txShare = 2
 
-// rollbackTimeout bounds the end of a transaction that is dropped.
-const rollbackTimeout = 300 * time.Millisecond
-
 // transaction is an open transaction of a session.
 type transaction struct {
 	operation
 	begin    coltsfootloft.Statement
 	readOnly bool
 	place    place
-	conn     *lanes.Conn
+	line     *relay.Line
 	aligned  bool
 	wrote    bool
 	failed   bool
 	told     bool // the caller knows that it failed
 }
 
-// abandon gives up the connection; the database rolls back.
-func (t *transaction) abandon(l *lanes.Lanes) {
-	if t.conn == nil {
+// abandon gives up the line; the database rolls back.
+func (t *transaction) abandon() {
+	if t.line == nil {
 		return
 	}
-	l.Release(t.conn, false)
-	t.conn = nil
+	t.line.Release(false)
+	t.line = nil
 }
 
 // begin opens a transaction without telling a database yet.
@@ -62,7 +60,7 @@
 	}
 	t := n.tx
 	now := n.server.Clock.Elapsed()
-	if t.conn == nil {
+	if t.line == nil {
 		// Pauses of the caller before the first statement are not the host's.
 		t.arrived = now
 	}
@@ -75,7 +73,7 @@
 		return n.abort(st, "the primary is being replaced")
 	}
 	limit := min(t.route.Timeout, txShare*t.route.Target)
-	reply, err := t.conn.Exchange(n.request(st, shape, t.wall.Add(limit)))
+	reply, err := t.line.Exchange(n.request(st, shape, t.wall.Add(limit)), t.wall.Add(limit), true)
 	t.aligned = true
 	if err != nil {
 		if t.place.reader.IsPrimary {
@@ -109,7 +107,7 @@
 // several: what has only begun keeps nothing.
 func (n *session) enter(st coltsfootloft.Statement) coltsfootloft.Reason {
 	t := n.tx
-	if t.conn != nil {
+	if t.line != nil {
 		return coltsfootloft.ReasonNone
 	}
 	tried := make(map[string]bool)
@@ -129,14 +127,14 @@
 			continue
 		}
 		tried[p.reader.Target.ID] = true
-		conn := n.borrow(&t.operation, p)
-		if conn == nil {
+		line := n.borrow(&t.operation, p)
+		if line == nil {
 			if t.patience(n.server.Clock.Elapsed()) <= 0 {
 				return last
 			}
 			continue
 		}
-		if reason := n.beginAt(conn, p, st); reason == coltsfootloft.ReasonNone {
+		if reason := n.beginAt(line, p, st); reason == coltsfootloft.ReasonNone {
 			return reason
 		} else if isPromise(reason) {
 			last = reason
@@ -160,21 +158,26 @@
 	}
 }
 
-// beginAt begins the transaction on a connection.
-func (n *session) beginAt(conn *lanes.Conn, p place, st coltsfootloft.Statement) coltsfootloft.Reason {
+// beginAt begins the transaction on a line.
+func (n *session) beginAt(line *relay.Line, p place, st coltsfootloft.Statement) coltsfootloft.Reason {
 	s := n.server
 	t := n.tx
-	t.offered = true
-	t.tries++
 	sent := s.Clock.Elapsed()
-	reply, err := conn.Exchange(lanes.Request{
+	final := time.Now().Add(min(t.route.Timeout, t.route.Target))
+	reply, err := line.Exchange(lanes.Request{
 		Statement: t.begin,
 		Wishes:    &n.wishes,
 		After:     p.after,
-		Deadline:  time.Now().Add(min(t.route.Timeout, t.route.Target)),
-	})
+		Deadline:  final,
+	}, final, true)
+	if wasNotSent(err) {
+		n.unreached(&t.operation, p, err)
+		return coltsfootloft.ReasonBusy
+	}
+	t.offered = true
+	t.tries++
 	if err == nil && !reply.Failed() && reply.State != coltsfootloft.TxOpen {
-		s.Lanes.Release(conn, false)
+		line.Release(false)
 		return coltsfootloft.ReasonFailed
 	}
 	if err != nil || reply.Failed() {
@@ -184,7 +187,7 @@
 			reason = coltsfootloft.ReasonFailed
 			text = err.Error()
 		}
-		s.Lanes.Release(conn, err == nil && reply.State == coltsfootloft.TxIdle)
+		line.Release(err == nil && reply.State == coltsfootloft.TxIdle)
 		s.Log.Info("transaction not begun", "id", st.ID(), "upstream", p.reader.Target.ID, "primary", p.reader.IsPrimary,
 			"reason", reason.String(), "text", text, "tries", t.tries)
 		if p.reader.IsPrimary && reason != coltsfootloft.ReasonBusy {
@@ -192,7 +195,7 @@
 		}
 		return reason
 	}
-	t.conn = conn
+	t.line = line
 	t.place = p
 	t.aligned = true
 	if p.reader.IsPrimary {
@@ -212,7 +215,7 @@
 	if _, refusal := n.permit(); refusal != nil {
 		return n.abortCommit(st, "key withdrawn or settings too old")
 	}
-	if t.conn == nil {
+	if t.line == nil {
 		t.arrived = s.Clock.Elapsed()
 	}
 	t.wall = time.Now()
@@ -232,12 +235,13 @@
 	s := n.server
 	for {
 		sent := s.Clock.Elapsed()
-		reply, err := t.conn.Exchange(lanes.Request{
+		final := t.wall.Add(t.route.Timeout)
+		reply, err := t.line.Exchange(lanes.Request{
 			Statement: st,
-			Deadline:  t.wall.Add(t.route.Timeout),
-		})
+			Deadline:  final,
+		}, final, true)
 		if err != nil {
-			t.abandon(s.Lanes)
+			t.abandon()
 			if t.place.reader.IsPrimary {
 				s.Missing(t.route.Group, t.place.reader.Target.ID)
 			}
@@ -251,11 +255,11 @@
 			continue
 		}
 		if reply.Failed() {
-			t.abandon(s.Lanes)
+			t.abandon()
 			return n.commitFailed(t, st, reply)
 		}
-		s.Lanes.Release(t.conn, reply.State == coltsfootloft.TxIdle)
-		t.conn = nil
+		t.line.Release(reply.State == coltsfootloft.TxIdle)
+		t.line = nil
 		if t.place.reader.IsPrimary {
 			if t.wrote && !s.Groups.Stood(t.route.Group, t.place.reader.Office) {
 				return n.doubt(st, "the primary was replaced meanwhile")
@@ -290,7 +294,7 @@
 }
 
 func (n *session) abortCommit(st coltsfootloft.Statement, why string) coltsfootloft.Reply {
-	n.tx.abandon(n.server.Lanes)
+	n.tx.abandon()
 	n.tx = nil
 	return n.dropped(st, why)
 }
@@ -301,7 +305,7 @@
 }
 
 func (n *session) fail(st coltsfootloft.Statement, reason coltsfootloft.Reason, why string) coltsfootloft.Reply {
-	n.tx.abandon(n.server.Lanes)
+	n.tx.abandon()
 	n.tx.failed = true
 	n.tx.told = true
 	n.server.refused(st.Verb().String(), st.ID(), n, reason, why)
@@ -315,16 +319,10 @@
 		return coltsfootloft.RefusedReply(coltsfootloft.ReasonMalformed, "no transaction")
 	}
 	n.tx = nil
-	if t.conn == nil {
+	if t.line == nil {
 		return coltsfootloft.Reply{}
 	}
-	go n.server.drop(t.conn)
-	t.conn = nil
+	t.line.Rollback()
+	t.line = nil
 	return coltsfootloft.Reply{}
 }
-
-// drop rolls back on a connection and gives it back.
-func (s *Server) drop(conn *lanes.Conn) {
-	r, err := conn.Command(coltsfootloft.Command{Kind: coltsfootloft.CommandRollback}, time.Now().Add(rollbackTimeout))
-	s.Lanes.Release(conn, err == nil && !r.Failed() && r.State == coltsfootloft.TxIdle)
-}
--- a/io/groups/groups.go
+++ b/io/groups/groups.go
@@ -108,9 +108,9 @@
 	IsPrimary bool
 }
 
-// Readers returns the databases that may serve an account's read, the best first. Databases
+// Readers returns the databases that may serve a read, the best first. Databases
 // that could not be reached of late come last.
-func (g *Groups) Readers(group, account string) []Reader {
+func (g *Groups) Readers(group string) []Reader {
 	type ranked struct {
 		reader Reader
 		cost   float64
@@ -129,7 +129,7 @@
 		case id == v.Groups[group].Primary || u.Leaving || u.Gone && g.Clock.Elapsed()-u.Since > goneGrace:
 			continue
 		}
-		cost, up := g.Lanes.Cost(id, account, u.Upstream.Domain() == g.Domain, r.IsPrimary)
+		cost, up := g.Lanes.Cost(id, u.Upstream.Domain() == g.Domain, r.IsPrimary)
 		all = append(all, ranked{
 			reader: r,
 			cost:   cost,
--- a/io/lanes/conn.go
+++ b/io/lanes/conn.go
@@ -55,8 +55,8 @@
 	}
 	c.session.Forward(r.Statement, name, r.After)
 	started := c.lanes.Clock.Elapsed()
-	c.lanes.observe(c.target.ID, func(k *pick.Candidate, _ time.Duration) { k.Start() })
-	defer c.lanes.observe(c.target.ID, func(k *pick.Candidate, _ time.Duration) { k.End() })
+	c.lanes.Observe(c.target.ID, func(k *pick.Candidate, _ time.Duration) { k.Start() })
+	defer c.lanes.Observe(c.target.ID, func(k *pick.Candidate, _ time.Duration) { k.End() })
 	if err := c.session.Flush(r.Deadline); err != nil {
 		return reply, errors.Wrap(err, "send")
 	}
@@ -73,11 +73,12 @@
 	if err != nil {
 		return reply, errors.Wrap(err, "receive")
 	}
-	c.lanes.observe(c.target.ID, func(k *pick.Candidate, now time.Duration) { note(k, now, started, reply) })
+	c.lanes.Observe(c.target.ID, func(k *pick.Candidate, now time.Duration) { Note(k, now, started, reply) })
 	return reply, nil
 }
 
-func note(k *pick.Candidate, now, started time.Duration, reply coltsfootloft.Reply) {
+// Note records an answer for the choice of databases.
+func Note(k *pick.Candidate, now, started time.Duration, reply coltsfootloft.Reply) {
 	switch reply.Reason {
 	case coltsfootloft.ReasonNone:
 		k.Took(now, now-started)
@@ -99,11 +100,6 @@
 	return r, errors.Wrap(err, "receive")
 }
 
-// Silent tells that the database did not answer a request in time.
-func (c *Conn) Silent() {
-	c.lanes.observe(c.target.ID, func(k *pick.Candidate, now time.Duration) { k.Down(now) })
-}
-
 // Discard takes the answer to a request that nobody waits for any more.
 func (c *Conn) Discard(deadline time.Time) error {
 	r, err := c.session.Receive(deadline)
--- a/io/lanes/lanes.go
+++ b/io/lanes/lanes.go
@@ -336,35 +336,18 @@
 	}
 }
 
-// openCost is what opening a connection adds to the cost of a read, in ms: the
-// database's work for it, and two ways there and back.
-const openCost = 16.0
-
-// Cost is the expected cost of an account's read at a database, in ms; ok is false
-// while it is passed over because it could not be reached.
-func (l *Lanes) Cost(id, account string, near, primary bool) (cost float64, ok bool) {
+// Cost is the expected cost of a read at a database, in ms; ok is false while it
+// is passed over because it could not be reached.
+func (l *Lanes) Cost(id string, near, primary bool) (cost float64, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Clock.Elapsed()
-	n := l.lane(id)
-	cost = n.candidate.Cost(now, near, primary)
-	if !n.hasIdle(account) {
-		cost += openCost
-	}
-	return cost, !n.candidate.IsDown(now)
-}
-
-func (n *lane) hasIdle(account string) bool {
-	for _, c := range n.idle {
-		if c.account == account {
-			return true
-		}
-	}
-	return false
+	c := &l.lane(id).candidate
+	return c.Cost(now, near, primary), !c.IsDown(now)
 }
 
-// observe updates what is known of a database.
-func (l *Lanes) observe(id string, f func(c *pick.Candidate, now time.Duration)) {
+// Observe updates what is known of a database.
+func (l *Lanes) Observe(id string, f func(c *pick.Candidate, now time.Duration)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	f(&l.lane(id).candidate, l.Clock.Elapsed())
--- a/io/mirror/view.go
+++ b/io/mirror/view.go
@@ -80,6 +80,8 @@
 	Upstreams map[string]Upstream
 	// Hosts are the registered hosts by name.
 	Hosts map[string]Presence
+	// HostsVersion grows with every change of Hosts.
+	HostsVersion uint64
 	// Groups are the records by group.
 	Groups map[string]Group
 	// Duties are the held duties by name.
@@ -180,6 +182,7 @@
 
 func (v *View) applyOwn(now time.Duration, e coltsfootloft.Event) error {
 	if name, ok := strings.CutPrefix(e.Key, hostPrefix); ok {
+		v.HostsVersion++
 		return put(v.Hosts, name, e, func(b []byte) (Presence, error) {
 			p := Presence{Revision: e.Revision}
 			return p, errors.Wrap(json.Unmarshal(b, &p), "presence of "+name)
@@ -226,6 +229,7 @@
 func (v *View) replace(now time.Duration, all []coltsfootloft.Event) []error {
 	var problems []error
 	v.Hosts = make(map[string]Presence)
+	v.HostsVersion++
 	v.Duties = make(map[string]Duty)
 	present := make(map[string]bool)
 	for _, e := range all {
