--- a/cmd/coltsfootloft/entry.go
+++ b/cmd/coltsfootloft/entry.go
@@ -10,6 +10,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"github.com/go-logr/logr"
 	"github.com/google/subcommands"
 
 	"coltsfootloft/core/conf"
@@ -83,6 +84,14 @@
 	debug.SetMemoryLimit(int64(float64(settings.MemoryMB<<20) * memoryShare))
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	go func() {
+		for range hangup {
+			c.reload(settings, log)
+		}
+	}()
 	log.Info("host starting", "name", settings.Name, "domain", settings.Domain, "listen", settings.Listen)
 	if err := edge.Build(settings, log).Run(ctx); err != nil {
 		log.Error(err, "host ended")
@@ -91,3 +100,14 @@
 	log.Info("host ended")
 	return subcommands.ExitSuccess
 }
+
+// reload reads the settings again. What they change about addresses takes effect at
+// the next start; until then the host goes on as it is.
+func (c *entryCommand) reload(running conf.Entry, log logr.Logger) {
+	now, err := conf.LoadEntry(c.path)
+	if err != nil {
+		log.Error(err, "settings not reloaded; the running ones stay")
+		return
+	}
+	log.Info("settings read again", "changed", now != running)
+}
