--- a/core/grant/book.go
+++ b/core/grant/book.go
@@ -137,7 +137,7 @@
 
 func (b *Book) grant(now time.Duration, host string, l Line, limit coltsfootloft.Account, hosts []string, settled bool) Line {
 	a := b.accounts[l.Account]
-	a.resize(now, limit)
+	a.resize(limit)
 	h := a.hosts[host]
 	n := float64(max(len(hosts), 1))
 	g := Line{
@@ -191,7 +191,7 @@
 	return rate * mine / all
 }
 
-func (a *account) resize(now time.Duration, limit coltsfootloft.Account) {
+func (a *account) resize(limit coltsfootloft.Account) {
 	if a.rate == limit.Rate() && a.burst == limit.Burst() {
 		return
 	}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -109,6 +109,7 @@
 		Clock: e.clock,
 		Log:   e.log.WithName("mirror"),
 		Limit: e.keyLimit(),
+		Leads: e.keepsRates,
 	}
 	e.tenure = &tenure.Tenure{
 		Store:   client,
@@ -130,6 +131,12 @@
 	}
 }
 
+// keepsRates reports whether the other hosts report to this one.
+func (e *Edge) keepsRates() bool {
+	_, ok := e.quota.Duty.Holds()
+	return ok
+}
+
 func (e *Edge) resolve(host string) (string, bool) {
 	p, ok := e.mirror.View().Hosts[host]
 	return p.Address, ok
@@ -256,8 +263,8 @@
 	for _, d := range e.duties {
 		run(d.Run)
 	}
-	accepting, close := context.WithCancel(base)
-	defer close()
+	accepting, refuse := context.WithCancel(base)
+	defer refuse()
 	run(func(ctx context.Context) { report(failed, e.peers.Run(ctx)) })
 	run(func(ctx context.Context) { report(failed, e.serveReady(ctx)) })
 	run(func(context.Context) { report(failed, e.server.Run(accepting)) })
@@ -266,7 +273,7 @@
 	select {
 	case err = <-failed:
 	case <-stop.Done():
-		e.leave(close)
+		e.leave(refuse)
 	}
 	cancel()
 	group.Wait()
--- a/io/entry/single.go
+++ b/io/entry/single.go
@@ -58,6 +58,14 @@
 	}}, true
 }
 
+// place chooses a database for a statement.
+func (n *session) place(o *operation, writes bool, tried map[string]bool) (place, bool) {
+	if writes {
+		return n.primaryPlace(o)
+	}
+	return n.readPlace(o, tried)
+}
+
 // readPlace chooses a database for a read, the tried ones last.
 func (n *session) readPlace(o *operation, tried map[string]bool) (place, bool) {
 	if o.route.Kind == coltsfootloft.RoutePrimary {
@@ -97,12 +105,7 @@
 func (n *session) single(o *operation, st coltsfootloft.Statement, shape *prep.Shape, writes bool) coltsfootloft.Reply {
 	tried := make(map[string]bool)
 	for {
-		p, ok := place{}, false
-		if writes {
-			p, ok = n.primaryPlace(o)
-		} else {
-			p, ok = n.readPlace(o, tried)
-		}
+		p, ok := n.place(o, writes, tried)
 		if !ok {
 			clear(tried)
 			if !n.pause(o) {
--- a/io/entry/transaction.go
+++ b/io/entry/transaction.go
@@ -113,12 +113,7 @@
 	tried := make(map[string]bool)
 	last := coltsfootloft.ReasonBusy
 	for {
-		p, ok := place{}, false
-		if t.readOnly {
-			p, ok = n.readPlace(&t.operation, tried)
-		} else {
-			p, ok = n.primaryPlace(&t.operation)
-		}
+		p, ok := n.place(&t.operation, !t.readOnly, tried)
 		if !ok {
 			clear(tried)
 			if !n.pause(&t.operation) {
--- a/io/groups/groups.go
+++ b/io/groups/groups.go
@@ -92,7 +92,7 @@
 		return false
 	}
 	r, ok := g.Mirror.View().Groups[group]
-	if !ok || r.Epoch != o.Epoch || r.Record.Primary != o.Target.ID {
+	if !ok || r.Epoch != o.Epoch || r.Primary != o.Target.ID {
 		return false
 	}
 	return !r.Closing || g.Clock.Elapsed()-r.Seen < closingGrace
--- a/io/lanes/conn.go
+++ b/io/lanes/conn.go
@@ -10,7 +10,7 @@
 	"coltsfootloft/core/prep"
 )
 
-// ErrAlign: the connection could not be brought to what the session expects; the
+// ErrAlign says that the connection could not be brought to what the session expects; the
 // statement may have run all the same.
 var ErrAlign = errors.New("session values not set")
 
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -22,13 +22,19 @@
 
 const (
 	// watchWait is how long the store may hold a watch. A change that a silent
-	// connection swallows is seen within this and the client's margin.
-	watchWait = 3 * time.Second
+	// connection swallows is heard of from other hosts before.
+	watchWait = 8 * time.Second
+	// gather is how long changes are left to gather before the next watch: each
+	// answer is a priced call of every host.
+	gather = 100 * time.Millisecond
 	// retryPause is the wait after a failed call.
 	retryPause = 150 * time.Millisecond
-	// confirmShare is the part of the limit on the horizon after which it is
-	// confirmed anew: three tries fit into the limit.
-	confirmShare = 0.28
+	// confirmShare is the part of the limit on the horizon after which this host
+	// confirms it itself: two tries then fit into the limit. The keeper of rates
+	// does so far sooner, and its answers to the others move theirs.
+	confirmShare = 0.45
+	// leadEvery is how often the keeper of rates confirms.
+	leadEvery = 700 * time.Millisecond
 	// keepGone is how long a database that has left stays in the view, so that
 	// its connections can be told apart: longer than any draining.
 	keepGone = 30 * time.Second
@@ -44,13 +50,17 @@
 	Log logr.Logger
 	// Limit is the age of the horizon past which no key is served.
 	Limit time.Duration
+	// Leads tells whether other hosts go by this host's confirmations.
+	Leads func() bool
 
-	horizon horiz.Horizon
-	view    atomic.Pointer[View]
-	mu      sync.Mutex
-	changed chan struct{}
-	reached atomic.Bool // whether the newest call to the store was answered
-	once    sync.Once
+	horizon  horiz.Horizon
+	view     atomic.Pointer[View]
+	mu       sync.Mutex
+	changed  chan struct{}
+	hurry    chan struct{}
+	doubting atomic.Bool
+	reached  atomic.Bool // whether the newest call to the store was answered
+	once     sync.Once
 }
 
 // Horizon tells how old the knowledge of the operators' settings is.
@@ -84,6 +94,7 @@
 		if m.View().Revision >= revision {
 			return nil
 		}
+		m.hasten()
 		select {
 		case <-changed:
 		case <-timer.C:
@@ -132,6 +143,7 @@
 func (m *Mirror) prepare() {
 	m.once.Do(func() {
 		m.changed = make(chan struct{})
+		m.hurry = make(chan struct{}, 1)
 		m.view.Store(emptyView())
 	})
 }
@@ -158,10 +170,29 @@
 			m.failed(ctx, err)
 		case len(events) > 0 || revision > m.View().Revision:
 			m.applyAll(events, revision)
+			m.breathe(ctx)
 		}
 	}
 }
 
+// breathe lets changes gather, unless one is waited for.
+func (m *Mirror) breathe(ctx context.Context) {
+	timer := time.NewTimer(gather)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-m.hurry:
+	case <-timer.C:
+	}
+}
+
+func (m *Mirror) hasten() {
+	select {
+	case m.hurry <- struct{}{}:
+	default:
+	}
+}
+
 func (m *Mirror) failed(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
@@ -236,11 +267,13 @@
 
 // confirm keeps the horizon young.
 func (m *Mirror) confirm(ctx context.Context) {
-	period := time.Duration(float64(m.Limit) * confirmShare)
 	for ctx.Err() == nil {
-		pause := retryPause
-		if m.confirmOnce(ctx) {
-			pause = period
+		pause := m.untilConfirm()
+		if pause <= 0 {
+			pause = retryPause
+			if m.confirmOnce(ctx) {
+				continue
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -249,6 +282,18 @@
 	}
 }
 
+// untilConfirm is how long the horizon needs no confirmation.
+func (m *Mirror) untilConfirm() time.Duration {
+	age, ok := m.horizon.Age(m.Clock.Elapsed())
+	if !ok {
+		return 0
+	}
+	if m.Leads() {
+		return leadEvery - age
+	}
+	return min(time.Duration(float64(m.Limit)*confirmShare)-age, leadEvery)
+}
+
 func (m *Mirror) confirmOnce(ctx context.Context) bool {
 	c := m.View().Catalog
 	if c == nil {
--- a/io/probe/probe.go
+++ b/io/probe/probe.go
@@ -16,7 +16,7 @@
 // than the next question of a watched primary.
 const keep = 2 * time.Second
 
-// ErrOccupied: the database is there, but has no room to answer.
+// ErrOccupied says that the database is there but has no room to answer.
 var ErrOccupied = errors.New("database has no room to answer")
 
 // Prober asks databases. Its fields are set before use.
--- a/io/quota/quota.go
+++ b/io/quota/quota.go
@@ -290,6 +290,12 @@
 }
 
 func (q *Quota) take(sent time.Duration, g *quotapb.Grants) {
+	q.Mirror.Heard(mirror.Hearsay{
+		Sent:             sent,
+		SettingsRevision: g.GetSettingsRevision(),
+		SettingsAge:      time.Duration(g.GetSettingsAgeMs()) * time.Millisecond,
+		Revision:         g.GetStoreRevision(),
+	})
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.Clock.Elapsed()
@@ -350,6 +356,10 @@
 	if _, ok := q.Duty.Holds(); ok {
 		answer.Keeper = true
 		answer.Grants = q.grants(from, &r)
+		known := q.Mirror.Known()
+		answer.SettingsRevision = known.SettingsRevision
+		answer.SettingsAgeMs = known.SettingsAge.Milliseconds() + 1
+		answer.StoreRevision = known.Revision
 	}
 	b, err := proto.Marshal(answer)
 	return b, errors.Wrap(err, "grants")
--- a/io/steward/steward.go
+++ b/io/steward/steward.go
@@ -172,12 +172,12 @@
 	case u.Gone && now-u.Since > goneBefore:
 		s.change(ctx, name, "the primary's announcement is gone")
 	default:
-		s.watch(ctx, name, r, targetOf(u))
+		s.watch(ctx, name, targetOf(u))
 	}
 }
 
 // watch asks the primary for its state.
-func (s *Steward) watch(ctx context.Context, name string, r mirror.Group, t lanes.Target) {
+func (s *Steward) watch(ctx context.Context, name string, t lanes.Target) {
 	h, err := s.status(ctx, t)
 	s.mu.Lock()
 	w := s.watched[name]
--- a/platform.go
+++ b/platform.go
@@ -7,7 +7,7 @@
 	"github.com/pkg/errors"
 )
 
-// ErrHistory: the store no longer has the history that was asked for.
+// ErrHistory says that the store no longer has the history that was asked for.
 var ErrHistory = errors.New("history is gone")
 
 // Clock tells how long the host has been up, suspensions included. Leases,
@@ -53,5 +53,5 @@
 	Promote(ctx context.Context, group, database, holder string, fence uint64) error
 }
 
-// ErrRefused: the platform will not promote this database.
+// ErrRefused says that the platform will not promote this database.
 var ErrRefused = errors.New("promotion refused")
