mirror: two hosts of a failure domain watch the store for the others

Cause: each host's watch answered each change, priced per call, and would grow as hosts times changes.

--- a/catalog.go
+++ b/catalog.go
@@ -68,8 +68,9 @@
 	Revision uint64
 	// Gone is set when the key was removed.
 	Gone bool
-	// Value is the raw value of an own key.
-	Value []byte
+	// StoreKey is the key as the store has it, and Value the raw value.
+	StoreKey string
+	Value    []byte
 	// Catalog goes with EventCatalog.
 	Catalog *Catalog
 	// Announcement goes with EventUpstream.
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -104,13 +104,28 @@
 func (e *Edge) keyLimit() time.Duration { return e.settings.Withdrawal() - keyMargin }
 
 func (e *Edge) buildStore(client *platform.Client) {
+	e.peers = &peer.Links{
+		Self:    e.settings.Name,
+		Listen:  e.settings.Peer,
+		Resolve: e.resolve,
+		Dial:    dial.From("", 0),
+		Log:     e.log.WithName("peer"),
+		Metrics: e.metrics,
+		Idle:    linkIdle,
+	}
 	e.mirror = &mirror.Mirror{
-		Store: client,
-		Clock: e.clock,
-		Log:   e.log.WithName("mirror"),
-		Limit: e.keyLimit(),
-		Leads: e.keepsRates,
+		Store:    client,
+		Clock:    e.clock,
+		Log:      e.log.WithName("mirror"),
+		Limit:    e.keyLimit(),
+		Leads:    e.keepsRates,
+		Self:     e.settings.Name,
+		Domain:   e.settings.Domain,
+		Peers:    e.peers,
+		Decode:   platform.Decode,
+		Reaching: func() bool { return e.storeAge() < aloneAfter },
 	}
+	e.mirror.Register()
 	e.tenure = &tenure.Tenure{
 		Store:   client,
 		Mirror:  e.mirror,
@@ -120,15 +135,6 @@
 		Address: e.settings.Peer,
 		Domain:  e.settings.Domain,
 	}
-	e.peers = &peer.Links{
-		Self:    e.settings.Name,
-		Listen:  e.settings.Peer,
-		Resolve: e.resolve,
-		Dial:    dial.From("", 0),
-		Log:     e.log.WithName("peer"),
-		Metrics: e.metrics,
-		Idle:    linkIdle,
-	}
 }
 
 // keepsRates reports whether the other hosts report to this one.
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -21,9 +21,9 @@
 )
 
 const (
-	// watchWait is how long the store may hold a watch. A change that a silent
-	// connection swallows is heard of from other hosts before.
-	watchWait = 8 * time.Second
+	// watchWait is how long the store may hold a watch. A silent connection hides
+	// changes for no longer.
+	watchWait = 4 * time.Second
 	// gather is how long changes are left to gather before the next watch: each
 	// answer is a priced call of every host.
 	gather = 100 * time.Millisecond
@@ -50,17 +50,31 @@
 	Log logr.Logger
 	// Limit is the age of the horizon past which no key is served.
 	Limit time.Duration
+	// Self is this host's name and Domain its failure domain.
+	Self, Domain string
+	// Peers calls the hosts that watch the store.
+	Peers coltsfootloft.Peers
+	// Decode returns what a key of the store means.
+	Decode func(key string, value []byte, revision uint64, gone bool) coltsfootloft.Event
+	// Reaching tells whether the store has answered this host of late.
+	Reaching func() bool
 	// Leads tells whether other hosts go by this host's confirmations.
 	Leads func() bool
 
-	horizon  horiz.Horizon
-	view     atomic.Pointer[View]
-	mu       sync.Mutex
-	changed  chan struct{}
-	hurry    chan struct{}
-	doubting atomic.Bool
-	reached  atomic.Bool // whether the newest call to the store was answered
-	once     sync.Once
+	horizon horiz.Horizon
+	// record is guarded by mu; avoided and order belong to the watching duty.
+	record       record
+	watches      atomic.Bool
+	avoided      map[string]time.Duration
+	order        []string
+	orderVersion uint64
+	view         atomic.Pointer[View]
+	mu           sync.Mutex
+	changed      chan struct{}
+	hurry        chan struct{}
+	doubting     atomic.Bool
+	reached      atomic.Bool // whether the newest call to the store was answered
+	once         sync.Once
 }
 
 // Horizon tells how old the knowledge of the operators' settings is.
@@ -115,12 +129,7 @@
 	if err != nil {
 		return errors.Wrap(err, "list the store")
 	}
-	m.update(revision, func(v *View, now time.Duration) []error {
-		if revision < v.Revision {
-			return nil
-		}
-		return v.replace(now, all)
-	})
+	m.replaceAll(all, revision)
 	if m.View().Catalog != nil {
 		m.horizon.Advance(sent)
 	}
@@ -145,34 +154,58 @@
 		m.changed = make(chan struct{})
 		m.hurry = make(chan struct{}, 1)
 		m.view.Store(emptyView())
+		m.avoided = make(map[string]time.Duration)
+		m.record.items = make(map[string]coltsfootloft.Event)
 	})
 }
 
-// watch lists once and then follows the changes.
+// watch lists once and then follows the changes, of the store or of a host that
+// watches it.
 func (m *Mirror) watch(ctx context.Context) {
 	listed := false
 	for ctx.Err() == nil {
 		if !listed {
-			if err := m.Refresh(ctx); err != nil {
-				m.failed(ctx, err)
-				continue
-			}
-			listed = true
-			m.Log.Info("store listed", "revision", m.View().Revision, "databases", len(m.View().Upstreams))
+			listed = m.list(ctx)
+			continue
 		}
-		events, revision, err := m.Store.Events(ctx, m.View().Revision, watchWait)
-		m.reached.Store(err == nil || errors.Is(err, coltsfootloft.ErrHistory))
-		switch {
-		case errors.Is(err, coltsfootloft.ErrHistory):
-			m.Log.Info("history of the store is gone", "revision", m.View().Revision)
-			listed = false
-		case err != nil:
-			m.failed(ctx, err)
-		case len(events) > 0 || revision > m.View().Revision:
-			m.applyAll(events, revision)
-			m.breathe(ctx)
+		if host, ok := m.source(); ok {
+			m.watches.Store(false)
+			if err := m.follow(ctx, host); err != nil && ctx.Err() == nil {
+				m.avoided[host] = m.Clock.Elapsed() + avoidFor
+				m.Log.Info("host that watches the store does not answer", "host", host, "reason", err.Error())
+			}
+			continue
 		}
+		listed = m.watchStore(ctx)
+	}
+}
+
+func (m *Mirror) list(ctx context.Context) bool {
+	if err := m.Refresh(ctx); err != nil {
+		m.failed(ctx, err)
+		return false
 	}
+	m.Log.Info("store listed", "revision", m.View().Revision, "databases", len(m.View().Upstreams))
+	return true
+}
+
+// watchStore waits once on the store's own watch; false if all must be listed anew.
+func (m *Mirror) watchStore(ctx context.Context) bool {
+	events, revision, err := m.Store.Events(ctx, m.View().Revision, watchWait)
+	reached := err == nil || errors.Is(err, coltsfootloft.ErrHistory)
+	m.reached.Store(reached)
+	m.watches.Store(reached)
+	switch {
+	case errors.Is(err, coltsfootloft.ErrHistory):
+		m.Log.Info("history of the store is gone", "revision", m.View().Revision)
+		return false
+	case err != nil:
+		m.failed(ctx, err)
+	case len(events) > 0 || revision > m.View().Revision:
+		m.applyAll(events, revision)
+		m.breathe(ctx)
+	}
+	return true
 }
 
 // breathe lets changes gather, unless one is waited for.
@@ -206,6 +239,7 @@
 
 func (m *Mirror) applyAll(events []coltsfootloft.Event, revision uint64) {
 	m.update(revision, func(v *View, now time.Duration) []error {
+		m.record.add(events)
 		var problems []error
 		for _, e := range events {
 			if err := v.apply(now, e); err != nil {
@@ -216,6 +250,17 @@
 	})
 }
 
+// replaceAll takes a listing, unless more is known already.
+func (m *Mirror) replaceAll(all []coltsfootloft.Event, revision uint64) {
+	m.update(revision, func(v *View, now time.Duration) []error {
+		if revision < v.Revision {
+			return nil
+		}
+		m.record.replace(all, revision)
+		return v.replace(now, all)
+	})
+}
+
 // update publishes a changed copy of the view.
 func (m *Mirror) update(revision uint64, change func(v *View, now time.Duration) []error) {
 	m.mu.Lock()
