--- a/cmd/coltsfootloft/entry.go
+++ b/cmd/coltsfootloft/entry.go
@@ -24,6 +24,9 @@
 	// memoryShare is the part of the host's memory at which the collector works
 	// harder; the rest is for what the runtime does not count.
 	memoryShare = 0.6
+	// entryGCPercent is lower than that of serve: an entry host pays for its peak
+	// of memory, and its processor is idle for the most part.
+	entryGCPercent = 60
 )
 
 // entryCommand runs one entry host on the users' platform.
@@ -80,7 +83,7 @@
 		return subcommands.ExitUsageError
 	}
 	runtime.GOMAXPROCS(1) // a host has a part of one core
-	debug.SetGCPercent(gcPercent)
+	debug.SetGCPercent(entryGCPercent)
 	debug.SetMemoryLimit(int64(float64(settings.MemoryMB<<20) * memoryShare))
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- a/core/grant/book.go
+++ b/core/grant/book.go
@@ -33,6 +33,10 @@
 	// hostBurst is the part of the account's burst that hosts have in their
 	// buckets, divided equally.
 	hostBurst = 0.4
+	// startShare is the part of the rate, or of the burst if that is less, that a
+	// new keeper may lend at once. The one before it may have lent the burst just
+	// now; over a window of five seconds this is less than a tenth of the limit.
+	startShare = 0.4
 )
 
 // Line is a host's report of one account, or a grant.
@@ -137,7 +141,7 @@
 
 func (b *Book) grant(now time.Duration, host string, l Line, limit coltsfootloft.Account, hosts []string, settled bool) Line {
 	a := b.accounts[l.Account]
-	a.resize(limit)
+	a.resize(now, limit)
 	h := a.hosts[host]
 	n := float64(max(len(hosts), 1))
 	g := Line{
@@ -191,10 +195,15 @@
 	return rate * mine / all
 }
 
-func (a *account) resize(limit coltsfootloft.Account) {
+func (a *account) resize(now time.Duration, limit coltsfootloft.Account) {
 	if a.rate == limit.Rate() && a.burst == limit.Burst() {
 		return
 	}
+	if a.rate == 0 {
+		a.pool = bucket.New(0, a.burst, instant(now))
+		a.pool.Resize(instant(now), 0, limit.Burst())
+		a.pool.Credit(instant(now), startShare*min(limit.Rate(), limit.Burst()))
+	}
 	a.rate = limit.Rate()
 	a.burst = limit.Burst()
 }
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -27,8 +27,10 @@
 	// gather is how long changes are left to gather before the next watch: each
 	// answer is a priced call of every host.
 	gather = 100 * time.Millisecond
-	// retryPause is the wait after a failed call.
+	// retryPause is the wait after a failed call, doubled up to retryMost: refused
+	// calls are priced too.
 	retryPause = 150 * time.Millisecond
+	retryMost  = 600 * time.Millisecond
 	// confirmShare is the part of the limit on the horizon after which this host
 	// confirms it itself: two tries then fit into the limit. The keeper of rates
 	// does so far sooner, and its answers to the others move theirs.
@@ -233,7 +235,7 @@
 	m.Log.Info("store not answering", "call", "watch", "reason", err.Error(), "revision", m.View().Revision)
 	select {
 	case <-ctx.Done():
-	case <-time.After(retryPause):
+	case <-time.After(retryMost):
 	}
 }
 
@@ -312,13 +314,16 @@
 
 // confirm keeps the horizon young.
 func (m *Mirror) confirm(ctx context.Context) {
+	retry := retryPause
 	for ctx.Err() == nil {
 		pause := m.untilConfirm()
 		if pause <= 0 {
-			pause = retryPause
 			if m.confirmOnce(ctx) {
+				retry = retryPause
 				continue
 			}
+			pause = retry
+			retry = min(2*retry, retryMost)
 		}
 		select {
 		case <-ctx.Done():
--- a/io/quota/quota.go
+++ b/io/quota/quota.go
@@ -205,10 +205,17 @@
 	q.prepare()
 	t := time.NewTicker(reportEvery)
 	defer t.Stop()
+	keeper := mirror.Duty{}
 	for {
+		changed := q.Mirror.Changed()
+		if now := q.Mirror.View().Duties[q.Duty.Name]; now != keeper {
+			keeper = now
+			q.report(ctx)
+		}
 		select {
 		case <-ctx.Done():
 			return
+		case <-changed:
 		case <-t.C:
 			q.report(ctx)
 		case <-q.urgent:
