grant: a new keeper grants what the silent hosts can't hold

Cause: after a restart of all hosts the keeper waited for the slowest (0.9 s) before it granted anything: 437 refusals.

--- a/core/grant/book.go
+++ b/core/grant/book.go
@@ -86,8 +86,9 @@
 }
 
 // Report takes a host's report and returns its grants. Hosts are those with a
-// lease. Before all of them have reported to a new keeper, or the time of the old
-// keeper's grants has passed, grants only repeat what is held.
+// lease. Until all of them have reported to a new keeper, or the time of the old
+// keeper's grants has passed, the silent ones count as holding their part of what
+// may be given out as rates.
 func (b *Book) Report(now time.Duration, host string, lines []Line, hosts []string, limits map[string]coltsfootloft.Account) []Line {
 	if b.accounts == nil {
 		b.accounts = make(map[string]*account)
@@ -97,14 +98,14 @@
 	for _, l := range lines {
 		b.note(now, host, l)
 	}
-	settled := b.isSettled(now, hosts)
+	silent := b.silent(now, hosts)
 	grants := make([]Line, 0, len(lines))
 	for _, l := range lines {
 		limit, ok := limits[l.Account]
 		if !ok {
 			continue
 		}
-		grants = append(grants, b.grant(now, host, l, limit, hosts, settled))
+		grants = append(grants, b.grant(now, host, l, limit, len(hosts), silent))
 	}
 	return grants
 }
@@ -127,33 +128,30 @@
 	h.rate = 0
 }
 
-func (b *Book) isSettled(now time.Duration, hosts []string) bool {
-	if now-b.Started >= Valid {
-		return true
+// silent is the part of the hosts whose grants are not known.
+func (b *Book) silent(now time.Duration, hosts []string) float64 {
+	if now-b.Started >= Valid || len(hosts) == 0 {
+		return 0
 	}
+	n := 0
 	for _, h := range hosts {
 		if !b.reported[h] {
-			return false
+			n++
 		}
 	}
-	return true
+	return float64(n) / float64(len(hosts))
 }
 
-func (b *Book) grant(now time.Duration, host string, l Line, limit coltsfootloft.Account, hosts []string, settled bool) Line {
+func (b *Book) grant(now time.Duration, host string, l Line, limit coltsfootloft.Account, hosts int, silent float64) Line {
 	a := b.accounts[l.Account]
 	a.resize(now, limit)
 	h := a.hosts[host]
-	n := float64(max(len(hosts), 1))
 	g := Line{
 		Account: l.Account,
-		Burst:   max(limit.Burst()*hostBurst/n, 1),
-	}
-	if !settled {
-		g.Rate = min(l.Held, limit.Rate()*used)
-		h.rate = g.Rate
-		return g
+		Burst:   max(limit.Burst()*hostBurst/float64(max(hosts, 1)), 1),
 	}
 	others, demand := a.others(now, host)
+	others += limit.Rate() * asRates * silent
 	g.Rate = min(share(limit.Rate()*asRates, h.demand, demand), max(limit.Rate()*used-others, 0))
 	h.rate = g.Rate
 	h.until = max(h.until, now+Valid)
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -8,9 +8,14 @@
 	"coltsfootloft/core/prep"
 )
 
-// admitWait bounds the wait for an account's rate, as a share of the route's
-// target latency: an operation that waits longer is better tried elsewhere.
-const admitWait = 0.15
+const (
+	// admitWait bounds the wait for an account's rate, as a share of the route's
+	// target latency: an operation that waits longer is better tried elsewhere.
+	admitWait = 0.15
+	// firstWait is that for the first rate that the host asks for, which has to
+	// come from another host.
+	firstWait = 0.6
+)
 
 // logEvery is the share of successes that get a line.
 const logEvery = 128
@@ -105,7 +110,11 @@
 	if n.account == "" {
 		return o, nil
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(float64(route.Target)*admitWait))
+	share := admitWait
+	if n.server.Quota.IsNew(n.account) {
+		share = firstWait
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(float64(route.Target)*share))
 	defer cancel()
 	if !n.server.Quota.Admit(ctx, n.account) {
 		r := refuse(coltsfootloft.ReasonBusy, "account over its rate; come back in 1000 ms")
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -46,6 +46,8 @@
 	// Admit takes one operation out of the account's rate, and waits a little
 	// for it. It reports false if there is none.
 	Admit(ctx context.Context, account string) bool
+	// IsNew reports whether the host has had no rate of the account yet.
+	IsNew(account string) bool
 	// Return gives back an operation that was sent to no database.
 	Return(account string)
 }
--- a/io/quota/quota.go
+++ b/io/quota/quota.go
@@ -132,6 +132,14 @@
 	}
 }
 
+// IsNew reports whether the host has had no grant of the account yet.
+func (q *Quota) IsNew(name string) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	a := q.accounts[name]
+	return a == nil || !a.granted
+}
+
 // Return gives back an operation that was admitted and sent to no database.
 func (q *Quota) Return(name string) {
 	q.mu.Lock()
