stand, edge: stand-ins for the platform and its databases, and proofs on them

Stand-ins: a store with leases, watches, transactions, lost and late answers, turned-away hosts, deaf watches; a group of databases with terms, lag, lost answers, crashes.

--- a/core/grant/book.go
+++ b/core/grant/book.go
@@ -31,12 +31,14 @@
 	// is lent goes to whoever needs it at the moment.
 	asRates = 0.6
 	// hostBurst is the part of the account's burst that hosts have in their
-	// buckets, divided equally.
-	hostBurst = 0.4
+	// buckets, divided equally among those that use the account. Where that is
+	// less than one operation for each, all is lent.
+	hostBurst = 0.5
 	// startShare is the part of the rate, or of the burst if that is less, that a
 	// new keeper may lend at once. The one before it may have lent the burst just
-	// now; over a window of five seconds this is less than a tenth of the limit.
-	startShare = 0.4
+	// now; over a window of five seconds, in which there are at most two new
+	// keepers, this is a tenth of the limit.
+	startShare = 0.25
 )
 
 // Line is a host's report of one account, or a grant.
@@ -105,7 +107,7 @@
 		if !ok {
 			continue
 		}
-		grants = append(grants, b.grant(now, host, l, limit, len(hosts), silent))
+		grants = append(grants, b.grant(now, host, l, limit, silent))
 	}
 	return grants
 }
@@ -142,17 +144,17 @@
 	return float64(n) / float64(len(hosts))
 }
 
-func (b *Book) grant(now time.Duration, host string, l Line, limit coltsfootloft.Account, hosts int, silent float64) Line {
+func (b *Book) grant(now time.Duration, host string, l Line, limit coltsfootloft.Account, silent float64) Line {
 	a := b.accounts[l.Account]
 	a.resize(now, limit)
 	h := a.hosts[host]
-	g := Line{
-		Account: l.Account,
-		Burst:   max(limit.Burst()*hostBurst/float64(max(hosts, 1)), 1),
-	}
+	g := Line{Account: l.Account}
 	others, demand := a.others(now, host)
 	others += limit.Rate() * asRates * silent
-	g.Rate = min(share(limit.Rate()*asRates, h.demand, demand), max(limit.Rate()*used-others, 0))
+	if depth := limit.Burst() * hostBurst / float64(len(a.hosts)); depth >= 1 {
+		g.Burst = depth
+		g.Rate = min(share(limit.Rate()*asRates, h.demand, demand), max(limit.Rate()*used-others, 0))
+	}
 	h.rate = g.Rate
 	h.until = max(h.until, now+Valid)
 	a.fill(now, max(g.Rate, h.older)+others)
--- /dev/null
+++ b/core/grant/book_test.go
@@ -0,0 +1,143 @@
+package grant
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"coltsfootloft"
+	"coltsfootloft/core/bucket"
+	_ "coltsfootloft/stand/seed"
+)
+
+const (
+	second = time.Second
+	lease  = 2 * time.Second // a keeper is followed by another no sooner
+	name   = "arima"
+)
+
+func limits(rate, burst float64) map[string]coltsfootloft.Account {
+	return map[string]coltsfootloft.Account{name: coltsfootloft.NewAccount(name, rate, burst)}
+}
+
+// host is the other side of the book: a bucket, and what the keeper lent.
+type host struct {
+	bucket bucket.Bucket
+	rate   float64
+	until  time.Duration
+	made   bool
+	asked  float64
+}
+
+func (h *host) report(b *Book, now time.Duration, self string, hosts []string, l map[string]coltsfootloft.Account, want float64) (lent float64) {
+	line := Line{
+		Account: name,
+		Demand:  h.asked,
+		Want:    want,
+	}
+	if now < h.until {
+		line.Held = h.rate
+		line.HeldFor = h.until - now
+	}
+	for _, g := range b.Report(now, self, []Line{line}, hosts, l) {
+		if !h.made {
+			h.made = true
+			h.bucket = bucket.New(0, 0, instant(now))
+		}
+		h.bucket.Resize(instant(now), g.Rate, g.Burst)
+		h.rate = g.Rate
+		h.until = now + Valid
+		lent += g.Lent
+	}
+	return lent
+}
+
+// TestBookKeepsTheLimit plays random demands, reports, lost reports and changes of
+// keeper, and checks every window against the limit that users state: rate x window
+// + burst, with the tenth and the twenty operations that they allow over it only
+// where keepers changed.
+func TestBookKeepsTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.Float64Range(5, 200).Draw(t, "rate")
+		burst := rapid.Float64Range(5, 200).Draw(t, "burst")
+		n := rapid.IntRange(1, 8).Draw(t, "hosts")
+		l := limits(rate, burst)
+		names := make([]string, n)
+		hosts := make([]host, n)
+		for i := range names {
+			names[i] = fmt.Sprintf("h%d", i)
+		}
+		book := &Book{}
+		now := 100 * second
+		var taken []time.Duration
+		changed := time.Duration(0)
+		for range 400 {
+			now += time.Duration(rapid.IntRange(1, 60).Draw(t, "ms")) * time.Millisecond
+			i := rapid.IntRange(0, n-1).Draw(t, "host")
+			h := &hosts[i]
+			h.asked = rapid.Float64Range(0, 2*rate).Draw(t, "demand")
+			if rapid.IntRange(0, 150).Draw(t, "keeper lost") == 0 && now-changed > lease {
+				book = &Book{Started: now}
+				changed = now
+			}
+			lent := 0.0
+			if rapid.IntRange(0, 9).Draw(t, "report lost") > 0 {
+				lent = h.report(book, now, names[i], names, l, float64(rapid.IntRange(0, 5).Draw(t, "want")))
+			}
+			for ; lent >= 1; lent-- {
+				taken = append(taken, now)
+			}
+			for now < h.until && h.bucket.Take(instant(now), 1) {
+				taken = append(taken, now)
+			}
+		}
+		for i := range taken {
+			for j := i; j < len(taken); j++ {
+				w := taken[j] - taken[i]
+				if w > 5*second {
+					break
+				}
+				bound := rate*w.Seconds() + burst
+				if changed > 0 {
+					bound = (rate*5+burst)*1.1 + 20
+				}
+				assert.Assert(t, float64(j-i+1) <= bound+1e-6, "%d in %s, bound %.1f", j-i+1, w, bound)
+			}
+		}
+	})
+}
+
+// TestNewKeeperReservesForSilentHosts has one of two hosts report to a new keeper:
+// the other may still hold its part.
+func TestNewKeeperReservesForSilentHosts(t *testing.T) {
+	b := &Book{Started: 10 * second}
+	l := limits(100, 10)
+	line := Line{
+		Account: name,
+		Demand:  500,
+	}
+	g := b.Report(10*second, "a", []Line{line}, []string{"a", "b"}, l)
+	assert.Assert(t, g[0].Rate <= 100*used-100*asRates/2)
+	after := b.Report(10*second+Valid, "a", []Line{line}, []string{"a", "b"}, l)
+	assert.Equal(t, after[0].Rate, 100*asRates)
+}
+
+// TestLowerLimitBindsAtTheNextReport lowers a limit far below the demand.
+func TestLowerLimitBindsAtTheNextReport(t *testing.T) {
+	b := &Book{}
+	line := Line{
+		Account: name,
+		Demand:  80,
+	}
+	hosts := []string{"a"}
+	g := b.Report(10*second, "a", []Line{line}, hosts, limits(200, 50))
+	assert.Equal(t, g[0].Rate, 80.0)
+	g = b.Report(11*second, "a", []Line{line}, hosts, limits(10, 5))
+	assert.Assert(t, g[0].Rate <= 10)
+	assert.Equal(t, g[0].Burst, 5*hostBurst)
+	g = b.Report(12*second, "a", []Line{line}, hosts, limits(10, 1))
+	assert.Equal(t, g[0].Rate, 0.0, "a burst of less than one operation a host is all lent")
+}
--- /dev/null
+++ b/core/pick/pick_test.go
@@ -0,0 +1,41 @@
+package pick
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestCostOrdersDatabases(t *testing.T) {
+	const now = time.Minute
+	var unknown, slow, busy, silent, lagging Candidate
+	for range 30 {
+		slow.Took(now, 120*time.Millisecond)
+	}
+	busy.Busy(now)
+	silent.Silent(now)
+	lagging.Lagged(now)
+	base := unknown.Cost(now, true, false)
+	for _, c := range []*Candidate{&slow, &busy, &silent, &lagging} {
+		assert.Assert(t, c.Cost(now, true, false) > base)
+	}
+	assert.Assert(t, unknown.Cost(now, false, false) > base, "far costs more than near")
+	assert.Assert(t, unknown.Cost(now, true, true) > base, "the primary has the writes")
+	assert.Assert(t, lagging.Cost(now, true, true) < busy.Cost(now, true, true), "a primary does not lag")
+}
+
+// TestBadNewsFade: a database that was slow, or could not be reached, is tried again.
+func TestBadNewsFade(t *testing.T) {
+	const now = time.Minute
+	var c, unknown Candidate
+	c.Took(now, time.Second)
+	c.Down(now)
+	assert.Assert(t, c.IsDown(now))
+	assert.Assert(t, !c.IsDown(now+downFor))
+	assert.Equal(t, c.Cost(now+fade, true, false), unknown.Cost(now+fade, true, false))
+	c.Start()
+	assert.Assert(t, c.Cost(now+fade, true, false) > unknown.Cost(now+fade, true, false))
+	c.End()
+	assert.Equal(t, c.Cost(now+fade, true, false), unknown.Cost(now+fade, true, false))
+}
--- /dev/null
+++ b/io/edge/fault_test.go
@@ -0,0 +1,295 @@
+package edge
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootloft/stand/keyval"
+)
+
+// TestWithdrawnKeyStopsEverywhere takes a key away while the store refuses one of
+// the hosts, which so can't hear of it. No statement that is sent later than the
+// limit may run, on any host.
+func TestWithdrawnKeyStopsEverywhere(t *testing.T) {
+	f := start(t, 3, nil)
+	var clients []*client
+	for _, h := range f.hosts {
+		c, _ := connect(t, h, "board", "key-siparia")
+		c.must("READ news")
+		clients = append(clients, c)
+	}
+	f.store.Set(keyval.Faults{Turned: map[string]bool{"127.0.62.2": true, "127.0.0.1": false}})
+	f.operate(func(c *config) { c.Tenants[1].ApiKeys = []string{"key-new"} })
+	acknowledged := time.Now()
+	var wait sync.WaitGroup
+	for _, c := range clients {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			for time.Since(acknowledged) < 2*withdrawal {
+				sent := time.Now()
+				a := c.do("READ news")
+				if a.lost {
+					return
+				}
+				if a.code == "" && sent.Sub(acknowledged) > withdrawal {
+					t.Errorf("ran %s after the key was taken away", sent.Sub(acknowledged))
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+		}()
+	}
+	wait.Wait()
+	_, code := connect(t, f.hosts[0], "board", "key-siparia")
+	assert.Equal(t, code, "NOAUTH")
+	_, code = connect(t, f.hosts[0], "board", "key-new")
+	assert.Equal(t, code, "")
+	_, code = connect(t, f.hosts[0], "nowhere", "key-new")
+	assert.Equal(t, code, "NODB")
+}
+
+// TestSettingsReachADeafWatch drops the store's history while watches hear nothing.
+func TestSettingsReachADeafWatch(t *testing.T) {
+	f := start(t, 3, nil)
+	f.store.Set(keyval.Faults{DeafWatches: true})
+	f.operate(func(c *config) {
+		c.Routes = append(c.Routes, route{
+			Name:            "r-new",
+			Host:            "fresh",
+			RouteType:       "primary",
+			Service:         "notices",
+			TimeoutMs:       timeoutMS,
+			TargetLatencyMs: targetMS,
+		})
+	})
+	f.await("route in force on every host", 3*time.Second, func() bool {
+		for _, h := range f.hosts {
+			if _, ok := h.edge.mirror.View().Catalog.Routes["fresh"]; !ok {
+				return false
+			}
+		}
+		return true
+	})
+	f.store.Compact()
+	f.store.Set(keyval.Faults{})
+	f.announce(1, "draining")
+	f.await("draining seen after the history was dropped", 6*time.Second, func() bool {
+		return f.hosts[2].edge.mirror.View().Upstreams["db-2"].Leaving
+	})
+}
+
+// TestBadEntriesChangeNothing writes what can't be read where settings and
+// databases stand.
+func TestBadEntriesChangeNothing(t *testing.T) {
+	f := start(t, 3, nil)
+	before := f.hosts[0].edge.mirror.View().Catalog
+	f.store.Put("op/config", []byte("{broken"))
+	f.store.Put("servers/db-9", []byte("\xff\x00"))
+	f.store.Put("servers/db-8", map[string]any{"Service": 7})
+	f.store.Put("coltsfootloft/group/other", []byte("?"))
+	time.Sleep(300 * time.Millisecond)
+	v := f.hosts[0].edge.mirror.View()
+	assert.Equal(t, v.Catalog, before)
+	_, known := v.Upstreams["db-9"]
+	assert.Assert(t, !known)
+	c, code := connect(t, f.hosts[0], "file", "key-arima")
+	assert.Equal(t, code, "")
+	c.must("WRITE a b")
+}
+
+// TestPrimaryIsReplaced crashes the primary under writers. Every acknowledged write
+// must be read afterwards, nothing is ordered under a stale token, and writes go on
+// within the time that is stated for changes.
+func TestPrimaryIsReplaced(t *testing.T) {
+	f := start(t, 3, nil)
+	old := f.group.Primary()
+	var mu sync.Mutex
+	acknowledged := make(map[string]string)
+	stop := make(chan struct{})
+	var wait sync.WaitGroup
+	for i := range 3 {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			c, _ := connect(t, f.hosts[i], "file", "key-arima")
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				item, data := fmt.Sprintf("i%d-%d", i, n), fmt.Sprint(n)
+				if a := c.do("WRITE " + item + " " + data); a.code == "" && !a.lost {
+					mu.Lock()
+					acknowledged[item] = data
+					mu.Unlock()
+				}
+				time.Sleep(3 * time.Millisecond)
+			}
+		}()
+	}
+	time.Sleep(300 * time.Millisecond)
+	f.group.Crash(old, true)
+	crashed := time.Now()
+	f.await("a new primary on every host", 8*time.Second, func() bool {
+		for _, h := range f.hosts {
+			if o, ok := h.edge.groups.Primary("notices"); !ok || o.Target.ID == old {
+				return false
+			}
+		}
+		return true
+	})
+	t.Logf("new primary on every host after %s", time.Since(crashed))
+	time.Sleep(300 * time.Millisecond)
+	close(stop)
+	wait.Wait()
+	c, _ := connect(t, f.hosts[1], "file", "key-arima")
+	for item, data := range acknowledged {
+		assert.DeepEqual(t, c.must("READ "+item).rows, []string{data})
+	}
+	for _, p := range f.group.Promotions() {
+		assert.Assert(t, !strings.Contains(p, "stale"), p)
+	}
+}
+
+// TestLeavingPrimaryLosesNothing has the primary announce that it leaves, under
+// writers, and stops the host that holds the duty in the middle of the change.
+func TestLeavingPrimaryLosesNothing(t *testing.T) {
+	f := start(t, 3, nil)
+	c, _ := connect(t, f.hosts[0], "file", "key-arima")
+	c.must("WRITE first 1")
+	old := f.group.Primary()
+	holder, _ := f.hosts[0].edge.steward.Duty.Holder()
+	f.announce(0, "draining")
+	time.Sleep(60 * time.Millisecond) // the record is closing, or just ordered
+	for _, h := range f.hosts {
+		if h.settings.Name == holder {
+			h.stop()
+		}
+	}
+	f.await("a primary other than the leaving one", 8*time.Second, func() bool {
+		return f.group.Primary() != old
+	})
+	var other *member
+	for _, h := range f.hosts {
+		if h.settings.Name != holder {
+			other = h
+		}
+	}
+	f.await("the new primary in force", 8*time.Second, func() bool {
+		o, ok := other.edge.groups.Primary("notices")
+		return ok && o.Target.ID != old
+	})
+	c, _ = connect(t, other, "file", "key-arima")
+	assert.DeepEqual(t, c.must("READ first").rows, []string{"1"})
+	c.must("WRITE second 2")
+	for _, p := range f.group.Promotions() {
+		assert.Assert(t, !strings.Contains(p, "stale"), p)
+	}
+}
+
+// TestRateHoldsOverAllHosts asks for far more than an account's rate on every host
+// at once and counts what the databases ran in each window.
+func TestRateHoldsOverAllHosts(t *testing.T) {
+	const rate, burst = 40.0, 20.0
+	f := start(t, 3, func(f *fleet) {
+		f.config.Tenants[1].RatePerS = rate
+		f.config.Tenants[1].Burst = burst
+	})
+	stop := time.Now().Add(4 * time.Second)
+	var wait sync.WaitGroup
+	for i := range 9 {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			c, _ := connect(t, f.hosts[i%3], "board", "key-siparia")
+			for time.Now().Before(stop) {
+				c.do("READ news")
+				time.Sleep(10 * time.Millisecond)
+			}
+		}()
+	}
+	wait.Wait()
+	runs := f.group.Runs()
+	const window = 2 * time.Second
+	most := 0
+	for i := range runs {
+		n := 0
+		for _, r := range runs[i:] {
+			if r.Account == "siparia" && r.At.Sub(runs[i].At) <= window {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	bound := rate*window.Seconds() + burst
+	t.Logf("most in a window: %d, bound %.0f", most, bound)
+	assert.Assert(t, float64(most) <= bound)
+	assert.Assert(t, float64(most) >= 0.6*rate*window.Seconds(), "an account gets its rate")
+}
+
+// TestHostLeavesInGoodOrder stops a host with an idle session, one that works, and
+// an open transaction.
+func TestHostLeavesInGoodOrder(t *testing.T) {
+	f := start(t, 3, nil)
+	h := f.hosts[1]
+	busy, _ := connect(t, h, "file", "key-arima")
+	idle, _ := connect(t, h, "file", "key-arima")
+	open, _ := connect(t, h, "file", "key-arima")
+	open.must("BEGIN")
+	open.must("WRITE held 1")
+	h.stop()
+	time.Sleep(50 * time.Millisecond)
+	assert.Assert(t, !h.ready(t), "not ready at once")
+	busy.must("WRITE late 1")
+	time.Sleep(300 * time.Millisecond)
+	open.must("COMMIT")
+	assert.NilError(t, <-h.ended)
+	h.ended <- nil
+	assert.Equal(t, idle.line(), "", "idle sessions are closed")
+	c, _ := connect(t, f.hosts[0], "file", "key-arima")
+	assert.DeepEqual(t, c.must("READ held").rows, []string{"1"})
+	assert.DeepEqual(t, c.must("READ late").rows, []string{"1"})
+}
+
+// TestLeavingReplicaGetsNoNewWork announces a replica as draining.
+func TestLeavingReplicaGetsNoNewWork(t *testing.T) {
+	f := start(t, 3, nil)
+	c, _ := connect(t, f.hosts[1], "board", "key-arima")
+	for range 5 {
+		c.must("READ news")
+	}
+	f.announce(1, "draining")
+	f.await("draining seen", time.Second, func() bool {
+		return f.hosts[1].edge.mirror.View().Upstreams["db-2"].Leaving
+	})
+	before := len(f.group.Runs())
+	for range 20 {
+		c.must("READ news")
+	}
+	for _, r := range f.group.Runs()[before:] {
+		assert.Assert(t, r.Database != "db-2", "%s ran on a leaving replica", r.Text)
+	}
+}
+
+// TestStoreAwayAndBack leaves every call to the store without an answer, for longer
+// than a lease, and serves again once it is back.
+func TestStoreAwayAndBack(t *testing.T) {
+	f := start(t, 3, nil)
+	c, _ := connect(t, f.hosts[0], "file", "key-arima")
+	c.must("WRITE a 1")
+	f.store.Set(keyval.Faults{Silent: true})
+	time.Sleep(3 * time.Second)
+	a := c.do("WRITE a 2")
+	assert.Assert(t, a.lost || a.code == "BUSY", "refused while nothing is known: %+v", a)
+	f.store.Set(keyval.Faults{})
+	f.await("service", 5*time.Second, func() bool {
+		c, code := connect(t, f.hosts[0], "file", "key-arima")
+		return code == "" && c.do("WRITE a 3").code == ""
+	})
+}
--- /dev/null
+++ b/io/edge/fleet_test.go
@@ -0,0 +1,356 @@
+package edge
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
+	"gotest.tools/v3/assert"
+
+	"coltsfootloft/core/conf"
+	"coltsfootloft/stand/keyval"
+	"coltsfootloft/stand/lines"
+)
+
+// fleet is a small deployment in one process: a store, one group of three databases
+// in three failure domains, and a host in each domain.
+type fleet struct {
+	t      *testing.T
+	store  *keyval.Server
+	group  *lines.Group
+	bases  []*lines.Base
+	hosts  []*member
+	config config
+	mu     sync.Mutex
+}
+
+// member is one host of a fleet.
+type member struct {
+	settings conf.Entry
+	edge     *Edge
+	stop     context.CancelFunc
+	ended    chan error
+}
+
+// config is the operators' settings in the platform's own form.
+type config struct {
+	ConfigVersion int
+	Routes        []route
+	Services      []service
+	Tenants       []tenant
+	Limits        map[string]int
+}
+
+type route struct {
+	Name, Host, RouteType, Service string
+	TimeoutMs, TargetLatencyMs     int
+	MaxStalenessMs, Priority       int
+	Public                         bool
+}
+
+type service struct {
+	Name     string
+	MaxConns int
+}
+
+type tenant struct {
+	Name     string
+	ApiKeys  []string //nolint:revive // the platform's name
+	RatePerS float64
+	Burst    float64
+}
+
+const (
+	withdrawal = 1200 * time.Millisecond
+	targetMS   = 400
+	timeoutMS  = 800
+)
+
+func standard() config {
+	c := config{
+		ConfigVersion: 1,
+		Services: []service{{
+			Name:     "notices",
+			MaxConns: 30,
+		}},
+		Tenants: []tenant{
+			{
+				Name:     "arima",
+				ApiKeys:  []string{"key-arima"},
+				RatePerS: 2000,
+				Burst:    2000,
+			},
+			{
+				Name:     "siparia",
+				ApiKeys:  []string{"key-siparia"},
+				RatePerS: 2000,
+				Burst:    2000,
+			},
+		},
+		Limits: map[string]int{"TxIdleMs": 3000},
+	}
+	for name, kind := range map[string]string{"file": "primary", "board": "bounded_staleness", "minutes": "read_own_writes"} {
+		c.Routes = append(c.Routes, route{
+			Name:            "r-" + name,
+			Host:            name,
+			RouteType:       kind,
+			Service:         "notices",
+			TimeoutMs:       timeoutMS,
+			TargetLatencyMs: targetMS,
+			MaxStalenessMs:  1500,
+		})
+	}
+	return c
+}
+
+func listen(t *testing.T, ip string) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", ip+":0")
+	assert.NilError(t, err)
+	return l
+}
+
+// free returns an address that nobody listens on.
+func free(t *testing.T, ip string) string {
+	t.Helper()
+	l := listen(t, ip)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// start runs a fleet of n hosts and waits until it serves.
+func start(t *testing.T, n int, change func(*fleet)) *fleet {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &fleet{
+		t: t,
+		group: &lines.Group{
+			Name:        "notices",
+			MaxConns:    30,
+			PromoteTime: 200 * time.Millisecond,
+		},
+		config: standard(),
+	}
+	f.store = &keyval.Server{
+		Listener: listen(t, "127.0.60.1"),
+		Promote: func(_, database, _ string, fence uint64) int {
+			return f.group.Promote(database, fence)
+		},
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = f.store.Run(ctx)
+	}()
+	for i := range 3 {
+		b := f.group.Add(ctx, fmt.Sprintf("db-%d", i+1), listen(t, fmt.Sprintf("127.0.61.%d", i+1)))
+		f.bases = append(f.bases, b)
+	}
+	if change != nil {
+		change(f)
+	}
+	f.operate(nil)
+	f.announceAll()
+	for i := range n {
+		f.addHost(i + 1)
+	}
+	t.Cleanup(func() {
+		f.stopAll()
+		cancel()
+		<-done
+	})
+	f.await("a primary", 5*time.Second, func() bool {
+		for _, h := range f.hosts {
+			if _, ok := h.edge.groups.Primary("notices"); !ok || !h.edge.isReady() {
+				return false
+			}
+		}
+		return true
+	})
+	return f
+}
+
+func (f *fleet) stopAll() {
+	for _, h := range f.hosts {
+		h.stop()
+	}
+	for _, h := range f.hosts {
+		<-h.ended
+	}
+}
+
+// addHost starts host n in domain n.
+func (f *fleet) addHost(n int) *member {
+	ip := fmt.Sprintf("127.0.62.%d", n)
+	h := &member{
+		settings: conf.Entry{
+			Name:         fmt.Sprintf("host-%d", n),
+			Domain:       fmt.Sprintf("domain-%d", (n-1)%3+1),
+			Listen:       free(f.t, ip),
+			Ready:        free(f.t, ip),
+			Peer:         free(f.t, ip),
+			Store:        f.store.Listener.Addr().String(),
+			Control:      f.store.Listener.Addr().String(),
+			MemoryMB:     200,
+			WithdrawalMS: int(withdrawal.Milliseconds()),
+			DrainMS:      3000,
+			GraceS:       2,
+		},
+		ended: make(chan error, 1),
+	}
+	log := logr.Discard()
+	if testing.Verbose() {
+		log = funcr.New(func(prefix, args string) { fmt.Println(time.Now().Format("05.000"), h.settings.Name, prefix, args) }, funcr.Options{})
+	}
+	h.edge = Build(h.settings, log)
+	ctx, stop := context.WithCancel(context.Background())
+	h.stop = stop
+	go func() { h.ended <- h.edge.Run(ctx) }()
+	f.hosts = append(f.hosts, h)
+	return h
+}
+
+// operate changes the operators' settings.
+func (f *fleet) operate(change func(*config)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.config.ConfigVersion += 3
+	if change != nil {
+		change(&f.config)
+	}
+	f.store.Put("op/config", f.config)
+}
+
+func (f *fleet) announceAll() {
+	for i := range f.bases {
+		f.announce(i, "ready")
+	}
+}
+
+// announce writes a database's entry as the database itself would.
+func (f *fleet) announce(i int, state string) {
+	role := "replica"
+	if f.group.Primary() == f.bases[i].ID() {
+		role = "primary"
+	}
+	f.store.Put("servers/"+f.bases[i].ID(), map[string]any{
+		"Service": "notices",
+		"Address": f.bases[i].Addr(),
+		"Zone":    fmt.Sprintf("domain-%d", i+1),
+		"State":   state,
+		"DbRole":  role,
+		"Seq":     1,
+		"born":    1700000000000,
+	})
+}
+
+func (f *fleet) await(what string, limit time.Duration, ok func() bool) {
+	f.t.Helper()
+	deadline := time.Now().Add(limit)
+	for !ok() {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("no %s within %s", what, limit)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// ready reports what a host answers the balancer.
+func (h *member) ready(t *testing.T) bool {
+	t.Helper()
+	r, err := http.Get("http://" + h.settings.Ready + "/v1/ready")
+	if err != nil {
+		return false
+	}
+	r.Body.Close()
+	return r.StatusCode == http.StatusOK
+}
+
+// client is a caller that speaks the statement protocol.
+type client struct {
+	t    *testing.T
+	conn net.Conn
+	r    *bufio.Reader
+	n    int
+	name string
+}
+
+// answer is what a client got.
+type answer struct {
+	rows  []string
+	code  string // empty for a success
+	state string
+	lost  bool // the connection ended first
+}
+
+// connect starts a session and returns the code of a refusal.
+func connect(t *testing.T, h *member, database, key string) (*client, string) {
+	t.Helper()
+	conn, err := net.DialTimeout("tcp", h.settings.Listen, time.Second)
+	assert.NilError(t, err)
+	t.Cleanup(func() { conn.Close() })
+	c := &client{
+		t:    t,
+		conn: conn,
+		r:    bufio.NewReader(conn),
+		name: fmt.Sprintf("%s-%d", strings.ReplaceAll(conn.LocalAddr().String(), ":", "-"), time.Now().UnixNano()),
+	}
+	fmt.Fprintf(conn, "START %s %s\r\n", database, key)
+	line := c.line()
+	word, rest, _ := strings.Cut(line, " ")
+	if word == "READY" {
+		return c, ""
+	}
+	code, _, _ := strings.Cut(rest, " ")
+	return nil, code
+}
+
+func (c *client) line() string {
+	_ = c.conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	line, err := c.r.ReadString('\n')
+	if err != nil {
+		return ""
+	}
+	return strings.TrimRight(line, "\r\n")
+}
+
+// do sends a statement and reads its answer.
+func (c *client) do(text string) answer {
+	c.n++
+	if _, err := fmt.Fprintf(c.conn, "QUERY %s-%d %s\r\n", c.name, c.n, text); err != nil {
+		return answer{lost: true}
+	}
+	var a answer
+	for {
+		word, rest, _ := strings.Cut(c.line(), " ")
+		switch word {
+		case "ROW":
+			a.rows = append(a.rows, rest)
+		case "ERR":
+			a.code, _, _ = strings.Cut(rest, " ")
+		case "READY":
+			a.state = rest[:1]
+			return a
+		case "":
+			a.lost = true
+			return a
+		}
+	}
+}
+
+// must sends a statement that has to succeed.
+func (c *client) must(text string) answer {
+	c.t.Helper()
+	a := c.do(text)
+	assert.Equal(c.t, a.code, "", text)
+	assert.Assert(c.t, !a.lost, text)
+	return a
+}
--- a/io/probe/probe.go
+++ b/io/probe/probe.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -55,15 +56,23 @@
 	})
 }
 
+// settle is how long a connection must stay open to count: the ends of one that is
+// taken and dropped are on the same network.
+const settle = 30 * time.Millisecond
+
 // Reaches reports whether a database can be connected to. One that is slow or full
-// is reached all the same: its kernel takes connections.
+// is reached all the same: its kernel takes connections and keeps them.
 func (p *Prober) Reaches(ctx context.Context, t lanes.Target) bool {
 	c, err := p.Dial(ctx, "tcp", t.Address)
 	if err != nil {
 		return false
 	}
-	c.Close()
-	return true
+	defer c.Close()
+	if err := c.SetReadDeadline(time.Now().Add(settle)); err != nil {
+		return false
+	}
+	_, err = c.Read(make([]byte, 1))
+	return errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 func (p *Prober) ask(ctx context.Context, t lanes.Target, k coltsfootloft.Command) (coltsfootloft.Health, error) {
--- a/io/quota/quota.go
+++ b/io/quota/quota.go
@@ -327,7 +327,7 @@
 		}
 		if !a.granted {
 			a.granted = true
-			a.bucket = bucket.New(x.GetRate(), x.GetBurst(), instant(now))
+			a.bucket = bucket.New(0, 0, instant(now))
 		}
 		a.bucket.Resize(instant(now), x.GetRate(), x.GetBurst())
 		if now >= a.lentUntil {
--- /dev/null
+++ b/stand/lines/session.go
@@ -0,0 +1,302 @@
+package lines
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// session is one connection to a database.
+type session struct {
+	base     *Base
+	account  string
+	values   map[string]string
+	prepared map[string]string
+	inTx     bool
+	readOnly bool
+	failed   bool
+	writes   map[string]string
+	seen     int // commits that the transaction or read sees
+	pending  []Run
+}
+
+func (b *Base) serve(conn net.Conn) {
+	r := bufio.NewReader(conn)
+	s, answer := b.open(r)
+	if _, err := io.WriteString(conn, answer); err != nil || s == nil {
+		return
+	}
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			return
+		}
+		word, rest, _ := strings.Cut(strings.TrimRight(line, "\r\n"), " ")
+		if word != "QUERY" {
+			return
+		}
+		answer, lost := s.answer(rest)
+		if lost {
+			continue
+		}
+		if _, err := io.WriteString(conn, answer); err != nil {
+			return
+		}
+	}
+}
+
+// open reads the start of a session; nil if it is refused.
+func (b *Base) open(r *bufio.Reader) (*session, string) {
+	first, err := r.ReadString('\n')
+	if err != nil {
+		return nil, ""
+	}
+	f := strings.Fields(first)
+	g := b.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case len(f) < 3 || f[0] != "START":
+		return nil, "ERR MALFORMED start\r\n"
+	case f[1] != g.Name || len(f) > 3 && f[3] != b.id:
+		return nil, "ERR MISROUTED " + b.id + "\r\n"
+	case g.MaxConns > 0 && len(b.conns) > g.MaxConns:
+		return nil, "ERR MAXCONN " + b.id + "\r\n"
+	}
+	s := &session{
+		base:     b,
+		account:  f[2],
+		values:   make(map[string]string),
+		prepared: make(map[string]string),
+	}
+	return s, s.ready()
+}
+
+// answer runs a query; lost answers are not to be sent.
+func (s *session) answer(query string) (answer string, lost bool) {
+	id, text, _ := strings.Cut(query, " ")
+	b := s.base
+	b.group.mu.Lock()
+	defer b.group.mu.Unlock()
+	answer, isData := s.query(id, text)
+	lost = isData && b.lose > 0
+	if lost {
+		b.lose--
+	}
+	return answer + s.ready(), lost
+}
+
+// ready is the line that closes an answer.
+func (s *session) ready() string {
+	state := "I"
+	if s.failed {
+		state = "E"
+	} else if s.inTx {
+		state = "T"
+	}
+	return "READY " + state + " " + s.base.position(s.base.applied()) + "\r\n"
+}
+
+func (b *Base) position(n int) string {
+	term := uint64(1)
+	if n > 0 {
+		term = b.log[n-1].term
+	}
+	return strconv.FormatUint(max(term, 1), 10) + "." + strconv.Itoa(n)
+}
+
+// applied counts the commits that reads see.
+func (b *Base) applied() int {
+	if b.role == rolePrimary {
+		return len(b.log)
+	}
+	n := 0
+	for _, c := range b.log {
+		if time.Since(c.at) < b.group.Lag {
+			break
+		}
+		n++
+	}
+	return n
+}
+
+func (s *session) fail(code string) string {
+	if s.inTx {
+		s.failed = true
+	}
+	return "ERR " + code + " " + s.base.id + "\r\n"
+}
+
+const done = "DONE -\r\n"
+
+// query runs one statement; data statements are those that clients send.
+func (s *session) query(id, text string) (answer string, isData bool) {
+	if rest, ok := strings.CutPrefix(text, "AFTERLSN "); ok {
+		position, rest, _ := strings.Cut(rest, " ")
+		if !s.base.covers(position) {
+			return s.fail("LAGGING"), true
+		}
+		text = rest
+	}
+	word, rest, _ := strings.Cut(text, " ")
+	if s.failed && word != "ROLLBACK" && word != "COMMIT" && word != "STATUS" {
+		return "ERR MALFORMED transaction failed\r\n", false
+	}
+	name, detail, _ := strings.Cut(rest, " ")
+	switch word {
+	case "SET":
+		s.values[name] = detail
+		return done, false
+	case "PREPARE":
+		s.prepared[name] = detail
+		return done, false
+	case "RESET":
+		s.values = make(map[string]string)
+		s.prepared = make(map[string]string)
+		return done, false
+	case "STATUS":
+		return s.status(), false
+	case "DEMOTE":
+		if term, _ := strconv.ParseUint(name, 10, 64); term > s.base.term && s.base.role == rolePrimary {
+			s.base.role = roleReplica
+		}
+		return s.status(), false
+	}
+	return s.data(id, text), true
+}
+
+func (b *Base) covers(position string) bool {
+	term, number, _ := strings.Cut(position, ".")
+	n, _ := strconv.Atoi(number)
+	if n > b.applied() {
+		return false
+	}
+	return n == 0 || strconv.FormatUint(b.log[n-1].term, 10) == term
+}
+
+func (s *session) status() string {
+	b := s.base
+	return fmt.Sprintf("ROW %s %d %s 0 0 0 %d\r\n", b.role, b.term, b.position(len(b.log)), len(b.conns)) + done
+}
+
+func (s *session) data(id, text string) string {
+	word, rest, _ := strings.Cut(text, " ")
+	if word == "EXEC" {
+		name, arguments, _ := strings.Cut(rest, " ")
+		shape, ok := s.prepared[name]
+		if !ok {
+			return s.fail("NOSTMT")
+		}
+		kind, shape, _ := strings.Cut(shape, " ")
+		return s.item(id, kind, arguments, "EXEC "+shape+" "+arguments)
+	}
+	switch word {
+	case "BEGIN":
+		if rest != "READ" && s.base.role != rolePrimary {
+			return s.fail("READONLY")
+		}
+		s.inTx = true
+		s.readOnly = rest == "READ"
+		s.writes = make(map[string]string)
+		s.seen = s.base.applied()
+		return done
+	case "COMMIT":
+		return s.commit(id, text)
+	case "ROLLBACK":
+		s.endTx()
+		return done
+	}
+	return s.item(id, word, rest, text)
+}
+
+func (s *session) item(id, kind, arguments, text string) string {
+	b := s.base
+	name, data, _ := strings.Cut(arguments, " ")
+	if (kind == "WRITE" || s.inTx && !s.readOnly) && b.role != rolePrimary {
+		return s.fail("READONLY")
+	}
+	s.note(id, text, kind == "WRITE" && !s.inTx)
+	if kind == "WRITE" {
+		if s.inTx {
+			s.writes[name] = data
+			return "DONE " + s.digest(id) + "\r\n"
+		}
+		b.append(map[string]string{name: data})
+		return "DONE " + s.digest(id) + "\r\n"
+	}
+	n := b.applied()
+	if s.inTx {
+		n = s.seen
+	}
+	value := "-"
+	for _, c := range b.log[:min(n, len(b.log))] {
+		if v, ok := c.items[name]; ok {
+			value = v
+		}
+	}
+	return "ROW " + value + "\r\nDONE " + s.digest(id) + "\r\n"
+}
+
+func (s *session) commit(id, text string) string {
+	defer s.endTx()
+	if !s.inTx || s.failed {
+		return "ERR ABORTED " + s.base.id + "\r\n"
+	}
+	if len(s.writes) > 0 {
+		if s.base.role != rolePrimary {
+			return "ERR READONLY " + s.base.id + "\r\n"
+		}
+		s.base.append(s.writes)
+		for _, r := range s.pending {
+			r.Committed = strings.Contains(r.Text, "WRITE")
+			s.base.group.runs = append(s.base.group.runs, r)
+		}
+	}
+	s.note(id, text, len(s.writes) > 0)
+	return "DONE " + s.digest(id) + "\r\n"
+}
+
+func (s *session) endTx() {
+	s.inTx = false
+	s.failed = false
+	s.writes = nil
+	s.pending = nil
+}
+
+func (s *session) digest(id string) string { return s.base.id + "." + id }
+
+func (s *session) note(id, text string, committed bool) {
+	r := Run{
+		Database:  s.base.id,
+		Account:   s.account,
+		ID:        id,
+		Text:      text,
+		Values:    maps.Clone(s.values),
+		At:        time.Now(),
+		Committed: committed,
+	}
+	if s.inTx {
+		s.pending = append(s.pending, r)
+	}
+	s.base.group.runs = append(s.base.group.runs, r)
+}
+
+// append commits at this database, and every replica that is not deaf receives it.
+func (b *Base) append(items map[string]string) {
+	c := commit{
+		term:  b.term,
+		items: items,
+		at:    time.Now(),
+	}
+	b.log = append(b.log, c)
+	for _, x := range b.group.bases {
+		if x != b && !x.deaf && !x.down && x.role == roleReplica && b.group.primary == b.id {
+			x.log = append(x.log, c)
+		}
+	}
+}
