--- a/core/grant/book.go
+++ b/core/grant/book.go
@@ -32,7 +32,8 @@
 	asRates = 0.6
 	// hostBurst is the part of the account's burst that hosts have in their
 	// buckets, divided equally among those that use the account. Where that is
-	// less than one operation for each, all is lent.
+	// less than one operation for each, those of the greatest demand have one,
+	// and the others are lent to.
 	hostBurst = 0.5
 	// startShare is the part of the rate, or of the burst if that is less, that a
 	// new keeper may lend at once. The one before it may have lent the burst just
@@ -151,7 +152,7 @@
 	g := Line{Account: l.Account}
 	others, demand := a.others(now, host)
 	others += limit.Rate() * asRates * silent
-	if depth := limit.Burst() * hostBurst / float64(len(a.hosts)); depth >= 1 {
+	if depth, ok := a.depth(host, limit.Burst()*hostBurst); ok {
 		g.Burst = depth
 		g.Rate = min(share(limit.Rate()*asRates, h.demand, demand), max(limit.Rate()*used-others, 0))
 	}
@@ -164,6 +165,21 @@
 	return g
 }
 
+// depth is that of a host's bucket; false if the host has none.
+func (a *account) depth(host string, burst float64) (float64, bool) {
+	if depth := burst / float64(len(a.hosts)); depth >= 1 {
+		return depth, true
+	}
+	mine := a.hosts[host].demand
+	ahead := 0
+	for name, h := range a.hosts {
+		if h.demand > mine || h.demand == mine && name < host {
+			ahead++
+		}
+	}
+	return 1, float64(ahead+1) <= burst
+}
+
 // fill has the keeper's bucket fill with what the rates leave over.
 func (a *account) fill(now time.Duration, held float64) {
 	a.pool.Resize(instant(now), max(a.rate*used-held, 0), a.burst*(1-hostBurst))
--- a/core/grant/book_test.go
+++ b/core/grant/book_test.go
@@ -140,4 +140,9 @@
 	assert.Equal(t, g[0].Burst, 5*hostBurst)
 	g = b.Report(12*second, "a", []Line{line}, hosts, limits(10, 1))
 	assert.Equal(t, g[0].Rate, 0.0, "a burst of less than one operation a host is all lent")
+	b = &Book{}
+	for _, h := range []string{"a", "b", "c"} {
+		g = b.Report(10*second, h, []Line{line}, []string{"a", "b", "c"}, limits(100, 4))
+	}
+	assert.Equal(t, g[0].Rate, 0.0, "the third host has no bucket of a burst of two for hosts")
 }
--- a/io/quota/quota.go
+++ b/io/quota/quota.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -39,6 +40,8 @@
 	smoothing = 0.25
 	// lentFor is how long operations that the keeper lent may wait for their use.
 	lentFor = 500 * time.Millisecond
+	// soon is how far ahead a host that has run out borrows.
+	soon = 300 * time.Millisecond
 )
 
 // Quota is the host's part. Its fields are set before Run.
@@ -177,6 +180,15 @@
 	return a
 }
 
+// want is what the keeper should lend: for the operations that wait, and for those
+// that are likely to come before the next report.
+func (a *account) want() float64 {
+	if a.waiting == 0 {
+		return 0
+	}
+	return float64(a.waiting) + math.Floor(a.demand*soon.Seconds())
+}
+
 func (a *account) take(now time.Duration) bool {
 	if now < a.lentUntil && a.lent >= 1 {
 		a.lent--
@@ -290,7 +302,7 @@
 		l := &quotapb.Line{
 			Account: name,
 			Demand:  a.demand,
-			Want:    float64(a.waiting),
+			Want:    a.want(),
 		}
 		if now < a.until {
 			l.Held = a.rate
