--- a/core/grant/book.go
+++ b/core/grant/book.go
@@ -29,10 +29,7 @@
 	used = 0.98
 	// asRates is the most of the account's rate that is given out as rates; what
 	// is lent goes to whoever needs it at the moment.
-	asRates = 0.85
-	// headroom is how much more than it asks for a host gets while there is
-	// enough, so that it can go on for a while without a keeper.
-	headroom = 1.35
+	asRates = 0.6
 	// hostBurst is the part of the account's burst that hosts have in their
 	// buckets, divided equally among those that use the account. Where that is
 	// less than one operation for each, those of the greatest demand have one,
@@ -204,12 +201,12 @@
 	return held, demand
 }
 
-// share is a host's part of a rate: what it asks for and a little more while there
-// is enough for all, its proportion of the whole when there is not.
+// share is a host's part of a rate: what it asks for while there is enough for
+// all, its proportion of the whole when there is not.
 func share(rate, mine, others float64) float64 {
 	all := mine + others
-	if all*headroom <= rate {
-		return mine * headroom
+	if all <= rate {
+		return mine
 	}
 	return rate * mine / all
 }
--- a/core/grant/book_test.go
+++ b/core/grant/book_test.go
@@ -134,7 +134,7 @@
 	}
 	hosts := []string{"a"}
 	g := b.Report(10*second, "a", []Line{line}, hosts, limits(200, 50))
-	assert.Equal(t, g[0].Rate, 80.0*headroom)
+	assert.Equal(t, g[0].Rate, 80.0)
 	g = b.Report(11*second, "a", []Line{line}, hosts, limits(10, 5))
 	assert.Assert(t, g[0].Rate <= 10)
 	assert.Equal(t, g[0].Burst, 5*hostBurst)
