--- /dev/null
+++ b/core/conf/entry_test.go
@@ -0,0 +1,54 @@
+package conf
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// filled is the platform's template with values of a host.
+func filled(t *testing.T) string {
+	t.Helper()
+	template, err := os.ReadFile("../../deploy/entry.jsonc")
+	assert.NilError(t, err)
+	return strings.NewReplacer(
+		"{{NodeName}}", "edge-a-1", "{{Zone}}", "a", "{{Listen.Frontend}}", "10.1.0.26:8465", "{{Listen.Ready}}", "10.1.0.26:8460",
+		"{{Ip}}", "10.1.0.26", "{{PortRange.0}}", "7560", "{{platform.Address}}", "10.200.1.7:8466",
+		"{{CloudApi.Address}}", "10.200.0.2:8466", "{{Limits.MemoryMb}}", "206", "{{Bounds.RevokeMs}}", "5000",
+		"{{Bounds.DrainMs}}", "7000", "{{Bounds.GraceS}}", "6",
+	).Replace(string(template))
+}
+
+func TestTemplateIsAccepted(t *testing.T) {
+	e, err := ParseEntry([]byte(filled(t)))
+	assert.NilError(t, err)
+	assert.Equal(t, e.Peer, "10.1.0.26:7560")
+	assert.Equal(t, e.Withdrawal(), 5*time.Second)
+	assert.Equal(t, e.Drain(), 7*time.Second)
+	assert.Equal(t, e.Grace(), 6*time.Second)
+}
+
+func TestBadEntriesAreRefused(t *testing.T) {
+	good := filled(t)
+	for from, to := range map[string]string{
+		`"name": "edge-a-1"`:           `"name": ""`,
+		`"domain": "a"`:                `"domain": ""`,
+		`"10.1.0.26:8465"`:             `"somewhere:8465"`,
+		`"store": "10.200.1.7:8466"`:   `"store": ""`,
+		`"memory_mb": 206`:             `"memory_mb": 8`,
+		`"withdrawal_ms": 5000`:        `"withdrawal_ms": 5`,
+		`"drain_ms": 7000`:             `"drain_ms": "long"`,
+		`"grace_s": 6`:                 `"grace_s": 6, "colour": "blue"`,
+		`"control": "10.200.0.2:8466"`: `"control": 7`,
+		`// Process`:                   `{ Process`,
+	} {
+		assert.Assert(t, strings.Contains(good, from), from)
+		_, err := ParseEntry([]byte(strings.Replace(good, from, to, 1)))
+		assert.Assert(t, err != nil, to)
+	}
+	_, err := LoadEntry("/nowhere/entry.jsonc")
+	assert.ErrorContains(t, err, "/nowhere/entry.jsonc")
+}
--- a/core/marks/marks.go
+++ b/core/marks/marks.go
@@ -78,14 +78,3 @@
 	}
 	return p, false
 }
-
-// Newest returns when the newest mark of this epoch was sent.
-func (m *Marks) Newest(epoch uint64) (sent time.Duration, p coltsfootloft.Position, ok bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if epoch != m.epoch || len(m.marks) == 0 {
-		return 0, p, false
-	}
-	k := m.marks[len(m.marks)-1]
-	return k.sent, k.position, true
-}
--- a/core/marks/marks_test.go
+++ b/core/marks/marks_test.go
@@ -51,6 +51,6 @@
 		assert.Assert(t, m.marks[i].sent-m.marks[i-1].sent >= spacing)
 	}
 	m.Add(1, time.Hour, coltsfootloft.Position{})
-	sent, _, _ := m.Newest(1)
-	assert.Assert(t, sent < time.Hour, "an answer without a position is no mark")
+	_, ok := m.Oldest(1, time.Minute)
+	assert.Assert(t, !ok, "an answer without a position is no mark")
 }
--- a/io/duty/duty.go
+++ b/io/duty/duty.go
@@ -18,6 +18,7 @@
 	"coltsfootloft"
 	"coltsfootloft/core/rank"
 	"coltsfootloft/io/mirror"
+	"coltsfootloft/io/pause"
 	"coltsfootloft/io/tenure"
 )
 
@@ -28,6 +29,9 @@
 	mostSteps = 10
 	// retryPause is the wait after a failed try.
 	retryPause = 200 * time.Millisecond
+	// lookEvery is how often a held duty is looked at without a change: the
+	// lease may run out without one.
+	lookEvery = time.Second
 )
 
 // Duty is one duty, as this host sees it. Its fields are set before Run.
@@ -81,7 +85,7 @@
 	for ctx.Err() == nil {
 		changed := d.Mirror.Changed()
 		if _, held := d.Mirror.View().Duties[d.Name]; held || !d.Tenure.Valid() {
-			wait(ctx, changed, 0)
+			pause.Until(ctx, changed, lookEvery)
 			continue
 		}
 		if !d.turn(ctx) {
@@ -89,7 +93,7 @@
 		}
 		if err := d.take(ctx); err != nil {
 			d.Log.V(1).Info("duty not taken", "duty", d.Name, "reason", err.Error())
-			wait(ctx, nil, retryPause)
+			pause.For(ctx, retryPause)
 		}
 	}
 }
@@ -101,7 +105,7 @@
 	if place < 0 {
 		place = mostSteps
 	}
-	wait(ctx, nil, time.Duration(min(place, mostSteps))*step)
+	pause.For(ctx, time.Duration(min(place, mostSteps))*step)
 	_, held := d.Mirror.View().Duties[d.Name]
 	return !held && d.Tenure.Valid() && ctx.Err() == nil
 }
@@ -138,21 +142,3 @@
 	}
 	return e.Version(), nil
 }
-
-// wait returns at a change, after a time if that is not 0, or when ctx ends.
-func wait(ctx context.Context, changed <-chan struct{}, limit time.Duration) {
-	const longest = time.Second // the lease may run out without a change
-	if limit == 0 {
-		if changed == nil {
-			return
-		}
-		limit = longest
-	}
-	timer := time.NewTimer(limit)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-changed:
-	case <-timer.C:
-	}
-}
--- a/io/groups/groups.go
+++ b/io/groups/groups.go
@@ -68,7 +68,7 @@
 		return Office{}, false
 	}
 	return Office{
-		Target: target(u),
+		Target: u.Target(),
 		Epoch:  r.Epoch,
 		Near:   u.Upstream.Domain() == g.Domain,
 	}, true
@@ -121,7 +121,7 @@
 	var all []ranked
 	for _, u := range v.Members(group) {
 		id := u.Upstream.Name()
-		r := Reader{Target: target(u)}
+		r := Reader{Target: u.Target()}
 		switch {
 		case hasPrimary && id == office.Target.ID:
 			r.Office = office
@@ -169,11 +169,3 @@
 	}
 	return m
 }
-
-func target(u mirror.Upstream) lanes.Target {
-	return lanes.Target{
-		ID:      u.Upstream.Name(),
-		Address: u.Upstream.Address(),
-		Group:   u.Group,
-	}
-}
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -18,6 +18,7 @@
 
 	"coltsfootloft"
 	"coltsfootloft/core/horiz"
+	"coltsfootloft/io/pause"
 )
 
 const (
@@ -212,13 +213,7 @@
 
 // breathe lets changes gather, unless one is waited for.
 func (m *Mirror) breathe(ctx context.Context) {
-	timer := time.NewTimer(gather)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-m.hurry:
-	case <-timer.C:
-	}
+	pause.Until(ctx, m.hurry, gather)
 }
 
 func (m *Mirror) hasten() {
@@ -233,10 +228,7 @@
 		return
 	}
 	m.Log.Info("store not answering", "call", "watch", "reason", err.Error(), "revision", m.View().Revision)
-	select {
-	case <-ctx.Done():
-	case <-time.After(retryMost):
-	}
+	pause.For(ctx, retryMost)
 }
 
 func (m *Mirror) applyAll(events []coltsfootloft.Event, revision uint64) {
@@ -316,19 +308,16 @@
 func (m *Mirror) confirm(ctx context.Context) {
 	retry := retryPause
 	for ctx.Err() == nil {
-		pause := m.untilConfirm()
-		if pause <= 0 {
+		wait := m.untilConfirm()
+		if wait <= 0 {
 			if m.confirmOnce(ctx) {
 				retry = retryPause
 				continue
 			}
-			pause = retry
+			wait = retry
 			retry = min(2*retry, retryMost)
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
+		pause.For(ctx, wait)
 	}
 }
 
--- a/io/mirror/view.go
+++ b/io/mirror/view.go
@@ -11,6 +11,7 @@
 
 	"coltsfootloft"
 	"coltsfootloft/core/reign"
+	"coltsfootloft/io/lanes"
 )
 
 // Prefixes of the project's own keys.
@@ -52,6 +53,15 @@
 	Since time.Duration
 }
 
+// Target is where to connect to the database.
+func (u Upstream) Target() lanes.Target {
+	return lanes.Target{
+		ID:      u.Upstream.Name(),
+		Address: u.Upstream.Address(),
+		Group:   u.Group,
+	}
+}
+
 // Group is a group's record and its revision.
 type Group struct {
 	reign.Record
--- a/io/quota/quota.go
+++ b/io/quota/quota.go
@@ -20,6 +20,7 @@
 	"coltsfootloft/core/grant"
 	"coltsfootloft/io/duty"
 	"coltsfootloft/io/mirror"
+	"coltsfootloft/io/pause"
 	"coltsfootloft/io/quota/quotapb"
 )
 
@@ -42,6 +43,9 @@
 	lentFor = 500 * time.Millisecond
 	// soon is how far ahead a host that has run out borrows.
 	soon = 300 * time.Millisecond
+	// shortest and longest bound one wait for a bucket to fill, which may never.
+	shortest = time.Millisecond
+	longest  = time.Second
 )
 
 // Quota is the host's part. Its fields are set before Run.
@@ -120,7 +124,7 @@
 		wait := a.bucket.Wait(instant(now), 1)
 		q.mu.Unlock()
 		q.hurry()
-		ok := sleep(ctx, changed, wait)
+		ok := pause.Until(ctx, changed, max(min(wait, longest), shortest))
 		q.mu.Lock()
 		if a.take(q.Clock.Elapsed()) {
 			a.waiting--
@@ -201,19 +205,6 @@
 	return a.bucket.Take(instant(now), 1)
 }
 
-// sleep waits for a grant or for the bucket to fill; false when ctx ends.
-func sleep(ctx context.Context, changed <-chan struct{}, wait time.Duration) bool {
-	timer := time.NewTimer(max(min(wait, time.Second), time.Millisecond))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-changed:
-	case <-timer.C:
-	}
-	return true
-}
-
 func (q *Quota) hurry() {
 	select {
 	case q.urgent <- struct{}{}:
@@ -241,20 +232,11 @@
 			q.report(ctx)
 		case <-q.urgent:
 			q.report(ctx)
-			rest(ctx, max(urgentEvery, time.Duration(len(q.Mirror.View().Hosts))*urgentPerHost))
+			pause.For(ctx, max(urgentEvery, time.Duration(len(q.Mirror.View().Hosts))*urgentPerHost))
 		}
 	}
 }
 
-func rest(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // report tells the keeper what is asked for and takes its grants.
 func (q *Quota) report(ctx context.Context) {
 	sent := q.Clock.Elapsed()
@@ -374,57 +356,4 @@
 	return q.Clock.Elapsed() - q.answered, q.others
 }
 
-// handle answers a report, if this host keeps the book.
-func (q *Quota) handle(_ context.Context, from string, body []byte) ([]byte, error) {
-	var r quotapb.Report
-	if err := proto.Unmarshal(body, &r); err != nil {
-		return nil, errors.Wrap(err, "report")
-	}
-	answer := &quotapb.Grants{StoreAgeMs: q.StoreAge().Milliseconds()}
-	if _, ok := q.Duty.Holds(); ok {
-		answer.Keeper = true
-		answer.Grants = q.grants(from, &r)
-		known := q.Mirror.Known()
-		answer.SettingsRevision = known.SettingsRevision
-		answer.SettingsAgeMs = known.SettingsAge.Milliseconds() + 1
-		answer.StoreRevision = known.Revision
-	}
-	b, err := proto.Marshal(answer)
-	return b, errors.Wrap(err, "grants")
-}
-
-func (q *Quota) grants(from string, r *quotapb.Report) []*quotapb.Grant {
-	q.bookMutex.Lock()
-	defer q.bookMutex.Unlock()
-	v := q.Mirror.View()
-	if v.Catalog == nil {
-		return nil
-	}
-	if since := q.Duty.Since(); since != q.bookSince {
-		q.bookSince = since
-		q.book = grant.Book{Started: since}
-	}
-	lines := make([]grant.Line, 0, len(r.GetLines()))
-	for _, l := range r.GetLines() {
-		lines = append(lines, grant.Line{
-			Account: l.GetAccount(),
-			Demand:  l.GetDemand(),
-			Held:    l.GetHeld(),
-			HeldFor: time.Duration(l.GetHeldMs()) * time.Millisecond,
-			Want:    l.GetWant(),
-		})
-	}
-	granted := q.book.Report(q.Clock.Elapsed(), from, lines, v.HostNames(), v.Catalog.Accounts)
-	grants := make([]*quotapb.Grant, 0, len(granted))
-	for _, l := range granted {
-		grants = append(grants, &quotapb.Grant{
-			Account: l.Account,
-			Rate:    l.Rate,
-			Burst:   l.Burst,
-			Lent:    l.Lent,
-		})
-	}
-	return grants
-}
-
 func instant(d time.Duration) time.Time { return time.Unix(0, int64(d)) }
--- a/io/quota/shards.go
+++ b/io/quota/shards.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"coltsfootloft/io/mirror"
+	"coltsfootloft/io/pause"
 )
 
 // accountsPerKeeper is how many client accounts one keeper has at the most: with
@@ -55,7 +55,7 @@
 func (s *Shards) AwaitActive(ctx context.Context, part int) bool {
 	for s.Active() <= part {
 		changed := s.Mirror.Changed()
-		if !sleep(ctx, changed, time.Second) {
+		if !pause.Until(ctx, changed, longest) {
 			return false
 		}
 	}
--- a/io/relay/serve.go
+++ b/io/relay/serve.go
@@ -86,11 +86,7 @@
 	if !ok {
 		return nil, &relaypb.Response{Outcome: relaypb.Outcome_OUTCOME_DOWN}
 	}
-	t := lanes.Target{
-		ID:      u.Upstream.Name(),
-		Address: u.Upstream.Address(),
-		Group:   u.Group,
-	}
+	t := u.Target()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(x.GetWaitMs())*time.Millisecond)
 	defer cancel()
 	conn, err := r.Lanes.Acquire(ctx, t, x.GetAccount())
--- a/io/steward/change.go
+++ b/io/steward/change.go
@@ -11,6 +11,7 @@
 	"coltsfootloft"
 	"coltsfootloft/core/reign"
 	"coltsfootloft/io/mirror"
+	"coltsfootloft/io/pause"
 	"coltsfootloft/io/steward/stewardpb"
 )
 
@@ -39,7 +40,7 @@
 	leader, ok := reign.Leader(all)
 	if !ok {
 		s.Log.Info("group without a primary", "group", name, "databases", len(all))
-		await(ctx, nil, watchEvery)
+		pause.For(ctx, watchEvery)
 		return
 	}
 	r := reign.Record{
@@ -54,13 +55,16 @@
 
 // look asks all databases of a group for their state, but for the missed ones.
 func (s *Steward) look(ctx context.Context, name string, missed ...string) []reign.Seen {
-	members := s.Mirror.View().Members(name)
+	v := s.Mirror.View()
+	members := v.Members(name)
+	primary := v.Upstreams[v.Groups[name].Primary].Upstream
 	all := make([]reign.Seen, len(members))
 	var group sync.WaitGroup
 	for i, u := range members {
 		all[i] = reign.Seen{
 			ID:      u.Upstream.Name(),
 			Leaving: u.Leaving || u.Gone,
+			Near:    u.Upstream.Domain() == primary.Domain(),
 		}
 		if slices.Contains(missed, all[i].ID) {
 			continue
@@ -68,7 +72,7 @@
 		group.Add(1)
 		go func() {
 			defer group.Done()
-			h, err := s.status(ctx, targetOf(u))
+			h, err := s.status(ctx, u.Target())
 			all[i].Answered = err == nil
 			all[i].Health = h
 		}()
@@ -111,7 +115,7 @@
 	if err != nil {
 		s.Log.Info("change of primary not done", "group", name, "why", why, "reason", err.Error(), "took_ms", took.Milliseconds())
 		s.Metrics.GetOrCreateCounter(`coltsfootloft_primary_changes_total{outcome="failed"}`).Inc()
-		await(ctx, nil, 4*pollEvery)
+		pause.For(ctx, 4*pollEvery)
 		return
 	}
 	s.Log.Info("change of primary done", "group", name, "primary", primary, "took_ms", took.Milliseconds())
@@ -201,7 +205,7 @@
 		if _, ok := s.Duty.Holds(); !ok {
 			return errNotHolder
 		}
-		await(ctx, changed, pollEvery)
+		pause.Until(ctx, changed, pollEvery)
 	}
 }
 
@@ -216,7 +220,7 @@
 		c, ok := reign.Candidate(r.Primary, without(all, refused))
 		if !ok {
 			clear(refused)
-			await(ctx, nil, 4*pollEvery)
+			pause.For(ctx, 4*pollEvery)
 			continue
 		}
 		if r.Candidate != c.ID {
@@ -260,7 +264,7 @@
 		return s.look(ctx, name, missed...)
 	}
 	within, cancel := context.WithTimeout(ctx, statusTimeout)
-	last, err := s.Prober.Demote(within, targetOf(old), r.Term+1)
+	last, err := s.Prober.Demote(within, old.Target(), r.Term+1)
 	cancel()
 	if err != nil {
 		s.Log.Info("old primary not demoted", "group", name, "database", r.Primary, "reason", err.Error())
@@ -278,7 +282,7 @@
 			s.Log.Info("no replica has received all", "group", name, "found", ok, "received", c.Health.Received.Offset(), "of", last.Received.Offset())
 			return all
 		}
-		await(ctx, nil, pollEvery)
+		pause.For(ctx, pollEvery)
 	}
 }
 
@@ -290,7 +294,7 @@
 		return errNotHolder
 	}
 	if left < minLease {
-		await(ctx, nil, 4*pollEvery)
+		pause.For(ctx, 4*pollEvery)
 		return errors.New("lease too short for a call")
 	}
 	within, cancel := context.WithTimeout(ctx, left-pollEvery)
@@ -316,7 +320,7 @@
 		if !ok {
 			return reign.Seen{}, false
 		}
-		h, err := s.status(ctx, targetOf(u))
+		h, err := s.status(ctx, u.Target())
 		if err == nil && h.Role == coltsfootloft.Primary && h.Term > term {
 			return reign.Seen{
 				ID:       id,
@@ -324,7 +328,7 @@
 				Health:   h,
 			}, true
 		}
-		await(ctx, nil, pollEvery)
+		pause.For(ctx, pollEvery)
 	}
 	s.Log.Info("promoted database does not lead", "group", name, "database", id)
 	return reign.Seen{}, false
--- a/io/steward/serve.go
+++ b/io/steward/serve.go
@@ -41,7 +41,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	return s.Prober.Reaches(ctx, targetOf(u))
+	return s.Prober.Reaches(ctx, u.Target())
 }
 
 // report notes that a host misses the primary of a group.
--- a/io/steward/steward.go
+++ b/io/steward/steward.go
@@ -24,6 +24,7 @@
 	"coltsfootloft/io/duty"
 	"coltsfootloft/io/lanes"
 	"coltsfootloft/io/mirror"
+	"coltsfootloft/io/pause"
 	"coltsfootloft/io/probe"
 	"coltsfootloft/io/steward/stewardpb"
 	"coltsfootloft/io/tenure"
@@ -120,13 +121,13 @@
 	for ctx.Err() == nil {
 		changed := s.Mirror.Changed()
 		if _, ok := s.Duty.Holds(); !ok {
-			await(ctx, changed, time.Second)
+			pause.Until(ctx, changed, time.Second)
 			continue
 		}
 		for _, g := range s.groups() {
 			s.start(ctx, &group, g)
 		}
-		await(ctx, changed, watchEvery)
+		pause.Until(ctx, changed, watchEvery)
 	}
 }
 
@@ -178,7 +179,7 @@
 	case u.Gone && now-u.Since > goneBefore:
 		s.change(ctx, name, "the primary's announcement is gone")
 	default:
-		s.watch(ctx, name, targetOf(u))
+		s.watch(ctx, name, u.Target())
 	}
 }
 
@@ -308,21 +309,3 @@
 	}
 	return answer.GetYes(), nil
 }
-
-func targetOf(u mirror.Upstream) lanes.Target {
-	return lanes.Target{
-		ID:      u.Upstream.Name(),
-		Address: u.Upstream.Address(),
-		Group:   u.Group,
-	}
-}
-
-func await(ctx context.Context, changed <-chan struct{}, limit time.Duration) {
-	timer := time.NewTimer(limit)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-changed:
-	case <-timer.C:
-	}
-}
--- a/io/tenure/tenure.go
+++ b/io/tenure/tenure.go
@@ -18,6 +18,7 @@
 
 	"coltsfootloft"
 	"coltsfootloft/io/mirror"
+	"coltsfootloft/io/pause"
 )
 
 const (
@@ -79,7 +80,7 @@
 	for ctx.Err() == nil {
 		if err := t.register(ctx); err != nil {
 			t.Log.V(1).Info("lease not gained", "reason", err.Error())
-			pause(ctx, retryPause)
+			pause.For(ctx, retryPause)
 			continue
 		}
 		t.keep(ctx)
@@ -152,8 +153,7 @@
 func (t *Tenure) keep(ctx context.Context) {
 	wait := renewEvery
 	for {
-		pause(ctx, wait)
-		if ctx.Err() != nil {
+		if !pause.For(ctx, wait) {
 			return
 		}
 		sent := t.Clock.Elapsed()
@@ -201,12 +201,3 @@
 		t.Log.Info("lease not given back", "lease", session, "reason", err.Error())
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
