--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -180,7 +180,6 @@
 		Clock:   e.clock,
 		Hold:    e.hold,
 		Log:     e.log.WithName("relay"),
-		Metrics: e.metrics,
 	}
 	e.relay.Register()
 }
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -15,7 +15,6 @@
 	"sync"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 
@@ -52,8 +51,6 @@
 	Hold func() time.Duration
 	// Log takes a line when a keeper is out of reach.
 	Log logr.Logger
-	// Metrics receives the counters.
-	Metrics *metrics.Set
 
 	mu      sync.Mutex
 	avoided map[string]time.Duration
@@ -66,7 +63,6 @@
 	relay   *Relay
 	target  lanes.Target
 	account string
-	group   string
 	office  *groups.Office
 	conn    *lanes.Conn // of this host
 	keeper  string      // or of another
@@ -81,7 +77,6 @@
 		relay:   r,
 		target:  t,
 		account: account,
-		group:   t.Group,
 		office:  office,
 	}
 	if keeper, ok := r.keeper(t.ID, account); ok {
