entry: an answer of the primary counts only if the host still had its right

Cause, found by reading: Groups.Holds is read before a statement is sent, and a host that is suspended between the two sends it all the same. For writes Stood was read again behind the answer; reads and the begin of a transaction were taken as the primary's, and as marks for reads of a stated age. A primary that is cut off with its host and was replaced meanwhile so served stale reads.

Ruled out: reading the right a second time before sending, which only makes the gap shorter.

The stand-in can hold a statement up, and a test can set a host's clock forward. Before: TestAnswerAcrossASuspension red (the read was answered). After: green in three runs of three, io/edge whole green.

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -68,12 +68,14 @@
 }
 
 // Build makes a host that is not running yet.
-func Build(s conf.Entry, log logr.Logger) *Edge {
+func Build(s conf.Entry, log logr.Logger) *Edge { return build(s, log, boot.Clock{}) }
+
+func build(s conf.Entry, log logr.Logger, clock coltsfootloft.Clock) *Edge {
 	e := &Edge{
 		settings: s,
 		log:      log,
 		metrics:  metrics.NewSet(),
-		clock:    boot.Clock{},
+		clock:    clock,
 		leaving:  make(chan struct{}),
 	}
 	open := dial.From(s.Peer, 0)
--- a/io/edge/fence_test.go
+++ b/io/edge/fence_test.go
@@ -10,6 +10,7 @@
 
 	"coltsfootloft"
 	"coltsfootloft/io/mirror"
+	"coltsfootloft/io/tenure"
 	"coltsfootloft/platform"
 )
 
@@ -46,3 +47,21 @@
 	assert.NilError(t, c.CloseSession(t.Context(), lease))
 	f.await("a promotion", 2*time.Second, func() bool { return len(f.group.Promotions()) > 0 })
 }
+
+// TestAnswerAcrossASuspension suspends a host while a statement is at the primary.
+// The host's lease has run out when the answer comes: another database may have
+// taken over and acknowledged writes before the statement was sent, so that neither
+// a read nor the begin of a transaction may be passed off as the primary's.
+func TestAnswerAcrossASuspension(t *testing.T) {
+	f := start(t, 3, nil)
+	h := f.hosts[0]
+	reader, _ := connect(t, h, "file", "key-arima")
+	reader.must("WRITE x 1")
+	between, _ := connect(t, h, "file", "key-arima")
+	between.must("BEGIN")
+	f.group.Await(f.group.Primary(), func() { h.clock.skip(2 * tenure.TTL) })
+	assert.Assert(t, reader.do("READ x").code != "", "read across a suspension")
+	assert.Assert(t, between.do("READ x").code != "", "transaction begun across a suspension")
+	f.group.Await(f.group.Primary(), nil)
+	f.await("reads again", 3*time.Second, func() bool { return reader.do("READ x").code == "" })
+}
--- a/io/edge/fleet_test.go
+++ b/io/edge/fleet_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,6 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	"coltsfootloft/core/conf"
+	"coltsfootloft/io/boot"
 	"coltsfootloft/stand/keyval"
 	"coltsfootloft/stand/lines"
 )
@@ -38,8 +40,23 @@
 	edge     *Edge
 	stop     context.CancelFunc
 	ended    chan error
+	clock    *skipping
 }
 
+// skipping is a clock that a test can set forward, as a suspension does.
+type skipping struct {
+	boot.Clock
+	skipped atomic.Int64
+}
+
+// Elapsed counts the time that was skipped.
+func (s *skipping) Elapsed() time.Duration {
+	return s.Clock.Elapsed() + time.Duration(s.skipped.Load())
+}
+
+// skip sets the clock forward.
+func (s *skipping) skip(d time.Duration) { s.skipped.Add(int64(d)) }
+
 // config is the operators' settings in the platform's own form.
 type config struct {
 	ConfigVersion int
@@ -205,12 +222,13 @@
 			GraceS:       2,
 		},
 		ended: make(chan error, 1),
+		clock: &skipping{},
 	}
 	log := logr.Discard()
 	if testing.Verbose() {
 		log = funcr.New(func(prefix, args string) { fmt.Println(time.Now().Format("05.000"), h.settings.Name, prefix, args) }, funcr.Options{})
 	}
-	h.edge = Build(h.settings, log)
+	h.edge = build(h.settings, log, h.clock)
 	ctx, stop := context.WithCancel(context.Background())
 	h.stop = stop
 	go func() { h.ended <- h.edge.Run(ctx) }()
--- a/io/entry/single.go
+++ b/io/entry/single.go
@@ -216,8 +216,8 @@
 		return n.refusedBy(o, p, st, reply)
 	}
 	if p.reader.IsPrimary {
-		if writes && !s.Groups.Stood(o.route.Group, p.reader.Office) {
-			return n.doubt(st, "the primary was replaced meanwhile"), true
+		if !s.Groups.Stood(o.route.Group, p.reader.Office) {
+			return n.unproved(o, st, p, writes)
 		}
 		s.Groups.Marks(o.route.Group).Add(p.reader.Office.Epoch, sent, reply.Position)
 	}
@@ -228,6 +228,24 @@
 	return reply, true
 }
 
+// unproved handles an answer of a primary that may have been replaced before it
+// was asked, as when the host was suspended on the way: a read is tried again, the
+// outcome of a write is not known.
+func (n *session) unproved(o *operation, st coltsfootloft.Statement, p place, writes bool) (coltsfootloft.Reply, bool) {
+	const why = "the primary may have been replaced meanwhile"
+	if writes {
+		return n.doubt(st, why), true
+	}
+	s := n.server
+	s.Log.Info("answer dropped", "id", st.ID(), "upstream", p.reader.Target.ID, "group", o.route.Group, "epoch", p.reader.Office.Epoch,
+		"reason", why, "lease_left", s.Groups.Tenure.Left().String(), "tries", o.tries)
+	if o.patience(s.Clock.Elapsed()) <= 0 {
+		return n.giveUp(o, st, coltsfootloft.ReasonAborted, why+"; come back at once"), true
+	}
+	n.pause(o)
+	return coltsfootloft.Reply{}, false
+}
+
 // unanswered handles a statement whose answer did not come.
 func (n *session) unanswered(o *operation, p place, st coltsfootloft.Statement, writes bool, err error) (coltsfootloft.Reply, bool) {
 	s := n.server
--- a/io/entry/transaction.go
+++ b/io/entry/transaction.go
@@ -190,6 +190,12 @@
 		}
 		return reason
 	}
+	if p.reader.IsPrimary && !s.Groups.Stood(t.route.Group, p.reader.Office) {
+		line.Release(false)
+		s.Log.Info("transaction not begun", "id", st.ID(), "upstream", p.reader.Target.ID, "primary", true,
+			"reason", "the primary may have been replaced meanwhile", "lease_left", s.Groups.Tenure.Left().String(), "tries", t.tries)
+		return coltsfootloft.ReasonBusy
+	}
 	t.line = line
 	t.place = p
 	t.aligned = true
--- a/stand/lines/group.go
+++ b/stand/lines/group.go
@@ -65,6 +65,7 @@
 	down  bool
 	deaf  bool // receives nothing
 	lose  int  // answers to lose
+	await func()
 	conns map[net.Conn]struct{}
 }
 
@@ -149,6 +150,14 @@
 	g.bases[id].lose = n
 }
 
+// Await has a database call f before each data statement that it runs, as if the
+// statement had been under way for that long.
+func (g *Group) Await(id string, f func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.bases[id].await = f
+}
+
 // SetLag changes how late replicas apply.
 func (g *Group) SetLag(d time.Duration) {
 	g.mu.Lock()
--- a/stand/lines/session.go
+++ b/stand/lines/session.go
@@ -81,6 +81,9 @@
 func (s *session) answer(query string) (answer string, lost bool) {
 	id, text, _ := strings.Cut(query, " ")
 	b := s.base
+	if id != "-" {
+		b.beforeRun()
+	}
 	b.group.mu.Lock()
 	defer b.group.mu.Unlock()
 	answer, isData := s.query(id, text)
@@ -91,6 +94,15 @@
 	return answer + s.ready(), lost
 }
 
+func (b *Base) beforeRun() {
+	b.group.mu.Lock()
+	f := b.await
+	b.group.mu.Unlock()
+	if f != nil {
+		f()
+	}
+}
+
 // ready is the line that closes an answer.
 func (s *session) ready() string {
 	state := "I"
