entry, relay, dial, bucket: one copy each of what stood twice; reasons told apart

The check of a timeout stood in io/caller and io/relay (now io/dial), the moment of a bucket in core/grant and io/quota (now core/bucket); wasNotSent meant two things; trouble closed sessions by the way. A transaction that a host gave up because its lease had run out was told that the primary is being replaced; it is told the cause now.

--- a/core/bucket/bucket.go
+++ b/core/bucket/bucket.go
@@ -27,6 +27,10 @@
 	at     time.Time
 }
 
+// At returns the moment of a clock that counts from the start of the host, as
+// buckets take it.
+func At(elapsed time.Duration) time.Time { return time.Unix(0, int64(elapsed)) }
+
 // New returns a full bucket. The rate is in tokens per second, the burst in
 // tokens.
 func New(rate, burst float64, now time.Time) Bucket {
--- a/core/grant/book.go
+++ b/core/grant/book.go
@@ -160,7 +160,7 @@
 	h.until = max(h.until, now+Valid)
 	a.fill(now, max(g.Rate, h.older)+others)
 	if l.Want > 0 {
-		g.Lent = a.pool.Debit(instant(now), math.Floor(min(l.Want, a.pool.Available(instant(now)))))
+		g.Lent = a.pool.Debit(bucket.At(now), math.Floor(min(l.Want, a.pool.Available(bucket.At(now)))))
 	}
 	return g
 }
@@ -182,7 +182,7 @@
 
 // fill has the keeper's bucket fill with what the rates leave over.
 func (a *account) fill(now time.Duration, held float64) {
-	a.pool.Resize(instant(now), max(a.rate*used-held, 0), a.burst*(1-hostBurst))
+	a.pool.Resize(bucket.At(now), max(a.rate*used-held, 0), a.burst*(1-hostBurst))
 }
 
 // others sums what the other hosts may serve, and what they ask for.
@@ -216,12 +216,10 @@
 		return
 	}
 	if a.rate == 0 {
-		a.pool = bucket.New(0, a.burst, instant(now))
-		a.pool.Resize(instant(now), 0, limit.Burst())
-		a.pool.Credit(instant(now), startShare*min(limit.Rate(), limit.Burst()))
+		a.pool = bucket.New(0, a.burst, bucket.At(now))
+		a.pool.Resize(bucket.At(now), 0, limit.Burst())
+		a.pool.Credit(bucket.At(now), startShare*min(limit.Rate(), limit.Burst()))
 	}
 	a.rate = limit.Rate()
 	a.burst = limit.Burst()
 }
-
-func instant(d time.Duration) time.Time { return time.Unix(0, int64(d)) }
--- a/core/grant/book_test.go
+++ b/core/grant/book_test.go
@@ -45,9 +45,9 @@
 	for _, g := range b.Report(now, self, []Line{line}, hosts, l) {
 		if !h.made {
 			h.made = true
-			h.bucket = bucket.New(0, 0, instant(now))
+			h.bucket = bucket.New(0, 0, bucket.At(now))
 		}
-		h.bucket.Resize(instant(now), g.Rate, g.Burst)
+		h.bucket.Resize(bucket.At(now), g.Rate, g.Burst)
 		h.rate = g.Rate
 		h.until = now + Valid
 		lent += g.Lent
@@ -90,7 +90,7 @@
 			for ; lent >= 1; lent-- {
 				taken = append(taken, now)
 			}
-			for now < h.until && h.bucket.Take(instant(now), 1) {
+			for now < h.until && h.bucket.Take(bucket.At(now), 1) {
 				taken = append(taken, now)
 			}
 		}
--- a/io/caller/lifetime.go
+++ b/io/caller/lifetime.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"coltsfootloft/io/dial"
 	"coltsfootloft/io/pool"
 )
 
@@ -31,7 +32,7 @@
 		}
 		err := s.peek()
 		s.setBusy(true)
-		if err == nil || !s.ended() || !isTimeout(err) {
+		if err == nil || !s.ended() || !dial.IsTimeout(err) {
 			return err
 		}
 	}
@@ -136,11 +137,6 @@
 	return s.current, true
 }
 
-func isTimeout(err error) bool {
-	var n net.Error
-	return errors.As(err, &n) && n.Timeout()
-}
-
 func isClosed(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed)
 }
--- a/io/edge/ready.go
+++ b/io/edge/ready.go
@@ -45,6 +45,9 @@
 
 func (e *Edge) judgeOnce() {
 	why := e.trouble()
+	if why == settingsTooOld {
+		e.server.CloseIdle()
+	}
 	now := e.clock.Elapsed()
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -62,6 +65,9 @@
 	}
 }
 
+// settingsTooOld: no key is served, so that sessions are better off elsewhere.
+const settingsTooOld = "settings too old"
+
 // trouble is why the host should take no callers, or empty.
 func (e *Edge) trouble() string {
 	select {
@@ -74,8 +80,7 @@
 	}
 	now := e.clock.Elapsed()
 	if !e.mirror.Horizon().Covers(now, e.keyLimit()) {
-		e.server.CloseIdle()
-		return "settings too old"
+		return settingsTooOld
 	}
 	silent, theirs := e.quota.First().Keeper()
 	if e.storeAge() > aloneAfter && (silent > othersSilent || theirs < aloneAfter) {
--- a/io/entry/transaction.go
+++ b/io/entry/transaction.go
@@ -70,7 +70,7 @@
 		return n.fail(st, reason, "no database took the transaction; come back in 50 ms")
 	}
 	if t.place.reader.IsPrimary && !n.server.Groups.Holds(t.route.Group, t.place.reader.Office) {
-		return n.abort(st, "the primary is being replaced")
+		return n.abort(st, n.rightLost())
 	}
 	limit := min(t.route.Timeout, txShare*t.route.Target)
 	reply, err := t.line.Exchange(n.request(st, shape, t.wall.Add(limit)), t.wall.Add(limit), true)
@@ -224,7 +224,7 @@
 		return n.abortCommit(st, "no database took the transaction")
 	}
 	if t.place.reader.IsPrimary && !s.Groups.Holds(t.route.Group, t.place.reader.Office) {
-		return n.abortCommit(st, "the primary is being replaced")
+		return n.abortCommit(st, n.rightLost())
 	}
 	n.tx = nil
 	return n.sendCommit(t, st)
@@ -300,6 +300,14 @@
 	return n.dropped(st, why)
 }
 
+// rightLost says why the host may not use a primary that it could use before.
+func (n *session) rightLost() string {
+	if !n.server.Groups.Tenure.Valid() {
+		return "the host has lost its lease"
+	}
+	return "the primary is being replaced"
+}
+
 // abort drops the transaction; nothing of it is kept, because COMMIT was not sent.
 func (n *session) abort(st coltsfootloft.Statement, why string) coltsfootloft.Reply {
 	return n.fail(st, coltsfootloft.ReasonAborted, why)
--- a/io/quota/quota.go
+++ b/io/quota/quota.go
@@ -121,7 +121,7 @@
 	for {
 		now := q.Clock.Elapsed()
 		changed := q.changed
-		wait := a.bucket.Wait(instant(now), 1)
+		wait := a.bucket.Wait(bucket.At(now), 1)
 		q.mu.Unlock()
 		q.hurry()
 		ok := pause.Until(ctx, changed, max(min(wait, longest), shortest))
@@ -169,7 +169,7 @@
 		limit = c.Accounts[name]
 	}
 	q.Log.Info("account over its rate here", "account", name, "limit", limit.Rate(), "burst", limit.Burst(), "demand", a.demand,
-		"granted", a.rate, "tokens", a.bucket.Available(instant(now)), "valid", (a.until - now).String(),
+		"granted", a.rate, "tokens", a.bucket.Available(bucket.At(now)), "valid", (a.until - now).String(),
 		"keeper_silent", (now - q.answered).String(), "waiting", a.waiting, "lent", a.lent)
 }
 
@@ -202,7 +202,7 @@
 	if now >= a.until {
 		return false
 	}
-	return a.bucket.Take(instant(now), 1)
+	return a.bucket.Take(bucket.At(now), 1)
 }
 
 func (q *Quota) hurry() {
@@ -322,9 +322,9 @@
 		}
 		if !a.granted {
 			a.granted = true
-			a.bucket = bucket.New(0, 0, instant(now))
+			a.bucket = bucket.New(0, 0, bucket.At(now))
 		}
-		a.bucket.Resize(instant(now), x.GetRate(), x.GetBurst())
+		a.bucket.Resize(bucket.At(now), x.GetRate(), x.GetBurst())
 		if now >= a.lentUntil {
 			a.lent = 0
 		}
@@ -355,5 +355,3 @@
 	defer q.mu.Unlock()
 	return q.Clock.Elapsed() - q.answered, q.others
 }
-
-func instant(d time.Duration) time.Time { return time.Unix(0, int64(d)) }
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -20,6 +20,7 @@
 
 	"coltsfootloft"
 	"coltsfootloft/core/pick"
+	"coltsfootloft/io/dial"
 	"coltsfootloft/io/groups"
 	"coltsfootloft/io/lanes"
 	"coltsfootloft/io/peer"
@@ -137,7 +138,7 @@
 		return reply, nil
 	}
 	n.relay.Lanes.Observe(n.target.ID, silent)
-	if isTimeout(err) && time.Now().Before(final) && !keep {
+	if dial.IsTimeout(err) && time.Now().Before(final) && !keep {
 		conn := n.conn
 		n.conn = nil
 		go n.relay.await(conn, final)
@@ -187,13 +188,8 @@
 	r.Lanes.Release(conn, err == nil && !a.Failed() && a.State == coltsfootloft.TxIdle)
 }
 
-func isTimeout(err error) bool {
-	var t interface{ Timeout() bool }
-	return errors.As(err, &t) && t.Timeout()
-}
-
-// wasNotSent reports whether a call to another host surely did not reach it.
-func wasNotSent(err error) bool {
+// wasNotCalled reports whether a call to another host surely did not reach it.
+func wasNotCalled(err error) bool {
 	return errors.Is(err, peer.ErrUnreachable) || errors.Is(err, peer.ErrBusy) || errors.Is(err, peer.ErrUnknownDuty) ||
 		errors.Is(err, peer.ErrTooLarge)
 }
--- a/io/relay/remote.go
+++ b/io/relay/remote.go
@@ -54,7 +54,7 @@
 
 // uncalled is the error of a call that the keeper did not answer.
 func (n *Line) uncalled(err error) error {
-	if wasNotSent(err) {
+	if wasNotCalled(err) {
 		n.relay.avoid(n.keeper, err)
 		if n.handle == 0 {
 			return errors.Wrap(lanes.ErrBusy, err.Error())
