tenure, mirror: fewer calls to the store at the start and in an outage

Renewals each 0.8 s, with pauses that double up to 0.8 s after failures. The first listing waits for the host's own registration, which is tried without reading first. Six hosts a failure domain may watch the store, each if those before it don't; the others go without for 1.5 s before they watch themselves. Confirmations back off to 1.2 s where this host is not the one that others go by.

Ruled out: a longer lease, which a change of primary waits for.

--- a/io/mirror/follow.go
+++ b/io/mirror/follow.go
@@ -19,13 +19,25 @@
 	// watchers is how many hosts of a failure domain watch the store for the
 	// others: one, and one in case that it is lost.
 	watchers = 2
+	// standIns is how many may watch, each if those before it do not: that the
+	// store turns all of them away while it serves others is seen once in 500
+	// times where it turns a third of the hosts away.
+	standIns = 6
+	// patience is how long a host that is none of them goes without a source
+	// before it watches the store itself: hosts are without one together when the
+	// store is down, and refused calls are priced.
+	patience = 1500 * time.Millisecond
+	// lookAgain is how soon such a host looks for a source again.
+	lookAgain = 300 * time.Millisecond
 	// pollWait is how long a poll waits: a host that does not reach the store any
 	// more says so within it.
 	pollWait = 1500 * time.Millisecond
 	// pollMargin is how much longer than its wait a poll may take.
 	pollMargin = 300 * time.Millisecond
-	// avoidFor is how long a host that did not answer a poll is passed over.
+	// avoidFor is how long a host that did not answer a poll is passed over, and
+	// idleFor one that answered that it does not watch the store.
 	avoidFor = 2 * time.Second
+	idleFor  = 600 * time.Millisecond
 )
 
 // errNotWatching: the host that was asked does not watch the store.
@@ -37,26 +49,43 @@
 	m.Peers.Register(dutyName, m.handle)
 }
 
-// source returns the host to follow, or none if this one watches the store itself:
-// it is among the first of its failure domain, or those don't answer.
-func (m *Mirror) source() (host string, ok bool) {
+// source is what a host does to hear of changes.
+type source struct {
+	// host is the one to follow, empty if there is none.
+	host string
+	// itself tells that the host watches the store itself.
+	itself bool
+}
+
+// source chooses: the first hosts of a failure domain watch the store, the others
+// follow the first one that does, as far as this host knows.
+func (m *Mirror) source() source {
 	v := m.View()
 	if _, registered := v.Hosts[m.Self]; !registered {
-		return "", false
+		return source{itself: true}
 	}
 	order := m.watching(v)
-	if slices.Contains(order, m.Self) {
-		return "", false
+	place := slices.Index(order, m.Self)
+	before := order
+	if place >= 0 {
+		before = order[:place]
 	}
-	for _, h := range order {
-		if m.Clock.Elapsed() >= m.avoided[h] {
-			return h, true
+	now := m.Clock.Elapsed()
+	if place < 0 || place >= watchers {
+		for _, h := range before {
+			if now >= m.avoided[h] {
+				m.alone = 0
+				return source{host: h}
+			}
 		}
 	}
-	return "", false
+	if m.alone == 0 {
+		m.alone = now
+	}
+	return source{itself: place >= 0 || now-m.alone >= patience}
 }
 
-// watching returns the hosts of this failure domain that watch the store.
+// watching returns the hosts of this failure domain that may watch the store.
 func (m *Mirror) watching(v *View) []string {
 	if m.orderVersion != v.HostsVersion || m.order == nil {
 		var near []string
@@ -66,12 +95,22 @@
 			}
 		}
 		m.order = rank.Order("watch/"+m.Domain, near)
-		m.order = m.order[:min(watchers, len(m.order))]
+		m.order = m.order[:min(standIns, len(m.order))]
 		m.orderVersion = v.HostsVersion
 	}
 	return m.order
 }
 
+// avoid passes a source over for a while.
+func (m *Mirror) avoid(host string, err error) {
+	limit := avoidFor
+	if errors.Is(err, errNotWatching) {
+		limit = idleFor
+	}
+	m.avoided[host] = m.Clock.Elapsed() + limit
+	m.Log.Info("host that watches the store does not answer", "host", host, "reason", err.Error())
+}
+
 // follow takes changes from a host that watches.
 func (m *Mirror) follow(ctx context.Context, host string) error {
 	b, err := proto.Marshal(&mirrorpb.Poll{
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -32,6 +32,12 @@
 	// calls are priced too.
 	retryPause = 150 * time.Millisecond
 	retryMost  = 600 * time.Millisecond
+	// firstList is how long the first listing waits for the host's own
+	// registration, which it then shows: the usual is two answers of the store.
+	firstList = time.Second
+	// confirmMost is the longest wait between confirmations that failed. The
+	// keeper of rates tries more often, and its answers move the horizon too.
+	confirmMost = 1200 * time.Millisecond
 	// confirmShare is the part of the limit on the horizon after which this host
 	// confirms it itself: two tries then fit into the limit. The keeper of rates
 	// does so far sooner, and its answers to the others move theirs.
@@ -65,8 +71,9 @@
 	Leads func() bool
 
 	horizon horiz.Horizon
-	// record is guarded by mu; avoided and order belong to the watching duty.
+	// record is guarded by mu; avoided, order and alone belong to the watching duty.
 	record       record
+	alone        time.Duration // since when there is no host to follow, or 0
 	watches      atomic.Bool
 	avoided      map[string]time.Duration
 	order        []string
@@ -165,21 +172,26 @@
 // watch lists once and then follows the changes, of the store or of a host that
 // watches it.
 func (m *Mirror) watch(ctx context.Context) {
+	pause.Until(ctx, m.hurry, firstList)
 	listed := false
 	for ctx.Err() == nil {
 		if !listed {
 			listed = m.list(ctx)
 			continue
 		}
-		if host, ok := m.source(); ok {
-			m.watches.Store(false)
-			if err := m.follow(ctx, host); err != nil && ctx.Err() == nil {
-				m.avoided[host] = m.Clock.Elapsed() + avoidFor
-				m.Log.Info("host that watches the store does not answer", "host", host, "reason", err.Error())
-			}
+		from := m.source()
+		if from.itself {
+			listed = m.watchStore(ctx)
+			continue
+		}
+		m.watches.Store(false)
+		if from.host == "" {
+			pause.For(ctx, lookAgain)
 			continue
 		}
-		listed = m.watchStore(ctx)
+		if err := m.follow(ctx, from.host); err != nil && ctx.Err() == nil {
+			m.avoid(from.host, err)
+		}
 	}
 }
 
@@ -315,7 +327,7 @@
 				continue
 			}
 			wait = retry
-			retry = min(2*retry, retryMost)
+			retry = min(2*retry, m.confirmMost())
 		}
 		pause.For(ctx, wait)
 	}
@@ -333,6 +345,13 @@
 	return min(time.Duration(float64(m.Limit)*confirmShare)-age, leadEvery)
 }
 
+func (m *Mirror) confirmMost() time.Duration {
+	if m.Leads() {
+		return retryMost
+	}
+	return confirmMost
+}
+
 func (m *Mirror) confirmOnce(ctx context.Context) bool {
 	c := m.View().Catalog
 	if c == nil {
--- a/io/tenure/tenure.go
+++ b/io/tenure/tenure.go
@@ -29,10 +29,13 @@
 	// margin is what the host's right ends before the lease: more than clocks of
 	// equal pace differ in that time, and than a write takes to the next host.
 	margin = 50 * time.Millisecond
-	// renewEvery leaves time for three tries before the lease ends.
-	renewEvery = 500 * time.Millisecond
-	// retryPause is the wait after a failed call.
+	// renewEvery leaves time for four tries before the lease ends, or for one
+	// that gets no answer and one more.
+	renewEvery = 800 * time.Millisecond
+	// retryPause is the wait after a failed call, doubled up to retryMost: refused
+	// calls are priced more than renewals, and all hosts make them in an outage.
 	retryPause = 100 * time.Millisecond
+	retryMost  = 800 * time.Millisecond
 )
 
 // Tenure holds the lease. Its fields are set before Run.
@@ -77,33 +80,28 @@
 
 // Run keeps the lease until ctx ends, and then gives it back.
 func (t *Tenure) Run(ctx context.Context) {
+	retry := retryPause
 	for ctx.Err() == nil {
 		if err := t.register(ctx); err != nil {
-			t.Log.V(1).Info("lease not gained", "reason", err.Error())
-			pause.For(ctx, retryPause)
+			t.Log.Info("lease not gained", "reason", err.Error(), "again_in", retry.String())
+			pause.For(ctx, retry)
+			retry = min(2*retry, retryMost)
 			continue
 		}
+		retry = retryPause
 		t.keep(ctx)
 	}
 	t.giveBack()
 }
 
-// register opens a lease, ends the one of the host's earlier run, and registers.
+// register opens a lease and registers under it. A registration of the host's
+// earlier run is ended first.
 func (t *Tenure) register(ctx context.Context) error {
 	sent := t.Clock.Elapsed()
 	session, err := t.Store.OpenSession(ctx, t.Host, TTL)
 	if err != nil {
 		return err
 	}
-	old, err := t.Store.Read(ctx, mirror.HostKey(t.Host))
-	if err != nil {
-		return err
-	}
-	if old.Version() != 0 {
-		if err := t.endEarlier(ctx, old); err != nil {
-			return err
-		}
-	}
 	b, err := json.Marshal(mirror.Presence{
 		Address: t.Address,
 		Domain:  t.Domain,
@@ -112,9 +110,14 @@
 	if err != nil {
 		panic(err) // a struct of strings always encodes
 	}
-	revision, err := t.Store.Apply(ctx, []coltsfootloft.Change{
-		coltsfootloft.Put(mirror.HostKey(t.Host), b, 0).Locked(session),
-	})
+	registration := []coltsfootloft.Change{coltsfootloft.Put(mirror.HostKey(t.Host), b, 0).Locked(session)}
+	revision, err := t.Store.Apply(ctx, registration)
+	if errors.Is(err, coltsfootloft.ErrConflict) {
+		if err := t.endEarlier(ctx); err != nil {
+			return err
+		}
+		revision, err = t.Store.Apply(ctx, registration)
+	}
 	if err != nil {
 		return err
 	}
@@ -130,7 +133,11 @@
 }
 
 // endEarlier ends the lease of an earlier run, and with it all that the run held.
-func (t *Tenure) endEarlier(ctx context.Context, old coltsfootloft.Entry) error {
+func (t *Tenure) endEarlier(ctx context.Context) error {
+	old, err := t.Store.Read(ctx, mirror.HostKey(t.Host))
+	if err != nil || old.Version() == 0 {
+		return err
+	}
 	var p mirror.Presence
 	if err := json.Unmarshal(old.Value(), &p); err != nil {
 		t.Log.Info("registration of an earlier run can't be read", "reason", err.Error())
@@ -152,6 +159,7 @@
 // keep renews the lease until it is lost or ctx ends.
 func (t *Tenure) keep(ctx context.Context) {
 	wait := renewEvery
+	retry := retryPause
 	for {
 		if !pause.For(ctx, wait) {
 			return
@@ -162,14 +170,14 @@
 		case err == nil:
 			t.extend(sent)
 			wait = renewEvery
+			retry = retryPause
 		case errors.Is(err, coltsfootloft.ErrNoSession):
 			t.lose("the store has ended it")
 			return
 		default:
-			wait = retryPause
-			if !t.Valid() {
-				t.Log.Info("lease has run out", "reason", err.Error())
-			}
+			wait = retry
+			retry = min(2*retry, retryMost)
+			t.Log.Info("lease not renewed", "reason", err.Error(), "lease_left", t.Left().String(), "again_in", wait.String())
 		}
 	}
 }
