rank, duty, relay, mirror: larger hosts take more of the duties

The grown deployments mix hosts of 0.134 to 0.8 of a processor.

Hosts register their size, from two new process settings. Rendezvous order takes it as a weight (the order of equals stays as it was); duties of which there is one take its cube.

--- a/core/conf/entry.go
+++ b/core/conf/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"net/netip"
 	"os"
@@ -30,6 +31,10 @@
 	Control string `json:"control"`
 	// MemoryMB is the memory of the process, in MB.
 	MemoryMB int `json:"memory_mb"`
+	// Cores is the part of a processor that the process has, and Speed how many
+	// times as fast as usual that processor is; 1 where they are left out.
+	Cores float64 `json:"cores,omitempty"`
+	Speed float64 `json:"speed,omitempty"`
 	// WithdrawalMS is how soon a withdrawn key must stop working, in ms.
 	WithdrawalMS int `json:"withdrawal_ms"`
 	// DrainMS is how long a leaving database may still get work, in ms.
@@ -85,12 +90,18 @@
 	if e.MemoryMB < leastMemory {
 		return errors.Errorf("memory_mb %d: expected at least %d", e.MemoryMB, leastMemory)
 	}
+	if e.Cores < 0 || e.Speed < 0 {
+		return errors.Errorf("cores %v, speed %v: expected no negative numbers", e.Cores, e.Speed)
+	}
 	if e.WithdrawalMS < 1000 || e.DrainMS < 2000 || e.GraceS < 1 {
 		return errors.Errorf("withdrawal_ms %d, drain_ms %d, grace_s %v: expected at least 1000, 2000 and 1", e.WithdrawalMS, e.DrainMS, e.GraceS)
 	}
 	return nil
 }
 
+// Size is how much work the host can do, in usual processors.
+func (e Entry) Size() float64 { return cmp.Or(e.Cores, 1) * cmp.Or(e.Speed, 1) }
+
 // Withdrawal is how soon a withdrawn key must stop working.
 func (e Entry) Withdrawal() time.Duration { return time.Duration(e.WithdrawalMS) * time.Millisecond }
 
--- a/core/conf/entry_test.go
+++ b/core/conf/entry_test.go
@@ -17,7 +17,7 @@
 	return strings.NewReplacer(
 		"{{NodeName}}", "edge-a-1", "{{Zone}}", "a", "{{Listen.Frontend}}", "10.1.0.26:8465", "{{Listen.Ready}}", "10.1.0.26:8460",
 		"{{Ip}}", "10.1.0.26", "{{PortRange.0}}", "7560", "{{platform.Address}}", "10.200.1.7:8466",
-		"{{CloudApi.Address}}", "10.200.0.2:8466", "{{Limits.MemoryMb}}", "206", "{{Bounds.RevokeMs}}", "5000",
+		"{{CloudApi.Address}}", "10.200.0.2:8466", "{{Limits.MemoryMb}}", "206", "{{Bounds.RevokeMs}}", "5000", "{{Limits.CpuShare}}", "0.272", "{{Limits.Cores}}", "2",
 		"{{Bounds.DrainMs}}", "7000", "{{Bounds.GraceS}}", "6",
 	).Replace(string(template))
 }
@@ -29,6 +29,7 @@
 	assert.Equal(t, e.Withdrawal(), 5*time.Second)
 	assert.Equal(t, e.Drain(), 7*time.Second)
 	assert.Equal(t, e.Grace(), 6*time.Second)
+	assert.Equal(t, e.Size(), 0.544)
 }
 
 func TestBadEntriesAreRefused(t *testing.T) {
@@ -41,6 +42,7 @@
 		`"memory_mb": 206`:             `"memory_mb": 8`,
 		`"withdrawal_ms": 5000`:        `"withdrawal_ms": 5`,
 		`"drain_ms": 7000`:             `"drain_ms": "long"`,
+		`"cores": 0.272`:               `"cores": -1`,
 		`"grace_s": 6`:                 `"grace_s": 6, "colour": "blue"`,
 		`"control": "10.200.0.2:8466"`: `"control": 7`,
 		`// Process`:                   `{ Process`,
--- a/core/rank/rank_test.go
+++ b/core/rank/rank_test.go
@@ -1,7 +1,9 @@
 package rank
 
 import (
+	"math"
 	"slices"
+	"strconv"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -18,3 +20,31 @@
 		}
 	}
 }
+
+func TestSizedPrefersTheLargeAndMovesLittle(t *testing.T) {
+	sizes := map[string]float64{"a": 1, "b": 1, "c": 2, "d": 4}
+	hosts := []string{"a", "b", "c", "d"}
+	size := func(h string) float64 { return sizes[h] }
+	first := make(map[string]int)
+	const duties = 8000
+	for i := range duties {
+		duty := strconv.Itoa(i)
+		all := Sized(duty, hosts, size)
+		first[all[0]]++
+		want := slices.DeleteFunc(slices.Clone(all), func(h string) bool { return h == "d" })
+		assert.DeepEqual(t, Sized(duty, hosts[:3], size), want)
+	}
+	for h, n := range first {
+		share := float64(n) / duties
+		// Five standard deviations of a share of 8,000 draws.
+		assert.Assert(t, math.Abs(share-sizes[h]/8) < 0.03, "%s %.3f", h, share)
+	}
+}
+
+func TestSizedIsOrderAmongEquals(t *testing.T) {
+	hosts := []string{"a", "b", "c", "d", "e"}
+	equal := func(string) float64 { return 0.272 }
+	for _, duty := range []string{"lane/db-1/arima", "watch/domain-1", "duty/steward"} {
+		assert.DeepEqual(t, Sized(duty, hosts, equal), Order(duty, hosts))
+	}
+}
--- a/io/duty/duty.go
+++ b/io/duty/duty.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -27,6 +28,10 @@
 	step = 60 * time.Millisecond
 	// mostSteps bounds the delay.
 	mostSteps = 10
+	// sizePower is how strongly duties go to large hosts. A keeper of rates takes a
+	// quarter of a processor in a rush: with a power of three, one of 140 hosts of
+	// 0.134 to 0.8 processors is of the largest kind nine times in ten.
+	sizePower = 3
 	// retryPause is the wait after a failed try.
 	retryPause = 200 * time.Millisecond
 	// lookEvery is how often a held duty is looked at without a change: the
@@ -100,7 +105,10 @@
 
 // turn waits for this host's turn; false if the duty was taken meanwhile.
 func (d *Duty) turn(ctx context.Context) bool {
-	order := rank.Order("duty/"+d.Name, d.Mirror.View().HostNames())
+	v := d.Mirror.View()
+	order := rank.Sized("duty/"+d.Name, v.HostNames(), func(host string) float64 {
+		return math.Pow(v.SizeOf(host), sizePower)
+	})
 	place := slices.Index(order, d.Self)
 	if place < 0 {
 		place = mostSteps
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -138,6 +138,7 @@
 		Host:    e.settings.Name,
 		Address: e.settings.Peer,
 		Domain:  e.settings.Domain,
+		Size:    e.settings.Size(),
 	}
 }
 
--- a/io/edge/fault_test.go
+++ b/io/edge/fault_test.go
@@ -296,3 +296,35 @@
 		return code == "" && c.do("WRITE a 3").code == ""
 	})
 }
+
+// TestOutageOfTheStoreIsNotHammered has the store turn every host away for four
+// seconds. Refused calls are priced like others: a host that can't know when the
+// store is back asks a few times a second at the most.
+func TestOutageOfTheStoreIsNotHammered(t *testing.T) {
+	f := start(t, 3, nil)
+	const (
+		outage = 4 * time.Second
+		most   = 5.0 // calls of a host a second, over all it asks for
+	)
+	before := 0
+	for _, n := range f.store.Calls() {
+		before += n
+	}
+	f.store.Set(keyval.Faults{Turned: map[string]bool{"127.0.62.1": true, "127.0.62.2": true, "127.0.62.3": true}})
+	time.Sleep(outage)
+	calls := -before
+	for _, n := range f.store.Calls() {
+		calls += n
+	}
+	t.Logf("%d calls", calls)
+	f.store.Set(keyval.Faults{})
+	assert.Assert(t, float64(calls) <= most*float64(len(f.hosts))*outage.Seconds())
+	f.await("all hosts serve again", 3*time.Second, func() bool {
+		for _, h := range f.hosts {
+			if _, ok := h.edge.groups.Primary("notices"); !ok || !h.edge.isReady() {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/io/mirror/follow.go
+++ b/io/mirror/follow.go
@@ -94,7 +94,7 @@
 				near = append(near, h)
 			}
 		}
-		m.order = rank.Order("watch/"+m.Domain, near)
+		m.order = rank.Sized("watch/"+m.Domain, near, v.SizeOf)
 		m.order = m.order[:min(standIns, len(m.order))]
 		m.orderVersion = v.HostsVersion
 	}
--- a/io/mirror/view.go
+++ b/io/mirror/view.go
@@ -38,6 +38,8 @@
 	Domain string `json:"domain"`
 	// Lease is the store's name of the lease, which the host's next run ends.
 	Lease string `json:"lease"`
+	// Size is how much work the host can do, in usual processors.
+	Size float64 `json:"size"`
 	// Revision is the store's revision of the registration.
 	Revision uint64 `json:"-"`
 }
@@ -101,6 +103,10 @@
 // HostNames returns the names of the registered hosts in order.
 func (v *View) HostNames() []string { return slices.Sorted(maps.Keys(v.Hosts)) }
 
+// SizeOf is how much work a host can do, in usual processors; 0 if it is not
+// registered.
+func (v *View) SizeOf(host string) float64 { return v.Hosts[host].Size }
+
 // Members returns the databases of a group, by id.
 func (v *View) Members(group string) []Upstream {
 	var r []Upstream
--- a/io/relay/keepers.go
+++ b/io/relay/keepers.go
@@ -49,7 +49,7 @@
 	}
 	order, ok := k.cache[p]
 	if !ok {
-		order = rank.Order("lane/"+database+"/"+account, candidates(v, database))
+		order = rank.Sized("lane/"+database+"/"+account, candidates(v, database), v.SizeOf)
 		k.cache[p] = order
 	}
 	return order
--- a/io/tenure/tenure.go
+++ b/io/tenure/tenure.go
@@ -52,6 +52,8 @@
 	// Host is this host's name, Address its IP:port for others, Domain its
 	// failure domain.
 	Host, Address, Domain string
+	// Size is how much work the host can do, in usual processors.
+	Size float64
 
 	mu      sync.Mutex
 	session string
@@ -106,6 +108,7 @@
 		Address: t.Address,
 		Domain:  t.Domain,
 		Lease:   session,
+		Size:    t.Size,
 	})
 	if err != nil {
 		panic(err) // a struct of strings always encodes
