--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -29,15 +29,15 @@
 	// answer is a priced call of every host.
 	gather = 100 * time.Millisecond
 	// retryPause is the wait after a failed call, doubled up to retryMost: refused
-	// calls are priced too.
+	// calls are priced too. The keeper of rates, by whose confirmations the others
+	// go, waits leadMost at the most. A confirmation that succeeds ends the wait of
+	// the watch.
 	retryPause = 150 * time.Millisecond
-	retryMost  = 600 * time.Millisecond
+	retryMost  = 1200 * time.Millisecond
+	leadMost   = 600 * time.Millisecond
 	// firstList is how long the first listing waits for the host's own
 	// registration, which it then shows: the usual is two answers of the store.
 	firstList = time.Second
-	// confirmMost is the longest wait between confirmations that failed. The
-	// keeper of rates tries more often, and its answers move the horizon too.
-	confirmMost = 1200 * time.Millisecond
 	// confirmShare is the part of the limit on the horizon after which this host
 	// confirms it itself: two tries then fit into the limit. The keeper of rates
 	// does so far sooner, and its answers to the others move theirs.
@@ -71,8 +71,10 @@
 	Leads func() bool
 
 	horizon horiz.Horizon
-	// record is guarded by mu; avoided, order and alone belong to the watching duty.
+	// record is guarded by mu; avoided, order, alone and retry belong to the
+	// watching duty.
 	record       record
+	retry        time.Duration // the wait after the last failed watch
 	alone        time.Duration // since when there is no host to follow, or 0
 	watches      atomic.Bool
 	avoided      map[string]time.Duration
@@ -209,6 +211,9 @@
 	events, revision, err := m.Store.Events(ctx, m.View().Revision, watchWait)
 	reached := err == nil || errors.Is(err, coltsfootloft.ErrHistory)
 	m.reached.Store(reached)
+	if reached {
+		m.retry = 0
+	}
 	m.watches.Store(reached)
 	switch {
 	case errors.Is(err, coltsfootloft.ErrHistory):
@@ -239,8 +244,9 @@
 	if ctx.Err() != nil {
 		return
 	}
-	m.Log.Info("store not answering", "call", "watch", "reason", err.Error(), "revision", m.View().Revision)
-	pause.For(ctx, retryMost)
+	m.retry = min(max(2*m.retry, retryPause), retryMost)
+	m.Log.Info("store not answering", "call", "watch", "reason", err.Error(), "revision", m.View().Revision, "again_in", m.retry.String())
+	pause.Until(ctx, m.hurry, m.retry)
 }
 
 func (m *Mirror) applyAll(events []coltsfootloft.Event, revision uint64) {
@@ -323,11 +329,14 @@
 		wait := m.untilConfirm()
 		if wait <= 0 {
 			if m.confirmOnce(ctx) {
+				if retry > retryPause {
+					m.hasten()
+				}
 				retry = retryPause
 				continue
 			}
 			wait = retry
-			retry = min(2*retry, m.confirmMost())
+			retry = min(2*retry, m.most())
 		}
 		pause.For(ctx, wait)
 	}
@@ -345,11 +354,12 @@
 	return min(time.Duration(float64(m.Limit)*confirmShare)-age, leadEvery)
 }
 
-func (m *Mirror) confirmMost() time.Duration {
+// most is the longest wait between confirmations that fail.
+func (m *Mirror) most() time.Duration {
 	if m.Leads() {
-		return retryMost
+		return leadMost
 	}
-	return confirmMost
+	return retryMost
 }
 
 func (m *Mirror) confirmOnce(ctx context.Context) bool {
