--- a/io/entry/single.go
+++ b/io/entry/single.go
@@ -17,6 +17,10 @@
 	// offerShare is the part of the target latency that an operation may wait
 	// for a database before it is refused: in time for a try at another host.
 	offerShare = 0.6
+	// nowhereShare is that while no database may be used, as during a change of
+	// primary, which takes longer than any wait: at once, but for the moment
+	// between a change and its news.
+	nowhereShare = 0.24
 	// repeatShare is the part of the target latency within which an operation
 	// that was offered to a database, and has not run, is offered again.
 	repeatShare = 0.9
@@ -38,10 +42,14 @@
 
 // patience is how much longer an operation may wait before it is refused.
 func (o *operation) patience(now time.Duration) time.Duration {
-	share := offerShare
 	if o.offered {
-		share = repeatShare
+		return o.within(now, repeatShare)
 	}
+	return o.within(now, offerShare)
+}
+
+// within is what is left of a share of the target latency.
+func (o *operation) within(now time.Duration, share float64) time.Duration {
 	return time.Duration(float64(o.route.Target)*share) - (now - o.arrived)
 }
 
@@ -107,8 +115,7 @@
 	for {
 		p, ok := n.place(o, writes, tried)
 		if !ok {
-			clear(tried)
-			if !n.pause(o) {
+			if !n.awaitPlace(o, tried) {
 				return n.giveUp(o, st, coltsfootloft.ReasonBusy, "no database can serve it; come back in 100 ms")
 			}
 			continue
@@ -132,9 +139,24 @@
 	}
 }
 
+// awaitPlace waits where no database can be chosen; false means that the operation
+// has waited long enough. Those that were tried may be tried again.
+func (n *session) awaitPlace(o *operation, tried map[string]bool) bool {
+	now := n.server.Clock.Elapsed()
+	left := o.patience(now)
+	if len(tried) == 0 && !o.offered {
+		left = o.within(now, nowhereShare)
+	}
+	clear(tried)
+	return n.pauseAtMost(left)
+}
+
 // pause waits for a change; false means that the operation has waited long enough.
 func (n *session) pause(o *operation) bool {
-	left := o.patience(n.server.Clock.Elapsed())
+	return n.pauseAtMost(o.patience(n.server.Clock.Elapsed()))
+}
+
+func (n *session) pauseAtMost(left time.Duration) bool {
 	if left <= 0 {
 		return false
 	}
--- a/io/entry/transaction.go
+++ b/io/entry/transaction.go
@@ -115,8 +115,7 @@
 	for {
 		p, ok := n.place(&t.operation, !t.readOnly, tried)
 		if !ok {
-			clear(tried)
-			if !n.pause(&t.operation) {
+			if !n.awaitPlace(&t.operation, tried) {
 				return last
 			}
 			continue
