--- a/io/entry/single.go
+++ b/io/entry/single.go
@@ -148,15 +148,16 @@
 		left = o.within(now, nowhereShare)
 	}
 	clear(tried)
-	return n.pauseAtMost(left)
+	return n.pauseWithin(left)
 }
 
-// pause waits for a change; false means that the operation has waited long enough.
-func (n *session) pause(o *operation) bool {
-	return n.pauseAtMost(o.patience(n.server.Clock.Elapsed()))
+// pause waits a little for a change, if the operation may wait at all.
+func (n *session) pause(o *operation) {
+	n.pauseWithin(o.patience(n.server.Clock.Elapsed()))
 }
 
-func (n *session) pauseAtMost(left time.Duration) bool {
+// pauseWithin waits a little for a change; false means that no time is left.
+func (n *session) pauseWithin(left time.Duration) bool {
 	if left <= 0 {
 		return false
 	}
