reign: a database whose log has parted is promoted last

The record of a group says where its term began. A log that goes on in an earlier term beyond that is chosen only where there is no other. TestPartedLogIsTheLastChoice is new; before, the parted one was chosen.

--- a/core/reign/reign.go
+++ b/core/reign/reign.go
@@ -29,6 +29,9 @@
 	Primary string `json:"primary"`
 	// Term is the term that the primary led when the record was opened.
 	Term uint64 `json:"term"`
+	// Start is the position in the log, as the count of records, at which the
+	// primary began to lead in that term.
+	Start uint64 `json:"start,omitempty"`
 	// Closing is set while a change is under way.
 	Closing bool `json:"closing,omitempty"`
 	// Candidate is the database that has been, or may have been, told to take
@@ -88,16 +91,18 @@
 	return best, found
 }
 
-// Candidate returns the replica to promote in place of old: the one that has
-// received most, so that the fewest acknowledged writes are lost.
-func Candidate(old string, all []Seen) (Seen, bool) {
+// Successor returns the replica to promote in place of the record's primary: the one
+// that has received most, so that the fewest acknowledged writes are lost. One whose
+// log has parted from that of the record's term is the last choice: reads of that
+// term have not seen what it would bring back.
+func (r Record) Successor(all []Seen) (Seen, bool) {
 	var best Seen
 	found := false
 	for _, s := range all {
-		if s.ID == old || !s.Answered || s.Leaving {
+		if s.ID == r.Primary || !s.Answered || s.Leaving {
 			continue
 		}
-		if !found || better(s, best) {
+		if !found || r.better(s, best) {
 			best = s
 			found = true
 		}
@@ -105,7 +110,17 @@
 	return best, found
 }
 
-func better(a, b Seen) bool {
+// isParted reports whether a log goes on in an earlier term beyond the start of the
+// record's.
+func (r Record) isParted(s Seen) bool {
+	p := s.Health.Received
+	return p.Term().Counter() < r.Term && p.Offset() > r.Start
+}
+
+func (r Record) better(a, b Seen) bool {
+	if parted := r.isParted(a); parted != r.isParted(b) {
+		return !parted
+	}
 	if c := a.Health.Received.Compare(b.Health.Received); c != 0 {
 		return c > 0
 	}
--- a/core/reign/reign_test.go
+++ b/core/reign/reign_test.go
@@ -25,6 +25,7 @@
 		Epoch:     3,
 		Primary:   "a",
 		Term:      4,
+		Start:     296,
 		Closing:   true,
 		Candidate: "b",
 	}
@@ -37,8 +38,8 @@
 	assert.ErrorContains(t, err, "record of a group")
 }
 
-// TestCandidateHasReceivedMost: any other choice loses acknowledged writes.
-func TestCandidateHasReceivedMost(t *testing.T) {
+// TestSuccessorHasReceivedMost: any other choice loses acknowledged writes.
+func TestSuccessorHasReceivedMost(t *testing.T) {
 	leaving := seen("d", coltsfootloft.Replica, 1, 99)
 	leaving.Leaving = true
 	all := []Seen{
@@ -48,13 +49,36 @@
 		leaving,
 		{ID: "e"},
 	}
-	c, ok := Candidate("old", all)
+	old := Record{Primary: "old"}
+	c, ok := old.Successor(all)
 	assert.Assert(t, ok)
 	assert.Equal(t, c.ID, "c")
-	_, ok = Candidate("old", []Seen{{ID: "e"}, leaving})
+	_, ok = old.Successor([]Seen{{ID: "e"}, leaving})
 	assert.Assert(t, !ok)
 }
 
+// TestPartedLogIsTheLastChoice: the primary of term 4 was replaced with a log of 292
+// records, and went on to 296 before it heard of it. Promoted again it would bring
+// back four that reads of term 5 have not seen.
+func TestPartedLogIsTheLastChoice(t *testing.T) {
+	r := Record{
+		Primary: "now",
+		Term:    5,
+		Start:   292,
+	}
+	parted := seen("parted", coltsfootloft.Primary, 4, 296)
+	behind := seen("behind", coltsfootloft.Replica, 4, 280)
+	c, ok := r.Successor([]Seen{parted, behind})
+	assert.Assert(t, ok)
+	assert.Equal(t, c.ID, "behind")
+	c, _ = r.Successor([]Seen{parted, behind, seen("with", coltsfootloft.Replica, 5, 293)})
+	assert.Equal(t, c.ID, "with")
+	c, _ = r.Successor([]Seen{parted})
+	assert.Equal(t, c.ID, "parted")
+	c, _ = r.Successor([]Seen{seen("whole", coltsfootloft.Replica, 4, 292), behind})
+	assert.Equal(t, c.ID, "whole")
+}
+
 func TestLeaderHasTheNewestTerm(t *testing.T) {
 	l, ok := Leader([]Seen{
 		seen("old", coltsfootloft.Primary, 1, 50),
--- a/io/steward/change.go
+++ b/io/steward/change.go
@@ -50,6 +50,7 @@
 		Epoch:   1,
 		Primary: leader.ID,
 		Term:    leader.Health.Term,
+		Start:   leader.Health.Received.Offset(),
 	}
 	if _, err := s.write(ctx, name, r, 0); err != nil {
 		s.Log.Info("record not written", "group", name, "reason", err.Error())
@@ -157,6 +158,7 @@
 		Epoch:   r.Epoch + 1,
 		Primary: leader.ID,
 		Term:    leader.Health.Term,
+		Start:   leader.Health.Received.Offset(),
 	}, version)
 	return leader.ID, err
 }
@@ -186,7 +188,7 @@
 // hasCandidate reports whether a change can succeed: another database answers, or
 // one already leads in a later term.
 func (s *Steward) hasCandidate(r reign.Record, all []reign.Seen) bool {
-	_, ok := reign.Candidate(r.Primary, all)
+	_, ok := r.Successor(all)
 	return ok
 }
 
@@ -249,7 +251,7 @@
 		if leader, ok := reign.Leader(all); ok && leader.ID != r.Primary && leader.Health.Term > r.Term {
 			return leader, nil
 		}
-		c, ok := reign.Candidate(r.Primary, without(all, refused))
+		c, ok := r.Successor(without(all, refused))
 		if !ok {
 			clear(refused)
 			pause.For(ctx, 4*pollEvery)
@@ -306,7 +308,7 @@
 	deadline := s.Clock.Elapsed() + catchUp
 	for {
 		all := s.look(ctx, name)
-		c, ok := reign.Candidate(r.Primary, all)
+		c, ok := r.Successor(all)
 		if ok && c.Health.Received.Compare(last.Received) >= 0 {
 			return all
 		}
