mirror, tenure: the longest waits in an outage grow with the fleet

Once the lease has run out, and for watches and confirmations, the longest wait is 10 ms for each host of the fleet, up to 3 s; of today's 15 to 17 hosts it stays as it was. A host that is no stand-in waits anew for a source after a watch of its own failed. TestLongestWaitsGrowWithTheFleet.

--- a/io/mirror/follow_test.go
+++ b/io/mirror/follow_test.go
@@ -95,3 +95,18 @@
 	m.Self = "new"
 	assert.Equal(t, m.source(), source{itself: true})
 }
+
+func TestLongestWaitsGrowWithTheFleet(t *testing.T) {
+	m, _ := host(t, 0)
+	assert.Equal(t, m.Spread(time.Second), time.Second)
+	v := emptyView()
+	for i := range 140 {
+		v.Hosts[fmt.Sprintf("h%d", i)] = Presence{}
+	}
+	m.view.Store(v)
+	assert.Equal(t, m.Spread(time.Second), 1400*time.Millisecond)
+	for i := range 730 {
+		v.Hosts[fmt.Sprintf("h%d", i)] = Presence{}
+	}
+	assert.Equal(t, m.Spread(time.Second), spreadMost)
+}
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -35,6 +35,11 @@
 	retryPause = 150 * time.Millisecond
 	retryMost  = 1200 * time.Millisecond
 	leadMost   = 600 * time.Millisecond
+	// perHost lengthens the longest waits with the fleet, up to spreadMost: all its
+	// hosts together ask for no more than a hundred calls a second of each kind of a
+	// store that is away.
+	perHost    = 10 * time.Millisecond
+	spreadMost = 3 * time.Second
 	// firstList is how long the first listing waits for the host's own
 	// registration, which it then shows: the usual is two answers of the store.
 	firstList = time.Second
@@ -244,7 +249,8 @@
 	if ctx.Err() != nil {
 		return
 	}
-	m.retry = min(max(2*m.retry, retryPause), retryMost)
+	m.retry = min(max(2*m.retry, retryPause), m.Spread(retryMost))
+	m.alone = 0
 	m.Log.Info("store not answering", "call", "watch", "reason", err.Error(), "revision", m.View().Revision, "again_in", m.retry.String())
 	pause.Until(ctx, m.hurry, m.retry)
 }
@@ -359,7 +365,13 @@
 	if m.Leads() {
 		return leadMost
 	}
-	return retryMost
+	return m.Spread(retryMost)
+}
+
+// Spread is the longest wait between tries of a call that every host makes, for a
+// fleet of any size.
+func (m *Mirror) Spread(least time.Duration) time.Duration {
+	return min(max(least, time.Duration(len(m.View().Hosts))*perHost), max(least, spreadMost))
 }
 
 func (m *Mirror) confirmOnce(ctx context.Context) bool {
--- a/io/tenure/tenure.go
+++ b/io/tenure/tenure.go
@@ -32,8 +32,9 @@
 	// renewEvery leaves time for four tries before the lease ends, or for one
 	// that gets no answer and one more.
 	renewEvery = 800 * time.Millisecond
-	// retryPause is the wait after a failed call, doubled up to retryMost: refused
-	// calls are priced more than renewals, and all hosts make them in an outage.
+	// retryPause is the wait after a failed call, doubled up to retryMost, and in
+	// large fleets beyond once the lease has run out: refused calls are priced more
+	// than renewals, and all hosts make them in an outage.
 	retryPause = 100 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
 )
@@ -87,7 +88,7 @@
 		if err := t.register(ctx); err != nil {
 			t.Log.Info("lease not gained", "reason", err.Error(), "again_in", retry.String())
 			pause.For(ctx, retry)
-			retry = min(2*retry, retryMost)
+			retry = min(2*retry, t.Mirror.Spread(retryMost))
 			continue
 		}
 		retry = retryPause
@@ -179,12 +180,21 @@
 			return
 		default:
 			wait = retry
-			retry = min(2*retry, retryMost)
+			retry = min(2*retry, t.longest())
 			t.Log.Info("lease not renewed", "reason", err.Error(), "lease_left", t.Left().String(), "again_in", wait.String())
 		}
 	}
 }
 
+// longest is the longest wait between renewals that fail: shorter while the lease may
+// still be kept.
+func (t *Tenure) longest() time.Duration {
+	if t.Valid() {
+		return retryMost
+	}
+	return t.Mirror.Spread(retryMost)
+}
+
 func (t *Tenure) extend(sent time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
