pick, entry: a database that fails reads is avoided, and the reads are repeated

A read that failed was given back to its caller, and nothing was remembered of it.

The part of the statements that fail counts in a database's cost, and halves in 1.5 s where nothing new is seen. A read that ran and failed is tried elsewhere, out of the budget of repeats; writes are not.

--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -7,6 +7,7 @@
 package pick
 
 import (
+	"math"
 	"time"
 
 	"coltsfootloft"
@@ -28,6 +29,14 @@
 	// more than any refusal, since an answer that does not come costs most.
 	silentCost = 150.0
 	silentFor  = 500 * time.Millisecond
+	// failedCost counts against a database that fails all statements, and in
+	// proportion against one that fails some, in ms: more than any wait elsewhere.
+	failedCost = 200.0
+	// failedWeight is the share of a new observation in the part that fails, and
+	// failedFade the time in which that part halves where nothing new is seen: it
+	// takes some seconds until a failing database is tried again.
+	failedWeight = 0.2
+	failedFade   = 1500 * time.Millisecond
 	// busyFor and laggingFor are how long a refusal is remembered.
 	busyFor    = 150 * time.Millisecond
 	laggingFor = 400 * time.Millisecond
@@ -61,6 +70,8 @@
 	silentUntil time.Duration
 	applied     coltsfootloft.Position // when it last lagged
 	appliedAt   time.Duration
+	failing     float64 // part of the statements that fail, at failedAt
+	failedAt    time.Duration
 }
 
 // Start counts a statement that is sent.
@@ -74,6 +85,21 @@
 	c.time = c.expected(now) + weight*(float64(took)/float64(time.Millisecond)-c.expected(now))
 	c.at = now
 	c.downUntil = 0
+	c.outcome(now, 0)
+}
+
+// Failed records a statement that the database ran and failed.
+func (c *Candidate) Failed(now time.Duration) { c.outcome(now, 1) }
+
+func (c *Candidate) outcome(now time.Duration, failed float64) {
+	part := c.failingNow(now)
+	c.failing = part + failedWeight*(failed-part)
+	c.failedAt = now
+}
+
+// failingNow is the part of the statements that are expected to fail.
+func (c *Candidate) failingNow(now time.Duration) float64 {
+	return c.failing * math.Exp2(-float64(now-c.failedAt)/float64(failedFade))
 }
 
 // Busy records a refusal for want of capacity.
@@ -111,6 +137,7 @@
 	if primary {
 		cost += primaryCost
 	}
+	cost += failedCost * c.failingNow(now)
 	if now < c.busyUntil {
 		cost += busyCost
 	}
--- a/core/pick/pick_test.go
+++ b/core/pick/pick_test.go
@@ -56,3 +56,22 @@
 	assert.Assert(t, !c.Lacks(now, at(10)))
 	assert.Assert(t, !c.Lacks(now+lacksFor, at(11)))
 }
+
+// TestFailingDatabaseIsAvoided: one that fails four of ten is dearer than any wait
+// elsewhere, and is tried again some seconds after it was left alone.
+func TestFailingDatabaseIsAvoided(t *testing.T) {
+	now := time.Minute
+	var c, well Candidate
+	for i := range 50 {
+		now += 20 * time.Millisecond
+		if i%5 < 2 {
+			c.Failed(now)
+		} else {
+			c.Took(now, 15*time.Millisecond)
+		}
+		well.Took(now, 15*time.Millisecond)
+	}
+	assert.Assert(t, c.Cost(now, true, false) > well.Cost(now, false, false)+30)
+	later := now + 10*time.Second
+	assert.Assert(t, c.Cost(later, true, false) < well.Cost(later, true, false)+1)
+}
--- a/io/edge/refuse_test.go
+++ b/io/edge/refuse_test.go
@@ -79,3 +79,26 @@
 		c.must("READ x")
 	}
 }
+
+// TestFailingReplicaIsAvoided has one replica fail every read while it looks well. No
+// caller sees a failure, and after the first few reads hardly any goes there.
+func TestFailingReplicaIsAvoided(t *testing.T) {
+	f := start(t, 3, nil)
+	grey := f.bases[1].ID()
+	f.group.FailReads(grey, true)
+	c, _ := connect(t, f.hosts[1], "board", "key-arima") // the replica's own domain
+	const reads = 200
+	for range reads {
+		c.must("READ news")
+		time.Sleep(2 * time.Millisecond)
+	}
+	there := 0
+	for _, r := range f.group.Runs() {
+		if r.Database == grey {
+			there++
+		}
+	}
+	t.Logf("%d of %d reads were tried there", there, reads)
+	assert.Assert(t, there >= 1, "the replica was never chosen, so that the test shows nothing")
+	assert.Assert(t, there <= reads/20)
+}
--- a/io/entry/single.go
+++ b/io/entry/single.go
@@ -238,7 +238,7 @@
 	}
 	line.Release(reply.State == coltsfootloft.TxIdle && reply.Reason != coltsfootloft.ReasonNoStatement)
 	if reply.Failed() {
-		return n.refusedBy(o, p, st, reply)
+		return n.refusedBy(o, p, st, reply, writes)
 	}
 	if p.reader.IsPrimary {
 		if !s.Groups.Stood(o.route.Group, p.reader.Office) {
@@ -288,11 +288,16 @@
 	return coltsfootloft.Reply{}, false
 }
 
-// refusedBy decides on a database's refusal: what did not run is tried elsewhere.
-func (n *session) refusedBy(o *operation, p place, st coltsfootloft.Statement, reply coltsfootloft.Reply) (coltsfootloft.Reply, bool) {
+// refusedBy decides on a database's refusal or failure: what did not run is tried
+// elsewhere, and a read that ran and failed too, out of the budget of repeats.
+func (n *session) refusedBy(o *operation, p place, st coltsfootloft.Statement, reply coltsfootloft.Reply, writes bool) (coltsfootloft.Reply, bool) {
 	switch reply.Reason {
 	case coltsfootloft.ReasonBusy, coltsfootloft.ReasonLagging, coltsfootloft.ReasonReadOnly,
 		coltsfootloft.ReasonMisrouted, coltsfootloft.ReasonConnections, coltsfootloft.ReasonNoStatement:
+	case coltsfootloft.ReasonFailed, coltsfootloft.ReasonTimeout:
+		if writes || !n.server.repeats.Take(n.account) {
+			return reply, true
+		}
 	default:
 		return reply, true
 	}
--- a/io/lanes/conn.go
+++ b/io/lanes/conn.go
@@ -98,6 +98,8 @@
 		k.Took(now, now-started)
 	case coltsfootloft.ReasonBusy:
 		k.Busy(now)
+	case coltsfootloft.ReasonFailed, coltsfootloft.ReasonTimeout:
+		k.Failed(now)
 	case coltsfootloft.ReasonLagging:
 		k.Lagged(now, reply.Position)
 	default:
--- a/stand/lines/group.go
+++ b/stand/lines/group.go
@@ -65,6 +65,7 @@
 	down  bool
 	deaf  bool // receives nothing
 	lose  int  // answers to lose
+	fail  bool // reads fail after they ran
 	await func()
 	conns map[net.Conn]struct{}
 }
@@ -158,6 +159,14 @@
 	g.bases[id].await = f
 }
 
+// FailReads has a database fail all reads outside transactions, or none, while it
+// answers everything else.
+func (g *Group) FailReads(id string, fail bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.bases[id].fail = fail
+}
+
 // SetLag changes how late replicas apply.
 func (g *Group) SetLag(d time.Duration) {
 	g.mu.Lock()
--- a/stand/lines/session.go
+++ b/stand/lines/session.go
@@ -241,6 +241,9 @@
 		b.append(map[string]string{name: data})
 		return "DONE " + s.digest(id) + "\r\n"
 	}
+	if b.fail && !s.inTx {
+		return s.fail("FAILED")
+	}
 	n := b.applied()
 	if s.inTx {
 		n = s.seen
