entry, mirror, lanes, steward: files that had grown are split by idea

Choice of a place, watching and confirming, opening of connections and the vote each have a file of their own.

--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -18,7 +18,6 @@
 
 	"coltsfootloft"
 	"coltsfootloft/core/horiz"
-	"coltsfootloft/io/pause"
 )
 
 const (
@@ -176,85 +175,6 @@
 	})
 }
 
-// watch lists once and then follows the changes, of the store or of a host that
-// watches it.
-func (m *Mirror) watch(ctx context.Context) {
-	pause.Until(ctx, m.hurry, firstList)
-	listed := false
-	for ctx.Err() == nil {
-		if !listed {
-			listed = m.list(ctx)
-			continue
-		}
-		from := m.source()
-		if from.itself {
-			listed = m.watchStore(ctx)
-			continue
-		}
-		m.watches.Store(false)
-		if from.host == "" {
-			pause.For(ctx, lookAgain)
-			continue
-		}
-		if err := m.follow(ctx, from.host); err != nil && ctx.Err() == nil {
-			m.avoid(from.host, err)
-		}
-	}
-}
-
-func (m *Mirror) list(ctx context.Context) bool {
-	if err := m.Refresh(ctx); err != nil {
-		m.failed(ctx, err)
-		return false
-	}
-	m.Log.Info("store listed", "revision", m.View().Revision, "databases", len(m.View().Upstreams))
-	return true
-}
-
-// watchStore waits once on the store's own watch; false if all must be listed anew.
-func (m *Mirror) watchStore(ctx context.Context) bool {
-	events, revision, err := m.Store.Events(ctx, m.View().Revision, watchWait)
-	reached := err == nil || errors.Is(err, coltsfootloft.ErrHistory)
-	m.reached.Store(reached)
-	if reached {
-		m.retry = 0
-	}
-	m.watches.Store(reached)
-	switch {
-	case errors.Is(err, coltsfootloft.ErrHistory):
-		m.Log.Info("history of the store is gone", "revision", m.View().Revision)
-		return false
-	case err != nil:
-		m.failed(ctx, err)
-	case len(events) > 0 || revision > m.View().Revision:
-		m.applyAll(events, revision)
-		m.breathe(ctx)
-	}
-	return true
-}
-
-// breathe lets changes gather, unless one is waited for.
-func (m *Mirror) breathe(ctx context.Context) {
-	pause.Until(ctx, m.hurry, gather)
-}
-
-func (m *Mirror) hasten() {
-	select {
-	case m.hurry <- struct{}{}:
-	default:
-	}
-}
-
-func (m *Mirror) failed(ctx context.Context, err error) {
-	if ctx.Err() != nil {
-		return
-	}
-	m.retry = min(max(2*m.retry, retryPause), m.Spread(retryMost))
-	m.alone = 0
-	m.Log.Info("store not answering", "call", "watch", "reason", err.Error(), "revision", m.View().Revision, "again_in", m.retry.String())
-	pause.Until(ctx, m.hurry, m.retry)
-}
-
 func (m *Mirror) applyAll(events []coltsfootloft.Event, revision uint64) {
 	m.update(revision, func(v *View, now time.Duration) []error {
 		m.record.add(events)
@@ -327,70 +247,3 @@
 		}
 	}
 }
-
-// confirm keeps the horizon young.
-func (m *Mirror) confirm(ctx context.Context) {
-	retry := retryPause
-	for ctx.Err() == nil {
-		wait := m.untilConfirm()
-		if wait <= 0 {
-			if m.confirmOnce(ctx) {
-				if retry > retryPause {
-					m.hasten()
-				}
-				retry = retryPause
-				continue
-			}
-			wait = retry
-			retry = min(2*retry, m.most())
-		}
-		pause.For(ctx, wait)
-	}
-}
-
-// untilConfirm is how long the horizon needs no confirmation.
-func (m *Mirror) untilConfirm() time.Duration {
-	age, ok := m.horizon.Age(m.Clock.Elapsed())
-	if !ok {
-		return 0
-	}
-	if m.Leads() {
-		return leadEvery - age
-	}
-	return min(time.Duration(float64(m.Limit)*confirmShare)-age, leadEvery)
-}
-
-// most is the longest wait between confirmations that fail.
-func (m *Mirror) most() time.Duration {
-	if m.Leads() {
-		return leadMost
-	}
-	return m.Spread(retryMost)
-}
-
-// Spread is the longest wait between tries of a call that every host makes, for a
-// fleet of any size.
-func (m *Mirror) Spread(least time.Duration) time.Duration {
-	return min(max(least, time.Duration(len(m.View().Hosts))*perHost), max(least, spreadMost))
-}
-
-func (m *Mirror) confirmOnce(ctx context.Context) bool {
-	c := m.View().Catalog
-	if c == nil {
-		return false
-	}
-	sent := m.Clock.Elapsed()
-	current, newer, err := m.Store.Confirm(ctx, c.Revision)
-	m.reached.Store(err == nil)
-	if err != nil {
-		age, _ := m.horizon.Age(m.Clock.Elapsed())
-		m.Log.Info("store not answering", "call", "confirm", "reason", err.Error(), "horizon_age", age.String())
-		return false
-	}
-	if !current {
-		// The store's own revision is not known from this answer.
-		m.applyAll([]coltsfootloft.Event{newer}, 0)
-	}
-	m.horizon.Advance(sent)
-	return true
-}
--- a/io/steward/steward.go
+++ b/io/steward/steward.go
@@ -20,8 +20,6 @@
 	"google.golang.org/protobuf/proto"
 
 	"coltsfootloft"
-	"coltsfootloft/core/rank"
-	"coltsfootloft/core/reign"
 	"coltsfootloft/io/duty"
 	"coltsfootloft/io/lanes"
 	"coltsfootloft/io/mirror"
@@ -245,52 +243,6 @@
 	return w
 }
 
-// voters returns the hosts that are asked about a database: the first of each
-// failure domain in rendezvous order.
-func voters(v *mirror.View, database string) []string {
-	asked := make(map[string]int)
-	var r []string
-	for _, h := range rank.Order("vote/"+database, v.HostNames()) {
-		if domain := v.Hosts[h].Domain; asked[domain] < votersPerDomain {
-			asked[domain]++
-			r = append(r, h)
-		}
-	}
-	return r
-}
-
-// isLost asks hosts of all failure domains whether they reach a database.
-func (s *Steward) isLost(ctx context.Context, name string, t lanes.Target, reason string) bool {
-	ctx, cancel := context.WithTimeout(ctx, voteTimeout)
-	defer cancel()
-	hosts := voters(s.Mirror.View(), t.ID)
-	answers := make(chan *bool, len(hosts))
-	request := &stewardpb.Request{Reach: &stewardpb.Reach{Database: t.ID}}
-	for _, h := range hosts {
-		go func() {
-			yes, err := s.call(ctx, h, request)
-			if err != nil {
-				answers <- nil
-				return
-			}
-			answers <- &yes
-		}()
-	}
-	var vote reign.Vote
-	silent := 0
-	for range hosts {
-		if a := <-answers; a != nil {
-			vote.Add(*a)
-		} else {
-			silent++
-		}
-	}
-	lost := vote.IsLost()
-	s.Log.Info("hosts asked for a primary", "group", name, "database", t.ID, "why", reason, "hosts", len(hosts),
-		"silent", silent, "lost", lost)
-	return lost
-}
-
 func (s *Steward) status(ctx context.Context, t lanes.Target) (coltsfootloft.Health, error) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
