dbase: a caller that goes while it is greeted leaves its connection free

A session was registered in the greeting and taken out only if the greeting ended well. Callers that are killed or cut off between their first message and the answer, of which the long form has many, left their entry behind.

The fault is the stand-in's, not the product's. TestCallersThatGoWhileTheyAreGreetedCountNoMore: red five times of five before, green after.

--- a/stand/dbase/serve_test.go
+++ b/stand/dbase/serve_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net"
+	"runtime"
 	"testing"
 	"time"
 
@@ -239,3 +241,40 @@
 	assert.NilError(t, connect(t, g["a"], "caroni").QueryRow(t.Context(), "SELECT count(*) FROM notices").Scan(&n))
 	assert.Equal(t, n, 0)
 }
+
+// TestCallersThatGoWhileTheyAreGreetedCountNoMore: a host that is killed or cut off
+// between its first message and the answer must leave its connection free.
+func TestCallersThatGoWhileTheyAreGreetedCountNoMore(t *testing.T) {
+	s := start(t, &dbase.Server{
+		Name:    "a",
+		Initial: "a",
+	})
+	const more = 40 // than the platform's connections, which are 16
+	for range more {
+		c, err := net.Dial("tcp", s.Addr().String())
+		assert.NilError(t, err)
+		front := pgproto3.NewFrontend(c, c)
+		front.Send(&pgproto3.StartupMessage{
+			ProtocolVersion: pgproto3.ProtocolVersion30,
+			Parameters: map[string]string{
+				"user":     "platform",
+				"database": "main",
+			},
+		})
+		assert.NilError(t, front.Flush())
+		if tcp, ok := c.(*net.TCPConn); ok {
+			assert.NilError(t, tcp.SetLinger(0))
+		}
+		runtime.Gosched()
+		c.Close()
+	}
+	var err error
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		var c *pgx.Conn
+		if c, err = pgx.Connect(t.Context(), url(s, "platform")); err == nil {
+			assert.NilError(t, c.Close(t.Context()))
+			return
+		}
+	}
+	assert.NilError(t, err)
+}
--- a/stand/dbase/session.go
+++ b/stand/dbase/session.go
@@ -71,10 +71,11 @@
 	}
 	x.useConn(c)
 	defer x.close()
+	// A caller may go after it was registered and before it has been told.
+	defer s.unregister(x)
 	if !x.greet(ctx) {
 		return
 	}
-	defer s.unregister(x)
 	for x.next(ctx) {
 	}
 }
