edge, lanes, relay: cut off hosts send sessions elsewhere; full databases are asked seldom

- A host that is cut off from the store while others are not ends idle sessions, as one whose settings are too old did already.
- Tries at a database without a connection left double their pause up to 1 s.
- Where accounts outnumber connections a keeper's part is bounded by its share of them.

--- a/io/edge/fleet_test.go
+++ b/io/edge/fleet_test.go
@@ -31,7 +31,9 @@
 	bases  []*lines.Base
 	hosts  []*member
 	config config
-	mu     sync.Mutex
+	// keys is how soon a withdrawn key must stop working.
+	keys time.Duration
+	mu   sync.Mutex
 }
 
 // member is one host of a fleet.
@@ -155,6 +157,7 @@
 			PromoteTime: 200 * time.Millisecond,
 		},
 		config: standard(),
+		keys:   withdrawal,
 	}
 	f.store = &keyval.Server{
 		Listener: listen(t, "127.0.60.1"),
@@ -217,7 +220,7 @@
 			Store:        f.store.Listener.Addr().String(),
 			Control:      f.store.Listener.Addr().String(),
 			MemoryMB:     200,
-			WithdrawalMS: int(withdrawal.Milliseconds()),
+			WithdrawalMS: int(f.keys.Milliseconds()),
 			DrainMS:      3000,
 			GraceS:       2,
 		},
--- a/io/edge/ready.go
+++ b/io/edge/ready.go
@@ -45,7 +45,7 @@
 
 func (e *Edge) judgeOnce() {
 	why := e.trouble()
-	if why == settingsTooOld {
+	if why == settingsTooOld || why == cutOff {
 		e.server.CloseIdle()
 	}
 	now := e.clock.Elapsed()
@@ -65,8 +65,12 @@
 	}
 }
 
-// settingsTooOld: no key is served, so that sessions are better off elsewhere.
-const settingsTooOld = "settings too old"
+// The troubles in which sessions are better off elsewhere: no key is served, or no
+// primary soon, while other hosts serve both.
+const (
+	settingsTooOld = "settings too old"
+	cutOff         = "cut off from the store"
+)
 
 // trouble is why the host should take no callers, or empty.
 func (e *Edge) trouble() string {
@@ -84,7 +88,7 @@
 	}
 	silent, theirs := e.quota.First().Keeper()
 	if e.storeAge() > aloneAfter && (silent > othersSilent || theirs < aloneAfter) {
-		return "cut off from the store"
+		return cutOff
 	}
 	return ""
 }
--- a/io/edge/refuse_test.go
+++ b/io/edge/refuse_test.go
@@ -1,12 +1,17 @@
 package edge
 
 import (
+	"io"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
+
+	"coltsfootloft/io/tenure"
+	"coltsfootloft/stand/keyval"
 )
 
 // TestRefusedSoonWithoutAPrimary asks for a write during a change of primary that
@@ -102,3 +107,20 @@
 	assert.Assert(t, there >= 1, "the replica was never chosen, so that the test shows nothing")
 	assert.Assert(t, there <= reads/20)
 }
+
+// TestCutOffHostSendsItsSessionsElsewhere has the store turn one host away while the
+// others go on. It soon can't use primaries, and its callers are better off at
+// another host: their sessions end while they rest.
+func TestCutOffHostSendsItsSessionsElsewhere(t *testing.T) {
+	f := start(t, 3, func(f *fleet) { f.keys = 5 * time.Second })
+	there, _ := connect(t, f.hosts[1], "file", "key-arima")
+	here, _ := connect(t, f.hosts[0], "file", "key-arima")
+	there.must("READ x")
+	here.must("READ x")
+	f.store.Set(keyval.Faults{Turned: map[string]bool{"127.0.62.2": true}})
+	// Its lease lasts for 2 s at the most.
+	assert.NilError(t, there.conn.SetReadDeadline(time.Now().Add(tenure.TTL+500*time.Millisecond)))
+	_, err := there.r.ReadByte()
+	assert.Assert(t, errors.Is(err, io.EOF), "%v", err)
+	here.must("READ x")
+}
--- a/io/lanes/lanes.go
+++ b/io/lanes/lanes.go
@@ -32,9 +32,11 @@
 	// dialTimeout bounds opening a connection: 12 ms of work at the database,
 	// behind a full queue of 16 statements of 22 ms on two slots.
 	dialTimeout = 400 * time.Millisecond
-	// full is the wait after a database had no connection left: a try costs its
-	// place in a slot, and those of other hosts are kept for seconds.
-	full = 60 * time.Millisecond
+	// full is the wait after a database had no connection left, doubled up to
+	// fullMost: a try costs its place in a slot, and the connections of hosts that
+	// died are kept for 3 s.
+	full     = 60 * time.Millisecond
+	fullMost = time.Second
 	// idleLimit closes connections that nobody has used.
 	idleLimit = 20 * time.Second
 	// sweepEvery is how often idle connections are looked at.
@@ -77,6 +79,7 @@
 	gate      gate.Gate[*turn]
 	down      bool
 	fullUntil time.Duration
+	fullWait  time.Duration
 	retrying  bool
 }
 
--- a/io/lanes/lanes_test.go
+++ b/io/lanes/lanes_test.go
@@ -20,6 +20,7 @@
 	mu      sync.Mutex
 	opened  int
 	closed  int
+	full    bool
 	answers chan coltsfootloft.Reply
 }
 
@@ -27,9 +28,14 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.opened++
+	if d.full {
+		return nil, coltsfootloft.Position{}, errFull
+	}
 	return &session{database: d}, coltsfootloft.Position{}, nil
 }
 
+var errFull = errors.New("no connection left")
+
 func (d *database) open() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -62,8 +68,10 @@
 func one() (*Lanes, *database) {
 	d := &database{answers: make(chan coltsfootloft.Reply, 8)}
 	return &Lanes{
-		Opener:      d,
-		Refused:     func(error) (coltsfootloft.Reason, bool) { return coltsfootloft.ReasonNone, false },
+		Opener: d,
+		Refused: func(err error) (coltsfootloft.Reason, bool) {
+			return coltsfootloft.ReasonConnections, errors.Is(err, errFull)
+		},
 		Clock:       boot.Clock{},
 		Limit:       func(Target) int { return 3 },
 		Outstanding: func(Target) int { return 1 },
@@ -198,3 +206,15 @@
 	l.Release(other, true)
 	assert.Equal(t, l.lane(target.ID).gate.Running(), 0)
 }
+
+// TestFullDatabaseIsAskedSeldom: each try costs the database as much as a short
+// statement, and there may be many hosts that try.
+func TestFullDatabaseIsAskedSeldom(t *testing.T) {
+	l, d := one()
+	d.full = true
+	for end := time.Now().Add(time.Second); time.Now().Before(end); {
+		_, err := l.Acquire(within(t, 50*time.Millisecond), target, "arima", 2)
+		assert.Assert(t, errors.Is(err, ErrBusy))
+	}
+	assert.Assert(t, d.open() <= 6, "%d tries in a second", d.open())
+}
--- a/io/lanes/open.go
+++ b/io/lanes/open.go
@@ -71,6 +71,7 @@
 		return
 	}
 	l.count("opened")
+	n.fullWait = 0
 	if n.down {
 		n.down = false
 		l.Log.Info("database reached again", "database", t.ID, "group", t.Group)
@@ -91,9 +92,10 @@
 	l.count("refused")
 	if refused && (reason == coltsfootloft.ReasonConnections || reason == coltsfootloft.ReasonBusy) {
 		l.Log.V(1).Info("database has no connection left", "database", t.ID, "group", t.Group, "open", n.open)
-		n.fullUntil = now + full
+		n.fullWait = min(max(2*n.fullWait, full), fullMost)
+		n.fullUntil = now + n.fullWait
 		if len(n.waiters) > 0 {
-			l.retryLater(n, full)
+			l.retryLater(n, n.fullWait)
 		}
 		return
 	}
--- a/io/relay/keepers.go
+++ b/io/relay/keepers.go
@@ -121,6 +121,10 @@
 	if k.keeps(t.ID, "") {
 		mine++
 	}
+	if rest == 0 {
+		// More accounts than connections: those of accounts that rest make room.
+		mine = min(mine, all/float64(k.count(t.ID)))
+	}
 	return max(int(mine), spare)
 }
 
@@ -130,12 +134,17 @@
 	if slots <= 0 {
 		slots = usualSlots
 	}
+	n := k.count(t.ID)
+	return (depth*slots + n - 1) / n
+}
+
+// count is how many hosts keep the connections to a database, at least 1.
+func (k *Keepers) count(database string) int {
 	v := k.Mirror.View()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.refresh(v)
-	n := max(len(k.ofDatabase(v, t.ID)), 1)
-	return (depth*slots + n - 1) / n
+	return max(len(k.ofDatabase(v, database)), 1)
 }
 
 func (k *Keepers) keeps(database, account string) bool {
