--- a/io/lanes/turn.go
+++ b/io/lanes/turn.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+
+	"github.com/VictoriaMetrics/metrics"
 )
 
 // turn is a statement that waits for its turn at a database.
@@ -10,6 +12,8 @@
 // await waits until a statement may be sent to a database, as long as the context
 // lasts. A place is taken then.
 func (l *Lanes) await(ctx context.Context, t Target, account string, priority int) error {
+	since := l.Clock.Elapsed()
+	defer func() { l.waited().Update((l.Clock.Elapsed() - since).Seconds()) }()
 	l.mu.Lock()
 	n := l.lane(t.ID)
 	if n.candidate.IsDown(l.Clock.Elapsed()) && len(n.idle) == 0 {
@@ -40,6 +44,11 @@
 	return nil
 }
 
+// waited is how long statements waited for their turn.
+func (l *Lanes) waited() *metrics.Histogram {
+	return l.Metrics.GetOrCreateHistogram("coltsfootloft_turn_wait_seconds")
+}
+
 // resume takes a place for a statement of an open transaction, which others may be
 // waiting for.
 func (l *Lanes) resume(c *Conn) {
