--- a/core/rank/rank.go
+++ b/core/rank/rank.go
@@ -15,24 +15,7 @@
 
 // Order returns hosts sorted by their rank for the duty, first choice first.
 func Order(duty string, hosts []string) []string {
-	ranked := make([]candidate, len(hosts))
-	for i, h := range hosts {
-		ranked[i] = candidate{
-			host:   h,
-			weight: weight(duty, h),
-		}
-	}
-	slices.SortFunc(ranked, func(a, b candidate) int {
-		return cmp.Or(
-			cmp.Compare(b.weight, a.weight),
-			cmp.Compare(a.host, b.host),
-		)
-	})
-	r := make([]string, len(hosts))
-	for i, c := range ranked {
-		r[i] = c.host
-	}
-	return r
+	return Sized(duty, hosts, func(string) float64 { return 1 })
 }
 
 // Sized returns hosts sorted by their rank for the duty, where a host comes first
@@ -69,11 +52,6 @@
 // leastSize keeps a size that is not known out of the denominator.
 const leastSize = 1e-3
 
-type candidate struct {
-	host   string
-	weight uint64
-}
-
 func weight(duty, host string) uint64 {
 	return xxhash.Sum64String(duty + "\x00" + host)
 }
