quota: urgent reports come as often as their keeper can answer

The 70 ms were for a keeper of 0.134 of a processor; keepers are of the largest kind since hosts register their size.

The pause goes by the keeper's size now: 25 ms at 0.8 of a processor, 139 ms at 0.134; in fleets of 15 to 17 hosts 25 ms as before.

--- a/io/quota/quota.go
+++ b/io/quota/quota.go
@@ -27,11 +27,15 @@
 const (
 	// reportEvery leaves time for two lost reports within a grant's life.
 	reportEvery = 800 * time.Millisecond
-	// urgentEvery bounds reports because of empty buckets, and urgentPerHost
-	// does so in larger fleets: a keeper with a seventh of a core answers 650 a
-	// second at 0.2 ms each, and about a third of the hosts are short at a time.
-	urgentEvery   = 25 * time.Millisecond
-	urgentPerHost = 500 * time.Microsecond
+	// urgentEvery bounds reports because of empty buckets, and urgentWork does so in
+	// larger fleets. It is the keeper's processor time for each host: 0.2 ms a
+	// report, a third of the hosts that are short at a time, and half of the
+	// keeper's time for it. A keeper of 0.8 of a processor is asked each 25 ms by
+	// 140 hosts, one of 0.134 each 140 ms.
+	urgentEvery = 25 * time.Millisecond
+	urgentWork  = 133 * time.Microsecond
+	// leastSize stands for the size of a keeper that is not known.
+	leastSize = 0.1
 	// callTimeout bounds a report: other hosts answer in 3 ms.
 	callTimeout = 300 * time.Millisecond
 	// forgetAfter is how long an account is reported after its last operation.
@@ -232,11 +236,17 @@
 			q.report(ctx)
 		case <-q.urgent:
 			q.report(ctx)
-			pause.For(ctx, max(urgentEvery, time.Duration(len(q.Mirror.View().Hosts))*urgentPerHost))
+			pause.For(ctx, urgentPause(q.Mirror.View(), q.Duty.Name))
 		}
 	}
 }
 
+// urgentPause is how long after an urgent report the next one may follow.
+func urgentPause(v *mirror.View, duty string) time.Duration {
+	size := max(v.SizeOf(v.Duties[duty].Host), leastSize)
+	return max(urgentEvery, time.Duration(float64(len(v.Hosts))*float64(urgentWork)/size))
+}
+
 // report tells the keeper what is asked for and takes its grants.
 func (q *Quota) report(ctx context.Context) {
 	sent := q.Clock.Elapsed()
