--- a/io/lanes/conn.go
+++ b/io/lanes/conn.go
@@ -22,8 +22,8 @@
 	held    prep.Held
 	lanes   *Lanes
 	since   time.Duration
-	// turn tells that the connection has a place at the database; guarded by
-	// lanes.mu.
+	// turn tells that the connection has a place at the database. Like the rest it
+	// belongs to whoever the connection is lent to.
 	turn bool
 }
 
