entry, gate, steward: constants beside their use, and two things said simpler

The shares of the target latency stood in single.go, while what uses them had moved to place.go; the gate kept a count that may fall below nought and bounded it at each read instead of once; a wrapper of one line around Successor had one caller.

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -72,7 +72,7 @@
 	g.running--
 	if refused {
 		g.quiet = 0
-		g.closed = min(g.closed+1, g.Limit-1)
+		g.closed = max(min(g.closed+1, g.Limit-1), 0)
 		return
 	}
 	g.quiet++
@@ -114,4 +114,4 @@
 func (g *Gate[T]) Running() int { return g.running }
 
 // open is how many may be outstanding now.
-func (g *Gate[T]) open() int { return max(g.Limit-max(g.closed, 0), 1) }
+func (g *Gate[T]) open() int { return max(g.Limit-g.closed, 1) }
--- a/io/entry/place.go
+++ b/io/entry/place.go
@@ -12,6 +12,24 @@
 	"coltsfootloft/io/relay"
 )
 
+const (
+	// offerShare is the part of the target latency that an operation may wait
+	// for a database before it is refused: in time for a try at another host.
+	offerShare = 0.6
+	// nowhereShare is that while no database may be used, as during a change of
+	// primary, which takes longer than any wait: at once, but for the moment
+	// between a change and its news.
+	nowhereShare = 0.24
+	// repeatShare is the part of the target latency within which an operation
+	// that was offered to a database, and has not run, is offered again.
+	repeatShare = 0.9
+	// pauseBetween is the wait before an operation is offered again to databases
+	// that have all refused it.
+	pauseBetween = 8 * time.Millisecond
+	// ageMargin is left of the age that a route allows.
+	ageMargin = 30 * time.Millisecond
+)
+
 // place is where a statement may run, and what it must find there.
 type place struct {
 	reader groups.Reader
--- a/io/entry/single.go
+++ b/io/entry/single.go
@@ -9,27 +9,10 @@
 	"coltsfootloft/io/relay"
 )
 
-const (
-	// offerShare is the part of the target latency that an operation may wait
-	// for a database before it is refused: in time for a try at another host.
-	offerShare = 0.6
-	// nowhereShare is that while no database may be used, as during a change of
-	// primary, which takes longer than any wait: at once, but for the moment
-	// between a change and its news.
-	nowhereShare = 0.24
-	// repeatShare is the part of the target latency within which an operation
-	// that was offered to a database, and has not run, is offered again.
-	repeatShare = 0.9
-	// readShare is the part of the target latency after which a read that is not
-	// answered is sent again, if the account's budget for that has something left:
-	// its answer may have been lost, but the database may also have too much to do.
-	readShare = 0.5
-	// pauseBetween is the wait before an operation is offered again to databases
-	// that have all refused it.
-	pauseBetween = 8 * time.Millisecond
-	// ageMargin is left of the age that a route allows.
-	ageMargin = 30 * time.Millisecond
-)
+// readShare is the part of the target latency after which a read that is not
+// answered is sent again, if the account's budget for that has something left:
+// its answer may have been lost, but the database may also have too much to do.
+const readShare = 0.5
 
 // single runs a statement outside a transaction. A read is repeated until it is
 // answered; a write only while it is known not to have run.
--- a/io/steward/change.go
+++ b/io/steward/change.go
@@ -133,7 +133,7 @@
 	r := g.Record
 	version := g.Revision
 	if !r.Closing {
-		if all := s.look(ctx, name, missed...); !s.hasCandidate(r, all) {
+		if _, ok := r.Successor(s.look(ctx, name, missed...)); !ok {
 			return "", errors.New("no database can take over")
 		}
 		r.Closing = true
@@ -185,13 +185,6 @@
 	return done
 }
 
-// hasCandidate reports whether a change can succeed: another database answers, or
-// one already leads in a later term.
-func (s *Steward) hasCandidate(r reign.Record, all []reign.Seen) bool {
-	_, ok := r.Successor(all)
-	return ok
-}
-
 // fence waits until no host uses the old primary: each has seen the closing
 // record, or its lease has ended.
 func (s *Steward) fence(ctx context.Context, revision uint64) error {
