caller: a write that the database rolled back runs again, or is told as not run

Cause: a commit that reaches the old primary after its fence gets SQLSTATE 40001. Ruled out: a retry on another database alone, since a plain serialization failure comes from the primary that is to run it again; the text of the error, which differs between databases.

A batch that was a whole transaction, none of whose answer has left and whose connection reports no commit, is retried out of the retry budget, or refused as not run with the database's code. An answer that waits is now also dropped where the wait for a retry is over, so that a refusal never follows an error of an earlier attempt.

--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -25,6 +25,9 @@
 	// unanswered: the connection broke before the answer was complete, or the commit
 	// of an idempotent batch was not acknowledged. The batch may have run.
 	unanswered
+	// aborted: the database ran the batch and rolled all of it back. It may run again,
+	// on the same database too.
+	aborted
 )
 
 // exchange is one attempt to run a batch on one connection.
@@ -46,10 +49,15 @@
 	commandTag string
 
 	commitPosition coltsfootloft.Position
+	// commitKnown is set once the database has answered the query for commitPosition.
+	commitKnown bool
 	// stale is set if the database has not reached the position that the batch needs.
 	stale        bool
 	refusedWrite bool
 	rolledBack   bool
+	// abortCode is the SQLSTATE with which the database rolled back its transaction;
+	// empty if it did not.
+	abortCode string
 }
 
 // state is the part of the session's state that undo restores.
--- a/io/caller/receive.go
+++ b/io/caller/receive.go
@@ -168,12 +168,20 @@
 		x.conn.MarkBroken()
 	}
 	x.refusedWrite = x.refusedWrite || e.Code == coltsfootloft.CodeReadOnly
+	if isRollback(e.Code) {
+		x.abortCode = e.Code
+	}
 	if t.hidden && t.ends == atQuery {
 		return errors.Errorf("%s refused a statement of the host: SQLSTATE %s", x.conn.Database(), e.Code)
 	}
 	return callerError(x.session.out.add(e))
 }
 
+// isRollback reports whether the SQLSTATE says that the database rolled the transaction
+// back so that the caller may run it again: a serialization failure, which also is the
+// answer of a database that was fenced before the commit, or a deadlock.
+func isRollback(code string) bool { return code == "40001" || code == "40P01" }
+
 // onStatus checks the applied position that the database reports on this connection
 // against the position that the batch needs.
 func (x *exchange) onStatus(row [][]byte) {
@@ -194,5 +202,6 @@
 	p, err := dbops.ParseCommitPosition(row[0], row[1])
 	if err == nil {
 		x.commitPosition = p
+		x.commitKnown = true
 	}
 }
--- a/io/caller/run.go
+++ b/io/caller/run.go
@@ -140,7 +140,7 @@
 		}
 		mayHaveRun = mayHaveRun || !isNotRun(err)
 		repeats.Inc()
-		if waiting.Err() != nil || !s.out.discard() {
+		if isDiscarded := s.out.discard(); !isDiscarded || waiting.Err() != nil {
 			return withEarlierAttempts(err, mayHaveRun)
 		}
 	}
@@ -174,6 +174,10 @@
 		n.Write = n.Write || x.refusedWrite
 		s.recordEvent(events.Repeated, "refused by the database, not run", c.Database())
 		return true, err
+	case aborted:
+		s.unpin()
+		s.recordEvent(events.Repeated, "rolled back by the database", c.Database())
+		return s.Env.RetryBudget.Spend(s.Account), err
 	case unanswered:
 		s.unpin()
 		n.Avoid[c.Database()] = true
--- a/io/caller/settle.go
+++ b/io/caller/settle.go
@@ -33,6 +33,11 @@
 		x.undo()
 		return notRun, coltsfootloft.Refuse(coltsfootloft.CodeReadOnly, x.conn.Database()+" takes no writes")
 	}
+	if x.abortCode != "" && x.mayRunAgain() {
+		x.undo()
+		s.out.discard()
+		return aborted, coltsfootloft.Refuse(x.abortCode, x.conn.Database()+" rolled the statement back")
+	}
 	if !x.committed() {
 		s.out.release()
 		return answered, nil
@@ -56,6 +61,15 @@
 	return x.retryReadOnly && !x.session.out.sent && !x.committed()
 }
 
+// mayRunAgain reports whether a batch that was rolled back was a whole transaction, none
+// of whose answer has been sent.
+func (x *exchange) mayRunAgain() bool {
+	s := x.session
+	isWhole := x.before.tx == txIdle && s.tx == txIdle && !x.batch.partial
+	isKnown := !x.mayCommit || x.commitKnown && !x.committed()
+	return isWhole && isKnown && !s.out.sent
+}
+
 // undo restores the session's state from before the attempt.
 func (x *exchange) undo() {
 	s := x.session
--- a/io/front/server_test.go
+++ b/io/front/server_test.go
@@ -100,6 +100,11 @@
 func (noLimits) Succeed(string)                                            {}
 func (noLimits) Spend(string) bool                                         { return true }
 
+// noRetries grants every request but no retry.
+type noRetries struct{ noLimits }
+
+func (noRetries) Spend(string) bool { return false }
+
 // singleHost is a fleet of one host.
 type singleHost struct{}
 
