loan: rights of a suspended borrower are not used again while its connections are open

Lenders of connection rights count a loan for 10 s beyond its end, unless the borrower returns it. A host that leaves still hands its seats over when its loans end.

--- a/core/loan/book.go
+++ b/core/loan/book.go
@@ -25,6 +25,9 @@
 	held     Part
 	next     time.Time
 	dirty    bool
+	// overrun is how much longer than the borrower the lender counts a loan, in case
+	// the borrower is suspended and can't end its use.
+	overrun time.Duration
 }
 
 // lending is a loan as its lender counts it: the last grant, and what the borrower
--- a/core/loan/lend.go
+++ b/core/loan/lend.go
@@ -75,7 +75,7 @@
 	part = part.Min(b.Lendable(now, borrower))
 	before := l.reserve(now)
 	l.part = part
-	l.until = now.Add(period + period/driftDivisor)
+	l.until = now.Add(period + period/driftDivisor + b.overrun)
 	b.dirty = true
 	g = Grant{
 		Part:   part,
@@ -84,13 +84,13 @@
 	return g, part.Minus(before)
 }
 
-// LongestLoan returns when the last of the current loans ends, or the zero time if
-// there are none.
+// LongestLoan returns when the last of the current loans ends for its borrower, or the
+// zero time if there are none.
 func (b *Book) LongestLoan(now time.Time) time.Time {
 	var t time.Time
 	for _, l := range b.lent {
 		if !l.reserve(now).IsZero() {
-			t = later(t, later(l.until, l.keptUntil))
+			t = later(t, later(l.until, l.keptUntil).Add(-b.overrun))
 		}
 	}
 	return t
--- a/core/loan/rights.go
+++ b/core/loan/rights.go
@@ -5,6 +5,11 @@
 	"time"
 )
 
+// suspensionOverrun is how long after the end of a loan its rights are not used by the
+// lender. A borrower that is suspended keeps its connections open. One that is suspended
+// for longer than a session of the platform's store (10 s) loses its own seats as well.
+const suspensionOverrun = 10 * time.Second
+
 // Rights is one host's part of the connections that a database accepts: a [Book]
 // whose parts have only a burst, in whole connections, and the number in use. The
 // zero value grants none. It is not safe for concurrent use.
@@ -88,6 +93,7 @@
 	spare := max(r.Free(now)-waiting, 0)
 	n := min(rightsOf(a.Want), rightsOf(a.Kept)+spare)
 	n = min(n, rightsOf(r.book.Lendable(now, borrower)))
+	r.book.overrun = suspensionOverrun
 	g, _ := r.book.Lend(now, borrower, partOf(n), period)
 	return g
 }
--- a/core/loan/rights_test.go
+++ b/core/loan/rights_test.go
@@ -64,3 +64,28 @@
 		}
 	})
 }
+
+// TestSuspendedBorrowerKeepsItsRights suspends a host with connections on borrowed rights
+// until after the loan has ended. The connections stay open at the database, so the lender
+// must not use these rights meanwhile. A borrower that is not suspended returns them, and
+// the lender can use them at once.
+func TestSuspendedBorrowerKeepsItsRights(t *testing.T) {
+	const period = 6 * time.Second
+	var lender, borrower Rights
+	now := epoch
+	lender.Own(4, now.Add(time.Hour))
+	q := borrower.Request(now, "lender", 3)
+	assert.Assert(t, borrower.Accept(now, "lender", q, lender.Lend(now, "borrower", q, 0, period)))
+	for range 3 {
+		assert.Assert(t, borrower.Take(now))
+	}
+	now = now.Add(period + 8*time.Second)
+	assert.Equal(t, borrower.Held(now), 0)
+	assert.Equal(t, lender.Held(now), 1)
+	for range 3 {
+		borrower.Release()
+	}
+	q = borrower.Request(now, "lender", 0)
+	lender.Lend(now, "borrower", q, 0, period)
+	assert.Equal(t, lender.Held(now), 4)
+}
--- a/test/leave_test.go
+++ b/test/leave_test.go
@@ -263,3 +263,44 @@
 	assert.Assert(t, acked > 100)
 	h.check(t, f, f.hosts[2])
 }
+
+// TestSuspendedHostKeepsItsConnections suspends a host that has borrowed most of the rights
+// to connect, until after its loans have ended, while callers of the other hosts want them.
+// The connections of the suspended host stay open, so the others must not replace them.
+func TestSuspendedHostKeepsItsConnections(t *testing.T) {
+	t.Parallel()
+	const limit = 12
+	f := newFleet(t, layout{
+		domains:    3,
+		hosts:      3,
+		groups:     1,
+		conns:      limit,
+		extraConns: 20,
+	})
+	mustExec(t, f.connect(f.hosts[0]), "CREATE TABLE history (id text PRIMARY KEY)")
+	h := newHistory()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var callers sync.WaitGroup
+	write := func(e *entry) {
+		for i := range 10 {
+			callers.Go(func() { h.write(ctx, f, e, fmt.Sprint(e.name, "-", i), time.Duration(i)*time.Millisecond) })
+		}
+	}
+	write(f.hosts[1])
+	time.Sleep(2 * time.Second)
+	borrowed := f.peakConnections(t, "g1-1")
+	f.hosts[1].process.signal(syscall.SIGSTOP)
+	write(f.hosts[0])
+	write(f.hosts[2])
+	time.Sleep(8 * time.Second)
+	f.hosts[1].process.signal(syscall.SIGCONT)
+	time.Sleep(time.Second)
+	cancel()
+	callers.Wait()
+	most := f.peakConnections(t, "g1-1")
+	t.Logf("at most %d connections to the primary, %d of the suspended host, limit %d", most, borrowed, limit)
+	assert.Assert(t, borrowed > limit/3, "the host has borrowed no right, so that the test shows nothing")
+	assert.Assert(t, most <= limit)
+	h.check(t, f, f.hosts[2])
+}
