grant, quota: rates only where an account is used often; no account waits behind another's empty bucket

Cause of refusals within the rate in fleets of many hosts: rates were granted to any host with demand, in buckets one operation deep that fill while nobody asks there, so up to 21% of an account's operations were refused at 60 to 90% of its limit. And a host that had just asked the keeper for an account beyond its rate paused 25 to 140 ms before it asked for any other account, longer than an operation may wait.

Now a host gets a bucket for an account if it uses it five times within the validity of a grant, and shallow buckets get no more than the unused part of the limit, so that the rest covers the demand even if all of it is lost. The keeper's own bucket is as deep as the buckets of hosts leave it. Urgent reports hold only the accounts that are short, and the pause counts for each account.

--- a/core/grant/allocator.go
+++ b/core/grant/allocator.go
@@ -7,12 +7,13 @@
 // has expired or until the host has reported a newer one in its place. A new
 // allocator starts from the grants that the hosts report to hold.
 //
-// Rates cover the average demand. The rest of rate and burst fills the
-// allocator's own bucket, from which it lends single operations to hosts whose
-// callers arrived in a burst: small demands arrive too irregularly to be served
-// by rates alone. If an account asks for more than its rate on many hosts, the
-// allocator grants no rates and only lends, so that no part of the rate is lost
-// in buckets that are full.
+// Rates go to the hosts where an account is used often, and let these go on while the
+// allocator is lost. The rest of rate and burst fills the allocator's own bucket, from
+// which it lends single operations: small demands arrive too irregularly to be served
+// by rates. A bucket that fills while nobody asks for its tokens loses them. Where the
+// buckets are shallow, the allocator therefore grants no more as rates than the part of
+// the limit that nobody asks for makes up for; if an account asks for more than its rate
+// on many hosts, it only lends.
 package grant
 
 import (
@@ -36,11 +37,15 @@
 	// rates. Operations that are lent go to whichever host needs them at the
 	// moment.
 	rateShare = 0.6
-	// hostBurstShare is the part of the burst of an account that is in the
-	// buckets of the hosts, divided equally among the hosts that use the account.
-	// If that is less than one operation for each host, the hosts with the
-	// greatest demand get one each, and the others borrow.
+	// hostBurstShare is the greatest part of the burst of an account that is in the
+	// buckets of the hosts, divided equally among the hosts that have one. If that is
+	// less than one operation for each host, the hosts with the greatest demand get one
+	// each, and the others borrow.
 	hostBurstShare = 0.5
+	// minOperations is the least demand, in operations within Validity, of a host that
+	// gets a bucket. The tokens of a bucket that is used less often are missing
+	// elsewhere.
+	minOperations = 5
 	// shallowDepth is the bucket depth, in operations, below which a bucket often
 	// overflows although its callers ask for more than it gets. With random
 	// arrivals at twice the rate, a depth of one loses a third of the tokens, a
@@ -61,6 +66,8 @@
 	Demand float64
 	// Held is the rate that the host may serve now, in operations per second.
 	Held float64
+	// HeldBurst is the depth of the bucket that fills at Held, in operations.
+	HeldBurst float64
 	// HeldFor is the longest time for which the host may serve Held.
 	HeldFor time.Duration
 	// Want is the number of operations that wait to be lent.
@@ -92,23 +99,45 @@
 
 // allocation is the part of one host.
 type allocation struct {
-	demand       float64
-	at           time.Duration
-	rate         float64 // granted last
-	previousRate float64 // the most that the host may still serve under an earlier grant
-	until        time.Duration
+	demand   float64
+	at       time.Duration
+	granted  part // by the last answer
+	previous part // what the host may still use under an earlier grant
+	until    time.Duration
 }
 
-// Report processes the report of a host and returns its grants. hosts are the
-// hosts with a lease. Until all of them have reported to a new allocator, or
-// until the grants of its predecessor have expired, each host that has not
+// part is a part of a limit: a rate in operations per second and a bucket depth in
+// operations.
+type part struct{ rate, depth float64 }
+
+func (p part) max(q part) part {
+	return part{
+		rate:  max(p.rate, q.rate),
+		depth: max(p.depth, q.depth),
+	}
+}
+
+// hasBucket reports whether the demand of the host is enough for a bucket of its own.
+func (h *allocation) hasBucket() bool { return h.demand*Validity.Seconds() >= minOperations }
+
+// Report processes the report of a host on all accounts that it uses, and returns its
+// grants. hosts are the hosts with a lease. Until all of them have reported to a new
+// allocator, or until the grants of its predecessor have expired, each host that has not
 // reported counts as holding an equal part of what may be granted as rates.
 func (al *Allocator) Report(now time.Duration, host string, lines []Line, hosts []string, limits map[string]coltsfootloft.Account) []Line {
-	if al.accounts == nil {
-		al.accounts = make(map[string]*account)
+	if al.reported == nil {
 		al.reported = make(map[string]bool)
 	}
 	al.reported[host] = true
+	return al.ReportSome(now, host, lines, hosts, limits)
+}
+
+// ReportSome is like Report for a report on some accounts only: what the host holds of
+// the others stays unknown.
+func (al *Allocator) ReportSome(now time.Duration, host string, lines []Line, hosts []string, limits map[string]coltsfootloft.Account) []Line {
+	if al.accounts == nil {
+		al.accounts = make(map[string]*account)
+	}
 	for _, l := range lines {
 		al.recordReport(now, host, l)
 	}
@@ -137,9 +166,12 @@
 	}
 	h.demand = l.Demand
 	h.at = now
-	h.previousRate = l.Held
+	h.previous = part{
+		rate:  l.Held,
+		depth: l.HeldBurst,
+	}
 	h.until = now + l.HeldFor
-	h.rate = 0
+	h.granted = part{}
 }
 
 // unreportedShare returns the fraction of hosts whose grants are not yet known,
@@ -161,48 +193,38 @@
 	a := al.accounts[l.Account]
 	a.setLimit(now, limit)
 	h := a.hosts[host]
-	g := Line{Account: l.Account}
-	others, demand := a.others(now, host)
-	others += limit.Rate() * rateShare * unreported
-	oversubscribed := len(a.hosts) > 1 && h.demand+demand > limit.Rate()*usableShare
-	if depth, ok := a.bucketDepth(host, limit.Burst()*hostBurstShare); ok && (depth >= shallowDepth || !oversubscribed) {
-		g.Burst = depth
-		g.Rate = min(share(limit.Rate()*rateShare, h.demand, demand), max(limit.Rate()*usableShare-others, 0))
-	}
-	h.rate = g.Rate
+	others := a.sumOthers(now, host)
+	others.held.rate += limit.Rate() * rateShare * unreported
+	others.held.depth += limit.Burst() * hostBurstShare * unreported
+	h.granted = a.bucketOf(host, others)
 	h.until = max(h.until, now+Validity)
-	a.resizePool(now, max(g.Rate, h.previousRate)+others)
+	g := Line{
+		Account: l.Account,
+		Rate:    h.granted.rate,
+		Burst:   h.granted.depth,
+	}
+	mine := h.granted.max(h.previous)
+	a.pool.Resize(bucket.At(now), max(a.rate*usableShare-mine.rate-others.held.rate, 0), max(a.burst-mine.depth-others.held.depth, 0))
 	if l.Want > 0 {
 		g.Lent = a.pool.Debit(bucket.At(now), math.Floor(min(l.Want, a.pool.Available(bucket.At(now)))))
 	}
 	return g
 }
 
-// bucketDepth returns the depth of the bucket of a host, in operations; false if
-// the host has no bucket.
-func (a *account) bucketDepth(host string, burst float64) (float64, bool) {
-	if depth := burst / float64(len(a.hosts)); depth >= 1 {
-		return depth, true
-	}
-	mine := a.hosts[host].demand
-	ahead := 0
-	for name, h := range a.hosts {
-		if h.demand > mine || h.demand == mine && name < host {
-			ahead++
-		}
-	}
-	return 1, float64(ahead+1) <= burst
-}
-
-// resizePool makes the bucket of the allocator fill at the part of the rate that
-// is not granted.
-func (a *account) resizePool(now time.Duration, held float64) {
-	a.pool.Resize(bucket.At(now), max(a.rate*usableShare-held, 0), a.burst*(1-hostBurstShare))
+// sum is what several hosts together hold and ask for.
+type sum struct {
+	// held is what they may use.
+	held part
+	// demand is that of all hosts, bucketDemand that of the hosts with enough demand for
+	// a bucket, in operations per second.
+	demand, bucketDemand float64
+	// buckets is the number of hosts with enough demand for a bucket.
+	buckets int
 }
 
-// others sums what the other hosts may serve and what they ask for, and drops
-// hosts whose grants have expired.
-func (a *account) others(now time.Duration, host string) (held, demand float64) {
+// sumOthers sums up the other hosts, and drops those whose grants have expired.
+func (a *account) sumOthers(now time.Duration, host string) sum {
+	var s sum
 	for name, h := range a.hosts {
 		if name == host {
 			continue
@@ -211,10 +233,60 @@
 			delete(a.hosts, name)
 			continue
 		}
-		held += max(h.rate, h.previousRate)
-		demand += h.demand
+		held := h.granted.max(h.previous)
+		s.held.rate += held.rate
+		s.held.depth += held.depth
+		s.demand += h.demand
+		if h.hasBucket() {
+			s.buckets++
+			s.bucketDemand += h.demand
+		}
+	}
+	return s
+}
+
+// bucketOf returns the rate and the depth of the bucket of a host, zero if it gets none.
+func (a *account) bucketOf(host string, others sum) part {
+	h := a.hosts[host]
+	free := a.burst*hostBurstShare - others.held.depth
+	depth := min(a.bucketDepth(host, others.buckets+1), free)
+	if !h.hasBucket() || depth < 1 {
+		return part{}
+	}
+	usable := a.rate * usableShare
+	granted := a.rate * rateShare
+	if depth < shallowDepth && len(a.hosts) > 1 {
+		// The rest of the rate covers the demand even if all that is granted is lost.
+		granted = min(granted, max(usable-h.demand-others.demand, 0))
+	}
+	rate := min(share(granted, h.demand, others.bucketDemand), max(usable-others.held.rate, 0))
+	if rate == 0 {
+		return part{}
+	}
+	return part{
+		rate:  rate,
+		depth: depth,
+	}
+}
+
+// bucketDepth returns the depth of the bucket of a host, in operations, if buckets hosts
+// have one; 0 if the host has none.
+func (a *account) bucketDepth(host string, buckets int) float64 {
+	all := a.burst * hostBurstShare
+	if depth := all / float64(buckets); depth >= 1 {
+		return depth
+	}
+	mine := a.hosts[host].demand
+	ahead := 0
+	for name, h := range a.hosts {
+		if h.demand > mine || h.demand == mine && name < host {
+			ahead++
+		}
+	}
+	if float64(ahead+1) > all {
+		return 0
 	}
-	return held, demand
+	return 1
 }
 
 // share returns the part of a rate for one host: its demand if the rate covers
--- a/core/grant/allocator_test.go
+++ b/core/grant/allocator_test.go
@@ -41,6 +41,7 @@
 	}
 	if now < h.until {
 		line.Held = h.rate
+		line.HeldBurst = h.bucket.Burst()
 		line.HeldFor = h.until - now
 	}
 	for _, g := range al.Report(now, self, []Line{line}, hosts, l) {
--- a/io/quota/keeper.go
+++ b/io/quota/keeper.go
@@ -44,14 +44,19 @@
 	lines := make([]grant.Line, 0, len(r.GetLines()))
 	for _, n := range r.GetLines() {
 		lines = append(lines, grant.Line{
-			Account: n.GetAccount(),
-			Demand:  n.GetDemand(),
-			Held:    n.GetHeld(),
-			HeldFor: time.Duration(n.GetHeldMs()) * time.Millisecond,
-			Want:    n.GetWant(),
+			Account:   n.GetAccount(),
+			Demand:    n.GetDemand(),
+			Held:      n.GetHeld(),
+			HeldBurst: n.GetHeldBurst(),
+			HeldFor:   time.Duration(n.GetHeldMs()) * time.Millisecond,
+			Want:      n.GetWant(),
 		})
 	}
-	granted := l.allocator.Report(l.Clock.Elapsed(), from, lines, v.HostNames(), v.Settings.Accounts)
+	report := l.allocator.Report
+	if r.GetSome() {
+		report = l.allocator.ReportSome
+	}
+	granted := report(l.Clock.Elapsed(), from, lines, v.HostNames(), v.Settings.Accounts)
 	grants := make([]*quotapb.Grant, 0, len(granted))
 	for _, x := range granted {
 		grants = append(grants, &quotapb.Grant{
--- a/io/quota/quota.go
+++ b/io/quota/quota.go
@@ -4,7 +4,8 @@
 // short time by the keeper, the host that holds the quota duty and divides the rates of
 // the accounts among the hosts (package grant). Hosts report their demand to the keeper
 // at least twice within the validity of a grant, and at once when an operation finds its
-// bucket empty. The keeper can also lend single operations to a host that has run out.
+// bucket empty. The keeper then lends single operations. If it has none left, the host
+// asks again for that account only after a pause, while others are not delayed.
 //
 // Large numbers of accounts are divided among several keepers (Shards).
 package quota
@@ -31,8 +32,8 @@
 const (
 	// reportPeriod allows two reports in a row to be lost within the validity of a grant.
 	reportPeriod = 800 * time.Millisecond
-	// minUrgentPeriod is the minimum time between reports caused by empty buckets. In
-	// larger fleets urgentTimePerHost raises it: the keeper's processor time for each
+	// minUrgentPeriod is the minimum time between two reports of an account whose bucket
+	// is empty here and at the keeper. In larger fleets urgentTimePerHost raises it: the keeper's processor time for each
 	// host, from 0.2 ms a report, a third of the hosts being short of tokens at a time,
 	// and half of the keeper's time spent on such reports. 140 hosts then ask a keeper of
 	// 0.8 processors every 25 ms, and one of 0.134 processors every 140 ms.
@@ -100,6 +101,8 @@
 	rate       float64
 	validUntil time.Duration
 	granted    bool
+	// askAt is when the keeper may be asked again to lend operations.
+	askAt time.Duration
 	// lent is the number of operations lent by the keeper or returned unused. They can be
 	// used until lentUntil.
 	lent      float64
@@ -199,14 +202,21 @@
 }
 
 // wanted returns how many operations to borrow from the keeper: those that wait, and
-// those expected within borrowAhead. It is 0 if none waits.
-func (a *account) wanted() float64 {
-	if a.waiting == 0 {
+// those expected within borrowAhead. It is 0 if none waits in vain.
+func (a *account) wanted(now time.Duration) float64 {
+	missing := float64(a.waiting)
+	if now < a.lentUntil {
+		missing -= math.Floor(a.lent)
+	}
+	if missing <= 0 {
 		return 0
 	}
-	return float64(a.waiting) + math.Floor(a.demand*borrowAhead.Seconds())
+	return missing + math.Floor(a.demand*borrowAhead.Seconds())
 }
 
+// isShort reports whether the keeper is to be asked for operations of the account now.
+func (a *account) isShort(now time.Duration) bool { return now >= a.askAt && a.wanted(now) > 0 }
+
 func (a *account) take(now time.Duration) bool {
 	if now < a.lentUntil && a.lent >= 1 {
 		a.lent--
@@ -230,41 +240,64 @@
 	l.lazyInit()
 	t := time.NewTicker(reportPeriod)
 	defer t.Stop()
+	short := time.NewTimer(maxBucketWait)
+	defer short.Stop()
 	keeper := mirror.Duty{}
 	for {
 		changed := l.Mirror.Changed()
 		if now := l.Mirror.View().Duties[l.Duty.Name]; now != keeper {
 			keeper = now
-			l.report(ctx)
+			l.report(ctx, false)
 		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-changed:
 		case <-t.C:
-			l.report(ctx)
+			l.report(ctx, false)
 		case <-l.urgent:
-			l.report(ctx)
-			pause.For(ctx, urgentPause(l.Mirror.View(), l.Duty.Name))
+		case <-short.C:
+		}
+		if l.untilShort() == 0 {
+			l.report(ctx, true)
+		}
+		short.Reset(l.untilShort())
+	}
+}
+
+// untilShort returns how long until the keeper is to be asked for operations of some
+// account, at most maxBucketWait.
+func (l *Limiter) untilShort() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Clock.Elapsed()
+	wait := maxBucketWait
+	for _, a := range l.accounts {
+		if a.wanted(now) > 0 {
+			wait = min(wait, max(a.askAt-now, 0))
 		}
 	}
+	return wait
 }
 
-// urgentPause returns the pause after an urgent report.
+// urgentPause returns the pause between two reports of an account of which the keeper has
+// no operations to lend.
 func urgentPause(v *mirror.View, name string) time.Duration {
 	size := max(v.SizeOf(v.Duties[name].Host), minKeeperSize)
 	return max(minUrgentPeriod, time.Duration(float64(len(v.Hosts))*float64(urgentTimePerHost)/size))
 }
 
-// report reports the demand to the keeper and applies its grants.
-func (l *Limiter) report(ctx context.Context) {
+// report reports the demand to the keeper and applies its grants; onlyShort leaves out
+// the accounts that are not short of operations.
+func (l *Limiter) report(ctx context.Context, onlyShort bool) {
 	sent := l.Clock.Elapsed()
+	r := l.buildReport(sent, onlyShort)
 	keeper, ok := l.Duty.Holder()
 	if !ok {
 		l.noteKeeperSilent("no host holds the quota duty")
 		return
 	}
-	b, err := proto.Marshal(l.buildReport(sent))
+	b, err := proto.Marshal(r)
 	if err != nil {
 		panic(err) // messages of plain fields always encode
 	}
@@ -287,12 +320,13 @@
 
 // buildReport returns the report for the accounts used recently, and updates their
 // demand.
-func (l *Limiter) buildReport(now time.Duration) *quotapb.Report {
+func (l *Limiter) buildReport(now time.Duration, onlyShort bool) *quotapb.Report {
+	pause := urgentPause(l.Mirror.View(), l.Duty.Name)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	period := max((now - l.lastReport).Seconds(), minUrgentPeriod.Seconds())
-	fullPeriod := now-l.lastReport >= reportPeriod/2
-	r := &quotapb.Report{}
+	fullPeriod := !onlyShort && now-l.lastReport >= reportPeriod/2
+	r := &quotapb.Report{Some: onlyShort}
 	for name, a := range l.accounts {
 		if now-a.lastUsed > accountRetention && now >= a.validUntil {
 			delete(l.accounts, name)
@@ -302,13 +336,20 @@
 			a.demand += smoothing * (a.operations/period - a.demand)
 			a.operations = 0
 		}
+		if onlyShort && !a.isShort(now) {
+			continue
+		}
 		line := &quotapb.Line{
 			Account: name,
 			Demand:  a.demand,
-			Want:    a.wanted(),
+		}
+		if a.isShort(now) {
+			line.Want = a.wanted(now)
+			a.askAt = now + pause
 		}
 		if now < a.validUntil {
 			line.Held = a.rate
+			line.HeldBurst = a.bucket.Burst()
 			line.HeldMs = (a.validUntil - now).Milliseconds() + 1
 		}
 		r.Lines = append(r.Lines, line)
@@ -352,6 +393,9 @@
 			a.lent += x.GetLent()
 			a.lentUntil = sent + lentLifetime
 		}
+		if a.wanted(now) == 0 {
+			a.askAt = 0
+		}
 		a.rate = x.GetRate()
 		a.validUntil = sent + grant.Validity
 	}
