mirror: changes for following hosts are compressed, once for all of them

Answers to polls of over 1 KB are compressed if the follower says that it reads them, and kept while the revision lasts, since followers are usually equally far behind.

--- a/io/mirror/follow.go
+++ b/io/mirror/follow.go
@@ -120,6 +120,7 @@
 	b, err := proto.Marshal(&mirrorpb.Poll{
 		After:  m.View().Revision,
 		WaitMs: pollWait.Milliseconds(),
+		Packs:  true,
 	})
 	if err != nil {
 		panic(err) // messages of plain fields always encode
@@ -130,9 +131,9 @@
 	if err != nil {
 		return errors.Wrap(err, "poll")
 	}
-	var c mirrorpb.Changes
-	if err := proto.Unmarshal(b, &c); err != nil {
-		return errors.Wrap(err, "changes")
+	c, err := decodeChanges(b)
+	if err != nil {
+		return err
 	}
 	if !c.GetWatching() {
 		return errNotWatching
@@ -157,6 +158,11 @@
 		return nil, errors.Wrap(err, "poll")
 	}
 	c := m.awaitChanges(ctx, p.GetAfter(), time.Duration(p.GetWaitMs())*time.Millisecond)
+	if len(c.GetItems()) > 0 && p.GetPacks() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return m.packed.encode(c, p.GetAfter())
+	}
 	b, err := proto.Marshal(c)
 	return b, errors.Wrap(err, "changes")
 }
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -90,6 +90,7 @@
 	// history is guarded by mu. retryDelay, noSourceSince, avoidUntil, candidates and
 	// candidatesVersion are used by the watch loop only.
 	history           history
+	packed            packedAnswers
 	retryDelay        time.Duration // after the latest failed watch
 	noSourceSince     time.Duration // when the host was left without a source to poll, or 0
 	watching          atomic.Bool
--- /dev/null
+++ b/io/mirror/pack.go
@@ -0,0 +1,91 @@
+package mirror
+
+import (
+	"bytes"
+	"compress/flate"
+	"io"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"coltsfootloft/io/mirror/mirrorpb"
+)
+
+const (
+	// minPacked is the size of an answer to a poll, in bytes, from which it is compressed.
+	// The settings of a large fleet take tens of kilobytes, and a host sends them to every
+	// host of its failure domain that follows it, over a link that callers use too.
+	minPacked = 1 << 10
+	// maxUnpacked is the largest answer that is accepted, in bytes: twice the largest
+	// value of the store, for a listing with many others.
+	maxUnpacked = 4 << 20
+)
+
+// packedAnswers holds the compressed answers to the polls of hosts that are equally far
+// behind, so that each is compressed once. The zero value is ready to use. It is not safe
+// for concurrent use.
+type packedAnswers struct {
+	revision uint64 // of the answers
+	byAfter  map[uint64][]byte
+}
+
+// encode returns the encoded answer to a poll for the changes after a revision.
+func (p *packedAnswers) encode(c *mirrorpb.Changes, after uint64) ([]byte, error) {
+	if p.byAfter == nil || p.revision != c.GetRevision() {
+		p.revision = c.GetRevision()
+		p.byAfter = make(map[uint64][]byte)
+	}
+	if b, ok := p.byAfter[after]; ok {
+		return b, nil
+	}
+	b, err := proto.Marshal(c)
+	if err != nil || len(b) < minPacked {
+		return b, errors.Wrap(err, "changes")
+	}
+	packed, err := pack(b)
+	if err != nil {
+		return nil, err
+	}
+	b, err = proto.Marshal(&mirrorpb.Changes{
+		Packed:   packed,
+		Watching: true,
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "packed changes")
+	}
+	p.byAfter[after] = b
+	return b, nil
+}
+
+func pack(b []byte) ([]byte, error) {
+	var to bytes.Buffer
+	w, err := flate.NewWriter(&to, flate.BestSpeed)
+	if err != nil {
+		return nil, errors.Wrap(err, "compress")
+	}
+	if _, err := w.Write(b); err != nil {
+		return nil, errors.Wrap(err, "compress")
+	}
+	if err := w.Close(); err != nil {
+		return nil, errors.Wrap(err, "compress")
+	}
+	return to.Bytes(), nil
+}
+
+// decodeChanges decodes an answer to a poll.
+func decodeChanges(b []byte) (*mirrorpb.Changes, error) {
+	c := &mirrorpb.Changes{}
+	if err := proto.Unmarshal(b, c); err != nil {
+		return nil, errors.Wrap(err, "changes")
+	}
+	if len(c.GetPacked()) == 0 {
+		return c, nil
+	}
+	r := io.LimitReader(flate.NewReader(bytes.NewReader(c.GetPacked())), maxUnpacked)
+	b, err := io.ReadAll(r)
+	if err != nil {
+		return nil, errors.Wrap(err, "packed changes")
+	}
+	c = &mirrorpb.Changes{}
+	return c, errors.Wrap(proto.Unmarshal(b, c), "packed changes")
+}
