grant: all hosts get a bucket where an account is dense

Where the hosts that use an account have two operations on average, all get a bucket; they do not qualify by chance, so the rest of the rate still covers the demand.

TestGrantsKeepTheLimit passes.

--- a/core/grant/allocator.go
+++ b/core/grant/allocator.go
@@ -7,10 +7,10 @@
 // has expired or until the host has reported a newer one in its place. A new
 // allocator starts from the grants that the hosts report to hold.
 //
-// Rates go to the hosts where an account is used often, and let these go on while the
-// allocator is lost. The rest of rate and burst fills the allocator's own bucket, from
-// which it lends single operations: small demands arrive too irregularly to be served
-// by rates. A bucket that fills while nobody asks for its tokens loses them. Where the
+// Rates go to the hosts where an account is used often, or to all hosts that use it
+// if that is so on average, and let these go on while the allocator is lost. The rest of
+// rate and burst fills the allocator's own bucket, from which it lends single operations:
+// small demands arrive too irregularly to be served by rates. A bucket that fills while nobody asks for its tokens loses them. Where the
 // buckets are shallow, the allocator therefore grants no more as rates than the part of
 // the limit that nobody asks for makes up for; if an account asks for more than its rate
 // on many hosts, it only lends.
@@ -46,6 +46,10 @@
 	// gets a bucket. The tokens of a bucket that is used less often are missing
 	// elsewhere.
 	minOperations = 5
+	// denseOperations is the least average demand, in operations within Validity, of
+	// the hosts that use an account for all of them to get a bucket: then a host does not
+	// get one only because its callers came together by chance.
+	denseOperations = 2
 	// shallowDepth is the bucket depth, in operations, below which a bucket often
 	// overflows although its callers ask for more than it gets. With random
 	// arrivals at twice the rate, a depth of one loses a third of the tokens, a
@@ -220,9 +224,11 @@
 	demand, bucketDemand float64
 	// buckets is the number of hosts with enough demand for a bucket.
 	buckets int
+	// dense is set if all hosts that use the account get a bucket.
+	dense bool
 }
 
-// sumOthers sums up the other hosts, and drops those whose grants have expired.
+// sumOthers sums up the hosts other than host, and drops those whose grants have expired.
 func (a *account) sumOthers(now time.Duration, host string) sum {
 	var s sum
 	for name, h := range a.hosts {
@@ -242,6 +248,12 @@
 			s.bucketDemand += h.demand
 		}
 	}
+	operations := (a.hosts[host].demand + s.demand) * Validity.Seconds()
+	if operations >= denseOperations*float64(len(a.hosts)) {
+		s.dense = true
+		s.buckets = len(a.hosts) - 1
+		s.bucketDemand = s.demand
+	}
 	return s
 }
 
@@ -250,7 +262,7 @@
 	h := a.hosts[host]
 	free := a.burst*hostBurstShare - others.held.depth
 	depth := min(a.bucketDepth(host, others.buckets+1), free)
-	if !h.hasBucket() || depth < 1 {
+	if !h.hasBucket() && !others.dense || depth < 1 {
 		return part{}
 	}
 	usable := a.rate * usableShare
