--- a/io/quota/quota.go
+++ b/io/quota/quota.go
@@ -33,10 +33,11 @@
 	// reportPeriod allows two reports in a row to be lost within the validity of a grant.
 	reportPeriod = 800 * time.Millisecond
 	// minUrgentPeriod is the minimum time between two reports of an account whose bucket
-	// is empty here and at the keeper. In larger fleets urgentTimePerHost raises it: the keeper's processor time for each
-	// host, from 0.2 ms a report, a third of the hosts being short of tokens at a time,
-	// and half of the keeper's time spent on such reports. 140 hosts then ask a keeper of
-	// 0.8 processors every 25 ms, and one of 0.134 processors every 140 ms.
+	// is empty here and at the keeper. In larger fleets urgentTimePerHost raises it: the
+	// keeper's processor time for each host, from 0.2 ms a report, a third of the hosts
+	// being short of tokens at a time, and half of the keeper's time spent on such
+	// reports. 140 hosts then ask a keeper of 0.8 processors every 25 ms, and one of
+	// 0.134 processors every 140 ms.
 	minUrgentPeriod   = 25 * time.Millisecond
 	urgentTimePerHost = 133 * time.Microsecond
 	// minKeeperSize is assumed for a keeper of unknown or smaller size, in standard
