platform, mirror: the era of the store is read, logged and exported as a metric

No log line told from which copy of the store an answer came, so that a listing that was dropped for its revision looked like a silent watch. keyval, the stand-in, learns to come back from a backup. No logic of the hosts changes.

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -132,6 +132,7 @@
 		RecentlyReached: func() bool { return e.storeAge() < storeSilenceLimit },
 	}
 	e.mirror.Register()
+	e.metrics.NewGauge("coltsfootloft_store_era", func() float64 { return float64(client.Era()) })
 	e.lease = &lease.Lease{
 		Store:   client,
 		Mirror:  e.mirror,
--- a/io/mirror/watch.go
+++ b/io/mirror/watch.go
@@ -40,7 +40,7 @@
 		m.backOff(ctx, err)
 		return false
 	}
-	m.Log.Info("store listed", "revision", m.View().Revision, "databases", len(m.View().Upstreams))
+	m.Log.Info("store listed", "era", m.Store.Era(), "revision", m.View().Revision, "databases", len(m.View().Upstreams))
 	return true
 }
 
@@ -56,7 +56,7 @@
 	m.watching.Store(reached)
 	switch {
 	case errors.Is(err, coltsfootloft.ErrCompacted):
-		m.Log.Info("store no longer has the history", "revision", m.View().Revision)
+		m.Log.Info("store no longer has the history", "era", m.Store.Era(), "revision", m.View().Revision)
 		return false
 	case err != nil:
 		m.backOff(ctx, err)
--- a/platform.go
+++ b/platform.go
@@ -41,6 +41,10 @@
 // EventStore is a store that reports each change once, identified by its revision.
 type EventStore interface {
 	KeyValue
+	// Era returns the latest era in any answer of the store; 0 if none stated one. The
+	// era increases when the store comes back from a backup and so loses changes that it
+	// had acknowledged.
+	Era() uint64
 	// Snapshot returns all keys and a revision to continue from.
 	Snapshot(ctx context.Context) ([]Event, uint64, error)
 	// Events waits for changes after the given revision, for about wait at most,
--- a/stand/keyval/change.go
+++ b/stand/keyval/change.go
@@ -112,9 +112,7 @@
 	defer s.mu.Unlock()
 	s.lastLease++
 	id := s.lastLease
-	l := &lease{ttl: time.Duration(t.TTL) * time.Millisecond}
-	l.timer = time.AfterFunc(l.ttl, func() { s.revoke(id) })
-	s.leases[id] = l
+	s.startLease(id, time.Duration(t.TTL)*time.Millisecond)
 	reply(w, http.StatusOK, leaseBody{
 		Lease: id,
 		TTL:   t.TTL,
@@ -130,6 +128,22 @@
 		return false
 	}
 	l.timer.Stop()
+	s.end(id)
+	return true
+}
+
+// expire ends a lease whose time has run out, unless it was replaced by a restored one of
+// the same id.
+func (s *Server) expire(id uint64, l *lease) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leases[id] == l {
+		s.end(id)
+	}
+}
+
+// end removes a lease and its keys. The caller holds the lock.
+func (s *Server) end(id uint64) {
 	delete(s.leases, id)
 	for k, i := range s.items {
 		if i.Lease == id {
@@ -137,7 +151,6 @@
 		}
 	}
 	s.wakeWatches()
-	return true
 }
 
 func (s *Server) renewLease(w http.ResponseWriter, r *http.Request) {
--- a/stand/keyval/server.go
+++ b/stand/keyval/server.go
@@ -5,7 +5,8 @@
 //
 // Every change of a key takes the next revision of the store. A watch returns the
 // changes after a given revision; it is answered 410 if [Server.Compact] has dropped
-// them from the history.
+// them from the history, or if the store does not have that revision. [Server.Restore]
+// returns the store to an earlier state, and begins a new era.
 //
 // Tests inject faults with [Faults]: the store can refuse all calls or those of some
 // hosts, leave calls without an answer, lose answers to changes, apply changes late,
@@ -71,6 +72,7 @@
 	compacted uint64 // the history holds only changes after this revision
 	items     map[string]Item
 	history   []Item
+	era       uint64 // rises with every Restore
 	leases    map[uint64]*lease
 	lastLease uint64
 	changed   chan struct{}
@@ -91,6 +93,7 @@
 		s.calls = make(map[string]int)
 		s.changed = make(chan struct{})
 		s.revision = 1
+		s.era = 1
 	})
 }
 
@@ -192,6 +195,7 @@
 		f := s.faults
 		path, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/v1/"), "/")
 		s.calls[path]++
+		era := s.era
 		s.mu.Unlock()
 		host, _, _ := net.SplitHostPort(r.RemoteAddr)
 		switch {
@@ -200,6 +204,7 @@
 		case f.Down || f.RefusedHosts[host]:
 			w.WriteHeader(http.StatusServiceUnavailable)
 		default:
+			w.Header().Set(eraHeader, strconv.FormatUint(era, 10))
 			next.ServeHTTP(w, r)
 		}
 	})
@@ -293,6 +298,7 @@
 	for {
 		s.mu.Lock()
 		events, compacted := s.eventsAfter(after, q.Get("Prefix"))
+		w.Header().Set(eraHeader, strconv.FormatUint(s.era, 10))
 		changed, revision, stalled := s.changed, s.revision, s.faults.StallWatches
 		s.mu.Unlock()
 		if compacted && !stalled {
@@ -323,7 +329,7 @@
 // eventsAfter returns the changes under prefix after a revision, or compacted if
 // the history no longer holds all of them. The caller holds the lock.
 func (s *Server) eventsAfter(after uint64, prefix string) (events []Item, compacted bool) {
-	if after < s.compacted {
+	if after < s.compacted || after > s.revision {
 		return nil, true
 	}
 	for _, i := range s.history {
