--- /dev/null
+++ b/io/edge/restore_test.go
@@ -0,0 +1,197 @@
+package edge
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootloft/io/lease"
+	"coltsfootloft/stand/keyval"
+)
+
+// addRoute adds a route for a database name.
+func addRoute(c *config, name string) {
+	c.Routes = append(c.Routes, route{
+		Name:            "r-" + name,
+		Host:            name,
+		RouteType:       "primary",
+		Service:         "notices",
+		TimeoutMs:       timeoutMS,
+		TargetLatencyMs: targetMS,
+	})
+}
+
+// awaitRoute waits until all hosts have a route.
+func (f *fleet) awaitRoute(name string) {
+	f.t.Helper()
+	f.await("route "+name+" on every host", 3*time.Second, func() bool {
+		for _, h := range f.hosts {
+			if _, ok := h.edge.mirror.View().Settings.Routes[name]; !ok {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// restore returns the store to a backup while it refuses all calls, and lets write write
+// to it before it answers again.
+func (f *fleet) restore(b keyval.Backup, write func()) {
+	f.store.SetFaults(keyval.Faults{Down: true})
+	f.store.Restore(b)
+	if write != nil {
+		write()
+	}
+	f.store.SetFaults(keyval.Faults{})
+}
+
+// TestSettingsAreInForceAfterRestore guards against settings that are not applied because
+// their revision was given out before a restore: they count as old, or as confirmed.
+func TestSettingsAreInForceAfterRestore(t *testing.T) {
+	f := startFleet(t, 3, nil)
+	backup := f.store.Backup()
+	f.changeSettings(func(c *config) { addRoute(c, "first") })
+	f.changeSettings(func(c *config) { addRoute(c, "second") })
+	f.awaitRoute("second")
+	f.restore(backup, func() {
+		f.changeSettings(nil)
+		f.changeSettings(func(c *config) { addRoute(c, "third") })
+	})
+	before := f.store.Calls()["kv-range"] + f.store.Calls()["kv-watch"]
+	f.awaitRoute("third")
+	time.Sleep(time.Second)
+	calls := f.store.Calls()["kv-range"] + f.store.Calls()["kv-watch"] - before
+	const most = 10 // calls of each kind that a host may make to get current again
+	assert.Assert(t, calls <= 2*most*len(f.hosts), "%d listings and watches", calls)
+	f.await("service", 5*time.Second, func() bool {
+		c, code := connect(t, f.hosts[0], "third", "key-arima")
+		return code == "" && c.do("WRITE a 1").code == ""
+	})
+}
+
+// TestWithdrawnKeyStaysWithdrawnAfterRestore guards against a key that is valid again because
+// the store came back from a backup that still has it, before operators write again. One
+// host learns of the restore late, as the store refuses its calls.
+func TestWithdrawnKeyStaysWithdrawnAfterRestore(t *testing.T) {
+	f := startFleet(t, 3, nil)
+	backup := f.store.Backup()
+	f.changeSettings(func(c *config) {
+		c.Tenants[1].ApiKeys = []string{"key-new"}
+		addRoute(c, "first")
+	})
+	f.awaitRoute("first")
+	f.store.Restore(backup)
+	f.store.SetFaults(keyval.Faults{RefusedHosts: map[string]bool{"127.0.62.2": true}})
+	deadline := time.Now().Add(2 * withdrawal)
+	for time.Now().Before(deadline) {
+		if time.Until(deadline) < withdrawal {
+			f.store.SetFaults(keyval.Faults{})
+		}
+		for _, h := range f.hosts {
+			_, code := connect(t, h, "board", "key-siparia")
+			assert.Assert(t, code == "NOAUTH" || code == "BUSY", "%s: %q", h.settings.Name, code)
+			_, ok := h.edge.mirror.View().Settings.Routes["first"]
+			assert.Assert(t, ok, "%s went back to older settings", h.settings.Name)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	f.changeSettings(func(c *config) { addRoute(c, "second") })
+	f.awaitRoute("second")
+	f.await("service", 5*time.Second, func() bool {
+		for _, h := range f.hosts {
+			if _, code := connect(t, h, "board", "key-new"); code != "" {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// TestRestoredRecordNamesNoPrimary guards against a primary of the past that is used because
+// the store came back with the record of before the change. One host is new and has never
+// seen the later record.
+func TestRestoredRecordNamesNoPrimary(t *testing.T) {
+	f := startFleet(t, 3, nil)
+	backup := f.store.Backup()
+	old := f.group.Primary()
+	f.announce(0, "draining")
+	f.await("another primary on every host", 8*time.Second, func() bool {
+		for _, h := range f.hosts {
+			if p, ok := h.edge.groups.Primary("notices"); !ok || p.Target.ID == old {
+				return false
+			}
+		}
+		return true
+	})
+	current := f.group.Primary()
+	f.hosts[2].stop()
+	assert.NilError(t, <-f.hosts[2].ended)
+	f.hosts = f.hosts[:2]
+	f.restore(backup, f.announceAll)
+	f.addHost(4)
+	used := make(map[*testHost]bool)
+	deadline := time.Now().Add(4 * lease.TTL)
+	for time.Now().Before(deadline) && len(used) < len(f.hosts) {
+		for _, h := range f.hosts {
+			if p, ok := h.edge.groups.Primary("notices"); ok {
+				assert.Equal(t, p.Target.ID, current, h.settings.Name)
+				used[h] = true
+			}
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	assert.Equal(t, len(used), len(f.hosts), "all hosts use the primary again")
+	f.group.SetDown(current, true)
+	f.await("another change of primary", 8*time.Second, func() bool { return f.group.Primary() != current })
+	for _, p := range f.group.Promotions() {
+		assert.Assert(t, !strings.Contains(p, "stale"), p)
+	}
+}
+
+// TestLeaseLostByRestoreIsWaitedFor guards against a promotion while a host whose
+// registration was lost by a restore may still use the old primary under its lease.
+func TestLeaseLostByRestoreIsWaitedFor(t *testing.T) {
+	f := startFleet(t, 3, nil)
+	backup := f.store.Backup()
+	f.restore(backup, f.announceAll)
+	restored := time.Now()
+	f.group.SetDown(f.group.Primary(), true)
+	f.await("a promotion", 10*time.Second, func() bool { return len(f.group.Promotions()) > 0 })
+	assert.Assert(t, time.Since(restored) >= lease.TTL, "promoted %s after the restore", time.Since(restored))
+}
+
+// TestRightsEndWithTheEra guards against a host that goes on with its lease and its duties of
+// before a restore, though the store has lost both and another host can hold them.
+func TestRightsEndWithTheEra(t *testing.T) {
+	f := startFleet(t, 3, nil)
+	leases := make(map[*testHost]string)
+	for _, h := range f.hosts {
+		leases[h] = h.edge.lease.ID()
+	}
+	fence := uint64(0)
+	for _, h := range f.hosts {
+		if n, ok := h.edge.failover.Duty.Holds(); ok {
+			fence = n
+		}
+	}
+	f.restore(f.store.Backup(), nil)
+	f.await("a new lease on every host", 4*time.Second, func() bool {
+		for _, h := range f.hosts {
+			if id := h.edge.lease.ID(); id == "" || id == leases[h] {
+				return false
+			}
+		}
+		return true
+	})
+	f.await("a holder of the duty", 4*time.Second, func() bool {
+		for _, h := range f.hosts {
+			if n, ok := h.edge.failover.Duty.Holds(); ok {
+				assert.Assert(t, n > fence, "fencing token %d after %d", n, fence)
+				return true
+			}
+		}
+		return false
+	})
+}
