mirror: events that a later listing includes are not applied after it

The answer of a watch may arrive after a listing that Await made meanwhile. Its events of hosts and duties were applied to the later view, and as the watch goes on from the listing, a host whose removal lay between the two stayed in the view until the next listing: a change of primary then waits for a host that is gone. TestEventsBeforeListingAreIgnored failed before: the view had the host that is gone.

--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -192,13 +192,18 @@
 
 func (m *Mirror) applyAll(events []coltsfootloft.Event, revision uint64) {
 	m.update(revision, func(v *View, now time.Duration) []error {
-		m.history.add(events)
 		var problems []error
+		var applied []coltsfootloft.Event
 		for _, e := range events {
+			if e.Revision <= v.Revision {
+				continue // a later listing includes it
+			}
 			if err := v.apply(now, e); err != nil {
 				problems = append(problems, errors.Wrap(err, e.Key))
 			}
+			applied = append(applied, e)
 		}
+		m.history.add(applied)
 		return problems
 	})
 }
