mirror, platform: revisions of the store include its era

Callers saw settings that were not in force, on all hosts: after the store came back from a backup (Store-Era 2), version 12 was at revision 35 where hosts held it at 36. Listings, events and settings at 35 were dropped as old, and watches after 36 were answered 410, so that hosts listed and watched every 10 ms. Version 15 then got revision 36, which hosts held version 12 at: confirmations found it current.

Cause: numbers of two states of the store were compared as if of one, which they are not once the store gives them out again. Class: an identifier that is unique only within an incarnation, used without it. The client now makes one revision of era and number, so that later eras compare greater everywhere: views, the feed between hosts, Await, confirmations, fencing tokens. A watch or a version of an earlier era is refused before the call, and an answer of another era than the question's counts for neither. Messages between hosts carry the era in fields of its own; a host of the version before sends none and is taken to mean the receiver's.

Settings of a later era replace those in force only if their version is not older, and the horizon advances only on settings that the host covers: not while the store holds older ones than the host or another host. A host that started after a restore waits for the word of another.

--- a/core/leader/leader.go
+++ b/core/leader/leader.go
@@ -39,6 +39,21 @@
 	// Candidate is the database that has been, or may have been, told to become
 	// primary.
 	Candidate string `json:"candidate,omitempty"`
+	// Era is the era of the store in which the record was written. In a later one it
+	// may be older than what the store held before it was restored. 0 if the host that
+	// wrote the record did not know eras.
+	Era uint64 `json:"era,omitempty"`
+}
+
+// Supersedes reports whether r was written after q, by the steps of a failover.
+func (r Record) Supersedes(q Record) bool {
+	if r.Epoch != q.Epoch {
+		return r.Epoch > q.Epoch
+	}
+	if r.Closing != q.Closing {
+		return r.Closing
+	}
+	return r.Candidate != "" && q.Candidate == ""
 }
 
 // Encode returns the record in JSON, the form that the store holds.
--- a/core/leader/leader_test.go
+++ b/core/leader/leader_test.go
@@ -100,3 +100,22 @@
 	v.Add(true)
 	assert.Assert(t, !v.IsUnreachable(), "half of the hosts is not a majority")
 }
+
+// TestNewestRecordIsFound guards against going on from an older record when the store has lost
+// the newest one: hosts may use the primary of a later one.
+func TestNewestRecordIsFound(t *testing.T) {
+	steps := []Record{
+		{},
+		{Epoch: 1, Primary: "a"},
+		{Epoch: 1, Primary: "a", Closing: true},
+		{Epoch: 1, Primary: "a", Closing: true, Candidate: "b"},
+		{Epoch: 2, Primary: "b"},
+	}
+	for i, earlier := range steps {
+		assert.Assert(t, !earlier.Supersedes(earlier))
+		for _, later := range steps[i+1:] {
+			assert.Assert(t, later.Supersedes(earlier))
+			assert.Assert(t, !earlier.Supersedes(later))
+		}
+	}
+}
--- a/io/edge/restore_test.go
+++ b/io/edge/restore_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -36,8 +37,8 @@
 	})
 }
 
-// restore returns the store to a backup while it refuses all calls, and lets write write
-// to it before it answers again.
+// restore returns the store to a backup while it refuses all calls. Then write, if not nil,
+// changes it before it answers again.
 func (f *fleet) restore(b keyval.Backup, write func()) {
 	f.store.SetFaults(keyval.Faults{Down: true})
 	f.store.Restore(b)
@@ -73,7 +74,7 @@
 
 // TestWithdrawnKeyStaysWithdrawnAfterRestore guards against a key that is valid again because
 // the store came back from a backup that still has it, before operators write again. One
-// host learns of the restore late, as the store refuses its calls.
+// host learns of the restore late, as the store refuses its calls, and one starts after it.
 func TestWithdrawnKeyStaysWithdrawnAfterRestore(t *testing.T) {
 	f := startFleet(t, 3, nil)
 	backup := f.store.Backup()
@@ -84,6 +85,14 @@
 	f.awaitRoute("first")
 	f.store.Restore(backup)
 	f.store.SetFaults(keyval.Faults{RefusedHosts: map[string]bool{"127.0.62.2": true}})
+	f.addHost(4)
+	f.await("the new host", time.Second, func() bool {
+		conn, err := net.Dial("tcp", f.hosts[3].settings.Listen)
+		if err == nil {
+			conn.Close()
+		}
+		return err == nil
+	})
 	deadline := time.Now().Add(2 * withdrawal)
 	for time.Now().Before(deadline) {
 		if time.Until(deadline) < withdrawal {
@@ -92,6 +101,9 @@
 		for _, h := range f.hosts {
 			_, code := connect(t, h, "board", "key-siparia")
 			assert.Assert(t, code == "NOAUTH" || code == "BUSY", "%s: %q", h.settings.Name, code)
+			if h == f.hosts[3] {
+				continue // it has never had the later settings
+			}
 			_, ok := h.edge.mirror.View().Settings.Routes["first"]
 			assert.Assert(t, ok, "%s went back to older settings", h.settings.Name)
 		}
--- a/io/mirror/apply_test.go
+++ b/io/mirror/apply_test.go
@@ -41,3 +41,67 @@
 	m.applyAll([]coltsfootloft.Event{registered("next", 11)}, 11)
 	assert.DeepEqual(t, m.View().HostNames(), []string{"new", "next"})
 }
+
+func settingsOf(version, era, number uint64) coltsfootloft.Event {
+	r := coltsfootloft.RevisionAt(era, number)
+	return coltsfootloft.Event{
+		Kind:     coltsfootloft.EventSettings,
+		Key:      "settings",
+		StoreKey: "settings",
+		Revision: r,
+		Settings: &coltsfootloft.Settings{
+			Version:  version,
+			Revision: r,
+		},
+	}
+}
+
+// TestFollowersGetSettingsInForce guards against a host that gets older settings from one that
+// lists a store which came back without the settings in force.
+func TestFollowersGetSettingsInForce(t *testing.T) {
+	m := newMirror(t)
+	inForce := settingsOf(12, 1, 36)
+	m.replaceAll([]coltsfootloft.Event{inForce}, inForce.Revision)
+	m.replaceAll([]coltsfootloft.Event{settingsOf(9, 2, 34)}, coltsfootloft.RevisionAt(2, 34))
+	assert.Equal(t, m.View().Settings, inForce.Settings)
+	m.applyAll([]coltsfootloft.Event{settingsOf(10, 2, 35)}, coltsfootloft.RevisionAt(2, 35))
+	events, whole := m.history.since(inForce.Revision)
+	assert.Assert(t, whole)
+	assert.Equal(t, len(events), 1)
+	assert.Equal(t, events[0].Settings, inForce.Settings)
+	events, _ = m.history.since(coltsfootloft.RevisionAt(2, 34))
+	assert.Equal(t, len(events), 0)
+	again := settingsOf(12, 2, 36)
+	m.applyAll([]coltsfootloft.Event{again}, again.Revision)
+	assert.Equal(t, m.View().Settings, again.Settings)
+}
+
+// TestHorizonWaitsForSettingsOfPeer guards against serving a withdrawn key on a host that has
+// only the restored settings, while another host holds later ones that the store lost.
+func TestHorizonWaitsForSettingsOfPeer(t *testing.T) {
+	m := newMirror(t)
+	m.Store = eraStore{era: 2}
+	restored := settingsOf(9, 2, 34)
+	m.replaceAll([]coltsfootloft.Event{restored}, restored.Revision)
+	assert.Assert(t, m.advanceHorizon(time.Minute, restored))
+	m.ObservePeer(Freshness{
+		Sent:             2 * time.Minute,
+		SettingsRevision: coltsfootloft.RevisionAt(1, 36),
+		SettingsVersion:  12,
+		Revision:         restored.Revision,
+	})
+	assert.Assert(t, !m.advanceHorizon(3*time.Minute, restored))
+	age, _ := m.horizon.Age(time.Hour)
+	assert.Equal(t, age, time.Hour-time.Minute)
+	again := settingsOf(12, 2, 36)
+	m.applyAll([]coltsfootloft.Event{again}, again.Revision)
+	assert.Assert(t, m.advanceHorizon(3*time.Minute, again))
+}
+
+// eraStore is a store that answers no calls; only its era is known.
+type eraStore struct {
+	coltsfootloft.EventStore
+	era uint64
+}
+
+func (s eraStore) Era() uint64 { return s.era }
--- a/io/mirror/confirm.go
+++ b/io/mirror/confirm.go
@@ -67,10 +67,16 @@
 		m.Log.Info("store not answering", "call", "confirm", "reason", err.Error(), "horizon_age", age.String())
 		return false
 	}
-	if !current {
+	if current {
+		newer.Settings = c
+		newer.Revision = c.Revision
+	} else {
 		// This answer does not carry the revision of the store itself.
 		m.applyAll([]coltsfootloft.Event{newer}, 0)
 	}
-	m.horizon.Advance(sent)
-	return true
+	if m.advanceHorizon(sent, newer) {
+		return true
+	}
+	m.Log.Info("settings not confirmed", "version", c.Version, "revision", c.Revision, "stored_revision", newer.Revision, "era", m.Era())
+	return false
 }
--- a/io/mirror/follow.go
+++ b/io/mirror/follow.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -48,6 +49,7 @@
 func (m *Mirror) Register() {
 	m.lazyInit()
 	m.Peers.Register(dutyName, m.handle)
+	m.Peers.Register(recallName, m.handleRecall)
 }
 
 // source is where a host gets changes of the store from.
@@ -117,8 +119,10 @@
 
 // follow polls a host that watches the store, and applies the changes.
 func (m *Mirror) follow(ctx context.Context, host string) error {
+	after := m.View().Revision
 	b, err := proto.Marshal(&mirrorpb.Poll{
-		After:  m.View().Revision,
+		After:  coltsfootloft.NumberOf(after),
+		Era:    coltsfootloft.EraOf(after),
 		WaitMs: pollWait.Milliseconds(),
 		Packs:  true,
 	})
@@ -138,15 +142,19 @@
 	if !c.GetWatching() {
 		return errNotWatching
 	}
+	era := cmp.Or(c.GetEra(), coltsfootloft.EraOf(after))
+	m.ObserveEra(era)
+	revision := coltsfootloft.RevisionAt(era, c.GetRevision())
 	events := make([]coltsfootloft.Event, 0, len(c.GetItems()))
 	for _, i := range c.GetItems() {
-		events = append(events, m.Decode(i.GetKey(), i.GetValue(), i.GetRevision(), i.GetGone()))
+		r := coltsfootloft.RevisionAt(cmp.Or(i.GetEra(), era), i.GetRevision())
+		events = append(events, m.Decode(i.GetKey(), i.GetValue(), r, i.GetGone()))
 	}
 	switch {
-	case c.GetWhole() && c.GetRevision() >= m.View().Revision:
-		m.replaceAll(events, c.GetRevision())
-	case len(events) > 0 || c.GetRevision() > m.View().Revision:
-		m.applyAll(events, c.GetRevision())
+	case c.GetWhole() && revision >= m.View().Revision:
+		m.replaceAll(events, revision)
+	case len(events) > 0 || revision > m.View().Revision:
+		m.applyAll(events, revision)
 	}
 	return nil
 }
@@ -157,11 +165,12 @@
 	if err := proto.Unmarshal(body, &p); err != nil {
 		return nil, errors.Wrap(err, "poll")
 	}
-	c := m.awaitChanges(ctx, p.GetAfter(), time.Duration(p.GetWaitMs())*time.Millisecond)
+	after := coltsfootloft.RevisionAt(cmp.Or(p.GetEra(), coltsfootloft.EraOf(m.View().Revision)), p.GetAfter())
+	c := m.awaitChanges(ctx, after, time.Duration(p.GetWaitMs())*time.Millisecond)
 	if len(c.GetItems()) > 0 && p.GetPacks() {
 		m.mu.Lock()
 		defer m.mu.Unlock()
-		return m.packed.encode(c, p.GetAfter())
+		return m.packed.encode(c, after)
 	}
 	b, err := proto.Marshal(c)
 	return b, errors.Wrap(err, "changes")
@@ -176,14 +185,16 @@
 	defer timer.Stop()
 	for {
 		changed := m.Changed()
+		revision := m.View().Revision
 		c := &mirrorpb.Changes{
-			Revision: m.View().Revision,
+			Revision: coltsfootloft.NumberOf(revision),
+			Era:      coltsfootloft.EraOf(revision),
 			Watching: m.isWatching(),
 		}
 		if !c.GetWatching() {
 			return c
 		}
-		if c.GetRevision() > after {
+		if revision > after {
 			return m.addChanges(c, after)
 		}
 		select {
@@ -201,14 +212,20 @@
 	defer m.mu.Unlock()
 	events, snapshot := m.history.since(after)
 	c.Whole = snapshot
-	c.Revision = m.view.Load().Revision
+	revision := m.view.Load().Revision
+	c.Revision = coltsfootloft.NumberOf(revision)
+	c.Era = coltsfootloft.EraOf(revision)
 	for _, e := range events {
-		c.Items = append(c.Items, &mirrorpb.Item{
+		i := &mirrorpb.Item{
 			Key:      e.StoreKey,
 			Value:    e.Value,
-			Revision: e.Revision,
+			Revision: coltsfootloft.NumberOf(e.Revision),
 			Gone:     e.Deleted,
-		})
+		}
+		if era := coltsfootloft.EraOf(e.Revision); era != c.GetEra() {
+			i.Era = era
+		}
+		c.Items = append(c.Items, i)
 	}
 	return c
 }
--- a/io/mirror/freshness.go
+++ b/io/mirror/freshness.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"coltsfootloft"
 )
 
 const (
@@ -19,11 +21,13 @@
 	// Sent is when this host sent the call whose answer carried the rest, on its own
 	// clock. It is not set in a host's own Freshness.
 	Sent time.Duration
-	// SettingsRevision is the revision of the settings that the answering host holds.
-	SettingsRevision uint64
+	// SettingsRevision is the revision of the settings that the answering host holds, and
+	// SettingsVersion the operators' version of them.
+	SettingsRevision, SettingsVersion uint64
 	// SettingsAge is how long before the answer these settings were confirmed.
 	SettingsAge time.Duration
-	// Revision is the newest revision of the store that the answering host has seen.
+	// Revision is the newest revision of the store that the answering host has seen, or
+	// the first of an era of which it has no listing yet.
 	Revision uint64
 }
 
@@ -31,11 +35,12 @@
 func (m *Mirror) Freshness() Freshness {
 	v := m.View()
 	f := Freshness{
-		Revision:    v.Revision,
+		Revision:    max(v.Revision, coltsfootloft.RevisionAt(m.Era(), 0)),
 		SettingsAge: unconfirmedAge,
 	}
 	if age, ok := m.horizon.Age(m.Clock.Elapsed()); ok && v.Settings != nil {
 		f.SettingsRevision = v.Settings.Revision
+		f.SettingsVersion = v.Settings.Version
 		f.SettingsAge = age
 	}
 	return f
@@ -46,14 +51,31 @@
 // advances the horizon only if this host's settings are at least as new.
 func (m *Mirror) ObservePeer(f Freshness) {
 	v := m.View()
-	if f.SettingsAge < unconfirmedAge && v.Settings != nil && v.Settings.Revision >= f.SettingsRevision {
-		m.horizon.Advance(f.Sent - f.SettingsAge)
+	m.ObserveEra(coltsfootloft.EraOf(f.Revision))
+	if f.SettingsVersion > 0 {
+		peer := &coltsfootloft.Settings{
+			Version:  f.SettingsVersion,
+			Revision: f.SettingsRevision,
+		}
+		m.noteNewestAtPeer(peer)
+		if f.SettingsAge < unconfirmedAge {
+			m.advanceHorizon(f.Sent-f.SettingsAge, coltsfootloft.Event{Settings: peer})
+		}
 	}
 	if v.Revision < f.Revision && m.checkingLag.CompareAndSwap(false, true) {
 		time.AfterFunc(lagTolerance, func() { m.checkLag(f.Revision) })
 	}
 }
 
+func (m *Mirror) noteNewestAtPeer(s *coltsfootloft.Settings) {
+	for {
+		known := m.newestAtPeer.Load()
+		if known != nil && !s.Supersedes(known) || m.newestAtPeer.CompareAndSwap(known, s) {
+			return
+		}
+	}
+}
+
 // checkLag lists the store if the watch has not delivered a revision that another host
 // has seen.
 func (m *Mirror) checkLag(revision uint64) {
--- a/io/mirror/history.go
+++ b/io/mirror/history.go
@@ -14,11 +14,21 @@
 	items   map[string]coltsfootloft.Event
 	changes []coltsfootloft.Event
 	start   uint64 // changes holds all changes after this revision
+	// settings is the event of the settings in force. The store may hold older ones, or
+	// some that can't be decoded.
+	settings coltsfootloft.Event
 }
 
-// add appends changes and drops the oldest beyond historyLength.
-func (h *history) add(events []coltsfootloft.Event) {
+// add appends changes and drops the oldest beyond historyLength. Of the settings, only those
+// in force are kept.
+func (h *history) add(events []coltsfootloft.Event, inForce *coltsfootloft.Settings) {
 	for _, e := range events {
+		if e.Kind == coltsfootloft.EventSettings {
+			if e.Settings == nil || e.Settings != inForce {
+				continue
+			}
+			h.settings = e
+		}
 		if e.Deleted {
 			delete(h.items, e.StoreKey)
 		} else {
@@ -34,11 +44,17 @@
 
 // replace takes over a listing. The changes that led to it are not known, so the list of
 // changes starts anew.
-func (h *history) replace(events []coltsfootloft.Event, revision uint64) {
+func (h *history) replace(events []coltsfootloft.Event, revision uint64, inForce *coltsfootloft.Settings) {
 	h.items = make(map[string]coltsfootloft.Event, len(events))
 	for _, e := range events {
+		if e.Kind == coltsfootloft.EventSettings && e.Settings != nil && e.Settings == inForce {
+			h.settings = e
+		}
 		h.items[e.StoreKey] = e
 	}
+	if h.settings.Settings != nil {
+		h.items[h.settings.StoreKey] = h.settings
+	}
 	h.changes = nil
 	h.start = revision
 }
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -13,6 +13,12 @@
 // The quota keeper, the host that holds the quota duty, confirms the settings more often.
 // Its answers to the other hosts carry its Freshness, which spares most of them their own
 // confirmations.
+//
+// If the store comes back from a backup, it loses changes that it had acknowledged, and a
+// new era begins. The mirror then lists the store again. Settings that are older than those
+// in force are not applied. Records of groups that were not written in the era name no primary,
+// and leases and duties of earlier eras end; Past and Recall tell what is needed to write
+// new ones.
 package mirror
 
 import (
@@ -74,6 +80,9 @@
 	Log logr.Logger
 	// HorizonLimit is the maximum age of the horizon: no key is served beyond it.
 	HorizonLimit time.Duration
+	// LeaseTTL is the duration of the hosts' leases, and so how long rights of an earlier
+	// era of the store may last.
+	LeaseTTL time.Duration
 	// Self is the name of this host and Domain its failure domain.
 	Self, Domain string
 	// Peers calls the hosts that watch the store.
@@ -87,6 +96,10 @@
 	IsKeeper func() bool
 
 	horizon horiz.Horizon
+	era     eraState
+	// newestAtPeer is the newest settings that another host holds, with its version and
+	// revision only.
+	newestAtPeer atomic.Pointer[coltsfootloft.Settings]
 	// history is guarded by mu. retryDelay, noSourceSince, avoidUntil, candidates and
 	// candidatesVersion are used by the watch loop only.
 	history           history
@@ -160,13 +173,48 @@
 	if err != nil {
 		return errors.Wrap(err, "list the store")
 	}
+	m.ObserveEra(coltsfootloft.EraOf(revision))
 	m.replaceAll(events, revision)
-	if m.View().Settings != nil {
-		m.horizon.Advance(sent)
+	for _, e := range events {
+		if e.Kind == coltsfootloft.EventSettings {
+			m.advanceHorizon(sent, e)
+		}
 	}
 	return nil
 }
 
+// advanceHorizon advances the horizon to the moment at which a call was sent whose answer
+// carried the store's settings, if the settings in force cover these. It reports whether
+// they do.
+func (m *Mirror) advanceHorizon(sent time.Duration, stored coltsfootloft.Event) bool {
+	held := m.View().Settings
+	if held == nil || m.isBehindPeer(held) || m.isNewInUnsettledEra() {
+		return false
+	}
+	if stored.Settings == nil { // can't be decoded; the last good ones stay in force
+		if coltsfootloft.EraOf(stored.Revision) != coltsfootloft.EraOf(held.Revision) {
+			return false
+		}
+	} else if !held.Covers(stored.Settings) {
+		return false
+	}
+	m.horizon.Advance(sent)
+	return true
+}
+
+// isNewInUnsettledEra reports whether this host can't tell yet whether the store lost settings
+// when it was restored: the host has started since, and no other host has told it its own.
+func (m *Mirror) isNewInUnsettledEra() bool {
+	return m.newestAtPeer.Load() == nil && m.startedInEra() && m.EraAge() < m.LeaseTTL
+}
+
+// isBehindPeer reports whether another host holds later settings than held, which the store
+// lost when it was restored.
+func (m *Mirror) isBehindPeer(held *coltsfootloft.Settings) bool {
+	p := m.newestAtPeer.Load()
+	return p != nil && p.Version > held.Version && coltsfootloft.EraOf(p.Revision) != coltsfootloft.EraOf(held.Revision)
+}
+
 // Run keeps the copy current until ctx ends.
 func (m *Mirror) Run(ctx context.Context) {
 	m.lazyInit()
@@ -203,7 +251,7 @@
 			}
 			applied = append(applied, e)
 		}
-		m.history.add(applied)
+		m.history.add(applied, v.Settings)
 		return problems
 	})
 }
@@ -215,8 +263,14 @@
 		if revision < v.Revision {
 			return nil
 		}
-		m.history.replace(events, revision)
-		return v.replace(now, events)
+		first := v.Revision == 0
+		problems := v.replace(now, events, revision)
+		m.history.replace(events, revision, v.Settings)
+		if first {
+			v.Revision = revision
+			m.settleFirstEra(v)
+		}
+		return problems
 	})
 }
 
--- a/io/mirror/pack.go
+++ b/io/mirror/pack.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"coltsfootloft"
 	"coltsfootloft/io/mirror/mirrorpb"
 )
 
@@ -25,14 +26,14 @@
 // behind, so that each is compressed once. The zero value is ready to use. It is not safe
 // for concurrent use.
 type packedAnswers struct {
-	revision uint64 // of the answers
+	revision uint64 // of the answers, with the era
 	byAfter  map[uint64][]byte
 }
 
 // encode returns the encoded answer to a poll for the changes after a revision.
 func (p *packedAnswers) encode(c *mirrorpb.Changes, after uint64) ([]byte, error) {
-	if p.byAfter == nil || p.revision != c.GetRevision() {
-		p.revision = c.GetRevision()
+	if revision := coltsfootloft.RevisionAt(c.GetEra(), c.GetRevision()); p.byAfter == nil || p.revision != revision {
+		p.revision = revision
 		p.byAfter = make(map[uint64][]byte)
 	}
 	if b, ok := p.byAfter[after]; ok {
--- a/io/mirror/view.go
+++ b/io/mirror/view.go
@@ -77,6 +77,12 @@
 	FirstSeen time.Duration
 }
 
+// IsCurrent reports whether the record was written in the store's present era. The store may
+// have lost later records than one that came back with a backup.
+func (g Group) IsCurrent() bool {
+	return g.Era == 0 || g.Era == coltsfootloft.EraOf(g.Revision)
+}
+
 // Duty is the current holder of a duty.
 type Duty struct {
 	// Host is the name of the holder.
@@ -101,6 +107,8 @@
 	Groups map[string]Group
 	// Duties are the duties that have a holder, by name.
 	Duties map[string]Duty
+	// Past is what the host knew of the store's earlier eras.
+	Past Past
 }
 
 // HostNames returns the names of the registered hosts, sorted.
@@ -163,10 +171,13 @@
 	if e.Deleted {
 		return errors.New("settings removed; the last good ones stay in force")
 	}
-	if v.Settings != nil && e.Revision <= v.Settings.Revision {
+	if v.Settings == nil || e.Settings.Supersedes(v.Settings) {
+		v.Settings = e.Settings
 		return nil
 	}
-	v.Settings = e.Settings
+	if e.Settings.Version < v.Settings.Version && coltsfootloft.EraOf(e.Revision) > coltsfootloft.EraOf(v.Settings.Revision) {
+		return errors.Errorf("version %d came back with a backup; version %d stays in force", e.Settings.Version, v.Settings.Version)
+	}
 	return nil
 }
 
@@ -208,8 +219,11 @@
 		})
 	}
 	if name, ok := strings.CutPrefix(e.Key, groupPrefix); ok {
-		if g, known := v.Groups[name]; known && e.Revision <= g.Revision && !e.Deleted {
-			return nil
+		if g, known := v.Groups[name]; known {
+			if e.Revision <= g.Revision {
+				return nil
+			}
+			v.keepRecord(name, g.Record)
 		}
 		return applyValue(v.Groups, name, e, func(b []byte) (Group, error) {
 			r, err := leader.Decode(b)
@@ -231,6 +245,19 @@
 	return nil
 }
 
+// keepRecord keeps a record that is about to be replaced, in case the new one is older.
+func (v *View) keepRecord(name string, r leader.Record) {
+	if !r.Supersedes(v.Past.Groups[name]) {
+		return
+	}
+	groups := maps.Clone(v.Past.Groups)
+	if groups == nil {
+		groups = make(map[string]leader.Record)
+	}
+	groups[name] = r
+	v.Past.Groups = groups
+}
+
 func applyValue[T any](m map[string]T, name string, e coltsfootloft.Event, decode func([]byte) (T, error)) error {
 	if e.Deleted {
 		delete(m, name)
@@ -245,9 +272,12 @@
 }
 
 // replace replaces the contents of the view with a listing; databases that it lacks are
-// marked as removed.
-func (v *View) replace(now time.Duration, events []coltsfootloft.Event) []error {
+// marked as removed. If the listing is of a later era, what the view held is kept as its Past.
+func (v *View) replace(now time.Duration, events []coltsfootloft.Event, revision uint64) []error {
 	var problems []error
+	if v.Revision != 0 && coltsfootloft.EraOf(revision) > coltsfootloft.EraOf(v.Revision) {
+		v.keepPast()
+	}
 	v.Hosts = make(map[string]Registration)
 	v.HostsVersion++
 	v.Duties = make(map[string]Duty)
--- a/io/quota/keeper.go
+++ b/io/quota/keeper.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"coltsfootloft"
 	"coltsfootloft/core/grant"
 	"coltsfootloft/io/quota/quotapb"
 )
@@ -22,9 +23,12 @@
 		answer.Keeper = true
 		answer.Grants = l.grants(from, &r)
 		fresh := l.Mirror.Freshness()
-		answer.SettingsRevision = fresh.SettingsRevision
+		answer.SettingsRevision = coltsfootloft.NumberOf(fresh.SettingsRevision)
+		answer.SettingsEra = coltsfootloft.EraOf(fresh.SettingsRevision)
+		answer.SettingsVersion = fresh.SettingsVersion
 		answer.SettingsAgeMs = fresh.SettingsAge.Milliseconds() + 1
-		answer.StoreRevision = fresh.Revision
+		answer.StoreRevision = coltsfootloft.NumberOf(fresh.Revision)
+		answer.StoreEra = coltsfootloft.EraOf(fresh.Revision)
 	}
 	b, err := proto.Marshal(answer)
 	return b, errors.Wrap(err, "grants")
--- a/io/quota/quota.go
+++ b/io/quota/quota.go
@@ -364,9 +364,10 @@
 func (l *Limiter) applyGrants(sent time.Duration, g *quotapb.Grants) {
 	l.Mirror.ObservePeer(mirror.Freshness{
 		Sent:             sent,
-		SettingsRevision: g.GetSettingsRevision(),
+		SettingsRevision: coltsfootloft.RevisionAt(g.GetSettingsEra(), g.GetSettingsRevision()),
+		SettingsVersion:  g.GetSettingsVersion(),
 		SettingsAge:      time.Duration(g.GetSettingsAgeMs()) * time.Millisecond,
-		Revision:         g.GetStoreRevision(),
+		Revision:         coltsfootloft.RevisionAt(g.GetStoreEra(), g.GetStoreRevision()),
 	})
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/platform.go
+++ b/platform.go
@@ -39,6 +39,7 @@
 }
 
 // EventStore is a store that reports each change once, identified by its revision.
+// Revisions include the era (see [RevisionAt]).
 type EventStore interface {
 	KeyValue
 	// Era returns the latest era in any answer of the store; 0 if none stated one. The
@@ -49,10 +50,11 @@
 	Snapshot(ctx context.Context) ([]Event, uint64, error)
 	// Events waits for changes after the given revision, for about wait at most,
 	// and returns them with the revision to continue from. It fails with
-	// [ErrCompacted] if the store has discarded that part of its history.
+	// [ErrCompacted] if the store has discarded that part of its history, or does not
+	// have the revision since it came back from a backup.
 	Events(ctx context.Context, after uint64, wait time.Duration) ([]Event, uint64, error)
-	// Confirm reports whether the operators' settings still have this revision.
-	// If not, it returns the current settings in now.
+	// Confirm reports whether the operators' settings still have this revision, in its
+	// era. If not, it returns the current settings in now.
 	Confirm(ctx context.Context, revision uint64) (current bool, now Event, err error)
 }
 
--- a/settings.go
+++ b/settings.go
@@ -23,6 +23,30 @@
 	IdleTransaction time.Duration
 }
 
+// Supersedes reports whether s replaces t. Within an era of the store, that is so if s was
+// written later. Across eras the version decides, since the store may have lost later
+// settings than those that it came back with.
+func (s *Settings) Supersedes(t *Settings) bool {
+	era, other := EraOf(s.Revision), EraOf(t.Revision)
+	switch {
+	case era == other:
+		return s.Revision > t.Revision
+	case era > other:
+		return s.Version >= t.Version
+	}
+	return s.Version > t.Version
+}
+
+// Covers reports whether a host that has s knows all settings that the store had acknowledged
+// when it held t. It does not if a store of a later era holds older settings than s: there may
+// have been others after s that are lost as well.
+func (s *Settings) Covers(t *Settings) bool {
+	if EraOf(t.Revision) > EraOf(s.Revision) {
+		return s.Version == t.Version
+	}
+	return s == t || !t.Supersedes(s)
+}
+
 // Route maps a database name to a database group and the guarantees of its reads.
 type Route struct {
 	// Database is the name that callers ask for.
