lease, duty: rights end with the era of the store in which they were given

A store that came back from a backup may have lost a lease, or the registration under it, while the host goes on: it renews a lease of which the store knows no registration, and a change of primary does not wait for it; or it holds a duty that is free for others. The fencing token of the next holder could be lower.

A lease is valid only in the era of its registration. A host that learns of a new era, from any answer of the store or from another host, registers again. A duty is acquired in a new era only once its holder of before has answered a recall, which ends its lease, or when all leases of the era before have ended. How long ago the store answered is no longer derived from the lease, so that hosts do not count as cut off while they register again.

--- a/io/duty/duty.go
+++ b/io/duty/duty.go
@@ -5,6 +5,9 @@
 // created is the holder's fencing token; it increases from holder to holder. Hosts try to
 // acquire a free duty in rendezvous order, each after a short delay that grows with its
 // rank, so that duties move rarely and hosts do not compete for them.
+//
+// When the store comes back from a backup, a duty may be free while its holder still acts.
+// It is acquired once that host has learned of the new era, or its lease has ended.
 package duty
 
 import (
@@ -36,6 +39,10 @@
 	sizeExponent = 3
 	// retryDelay is the delay after a failed attempt.
 	retryDelay = 200 * time.Millisecond
+	// recallTimeout bounds the call to the holder of an earlier era, and recallPause is
+	// the time between two calls.
+	recallTimeout = 100 * time.Millisecond
+	recallPause   = 25 * time.Millisecond
 	// checkPeriod is how often a held duty is checked without a change of the view: the
 	// host's own lease can end or start without one.
 	checkPeriod = time.Second
@@ -96,7 +103,7 @@
 			pause.Until(ctx, changed, checkPeriod)
 			continue
 		}
-		if !d.awaitTurn(ctx) {
+		if !d.awaitTurn(ctx) || !d.awaitPredecessor(ctx) {
 			continue
 		}
 		if err := d.acquire(ctx); err != nil {
@@ -122,6 +129,32 @@
 	return !held && d.Lease.Valid() && ctx.Err() == nil
 }
 
+// awaitPredecessor waits until the holder of an earlier era of the store has no rights left.
+// It returns false if the duty was acquired by another host meanwhile, or if ctx ended.
+func (d *Duty) awaitPredecessor(ctx context.Context) bool {
+	for d.Mirror.EraAge() < lease.TTL {
+		v := d.Mirror.View()
+		if _, held := v.Duties[d.Name]; held {
+			return false
+		}
+		if host, known := v.Past.Duties[d.Name]; known && (host == d.Self || d.recall(ctx, host)) {
+			return true
+		}
+		if !pause.Until(ctx, d.Mirror.Changed(), recallPause) {
+			return false
+		}
+	}
+	return true
+}
+
+// recall reports whether a host has answered that it knows the era of the store.
+func (d *Duty) recall(ctx context.Context, host string) bool {
+	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
+	defer cancel()
+	_, err := d.Mirror.Recall(ctx, host)
+	return err == nil
+}
+
 func (d *Duty) acquire(ctx context.Context) error {
 	session := d.Lease.ID()
 	revision, err := d.Store.Apply(ctx, []coltsfootloft.Change{
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -124,6 +124,7 @@
 		Clock:           e.clock,
 		Log:             e.log.WithName("mirror"),
 		HorizonLimit:    e.keyLimit(),
+		LeaseTTL:        lease.TTL,
 		IsKeeper:        e.holdsQuotaDuty,
 		Self:            e.settings.Name,
 		Domain:          e.settings.Domain,
@@ -263,7 +264,7 @@
 }
 
 // storeAge returns how long ago the store last answered a lease renewal.
-func (e *Edge) storeAge() time.Duration { return lease.TTL - e.lease.Left() }
+func (e *Edge) storeAge() time.Duration { return e.lease.StoreAge() }
 
 // Run serves until stop ends, and then shuts down gracefully. It fails if an address
 // can't be bound.
--- a/io/lease/lease.go
+++ b/io/lease/lease.go
@@ -5,6 +5,10 @@
 // so it ends on the host before it ends in the store. Before a primary is replaced, every
 // registered host has to confirm the closing record. A host that does not answer loses
 // its registration with its lease, and has stopped using the primary by then.
+//
+// A store that comes back from a backup may have lost the lease or the registration. The
+// lease therefore ends when the host learns of a new era of the store, and the host
+// registers again.
 package lease
 
 import (
@@ -59,6 +63,7 @@
 
 	mu      sync.Mutex
 	session string
+	era     uint64 // of the registration
 	expires time.Duration
 }
 
@@ -68,14 +73,23 @@
 // Left returns the remaining time of the lease without further renewal; 0 if the host has
 // none.
 func (l *Lease) Left() time.Duration {
+	era := l.Mirror.Era()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.session == "" {
+	if l.session == "" || l.era != era {
 		return 0
 	}
 	return max(l.expires-l.Clock.Elapsed(), 0)
 }
 
+// StoreAge returns how long ago the store last answered a renewal or a registration, TTL at
+// most.
+func (l *Lease) StoreAge() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return min(max(l.Clock.Elapsed()+TTL-l.expires, 0), TTL)
+}
+
 // ID returns the store's id of the lease; empty if the host has none.
 func (l *Lease) ID() string {
 	l.mu.Lock()
@@ -133,8 +147,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.session = session
+	l.era = coltsfootloft.EraOf(revision)
 	l.expires = sent + TTL - leaseMargin
-	l.Log.Info("lease gained", "lease", session, "revision", revision)
+	l.Log.Info("lease gained", "lease", session, "era", l.era, "revision", revision)
 	return nil
 }
 
@@ -168,9 +183,17 @@
 	wait := renewPeriod
 	retry := minRetryDelay
 	for {
-		if !pause.For(ctx, wait) {
+		changed := l.Mirror.EraChanged()
+		if l.eraEnded() {
+			l.drop("the store was restored from a backup")
+			return
+		}
+		if !pause.Until(ctx, changed, wait) {
 			return
 		}
+		if l.eraEnded() {
+			continue
+		}
 		sent := l.Clock.Elapsed()
 		err := l.Store.RenewSession(ctx, l.ID())
 		switch {
@@ -189,6 +212,14 @@
 	}
 }
 
+// eraEnded reports whether the store was restored since the host registered.
+func (l *Lease) eraEnded() bool {
+	era := l.Mirror.Era()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.era != era
+}
+
 // maxRenewRetryDelay is the maximum delay between failing renewals. It is shorter while
 // the lease is valid and can still be saved.
 func (l *Lease) maxRenewRetryDelay() time.Duration {
@@ -215,7 +246,7 @@
 // expire.
 func (l *Lease) release() {
 	session := l.ID()
-	if session == "" {
+	if session == "" || l.eraEnded() {
 		return
 	}
 	l.drop("the host is leaving")
