failov, groups: records of an earlier era of the store name no primary

The store may come back with the record of before a change of primary. A host that has not seen the later record would then use a primary of the past, and a change that follows would begin from it, or promote while a host whose registration was lost uses the old one.

A record states the era in which it was written; in a later one no host uses its primary. The holder of the duty recalls the newest record that any host knows, compared by epoch and step, and writes it in the new era with the next epoch. It waits for all hosts that it knows of, or until the leases of the era before have ended. A promotion in a new era waits as long, for hosts whose registration was lost.

--- a/io/failov/change.go
+++ b/io/failov/change.go
@@ -11,6 +11,7 @@
 	"coltsfootloft"
 	"coltsfootloft/core/leader"
 	"coltsfootloft/io/failov/stewardpb"
+	"coltsfootloft/io/lease"
 	"coltsfootloft/io/mirror"
 	"coltsfootloft/io/pause"
 )
@@ -39,26 +40,6 @@
 // errNotHolder ends a change on a host that no longer holds the duty.
 var errNotHolder = errors.New("duty lost")
 
-// createRecord writes the first record of a group, for the database that leads it.
-func (c *Controller) createRecord(ctx context.Context, name string) {
-	statuses := c.readStatuses(ctx, name)
-	primary, ok := leader.FindPrimary(statuses)
-	if !ok {
-		c.Log.Info("group without a primary", "group", name, "databases", len(statuses))
-		pause.For(ctx, checkPeriod)
-		return
-	}
-	r := leader.Record{
-		Epoch:   1,
-		Primary: primary.ID,
-		Term:    primary.Health.Term,
-		Start:   primary.Health.Received.Offset(),
-	}
-	if _, err := c.writeRecord(ctx, name, r, 0); err != nil {
-		c.Log.Info("record not written", "group", name, "reason", err.Error())
-	}
-}
-
 // readStatuses asks all databases of a group for their status, except the unreachable
 // ones.
 func (c *Controller) readStatuses(ctx context.Context, name string, unreachable ...string) []leader.Status {
@@ -95,6 +76,7 @@
 	if !ok {
 		return 0, errNotHolder
 	}
+	r.Era = coltsfootloft.EraOf(fence)
 	revision, err := c.Store.Apply(ctx, []coltsfootloft.Change{
 		coltsfootloft.Put(mirror.GroupKey(name), r.Encode(), version),
 		coltsfootloft.Require(mirror.DutyKey(c.Duty.Name), fence),
@@ -190,11 +172,18 @@
 }
 
 // awaitConfirmations waits until no host uses the old primary: each has confirmed the
-// closing record, or its lease has ended.
+// closing record, or its lease has ended. Hosts that the store lost the registration of,
+// when it was restored, can't be asked, so their leases are waited for.
 func (c *Controller) awaitConfirmations(ctx context.Context, revision uint64) error {
 	started := c.Clock.Elapsed()
+	if rest := lease.TTL - c.Mirror.EraAge(); rest > 0 && !pause.For(ctx, rest) {
+		return errors.Wrap(ctx.Err(), "wait for leases of an earlier era")
+	}
 	hosts := c.Mirror.View().Hosts
-	request := &stewardpb.Request{Confirm: &stewardpb.Confirm{Revision: revision}}
+	request := &stewardpb.Request{Confirm: &stewardpb.Confirm{
+		Revision: coltsfootloft.NumberOf(revision),
+		Era:      coltsfootloft.EraOf(revision),
+	}}
 	var wg sync.WaitGroup
 	errs := make(chan error, len(hosts))
 	for name, p := range hosts {
--- a/io/failov/failov.go
+++ b/io/failov/failov.go
@@ -7,6 +7,10 @@
 // more hosts fail to reach than reach it. The steps of a change, and why they are safe,
 // are described in package leader. Every write depends on the holder's key in the store,
 // so that a holder that was paused beyond its lease changes nothing.
+//
+// If the store comes back from a backup, its records may be older than those it had. The
+// holder asks all hosts for the newest that they know and writes these in the new era, with
+// the next epoch. Until then no host uses a primary.
 package failov
 
 import (
@@ -96,6 +100,7 @@
 	busy       map[string]bool
 	primaries  map[string]*primaryState
 	lastReport map[string]time.Duration
+	recalled   recalled
 	once       sync.Once
 }
 
@@ -166,14 +171,15 @@
 	}()
 }
 
-// checkGroup checks a group once: it writes a missing record, continues a change that was
-// interrupted, and replaces a primary that leaves or is gone.
+// checkGroup checks a group once: it writes a record that is missing or of an earlier era of
+// the store, continues a change that was interrupted, and replaces a primary that leaves or
+// is gone.
 func (c *Controller) checkGroup(ctx context.Context, name string) {
 	v := c.Mirror.View()
 	r, ok := v.Groups[name]
 	switch {
-	case !ok:
-		c.createRecord(ctx, name)
+	case !ok, !r.IsCurrent():
+		c.establishRecord(ctx, name)
 		return
 	case r.Closing:
 		c.changePrimary(ctx, name, "a change was interrupted")
--- /dev/null
+++ b/io/failov/record.go
@@ -0,0 +1,128 @@
+package failov
+
+import (
+	"context"
+	"sync"
+
+	"coltsfootloft/core/leader"
+	"coltsfootloft/io/lease"
+	"coltsfootloft/io/pause"
+)
+
+// recalled holds the newest records of groups that hosts knew when an era of the store began.
+type recalled struct {
+	mu      sync.Mutex
+	era     uint64
+	records map[string]leader.Record // nil if they have not been collected
+}
+
+// establishRecord writes the record of a group in the present era of the store. It goes on
+// from the newest record that any host knows, or else names the database that leads the
+// group.
+func (c *Controller) establishRecord(ctx context.Context, name string) {
+	r, ok := c.newestRecord(ctx, name)
+	if !ok {
+		r, ok = c.firstRecord(ctx, name)
+	}
+	if !ok || ctx.Err() != nil {
+		return
+	}
+	version := c.Mirror.View().Groups[name].Revision
+	r.Epoch++
+	c.Log.Info("record is established", "group", name, "epoch", r.Epoch, "primary", r.Primary, "closing", r.Closing,
+		"from_era", r.Era, "era", c.Mirror.Era(), "era_age", c.Mirror.EraAge().String())
+	if _, err := c.writeRecord(ctx, name, r, version); err != nil {
+		c.Log.Info("record not written", "group", name, "reason", err.Error())
+	}
+}
+
+// firstRecord returns the record, still without an epoch, of a group that has had none. It
+// waits a little if no database leads the group.
+func (c *Controller) firstRecord(ctx context.Context, name string) (leader.Record, bool) {
+	statuses := c.readStatuses(ctx, name)
+	primary, ok := leader.FindPrimary(statuses)
+	if !ok {
+		c.Log.Info("group without a primary", "group", name, "databases", len(statuses))
+		pause.For(ctx, checkPeriod)
+		return leader.Record{}, false
+	}
+	return leader.Record{
+		Primary: primary.ID,
+		Term:    primary.Health.Term,
+		Start:   primary.Health.Received.Offset(),
+	}, true
+}
+
+// newestRecord returns the newest record of a group that this host knows or that was recalled.
+func (c *Controller) newestRecord(ctx context.Context, name string) (leader.Record, bool) {
+	era := c.Mirror.Era()
+	c.recalled.mu.Lock()
+	defer c.recalled.mu.Unlock()
+	if c.recalled.records == nil || c.recalled.era != era {
+		c.recalled.records = c.recall(ctx)
+		c.recalled.era = era
+	}
+	r, ok := c.recalled.records[name]
+	if own, known := c.Mirror.View().NewestRecords()[name]; known && !r.Supersedes(own) {
+		return own, true
+	}
+	return r, ok
+}
+
+// recall collects the newest records from all hosts that this host knows of. It ends when all
+// have answered, but not before the leases of an earlier era have ended if some have not:
+// these may still use the primary of a record that is not known here.
+func (c *Controller) recall(ctx context.Context) map[string]leader.Record {
+	newest := make(map[string]leader.Record)
+	answered := map[string]bool{c.Self: true}
+	for {
+		settled := c.Mirror.EraAge() >= lease.TTL
+		missing := c.recallMissing(ctx, newest, answered)
+		if missing == 0 || settled || !pause.For(ctx, pollPeriod) {
+			c.Log.Info("records recalled", "era", c.Mirror.Era(), "hosts", len(answered), "missing", missing, "groups", len(newest))
+			return newest
+		}
+	}
+}
+
+// recallMissing asks the hosts that have not answered yet, and returns how many still have not.
+func (c *Controller) recallMissing(ctx context.Context, newest map[string]leader.Record, answered map[string]bool) int {
+	type answer struct {
+		host    string
+		records map[string]leader.Record
+		err     error
+	}
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	answers := make(chan answer)
+	asked := 0
+	for h := range c.Mirror.View().KnownHosts() {
+		if answered[h] {
+			continue
+		}
+		asked++
+		go func() {
+			records, err := c.Mirror.Recall(ctx, h)
+			answers <- answer{
+				host:    h,
+				records: records,
+				err:     err,
+			}
+		}()
+	}
+	missing := 0
+	for range asked {
+		a := <-answers
+		if a.err != nil {
+			missing++
+			continue
+		}
+		answered[a.host] = true
+		for group, r := range a.records {
+			if r.Supersedes(newest[group]) {
+				newest[group] = r
+			}
+		}
+	}
+	return missing
+}
--- a/io/failov/serve.go
+++ b/io/failov/serve.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"coltsfootloft"
 	"coltsfootloft/io/failov/stewardpb"
 )
 
@@ -18,7 +19,7 @@
 	answer := &stewardpb.Response{}
 	switch {
 	case r.GetConfirm() != nil:
-		if err := c.Mirror.Await(ctx, r.GetConfirm().GetRevision()); err != nil {
+		if err := c.Mirror.Await(ctx, c.revisionOf(r.GetConfirm())); err != nil {
 			return nil, err
 		}
 		answer.Yes = true
@@ -32,6 +33,15 @@
 	return b, errors.Wrap(err, "answer")
 }
 
+// revisionOf returns the revision of the closing record that a host is to confirm.
+func (c *Controller) revisionOf(q *stewardpb.Confirm) uint64 {
+	era := q.GetEra()
+	if era == 0 {
+		era = coltsfootloft.EraOf(c.Mirror.View().Revision)
+	}
+	return coltsfootloft.RevisionAt(era, q.GetRevision())
+}
+
 // reaches reports whether this host reaches a database now. A database that restarted at
 // the same address is still the same database, as its announcement names it.
 func (c *Controller) reaches(ctx context.Context, id string) bool {
--- a/io/groups/groups.go
+++ b/io/groups/groups.go
@@ -1,8 +1,8 @@
 // Package groups tells which databases of a group the host may use for a statement.
 //
 // The record of a group in the platform's store names its primary. The host may use
-// the primary while the record is open, the host's lease is valid and the primary is
-// not almost drained. Each opening of the record increments its epoch, so that a
+// the primary while the record is open and of the store's present era, the host's lease is
+// valid and the primary is not almost drained. Each opening of the record increments its epoch, so that a
 // primary obtained earlier can be checked again: before work is sent to it, and once
 // its answer arrives. Replicas are offered for reads without these checks; the marks
 // of the group, see package marks, show which position a replica must have applied for
@@ -70,7 +70,7 @@
 func (g *Groups) Primary(group string) (Primary, bool) {
 	v := g.Mirror.View()
 	r, ok := v.Groups[group]
-	if !ok || !r.IsOpen() || !g.Lease.Valid() {
+	if !ok || !r.IsOpen() || !r.IsCurrent() || !g.Lease.Valid() {
 		return Primary{}, false
 	}
 	u, ok := v.Upstreams[r.Primary]
@@ -102,7 +102,7 @@
 		return false
 	}
 	r, ok := g.Mirror.View().Groups[group]
-	if !ok || r.Epoch != p.Epoch || r.Primary != p.Target.ID {
+	if !ok || !r.IsCurrent() || r.Epoch != p.Epoch || r.Primary != p.Target.ID {
 		return false
 	}
 	return !r.Closing || g.Clock.Elapsed()-r.FirstSeen < closingGrace
