--- a/io/mirror/era.go
+++ b/io/mirror/era.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,9 +22,9 @@
 
 // eraState is what the host knows of the era of the store.
 type eraState struct {
-	mu      sync.Mutex
-	era     uint64
-	first   uint64 // the era in which the host started
+	era     atomic.Uint64
+	mu      sync.Mutex // guards changes of era, and what follows
+	first   uint64     // the era in which the host started
 	since   time.Duration
 	settled bool // no rights of an earlier era were left when the host started
 	changed chan struct{}
@@ -44,9 +45,7 @@
 // another host. It may be later than that of the view.
 func (m *Mirror) Era() uint64 {
 	m.ObserveEra(m.Store.Era())
-	m.era.mu.Lock()
-	defer m.era.mu.Unlock()
-	return m.era.era
+	return m.era.era.Load()
 }
 
 func (m *Mirror) startedInEra() bool {
@@ -80,17 +79,21 @@
 
 // ObserveEra records that the store is in an era, or was.
 func (m *Mirror) ObserveEra(era uint64) {
+	if era <= m.era.era.Load() {
+		return
+	}
 	m.era.mu.Lock()
 	defer m.era.mu.Unlock()
-	if era <= m.era.era {
+	before := m.era.era.Load()
+	if era <= before {
 		return
 	}
-	if m.era.era > 0 {
-		m.Log.Info("store was restored from a backup", "era", era, "before", m.era.era)
+	if before > 0 {
+		m.Log.Info("store was restored from a backup", "era", era, "before", before)
 	} else {
 		m.era.first = era
 	}
-	m.era.era = era
+	m.era.era.Store(era)
 	m.era.since = m.Clock.Elapsed()
 	m.era.settled = false
 	if m.era.changed != nil {
@@ -107,7 +110,7 @@
 	}
 	m.era.mu.Lock()
 	defer m.era.mu.Unlock()
-	m.era.settled = m.era.era == coltsfootloft.EraOf(v.Revision)
+	m.era.settled = m.era.era.Load() == coltsfootloft.EraOf(v.Revision)
 }
 
 // Recall tells another host of this host's era, and returns the newest record of each group
