--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -173,6 +173,12 @@
 	if err != nil {
 		return errors.Wrap(err, "list the store")
 	}
+	m.applyListing(sent, events, revision)
+	return nil
+}
+
+// applyListing applies the answer to a listing of the store.
+func (m *Mirror) applyListing(sent time.Duration, events []coltsfootloft.Event, revision uint64) {
 	m.ObserveEra(coltsfootloft.EraOf(revision))
 	m.replaceAll(events, revision)
 	for _, e := range events {
@@ -180,7 +186,6 @@
 			m.advanceHorizon(sent, e)
 		}
 	}
-	return nil
 }
 
 // advanceHorizon advances the horizon to the moment at which a call was sent whose answer
