--- a/io/mirror/era.go
+++ b/io/mirror/era.go
@@ -113,7 +113,7 @@
 	m.era.settled = m.era.era.Load() == coltsfootloft.EraOf(v.Revision)
 }
 
-// Recall tells another host of this host's era, and returns the newest record of each group
+// Recall sends this host's era to another host, and returns the newest record of each group
 // that the other one knows. Once it has answered, that host uses no rights of an earlier era.
 func (m *Mirror) Recall(ctx context.Context, host string) (map[string]leader.Record, error) {
 	b, err := proto.Marshal(&mirrorpb.Recall{Era: m.Era()})
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -188,38 +188,6 @@
 	}
 }
 
-// advanceHorizon advances the horizon to the moment at which a call was sent whose answer
-// carried the store's settings, if the settings in force cover these. It reports whether
-// they do.
-func (m *Mirror) advanceHorizon(sent time.Duration, stored coltsfootloft.Event) bool {
-	held := m.View().Settings
-	if held == nil || m.isBehindPeer(held) || m.isNewInUnsettledEra() {
-		return false
-	}
-	if stored.Settings == nil { // can't be decoded; the last good ones stay in force
-		if coltsfootloft.EraOf(stored.Revision) != coltsfootloft.EraOf(held.Revision) {
-			return false
-		}
-	} else if !held.Covers(stored.Settings) {
-		return false
-	}
-	m.horizon.Advance(sent)
-	return true
-}
-
-// isNewInUnsettledEra reports whether this host can't tell yet whether the store lost settings
-// when it was restored: the host has started since, and no other host has told it its own.
-func (m *Mirror) isNewInUnsettledEra() bool {
-	return m.newestAtPeer.Load() == nil && m.startedInEra() && m.EraAge() < m.LeaseTTL
-}
-
-// isBehindPeer reports whether another host holds later settings than held, which the store
-// lost when it was restored.
-func (m *Mirror) isBehindPeer(held *coltsfootloft.Settings) bool {
-	p := m.newestAtPeer.Load()
-	return p != nil && p.Version > held.Version && coltsfootloft.EraOf(p.Revision) != coltsfootloft.EraOf(held.Revision)
-}
-
 // Run keeps the copy current until ctx ends.
 func (m *Mirror) Run(ctx context.Context) {
 	m.lazyInit()
