--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -100,11 +100,12 @@
 	// newestAtPeer is the newest settings that another host holds, with its version and
 	// revision only.
 	newestAtPeer atomic.Pointer[coltsfootloft.Settings]
-	// history is guarded by mu. retryDelay, noSourceSince, avoidUntil, candidates and
-	// candidatesVersion are used by the watch loop only.
+	// history is guarded by mu. retryDelay, compactedAt, noSourceSince, avoidUntil,
+	// candidates and candidatesVersion are used by the watch loop only.
 	history           history
 	packed            packedAnswers
 	retryDelay        time.Duration // after the latest failed watch
+	compactedAt       uint64        // revision of the view at the latest ErrCompacted
 	noSourceSince     time.Duration // when the host was left without a source to poll, or 0
 	watching          atomic.Bool
 	avoidUntil        map[string]time.Duration
--- a/io/mirror/watch.go
+++ b/io/mirror/watch.go
@@ -50,13 +50,14 @@
 	events, revision, err := m.Store.Events(ctx, m.View().Revision, watchTimeout)
 	reached := err == nil || errors.Is(err, coltsfootloft.ErrCompacted)
 	m.reached.Store(reached)
-	if reached {
+	m.watching.Store(reached)
+	if err == nil {
 		m.retryDelay = 0
 	}
-	m.watching.Store(reached)
 	switch {
 	case errors.Is(err, coltsfootloft.ErrCompacted):
 		m.Log.Info("store no longer has the history", "era", m.Store.Era(), "revision", m.View().Revision)
+		m.pauseIfCompactedAgain(ctx, err)
 		return false
 	case err != nil:
 		m.backOff(ctx, err)
@@ -67,6 +68,16 @@
 	return true
 }
 
+// pauseIfCompactedAgain waits if the listing after the latest such answer has not brought the
+// view further: another one will hardly do so at once.
+func (m *Mirror) pauseIfCompactedAgain(ctx context.Context, err error) {
+	revision := m.View().Revision
+	if m.compactedAt == revision {
+		m.backOff(ctx, err)
+	}
+	m.compactedAt = revision
+}
+
 // awaitBatch lets changes accumulate, unless Await needs one.
 func (m *Mirror) awaitBatch(ctx context.Context) {
 	pause.Until(ctx, m.wake, batchDelay)
