--- a/io/edge/restore_test.go
+++ b/io/edge/restore_test.go
@@ -207,3 +207,21 @@
 		return false
 	})
 }
+
+// TestRestoreIsLearnedFromOtherHosts guards against a host that keeps the rights of an earlier era
+// because the store refuses its calls, while others have learned of the new one.
+func TestRestoreIsLearnedFromOtherHosts(t *testing.T) {
+	f := startFleet(t, 3, nil)
+	h := f.hosts[1]
+	f.store.SetFaults(keyval.Faults{RefusedHosts: map[string]bool{"127.0.62.2": true}})
+	f.store.Restore(f.store.Backup())
+	f.await("the new era known", 2*lease.TTL, func() bool { return h.edge.mirror.Era() == 2 })
+	assert.Assert(t, !h.edge.lease.Valid())
+	_, ok := h.edge.groups.Primary("notices")
+	assert.Assert(t, !ok)
+	f.store.SetFaults(keyval.Faults{})
+	f.await("service", 2*lease.TTL+5*time.Second, func() bool {
+		_, ok := h.edge.groups.Primary("notices")
+		return ok
+	})
+}
