entry: a session that starts is not closed as idle

Callers saw a connection that ended without an answer to START, on a host that closes idle sessions because it is cut off or leaving. A session was busy only once its own goroutine ran, so CloseIdle could find it idle between accept and then.

--- a/io/edge/fleet_test.go
+++ b/io/edge/fleet_test.go
@@ -313,7 +313,8 @@
 	lost  bool // the connection ended before the answer was complete
 }
 
-// connect starts a session and returns the code of a refusal.
+// connect starts a session and returns the code of a refusal, or "closed" if the connection
+// ended without an answer.
 func connect(t *testing.T, h *testHost, database, key string) (*client, string) {
 	t.Helper()
 	conn, err := net.DialTimeout("tcp", h.settings.Listen, time.Second)
@@ -331,6 +332,9 @@
 	if word == "READY" {
 		return c, ""
 	}
+	if line == "" {
+		return nil, "closed"
+	}
 	code, _, _ := strings.Cut(rest, " ")
 	return nil, code
 }
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -126,6 +126,7 @@
 		server: s,
 		conn:   conn,
 		caller: s.Codec(conn),
+		busy:   true,
 	}
 	s.mu.Lock()
 	if len(s.sessions) >= maxSessions {
--- a/io/entry/session.go
+++ b/io/entry/session.go
@@ -42,9 +42,6 @@
 func (n *session) run() {
 	defer n.conn.Close()
 	defer n.cleanUp()
-	n.mu.Lock()
-	n.busy = true
-	n.mu.Unlock()
 	if !n.handshake() {
 		return
 	}
