duty: a host that the key of a duty names without knowing it takes the duty over

While the store loses answers, all attempts to acquire a duty can seem to have failed although one takes effect later. Its key then names a host that does not act on it, and no other host acquires it as long as the lease of that host lasts: no primary is changed, or no rates are lent. The same key can come back with a backup of the store; since numbers of leases include the era, the host no longer ends the lease of the past, and the duty was free only when that lease had ended.

Such a key is replaced under the host's present lease, provided that it is still at the revision seen. TestDutyWrittenLateIsHeld and TestDutyOfBackupIsTakenOver failed before (no holder within 4 s and 2 s).

--- a/io/duty/duty.go
+++ b/io/duty/duty.go
@@ -2,7 +2,7 @@
 // time.
 //
 // The holder locks a key of the store under its lease. The revision at which the key was
-// created is the holder's fencing token; it increases from holder to holder. Hosts try to
+// last written is the holder's fencing token; it increases from holder to holder. Hosts try to
 // acquire a free duty in rendezvous order, each after a short delay that grows with its
 // rank, so that duties move rarely and hosts do not compete for them.
 //
@@ -99,7 +99,7 @@
 func (d *Duty) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		changed := d.Mirror.Changed()
-		if _, held := d.Mirror.View().Duties[d.Name]; held || !d.Lease.Valid() {
+		if _, free := d.isFree(); !free || !d.Lease.Valid() {
 			pause.Until(ctx, changed, checkPeriod)
 			continue
 		}
@@ -113,6 +113,18 @@
 	}
 }
 
+// isFree reports whether this host may acquire the duty: it has no holder, or its key names
+// this host, which does not hold it. Such a key was written late, after the answer to the
+// attempt was lost, or came back with a backup of the store. Version is that of the key.
+func (d *Duty) isFree() (version uint64, ok bool) {
+	h, held := d.Mirror.View().Duties[d.Name]
+	if !held {
+		return 0, true
+	}
+	_, holds := d.Holds()
+	return h.Revision, h.Host == d.Self && !holds
+}
+
 // awaitTurn waits for the delay of this host's rank. It returns false if the duty was
 // acquired by another host meanwhile, or if this host can no longer hold it.
 func (d *Duty) awaitTurn(ctx context.Context) bool {
@@ -125,19 +137,19 @@
 		pos = maxRankDelays
 	}
 	pause.For(ctx, time.Duration(min(pos, maxRankDelays))*rankDelay)
-	_, held := d.Mirror.View().Duties[d.Name]
-	return !held && d.Lease.Valid() && ctx.Err() == nil
+	_, free := d.isFree()
+	return free && d.Lease.Valid() && ctx.Err() == nil
 }
 
 // awaitPredecessor waits until the holder of an earlier era of the store has no rights left.
 // It returns false if the duty was acquired by another host meanwhile, or if ctx ended.
 func (d *Duty) awaitPredecessor(ctx context.Context) bool {
 	for d.Mirror.EraAge() < lease.TTL {
-		v := d.Mirror.View()
-		if _, held := v.Duties[d.Name]; held {
+		if _, free := d.isFree(); !free {
 			return false
 		}
-		if host, known := v.Past.Duties[d.Name]; known && (host == d.Self || d.recall(ctx, host)) {
+		host, known := d.Mirror.View().Past.Duties[d.Name]
+		if known && (host == d.Self || d.recall(ctx, host)) {
 			return true
 		}
 		if !pause.Until(ctx, d.Mirror.Changed(), recallPause) {
@@ -156,12 +168,16 @@
 }
 
 func (d *Duty) acquire(ctx context.Context) error {
+	version, free := d.isFree()
+	if !free {
+		return coltsfootloft.ErrConflict
+	}
 	session := d.Lease.ID()
 	revision, err := d.Store.Apply(ctx, []coltsfootloft.Change{
-		coltsfootloft.Put(mirror.DutyKey(d.Name), []byte(d.Self), 0).WithLock(session),
+		coltsfootloft.Put(mirror.DutyKey(d.Name), []byte(d.Self), version).WithLock(session),
 	})
 	if errors.Is(err, coltsfootloft.ErrOutcomeUnknown) {
-		revision, err = d.verify(ctx)
+		revision, err = d.verify(ctx, version)
 	}
 	if err != nil {
 		return err
@@ -171,19 +187,18 @@
 	d.fence = revision
 	d.since = d.Clock.Elapsed()
 	d.mu.Unlock()
-	d.Log.Info("duty taken", "duty", d.Name, "fence", revision)
+	d.Log.Info("duty taken", "duty", d.Name, "fence", revision, "replaced", version)
 	return errors.Wrap(d.Mirror.Await(ctx, revision), "wait for the duty key in the view")
 }
 
-// verify reads whether an attempt whose answer was lost has succeeded. A key that names
-// this host is of the current run, since the keys of a previous run were removed with its
-// lease.
-func (d *Duty) verify(ctx context.Context) (uint64, error) {
+// verify reads whether an attempt whose answer was lost has succeeded: the key then names this
+// host, at another version than the one that it was to replace.
+func (d *Duty) verify(ctx context.Context, replaced uint64) (uint64, error) {
 	e, err := d.Store.Read(ctx, mirror.DutyKey(d.Name))
 	if err != nil {
 		return 0, err
 	}
-	if string(e.Value()) != d.Self {
+	if string(e.Value()) != d.Self || e.Version() == replaced {
 		return 0, coltsfootloft.ErrConflict
 	}
 	return e.Version(), nil
--- a/io/mirror/view.go
+++ b/io/mirror/view.go
@@ -87,7 +87,7 @@
 type Duty struct {
 	// Host is the name of the holder.
 	Host string
-	// Revision is the store's revision of the key's creation.
+	// Revision is the store's revision of the key's last change.
 	Revision uint64
 }
 
