--- a/io/edge/duty_test.go
+++ b/io/edge/duty_test.go
@@ -64,5 +64,5 @@
 	f.awaitDutyHeld(1, time.Second)
 	f.restore(f.store.Backup(), f.announceAll)
 	restored := time.Now()
-	f.awaitDutyHeld(2, lease.TTL- time.Since(restored))
+	f.awaitDutyHeld(2, lease.TTL-time.Since(restored))
 }
