--- a/stand/keyval/server.go
+++ b/stand/keyval/server.go
@@ -80,6 +80,10 @@
 	once      sync.Once
 }
 
+// firstLease is the number before that of the first lease. Numbers of leases are large in the
+// users' store.
+const firstLease = 1 << 46
+
 type lease struct {
 	ttl   time.Duration
 	timer *time.Timer
@@ -94,6 +98,7 @@
 		s.changed = make(chan struct{})
 		s.revision = 1
 		s.era = 1
+		s.lastLease = firstLease
 	})
 }
 
