mirror: an era of the store is settled once all groups have a record of it

A host that started after a restore which lost the records of groups, too, saw no record of an earlier era and took the era for settled: it did not wait for leases of before, neither as holder of a duty nor in a change of primary. Only a store that never came back from a backup has no rights of before by itself.

TestEraWithoutRecordsIsNotSettled failed before for era 2 without records.

--- a/io/mirror/apply_test.go
+++ b/io/mirror/apply_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"coltsfootloft"
+	"coltsfootloft/core/leader"
 )
 
 // newMirror returns a mirror that is fed by hand.
@@ -105,3 +106,47 @@
 }
 
 func (s eraStore) Era() uint64 { return s.era }
+
+// listed returns the listing of a store in an era, with settings that name one group and the
+// record of that group, which was written in recordEra; 0 for none.
+func listed(era, recordEra uint64) []coltsfootloft.Event {
+	settings := settingsOf(9, era, 34)
+	settings.Settings.Connections = map[string]int{"notices": 30}
+	events := []coltsfootloft.Event{settings}
+	if recordEra > 0 {
+		r := leader.Record{
+			Epoch:   1,
+			Primary: "db-1",
+			Era:     recordEra,
+		}
+		events = append(events, coltsfootloft.Event{
+			Kind:     coltsfootloft.EventProxyKey,
+			Key:      GroupKey("notices"),
+			StoreKey: GroupKey("notices"),
+			Revision: coltsfootloft.RevisionAt(era, 35),
+			Value:    r.Encode(),
+		})
+	}
+	return events
+}
+
+// TestEraWithoutRecordsIsNotSettled guards against a host that starts after a restore which lost the
+// records of groups, and does not wait for leases of before because no record is of an earlier era.
+func TestEraWithoutRecordsIsNotSettled(t *testing.T) {
+	for _, c := range []struct {
+		era, recordEra uint64
+		settled        bool
+	}{
+		{era: 1, recordEra: 0, settled: true}, // the first start
+		{era: 1, recordEra: 1, settled: true},
+		{era: 2, recordEra: 0, settled: false},
+		{era: 2, recordEra: 1, settled: false},
+		{era: 2, recordEra: 2, settled: true},
+	} {
+		m := newMirror(t)
+		m.Store = eraStore{era: c.era}
+		m.Era()
+		m.replaceAll(listed(c.era, c.recordEra), coltsfootloft.RevisionAt(c.era, 35))
+		assert.Equal(t, m.EraAge() >= settledAge, c.settled, "era %d, record of era %d", c.era, c.recordEra)
+	}
+}
--- a/io/mirror/era.go
+++ b/io/mirror/era.go
@@ -105,12 +105,13 @@
 
 // settleFirstEra is called with the first listing.
 func (m *Mirror) settleFirstEra(v *View) {
-	if !v.isSettled() {
+	era := coltsfootloft.EraOf(v.Revision)
+	if era > coltsfootloft.FirstEra && !v.isSettled() {
 		return
 	}
 	m.era.mu.Lock()
 	defer m.era.mu.Unlock()
-	m.era.settled = m.era.era.Load() == coltsfootloft.EraOf(v.Revision)
+	m.era.settled = m.era.era.Load() == era
 }
 
 // Recall sends this host's era to another host, and returns the newest record of each group
@@ -154,11 +155,14 @@
 	return b, errors.Wrap(err, "recalled records")
 }
 
-// isSettled reports whether the records of all groups are of the present era, so that no rights
-// of an earlier one are left.
+// isSettled reports whether all groups of the settings have a record of the present era, so that
+// no rights of an earlier one are left.
 func (v *View) isSettled() bool {
-	for _, g := range v.Groups {
-		if !g.IsCurrent() {
+	if v.Settings == nil {
+		return false
+	}
+	for name := range v.Settings.Connections {
+		if g, ok := v.Groups[name]; !ok || !g.IsCurrent() {
 			return false
 		}
 	}
--- a/revision.go
+++ b/revision.go
@@ -5,6 +5,9 @@
 // 8191.
 const eraShift = 40
 
+// FirstEra is the era of a store that never came back from a backup.
+const FirstEra = 1
+
 // RevisionAt returns the revision of the change that a store counts as number in an era.
 // An era begins when the store comes back from a backup: it then gives out numbers again,
 // but every revision of an era is greater than all of those before it.
