mirror: a host that starts after a restore waits for others' settings even if records are current

Records of groups are written again within a second of a restore, operators' settings perhaps later. A host that started in between took the era for settled and confirmed the older settings to itself, so that a withdrawn key was served there. It now waits for another host's word or for the length of a lease, and makes no confirmations meanwhile, as these would not count.

TestNewHostWaitsForSettingsOfOthers failed before.

--- a/io/mirror/apply_test.go
+++ b/io/mirror/apply_test.go
@@ -150,3 +150,34 @@
 		assert.Equal(t, m.EraAge() >= settledAge, c.settled, "era %d, record of era %d", c.era, c.recordEra)
 	}
 }
+
+// TestNewHostWaitsForSettingsOfOthers guards against serving a withdrawn key on a host that started
+// after a restore: the records of groups have been written again, the later settings not yet.
+func TestNewHostWaitsForSettingsOfOthers(t *testing.T) {
+	events := listed(2, 2)
+	restored := events[0]
+	for _, told := range []bool{false, true} {
+		clock := &manualClock{now: time.Hour}
+		m := &Mirror{
+			Store:    eraStore{era: 2},
+			Clock:    clock,
+			Log:      logr.Discard(),
+			LeaseTTL: 2 * time.Second,
+		}
+		m.lazyInit()
+		m.Era()
+		m.replaceAll(events, coltsfootloft.RevisionAt(2, 35))
+		assert.Assert(t, !m.advanceHorizon(clock.now, restored))
+		if told {
+			m.ObservePeer(Freshness{
+				Sent:             clock.now,
+				SettingsRevision: restored.Revision,
+				SettingsVersion:  restored.Settings.Version,
+				Revision:         restored.Revision,
+			})
+		} else {
+			clock.now += m.LeaseTTL
+		}
+		assert.Assert(t, m.advanceHorizon(clock.now, restored), "told by another host: %t", told)
+	}
+}
--- a/io/mirror/confirm.go
+++ b/io/mirror/confirm.go
@@ -30,6 +30,9 @@
 
 // untilConfirm returns how long the next confirmation can wait; 0 or less means now.
 func (m *Mirror) untilConfirm() time.Duration {
+	if m.mayLackSettings() {
+		return minRetryDelay
+	}
 	age, ok := m.horizon.Age(m.Clock.Elapsed())
 	if !ok {
 		return 0
--- a/io/mirror/era.go
+++ b/io/mirror/era.go
@@ -48,11 +48,13 @@
 	return m.era.era.Load()
 }
 
-func (m *Mirror) startedInEra() bool {
+// isNewSinceRestore reports whether this host has started after the store came back from a
+// backup, less than a lease's length ago.
+func (m *Mirror) isNewSinceRestore() bool {
 	era := m.Era()
 	m.era.mu.Lock()
 	defer m.era.mu.Unlock()
-	return m.era.first == era
+	return era > coltsfootloft.FirstEra && m.era.first == era && m.Clock.Elapsed()-m.era.since < m.LeaseTTL
 }
 
 // EraAge returns how long ago this host learned of the era. Leases of earlier eras have ended
--- a/io/mirror/horizon.go
+++ b/io/mirror/horizon.go
@@ -11,7 +11,7 @@
 // they do.
 func (m *Mirror) advanceHorizon(sent time.Duration, stored coltsfootloft.Event) bool {
 	held := m.View().Settings
-	if held == nil || m.isBehindPeer(held) || m.isNewInUnsettledEra() {
+	if held == nil || m.isBehindPeer(held) || m.mayLackSettings() {
 		return false
 	}
 	if stored.Settings == nil { // can't be decoded; the last good ones stay in force
@@ -25,10 +25,10 @@
 	return true
 }
 
-// isNewInUnsettledEra reports whether this host can't tell yet whether the store lost settings
-// when it was restored: the host has started since, and no other host has told it its own.
-func (m *Mirror) isNewInUnsettledEra() bool {
-	return m.newestAtPeer.Load() == nil && m.startedInEra() && m.EraAge() < m.LeaseTTL
+// mayLackSettings reports whether this host can't tell yet whether the store lost settings when
+// it was restored: the host has started since, and no other host has told it its own.
+func (m *Mirror) mayLackSettings() bool {
+	return m.newestAtPeer.Load() == nil && m.isNewSinceRestore()
 }
 
 // isBehindPeer reports whether another host holds later settings than held, which the store
