mirror: a host learns of a new era of the store from the hosts that poll it

A host that watches the store for others, and whose own path there is cut, went on in the earlier era until its lease ended, though each poll stated the later one. TestPollTellsOfEra failed before.

--- a/io/mirror/apply_test.go
+++ b/io/mirror/apply_test.go
@@ -5,10 +5,12 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"coltsfootloft"
 	"coltsfootloft/core/leader"
+	"coltsfootloft/io/mirror/mirrorpb"
 )
 
 // newMirror returns a mirror that is fed by hand.
@@ -181,3 +183,19 @@
 		assert.Assert(t, m.advanceHorizon(clock.now, restored), "told by another host: %t", told)
 	}
 }
+
+// TestPollTellsOfEra guards against a host that goes on in an earlier era of the store because its own
+// path there is cut, though the hosts that poll it know the new one.
+func TestPollTellsOfEra(t *testing.T) {
+	m := newMirror(t)
+	m.Store = eraStore{era: 1}
+	assert.Equal(t, m.Era(), uint64(1))
+	body, err := proto.Marshal(&mirrorpb.Poll{
+		After: 36,
+		Era:   2,
+	})
+	assert.NilError(t, err)
+	_, err = m.handle(t.Context(), "other", body)
+	assert.NilError(t, err)
+	assert.Equal(t, m.Era(), uint64(2))
+}
--- a/io/mirror/follow.go
+++ b/io/mirror/follow.go
@@ -165,6 +165,7 @@
 	if err := proto.Unmarshal(body, &p); err != nil {
 		return nil, errors.Wrap(err, "poll")
 	}
+	m.ObserveEra(p.GetEra())
 	after := coltsfootloft.RevisionAt(cmp.Or(p.GetEra(), coltsfootloft.EraOf(m.View().Revision)), p.GetAfter())
 	c := m.awaitChanges(ctx, after, time.Duration(p.GetWaitMs())*time.Millisecond)
 	if len(c.GetItems()) > 0 && p.GetPacks() {
