quota: reports tell the keeper of the era and of the settings that hosts hold

A keeper of rates that started after a restore had only the settings of the store and confirmed these to itself and to new hosts, though the hosts reporting to it held later ones: a key withdrawn in the seconds that the store lost was served there. Reports now carry the era and the version of the reporting host's confirmed settings. A report confirms nothing; it only stops confirmations of older settings.

--- a/io/mirror/confirm.go
+++ b/io/mirror/confirm.go
@@ -80,6 +80,7 @@
 	if m.advanceHorizon(sent, newer) {
 		return true
 	}
-	m.Log.Info("settings not confirmed", "version", c.Version, "revision", c.Revision, "stored_revision", newer.Revision, "era", m.Era())
+	m.Log.Info("settings not confirmed", "version", c.Version, "revision", c.Revision, "stored_revision", newer.Revision,
+		"latest_version", m.LatestVersion(), "era", m.Era())
 	return false
 }
--- a/io/mirror/freshness.go
+++ b/io/mirror/freshness.go
@@ -15,8 +15,8 @@
 	lagTolerance = 400 * time.Millisecond
 )
 
-// Freshness is how current a host's copy of the store is. Hosts receive that of the quota
-// keeper with the answers to their reports.
+// Freshness is how current a host's copy of the store is. Hosts send theirs to the quota keeper
+// with their reports, and receive that of the keeper with the answers.
 type Freshness struct {
 	// Sent is when this host sent the call whose answer carried the rest, on its own
 	// clock. It is not set in a host's own Freshness.
@@ -51,22 +51,32 @@
 // advances the horizon only if this host's settings are at least as new.
 func (m *Mirror) ObservePeer(f Freshness) {
 	v := m.View()
-	m.ObserveEra(coltsfootloft.EraOf(f.Revision))
-	if f.SettingsVersion > 0 {
-		peer := &coltsfootloft.Settings{
-			Version:  f.SettingsVersion,
-			Revision: f.SettingsRevision,
-		}
-		m.noteNewestAtPeer(peer)
-		if f.SettingsAge < unconfirmedAge {
-			m.advanceHorizon(f.Sent-f.SettingsAge, coltsfootloft.Event{Settings: peer})
-		}
+	m.ObserveReport(f)
+	if f.SettingsVersion > 0 && f.SettingsAge < unconfirmedAge {
+		m.advanceHorizon(f.Sent-f.SettingsAge, coltsfootloft.Event{Settings: f.settings()})
 	}
 	if v.Revision < f.Revision && m.checkingLag.CompareAndSwap(false, true) {
 		time.AfterFunc(lagTolerance, func() { m.checkLag(f.Revision) })
 	}
 }
 
+// ObserveReport uses the Freshness that another host has sent of its own accord. Without Sent, it
+// shows what the store lost when it was restored, but confirms nothing.
+func (m *Mirror) ObserveReport(f Freshness) {
+	m.ObserveEra(coltsfootloft.EraOf(f.Revision))
+	if f.SettingsVersion > 0 {
+		m.noteNewestAtPeer(f.settings())
+	}
+}
+
+// settings returns the version and revision of the other host's settings.
+func (f Freshness) settings() *coltsfootloft.Settings {
+	return &coltsfootloft.Settings{
+		Version:  f.SettingsVersion,
+		Revision: f.SettingsRevision,
+	}
+}
+
 func (m *Mirror) noteNewestAtPeer(s *coltsfootloft.Settings) {
 	for {
 		known := m.newestAtPeer.Load()
--- a/io/mirror/horizon.go
+++ b/io/mirror/horizon.go
@@ -37,3 +37,16 @@
 	p := m.newestAtPeer.Load()
 	return p != nil && p.Version > held.Version && coltsfootloft.EraOf(p.Revision) != coltsfootloft.EraOf(held.Revision)
 }
+
+// LatestVersion returns the highest version of the settings that this host or another one is
+// known to hold; 0 if none is.
+func (m *Mirror) LatestVersion() uint64 {
+	version := uint64(0)
+	if held := m.View().Settings; held != nil {
+		version = held.Version
+	}
+	if p := m.newestAtPeer.Load(); p != nil {
+		version = max(version, p.Version)
+	}
+	return version
+}
--- a/io/quota/keeper.go
+++ b/io/quota/keeper.go
@@ -9,6 +9,7 @@
 
 	"coltsfootloft"
 	"coltsfootloft/core/grant"
+	"coltsfootloft/io/mirror"
 	"coltsfootloft/io/quota/quotapb"
 )
 
@@ -18,6 +19,11 @@
 	if err := proto.Unmarshal(body, &r); err != nil {
 		return nil, errors.Wrap(err, "report")
 	}
+	l.Mirror.ObserveReport(mirror.Freshness{
+		SettingsRevision: coltsfootloft.RevisionAt(r.GetSettingsEra(), r.GetSettingsRevision()),
+		SettingsVersion:  r.GetSettingsVersion(),
+		Revision:         coltsfootloft.RevisionAt(r.GetStoreEra(), 0),
+	})
 	answer := &quotapb.Grants{StoreAgeMs: l.StoreAge().Milliseconds()}
 	if _, ok := l.Duty.Holds(); ok {
 		answer.Keeper = true
--- a/io/quota/quota.go
+++ b/io/quota/quota.go
@@ -293,6 +293,11 @@
 func (l *Limiter) report(ctx context.Context, onlyShort bool) {
 	sent := l.Clock.Elapsed()
 	r := l.buildReport(sent, onlyShort)
+	fresh := l.Mirror.Freshness()
+	r.StoreEra = coltsfootloft.EraOf(fresh.Revision)
+	r.SettingsEra = coltsfootloft.EraOf(fresh.SettingsRevision)
+	r.SettingsRevision = coltsfootloft.NumberOf(fresh.SettingsRevision)
+	r.SettingsVersion = fresh.SettingsVersion
 	keeper, ok := l.Duty.Holder()
 	if !ok {
 		l.noteKeeperSilent("no host holds the quota duty")
