failov: a promotion that the store lost is seen from the databases

When all hosts are new and the store came back with a record of before a promotion, that record was established again: hosts sent work to a database that had been demoted, or that still led in its old term behind a cut, until the holder noticed and promoted it again over the log of the present primary.

Before a record of an earlier era is written again, the databases are asked; one that leads in a later term than the record's is its primary. TestPromotionLostByRestoreIsFound failed before (db-1 for db-2).

--- a/io/edge/restore_test.go
+++ b/io/edge/restore_test.go
@@ -225,3 +225,31 @@
 		return ok
 	})
 }
+
+// TestPromotionLostByRestoreIsFound guards against a primary of the past that is used because no host
+// remembers the change that the store lost: all of them are new.
+func TestPromotionLostByRestoreIsFound(t *testing.T) {
+	f := startFleet(t, 3, nil)
+	backup := f.store.Backup()
+	old := f.group.Primary()
+	f.announce(0, "draining")
+	f.await("another primary", 8*time.Second, func() bool { return f.group.Primary() != old })
+	current := f.group.Primary()
+	f.stopAll()
+	f.hosts = nil
+	f.restore(backup, f.announceAll)
+	promotions := len(f.group.Promotions())
+	f.addHost(4)
+	f.addHost(5)
+	f.await("a primary on all hosts", 4*lease.TTL, func() bool {
+		for _, h := range f.hosts {
+			p, ok := h.edge.groups.Primary("notices")
+			if !ok {
+				return false
+			}
+			assert.Equal(t, p.Target.ID, current, h.settings.Name)
+		}
+		return true
+	})
+	assert.Equal(t, len(f.group.Promotions()), promotions, "no change of primary is needed")
+}
--- a/io/failov/record.go
+++ b/io/failov/record.go
@@ -17,40 +17,40 @@
 }
 
 // establishRecord writes the record of a group in the present era of the store. It goes on
-// from the newest record that any host knows, or else names the database that leads the
-// group.
+// from the newest record that any host knows, unless a database leads the group in a later term:
+// then the promotion of that database was lost. Without a record, the leading database is named.
 func (c *Controller) establishRecord(ctx context.Context, name string) {
-	r, ok := c.newestRecord(ctx, name)
-	if !ok {
-		r, ok = c.firstRecord(ctx, name)
-	}
+	r, version, ok := c.nextRecord(ctx, name)
 	if !ok || ctx.Err() != nil {
 		return
 	}
-	version := c.Mirror.View().Groups[name].Revision
-	r.Epoch++
-	c.Log.Info("record is established", "group", name, "epoch", r.Epoch, "primary", r.Primary, "closing", r.Closing,
+	c.Log.Info("record is established", "group", name, "epoch", r.Epoch, "primary", r.Primary, "term", r.Term, "closing", r.Closing,
 		"from_era", r.Era, "era", c.Mirror.Era(), "era_age", c.Mirror.EraAge().String())
 	if _, err := c.writeRecord(ctx, name, r, version); err != nil {
 		c.Log.Info("record not written", "group", name, "reason", err.Error())
 	}
 }
 
-// firstRecord returns the record, still without an epoch, of a group that has had none. It
-// waits a little if no database leads the group.
-func (c *Controller) firstRecord(ctx context.Context, name string) (leader.Record, bool) {
+// nextRecord returns the record to establish and the version that it replaces. It waits a little
+// if nothing shows which database is the primary.
+func (c *Controller) nextRecord(ctx context.Context, name string) (r leader.Record, version uint64, ok bool) {
+	// The version is read first, so that a record which arrives meanwhile is not replaced unseen.
+	version = c.Mirror.View().Groups[name].Revision
+	r, known := c.newestRecord(ctx, name)
 	statuses := c.readStatuses(ctx, name)
-	primary, ok := leader.FindPrimary(statuses)
-	if !ok {
+	primary, leads := leader.FindPrimary(statuses)
+	switch {
+	case leads && (!known || !r.Closing && primary.Health.Term > r.Term):
+		r.Primary = primary.ID
+		r.Term = primary.Health.Term
+		r.Start = primary.Health.Received.Offset()
+	case !known:
 		c.Log.Info("group without a primary", "group", name, "databases", len(statuses))
 		pause.For(ctx, checkPeriod)
-		return leader.Record{}, false
+		return leader.Record{}, 0, false
 	}
-	return leader.Record{
-		Primary: primary.ID,
-		Term:    primary.Health.Term,
-		Start:   primary.Health.Received.Offset(),
-	}, true
+	r.Epoch++
+	return r, version, true
 }
 
 // newestRecord returns the newest record of a group that this host knows or that was recalled.
