mirror, failov: the store names the latest era that is settled

Whether rights of an earlier era may be left was concluded from the records of groups: a host that started when all of these had been written again waited for nothing, though a host whose registration the store had lost could still use its lease behind a cut. And a fleet whose hosts are all new waited the length of a lease at every start once the store had ever been restored.

The holder of changes of primary now writes the era under settled-era once the leases of before have ended, all groups have a record and the settings are the latest known: one write a restore. Hosts that start in another era than the one named wait. TestSettledEraIsNotWaitedFor fails without the writer.

--- a/io/edge/restore_test.go
+++ b/io/edge/restore_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"coltsfootloft/io/lease"
+	"coltsfootloft/io/mirror"
 	"coltsfootloft/stand/keyval"
 )
 
@@ -253,3 +254,26 @@
 	})
 	assert.Equal(t, len(f.group.Promotions()), promotions, "no change of primary is needed")
 }
+
+// TestSettledEraIsNotWaitedFor guards against hosts that wait for rights of the past at every start
+// because the store was restored once, long ago.
+func TestSettledEraIsNotWaitedFor(t *testing.T) {
+	f := startFleet(t, 3, nil)
+	f.restore(f.store.Backup(), f.announceAll)
+	f.await("the era settled", 2*lease.TTL, func() bool {
+		i, ok := f.store.Get("coltsfootloft/" + mirror.SettledKey)
+		return ok && string(i.Value) == "2"
+	})
+	f.stopAll()
+	f.hosts = nil
+	f.addHost(4)
+	f.addHost(5)
+	f.await("a holder of the duty and accepted keys", lease.TTL, func() bool {
+		for _, h := range f.hosts {
+			if _, ok := h.edge.groups.Primary("notices"); !ok || !h.edge.mirror.IsConfirmed() {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/io/failov/failov.go
+++ b/io/failov/failov.go
@@ -10,7 +10,8 @@
 //
 // If the store comes back from a backup, its records may be older than those it had. The
 // holder asks all hosts for the newest that they know and writes these in the new era, with
-// the next epoch. Until then no host uses a primary.
+// the next epoch. Until then no host uses a primary. Once no rights of an earlier era are left, it
+// names the era in the store.
 package failov
 
 import (
@@ -132,6 +133,7 @@
 	c.lazyInit()
 	var wg sync.WaitGroup
 	defer wg.Wait()
+	wg.Go(func() { c.settleEras(ctx) })
 	for ctx.Err() == nil {
 		changed := c.Mirror.Changed()
 		if _, ok := c.Duty.Holds(); !ok {
--- a/io/mirror/era.go
+++ b/io/mirror/era.go
@@ -26,7 +26,6 @@
 	mu      sync.Mutex // guards changes of era, and what follows
 	first   uint64     // the era in which the host started
 	since   time.Duration
-	settled bool // no rights of an earlier era were left when the host started
 	changed chan struct{}
 }
 
@@ -48,24 +47,24 @@
 	return m.era.era.Load()
 }
 
-// isNewSinceRestore reports whether this host has started after the store came back from a
-// backup, less than a lease's length ago.
-func (m *Mirror) isNewSinceRestore() bool {
+// startedInEra reports whether this host has started after the store last came back from a
+// backup, or has not seen it do so.
+func (m *Mirror) startedInEra() bool {
 	era := m.Era()
 	m.era.mu.Lock()
 	defer m.era.mu.Unlock()
-	return era > coltsfootloft.FirstEra && m.era.first == era && m.Clock.Elapsed()-m.era.since < m.LeaseTTL
+	return m.era.first == era
 }
 
 // EraAge returns how long ago this host learned of the era. Leases of earlier eras have ended
-// once it exceeds LeaseTTL.
+// once it exceeds LeaseTTL. It is long if the era is settled.
 func (m *Mirror) EraAge() time.Duration {
-	m.Era()
-	m.era.mu.Lock()
-	defer m.era.mu.Unlock()
-	if m.era.settled {
+	era := m.Era()
+	if era <= coltsfootloft.FirstEra || m.View().Settled.Era == era {
 		return settledAge
 	}
+	m.era.mu.Lock()
+	defer m.era.mu.Unlock()
 	return m.Clock.Elapsed() - m.era.since
 }
 
@@ -97,7 +96,6 @@
 	}
 	m.era.era.Store(era)
 	m.era.since = m.Clock.Elapsed()
-	m.era.settled = false
 	if m.era.changed != nil {
 		close(m.era.changed)
 	}
@@ -105,17 +103,6 @@
 	m.wakeWatch()
 }
 
-// settleFirstEra is called with the first listing.
-func (m *Mirror) settleFirstEra(v *View) {
-	era := coltsfootloft.EraOf(v.Revision)
-	if era > coltsfootloft.FirstEra && !v.isSettled() {
-		return
-	}
-	m.era.mu.Lock()
-	defer m.era.mu.Unlock()
-	m.era.settled = m.era.era.Load() == era
-}
-
 // Recall sends this host's era to another host, and returns the newest record of each group
 // that the other one knows. Once it has answered, that host uses no rights of an earlier era.
 func (m *Mirror) Recall(ctx context.Context, host string) (map[string]leader.Record, error) {
@@ -157,20 +144,6 @@
 	return b, errors.Wrap(err, "recalled records")
 }
 
-// isSettled reports whether all groups of the settings have a record of the present era, so that
-// no rights of an earlier one are left.
-func (v *View) isSettled() bool {
-	if v.Settings == nil {
-		return false
-	}
-	for name := range v.Settings.Connections {
-		if g, ok := v.Groups[name]; !ok || !g.IsCurrent() {
-			return false
-		}
-	}
-	return true
-}
-
 // NewestRecords returns the newest record of each group that the host has seen in any era.
 func (v *View) NewestRecords() map[string]leader.Record {
 	newest := make(map[string]leader.Record, len(v.Groups))
@@ -199,7 +172,7 @@
 
 // keepPast moves what the view holds to its Past, before a listing of a later era replaces it.
 func (v *View) keepPast() {
-	if v.isSettled() {
+	if v.IsSettled() {
 		v.Past.Duties = nil
 		v.Past.Hosts = nil
 	}
--- a/io/mirror/horizon.go
+++ b/io/mirror/horizon.go
@@ -28,7 +28,7 @@
 // mayLackSettings reports whether this host can't tell yet whether the store lost settings when
 // it was restored: the host has started since, and no other host has told it its own.
 func (m *Mirror) mayLackSettings() bool {
-	return m.newestAtPeer.Load() == nil && m.isNewSinceRestore()
+	return m.newestAtPeer.Load() == nil && m.startedInEra() && m.EraAge() < m.LeaseTTL
 }
 
 // isBehindPeer reports whether another host holds later settings than held, which the store
@@ -38,6 +38,13 @@
 	return p != nil && p.Version > held.Version && coltsfootloft.EraOf(p.Revision) != coltsfootloft.EraOf(held.Revision)
 }
 
+// IsConfirmed reports whether the store holds the settings in force, or did recently, and no
+// other host is known to hold later ones.
+func (m *Mirror) IsConfirmed() bool {
+	held := m.View().Settings
+	return held != nil && !m.isBehindPeer(held) && m.horizon.Covers(m.Clock.Elapsed(), m.HorizonLimit)
+}
+
 // LatestVersion returns the highest version of the settings that this host or another one is
 // known to hold; 0 if none is.
 func (m *Mirror) LatestVersion() uint64 {
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -237,13 +237,8 @@
 		if revision < v.Revision {
 			return nil
 		}
-		first := v.Revision == 0
 		problems := v.replace(now, events, revision)
 		m.history.replace(events, revision, v.Settings)
-		if first {
-			v.Revision = revision
-			m.settleFirstEra(v)
-		}
 		return problems
 	})
 }
--- a/io/mirror/view.go
+++ b/io/mirror/view.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -19,6 +20,8 @@
 	hostPrefix  = "host/"
 	groupPrefix = "group/"
 	dutyPrefix  = "duty/"
+	// SettledKey is the key of the latest era of the store that is settled.
+	SettledKey = "settled-era"
 )
 
 // HostKey returns the key of a host's registration.
@@ -91,6 +94,15 @@
 	Revision uint64
 }
 
+// Settled is the latest era of the store in which no rights of an earlier one are left, and in
+// which the store holds the latest settings that hosts knew.
+type Settled struct {
+	// Era is 0 if the store names none.
+	Era uint64
+	// Revision is the store's revision of the key.
+	Revision uint64
+}
+
 // View is the host's copy of the store at one revision. It is immutable once published.
 type View struct {
 	// Revision is the store's.
@@ -107,6 +119,8 @@
 	Groups map[string]Group
 	// Duties are the duties that have a holder, by name.
 	Duties map[string]Duty
+	// Settled is the latest settled era.
+	Settled Settled
 	// Past is what the host knew of the store's earlier eras.
 	Past Past
 }
@@ -234,6 +248,9 @@
 			}, err
 		})
 	}
+	if e.Key == SettledKey {
+		return v.applySettled(e)
+	}
 	if name, ok := strings.CutPrefix(e.Key, dutyPrefix); ok {
 		return applyValue(v.Duties, name, e, func(b []byte) (Duty, error) {
 			return Duty{
@@ -245,6 +262,25 @@
 	return nil
 }
 
+func (v *View) applySettled(e coltsfootloft.Event) error {
+	v.Settled = Settled{}
+	if e.Deleted {
+		return nil
+	}
+	era, err := strconv.ParseUint(string(e.Value), 10, 64)
+	v.Settled = Settled{
+		Era:      era,
+		Revision: e.Revision,
+	}
+	return errors.Wrap(err, "settled era")
+}
+
+// IsSettled reports whether no rights of an era before that of the view are left.
+func (v *View) IsSettled() bool {
+	era := coltsfootloft.EraOf(v.Revision)
+	return era <= coltsfootloft.FirstEra || v.Settled.Era == era
+}
+
 // keepRecord keeps a record that is about to be replaced, in case the new one is older.
 func (v *View) keepRecord(name string, r leader.Record) {
 	if !r.Supersedes(v.Past.Groups[name]) {
@@ -278,6 +314,7 @@
 	if v.Revision != 0 && coltsfootloft.EraOf(revision) > coltsfootloft.EraOf(v.Revision) {
 		v.keepPast()
 	}
+	v.Settled = Settled{}
 	v.Hosts = make(map[string]Registration)
 	v.HostsVersion++
 	v.Duties = make(map[string]Duty)
