--- a/io/edge/restore_test.go
+++ b/io/edge/restore_test.go
@@ -49,6 +49,22 @@
 	f.store.SetFaults(keyval.Faults{})
 }
 
+// replacePrimary lets the primary leave, and returns the next one once all hosts use it.
+func (f *fleet) replacePrimary() string {
+	f.t.Helper()
+	old := f.group.Primary()
+	f.announce(0, "draining")
+	f.await("another primary on every host", 8*time.Second, func() bool {
+		for _, h := range f.hosts {
+			if p, ok := h.edge.groups.Primary("notices"); !ok || p.Target.ID == old {
+				return false
+			}
+		}
+		return true
+	})
+	return f.group.Primary()
+}
+
 // TestSettingsAreInForceAfterRestore guards against settings that are not applied because
 // their revision was given out before a restore: they count as old, or as confirmed.
 func TestSettingsAreInForceAfterRestore(t *testing.T) {
@@ -128,17 +144,7 @@
 func TestRestoredRecordNamesNoPrimary(t *testing.T) {
 	f := startFleet(t, 3, nil)
 	backup := f.store.Backup()
-	old := f.group.Primary()
-	f.announce(0, "draining")
-	f.await("another primary on every host", 8*time.Second, func() bool {
-		for _, h := range f.hosts {
-			if p, ok := h.edge.groups.Primary("notices"); !ok || p.Target.ID == old {
-				return false
-			}
-		}
-		return true
-	})
-	current := f.group.Primary()
+	current := f.replacePrimary()
 	f.hosts[2].stop()
 	assert.NilError(t, <-f.hosts[2].ended)
 	f.hosts = f.hosts[:2]
@@ -232,10 +238,7 @@
 func TestPromotionLostByRestoreIsFound(t *testing.T) {
 	f := startFleet(t, 3, nil)
 	backup := f.store.Backup()
-	old := f.group.Primary()
-	f.announce(0, "draining")
-	f.await("another primary", 8*time.Second, func() bool { return f.group.Primary() != old })
-	current := f.group.Primary()
+	current := f.replacePrimary()
 	f.stopAll()
 	f.hosts = nil
 	f.restore(backup, f.announceAll)
