mirror, entry: later settings of any host stop the confirmed ones at once, and are passed on

A keeper of rates that learned from a report of settings which the store had lost told other hosts of its own only, and a host that knew of later settings went on accepting keys until its last confirmation was too old, up to 4.6 s. The keeper now passes on the latest it knows of, and hosts check keys only against settings that nobody is known to have replaced.

TestLaterSettingsArePassedOn failed before. TestKeyWithdrawnUnseenStaysWithdrawn guards the whole path; it passed 5 times before this change too, as the report usually comes before the listing.

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -101,7 +101,6 @@
 		Clock:             e.clock,
 		Log:               log.WithName("entry"),
 		Metrics:           e.metrics,
-		KeyLimit:          e.keyLimit(),
 		ReportUnreachable: e.failover.ReportUnreachable,
 	}
 	return e
--- a/io/edge/ready.go
+++ b/io/edge/ready.go
@@ -85,8 +85,7 @@
 	if e.mirror.View().Settings == nil {
 		return "no settings"
 	}
-	now := e.clock.Elapsed()
-	if !e.mirror.Horizon().Covers(now, e.keyLimit()) {
+	if !e.mirror.IsConfirmed() {
 		return settingsTooOld
 	}
 	silence, keeperStoreAge := e.quota.First().KeeperSilence()
--- a/io/edge/restore_test.go
+++ b/io/edge/restore_test.go
@@ -280,3 +280,32 @@
 		return true
 	})
 }
+
+// TestKeyWithdrawnUnseenStaysWithdrawn guards against a withdrawn key that is served again on a host which
+// was cut off from the store when the key went, and confirms the settings that a restore brought back.
+func TestKeyWithdrawnUnseenStaysWithdrawn(t *testing.T) {
+	f := startFleet(t, 3, nil)
+	f.awaitDutyHeld(1, time.Second)
+	backup := f.store.Backup()
+	f.store.SetFaults(keyval.Faults{RefusedHosts: map[string]bool{"127.0.62.1": true}})
+	f.changeSettings(func(c *config) { c.Tenants[1].ApiKeys = []string{"key-new"} })
+	time.Sleep(withdrawal)
+	f.restore(backup, f.announceAll)
+	deadline := time.Now().Add(3 * lease.TTL)
+	for time.Now().Before(deadline) {
+		for _, h := range f.hosts {
+			_, code := connect(t, h, "board", "key-siparia")
+			assert.Assert(t, code == "NOAUTH" || code == "BUSY" || code == "closed", "%s: %q", h.settings.Name, code)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	f.changeSettings(nil)
+	f.await("service", 5*time.Second, func() bool {
+		for _, h := range f.hosts {
+			if _, code := connect(t, h, "board", "key-new"); code != "" {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -74,8 +74,6 @@
 	Log logr.Logger
 	// Metrics receives the counters and histograms.
 	Metrics *metrics.Set
-	// KeyLimit is the age of the settings above which no key is accepted.
-	KeyLimit time.Duration
 	// ReportUnreachable is called when a primary could not be reached, did not answer or
 	// refused a write.
 	ReportUnreachable func(group, database string)
--- a/io/entry/session.go
+++ b/io/entry/session.go
@@ -184,16 +184,16 @@
 	}
 }
 
-// authorize checks the session's key and finds its route in the current settings. The
-// horizon is read after the statement was received, so that a suspension of the host
-// between the two can't hide that the settings are too old.
+// authorize checks the session's key and finds its route in the current settings. Their age
+// is read after the statement was received, so that a suspension of the host between the two
+// can't hide that the settings are too old.
 func (n *session) authorize() (coltsfootloft.Route, *coltsfootloft.Reply) {
 	s := n.server
 	c := s.Mirror.View().Settings
 	if c == nil {
 		return coltsfootloft.Route{}, refuse(coltsfootloft.ReasonBusy, "no settings yet; come back in 1000 ms")
 	}
-	fresh := s.Mirror.Horizon().Covers(s.Clock.Elapsed(), s.KeyLimit)
+	fresh := s.Mirror.IsConfirmed()
 	route, ok := c.Routes[n.startup.Database()]
 	if !ok {
 		if !fresh {
--- a/io/mirror/apply_test.go
+++ b/io/mirror/apply_test.go
@@ -101,6 +101,30 @@
 	assert.Assert(t, m.advanceHorizon(3*time.Minute, again))
 }
 
+// TestLaterSettingsArePassedOn guards against hosts that serve a withdrawn key because the keeper, which
+// knows from a report that the store lost later settings, tells them of its own only.
+func TestLaterSettingsArePassedOn(t *testing.T) {
+	m := newMirror(t)
+	m.Store = eraStore{era: 2}
+	m.HorizonLimit = time.Second
+	restored := settingsOf(9, 2, 34)
+	m.replaceAll([]coltsfootloft.Event{restored}, restored.Revision)
+	assert.Assert(t, m.advanceHorizon(time.Hour, restored))
+	assert.Assert(t, m.IsConfirmed())
+	assert.Equal(t, m.Freshness().SettingsVersion, uint64(9))
+	lost := coltsfootloft.RevisionAt(1, 36)
+	m.ObserveReport(Freshness{
+		SettingsRevision: lost,
+		SettingsVersion:  12,
+		Revision:         restored.Revision,
+	})
+	assert.Assert(t, !m.IsConfirmed())
+	f := m.Freshness()
+	assert.Equal(t, f.SettingsVersion, uint64(12))
+	assert.Equal(t, f.SettingsRevision, lost)
+	assert.Equal(t, f.SettingsAge, unconfirmedAge)
+}
+
 // eraStore is a store that answers no calls; only its era is known.
 type eraStore struct {
 	coltsfootloft.EventStore
--- a/io/mirror/freshness.go
+++ b/io/mirror/freshness.go
@@ -21,10 +21,11 @@
 	// Sent is when this host sent the call whose answer carried the rest, on its own
 	// clock. It is not set in a host's own Freshness.
 	Sent time.Duration
-	// SettingsRevision is the revision of the settings that the answering host holds, and
-	// SettingsVersion the operators' version of them.
+	// SettingsRevision is the revision of the latest settings that the answering host knows
+	// of, and SettingsVersion the operators' version of them; 0 if it has confirmed none.
 	SettingsRevision, SettingsVersion uint64
-	// SettingsAge is how long before the answer these settings were confirmed.
+	// SettingsAge is how long before the answer these settings were confirmed;
+	// unconfirmedAge if another host holds them.
 	SettingsAge time.Duration
 	// Revision is the newest revision of the store that the answering host has seen, or
 	// the first of an era of which it has no listing yet.
@@ -38,7 +39,16 @@
 		Revision:    max(v.Revision, coltsfootloft.RevisionAt(m.Era(), 0)),
 		SettingsAge: unconfirmedAge,
 	}
-	if age, ok := m.horizon.Age(m.Clock.Elapsed()); ok && v.Settings != nil {
+	if v.Settings == nil {
+		return f
+	}
+	if m.isBehindPeer(v.Settings) {
+		later := m.newestAtPeer.Load()
+		f.SettingsRevision = later.Revision
+		f.SettingsVersion = later.Version
+		return f
+	}
+	if age, ok := m.horizon.Age(m.Clock.Elapsed()); ok {
 		f.SettingsRevision = v.Settings.Revision
 		f.SettingsVersion = v.Settings.Version
 		f.SettingsAge = age
--- a/io/mirror/horizon.go
+++ b/io/mirror/horizon.go
@@ -38,8 +38,8 @@
 	return p != nil && p.Version > held.Version && coltsfootloft.EraOf(p.Revision) != coltsfootloft.EraOf(held.Revision)
 }
 
-// IsConfirmed reports whether the store holds the settings in force, or did recently, and no
-// other host is known to hold later ones.
+// IsConfirmed reports whether keys may be checked against the settings in force: the store held
+// them less than HorizonLimit ago, and no other host is known to hold later ones.
 func (m *Mirror) IsConfirmed() bool {
 	held := m.View().Settings
 	return held != nil && !m.isBehindPeer(held) && m.horizon.Covers(m.Clock.Elapsed(), m.HorizonLimit)
