consul: the stand-in's listener may be closed by a fault and again at the end

A fault closes the listener, but the HTTP server knows it until its own loop has returned, and closed it again.

--- a/stand/consul/server.go
+++ b/stand/consul/server.go
@@ -131,11 +131,10 @@
 		go func() { _ = admin.Serve(c) }()
 	}
 	s.mu.Lock()
-	s.listener = l
+	s.serve(l)
 	s.addr = l.Addr().String()
 	down := s.faults.Down
 	s.mu.Unlock()
-	go func() { _ = s.http.Serve(l) }()
 	close(s.listening)
 	if down != Up {
 		s.listenAgain(down)
@@ -170,8 +169,13 @@
 		s.Log.Error(err, "platform stand-in can't listen again", "address", s.addr)
 		return
 	}
-	s.listener = l
-	go func() { _ = s.http.Serve(l) }()
+	s.serve(l)
+}
+
+// serve accepts connections at l. The caller holds the lock.
+func (s *Server) serve(l net.Listener) {
+	s.listener = &closeOnce{Listener: l}
+	go func(l net.Listener) { _ = s.http.Serve(l) }(s.listener)
 }
 
 // track keeps the set of open connections, which listenAgain closes.
