--- a/io/failov/failov.go
+++ b/io/failov/failov.go
@@ -11,7 +11,7 @@
 // If the store comes back from a backup, its records may be older than those it had. The
 // holder asks all hosts for the newest that they know and writes these in the new era, with
 // the next epoch. Until then no host uses a primary. Once no rights of an earlier era are left, it
-// names the era in the store.
+// writes to the store that the era is settled.
 package failov
 
 import (
--- a/io/failov/settle.go
+++ b/io/failov/settle.go
@@ -14,8 +14,8 @@
 // settlePeriod is how often the holder looks whether the era of the store is settled.
 const settlePeriod = time.Second
 
-// settleEras names each era of the store in the store once it is settled, so that hosts which
-// start later need not wait for rights of an earlier one.
+// settleEras writes the era of the store under [mirror.SettledKey] once it is settled, so that
+// hosts which start later need not wait for rights of an earlier one.
 func (c *Controller) settleEras(ctx context.Context) {
 	for pause.For(ctx, settlePeriod) {
 		if era, ok := c.eraToSettle(); ok {
@@ -24,8 +24,8 @@
 	}
 }
 
-// eraToSettle returns the era of the store if it is settled and not named yet: the leases of
-// before have ended, all groups have a record, and the settings are the latest.
+// eraToSettle returns the era of the store if it is settled and not yet written as such: leases
+// of earlier eras have ended, all groups have a record, and the settings are the latest known.
 func (c *Controller) eraToSettle() (era uint64, ok bool) {
 	if _, ok := c.Duty.Holds(); !ok {
 		return 0, false
--- a/io/mirror/view.go
+++ b/io/mirror/view.go
@@ -20,7 +20,7 @@
 	hostPrefix  = "host/"
 	groupPrefix = "group/"
 	dutyPrefix  = "duty/"
-	// SettledKey is the key of the latest era of the store that is settled.
+	// SettledKey is the key of the latest settled era of the store.
 	SettledKey = "settled-era"
 )
 
