--- a/io/mirror/apply_test.go
+++ b/io/mirror/apply_test.go
@@ -102,7 +102,7 @@
 }
 
 // TestLaterSettingsArePassedOn guards against hosts that serve a withdrawn key because the keeper, which
-// knows from a report that the store lost later settings, tells them of its own only.
+// knows from a report that the store lost later settings, sends them only its own.
 func TestLaterSettingsArePassedOn(t *testing.T) {
 	m := newMirror(t)
 	m.Store = eraStore{era: 2}
@@ -173,7 +173,7 @@
 func TestNewHostWaitsForSettingsOfOthers(t *testing.T) {
 	events := listed(2, 0)
 	restored := events[0]
-	for _, told := range []bool{false, true} {
+	for _, sent := range []bool{false, true} {
 		clock := &manualClock{now: time.Hour}
 		m := &Mirror{
 			Store:    eraStore{era: 2},
@@ -185,7 +185,7 @@
 		m.Era()
 		m.replaceAll(events, coltsfootloft.RevisionAt(2, 35))
 		assert.Assert(t, !m.advanceHorizon(clock.now, restored))
-		if told {
+		if sent {
 			m.ObservePeer(Freshness{
 				Sent:             clock.now,
 				SettingsRevision: restored.Revision,
@@ -195,13 +195,13 @@
 		} else {
 			clock.now += m.LeaseTTL
 		}
-		assert.Assert(t, m.advanceHorizon(clock.now, restored), "told by another host: %t", told)
+		assert.Assert(t, m.advanceHorizon(clock.now, restored), "settings sent by another host: %t", sent)
 	}
 }
 
-// TestPollTellsOfEra guards against a host that goes on in an earlier era of the store because its own
+// TestPollCarriesEra guards against a host that goes on in an earlier era of the store because its own
 // path there is cut, though the hosts that poll it know the new one.
-func TestPollTellsOfEra(t *testing.T) {
+func TestPollCarriesEra(t *testing.T) {
 	m := newMirror(t)
 	m.Store = eraStore{era: 1}
 	assert.Equal(t, m.Era(), uint64(1))
--- a/io/mirror/horizon.go
+++ b/io/mirror/horizon.go
@@ -26,7 +26,7 @@
 }
 
 // mayLackSettings reports whether this host can't tell yet whether the store lost settings when
-// it was restored: the host has started since, and no other host has told it its own.
+// it was restored: the host has started since, and no other host has sent it its own.
 func (m *Mirror) mayLackSettings() bool {
 	return m.newestAtPeer.Load() == nil && m.startedInEra() && m.EraAge() < m.LeaseTTL
 }
--- a/io/quota/keeper_test.go
+++ b/io/quota/keeper_test.go
@@ -23,9 +23,9 @@
 
 func (s storeInEra) Era() uint64 { return s.era }
 
-// TestReportsTellOfEraAndSettings guards against a keeper that goes on in an earlier era of the store, or
+// TestReportCarriesEraAndSettings guards against a keeper that goes on in an earlier era of the store, or
 // confirms settings older than those that the store lost, though the hosts that report to it know better.
-func TestReportsTellOfEraAndSettings(t *testing.T) {
+func TestReportCarriesEraAndSettings(t *testing.T) {
 	clock := &fixedClock{now: time.Hour}
 	m := &mirror.Mirror{
 		Store: storeInEra{era: 2},
