quota: a test that reports state the era and the settings

TestReportCarriesEraAndSettings shows only that the keeper uses what a report carries; without the sending side no test failed. TestReportStatesEraAndSettings fails without the era, and without the version.

--- a/io/quota/keeper_test.go
+++ b/io/quota/keeper_test.go
@@ -1,10 +1,12 @@
 package quota
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
@@ -15,7 +17,7 @@
 	"coltsfootloft/io/quota/quotapb"
 )
 
-// storeInEra is a store that answers no calls; only its era is known.
+// storeInEra is a store of which only a listing and the era are known.
 type storeInEra struct {
 	coltsfootloft.EventStore
 	era uint64
@@ -23,8 +25,78 @@
 
 func (s storeInEra) Era() uint64 { return s.era }
 
+// Snapshot lists version 12 of the settings, and a keeper.
+func (s storeInEra) Snapshot(context.Context) ([]coltsfootloft.Event, uint64, error) {
+	revision := coltsfootloft.RevisionAt(s.era, 36)
+	return []coltsfootloft.Event{
+		{
+			Kind:     coltsfootloft.EventSettings,
+			Key:      "settings",
+			StoreKey: "settings",
+			Revision: revision,
+			Settings: &coltsfootloft.Settings{
+				Version:  12,
+				Revision: revision,
+			},
+		},
+		{
+			Kind:     coltsfootloft.EventProxyKey,
+			Key:      mirror.DutyKey("quota-0"),
+			StoreKey: mirror.DutyKey("quota-0"),
+			Revision: revision,
+			Value:    []byte("keeper"),
+		},
+	}, revision, nil
+}
+
+// recordedCalls keeps the body of the latest call to another host, which does not answer.
+type recordedCalls struct {
+	coltsfootloft.Peers
+	body []byte
+}
+
+func (*recordedCalls) Register(string, coltsfootloft.Handler) {}
+
+func (r *recordedCalls) Call(_ context.Context, _, _ string, body []byte) ([]byte, error) {
+	r.body = body
+	return nil, errors.New("no answer")
+}
+
+// TestReportStatesEraAndSettings guards against a keeper that can't learn of a new era of the store, or of
+// later settings, because the reports of hosts do not state them.
+func TestReportStatesEraAndSettings(t *testing.T) {
+	clock := &fixedClock{now: time.Hour}
+	peers := &recordedCalls{}
+	m := &mirror.Mirror{
+		Store: storeInEra{era: 2},
+		Peers: peers,
+		Clock: clock,
+		Log:   logr.Discard(),
+	}
+	m.Register()
+	assert.NilError(t, m.Refresh(t.Context()))
+	l := &Limiter{
+		Mirror: m,
+		Clock:  clock,
+		Peers:  peers,
+		Log:    logr.Discard(),
+		Duty: &duty.Duty{
+			Name:   "quota-0",
+			Mirror: m,
+		},
+	}
+	l.lazyInit()
+	l.report(t.Context(), false)
+	var r quotapb.Report
+	assert.NilError(t, proto.Unmarshal(peers.body, &r))
+	assert.Equal(t, r.GetStoreEra(), uint64(2))
+	assert.Equal(t, r.GetSettingsEra(), uint64(2))
+	assert.Equal(t, r.GetSettingsRevision(), uint64(36))
+	assert.Equal(t, r.GetSettingsVersion(), uint64(12))
+}
+
 // TestReportCarriesEraAndSettings guards against a keeper that goes on in an earlier era of the store, or
-// confirms settings older than those that the store lost, though the hosts that report to it know better.
+// confirms settings older than those that the store lost, though hosts report later ones.
 func TestReportCarriesEraAndSettings(t *testing.T) {
 	clock := &fixedClock{now: time.Hour}
 	m := &mirror.Mirror{
