review: case 2, a handle of before a restart finds another transaction (PINNED)

Shows: after the host that holds the connections of other hosts' transactions was killed and started again, statements and COMMITs of one client run inside the transaction of another. An acknowledged commit lacks a write, and writes that were rolled back are committed.

--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -37,6 +37,7 @@
 func run() int {
 	cases := map[string]review{
 		"1": lateAnswer,
+		"2": ownerKilled,
 	}
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-cases NUMBER, in the repository")
