review: case 3, a call that was given up on still promotes (ONE)

Shows: a call of the old holder of the duty, held up by a partition that began while it was on its way, arrives when the partition ends, with a lower fence than the platform has seen by then. It promotes another database, and writes are acknowledged by the one that led before.

--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -38,6 +38,7 @@
 	cases := map[string]review{
 		"1": lateAnswer,
 		"2": ownerKilled,
+		"3": staleFence,
 	}
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-cases NUMBER, in the repository")
