review: case 4, a statement is cut at a graceful stop (LOST)

Shows: after a SIGTERM, a transaction that is being served half way through GraceS is not aborted and goes on, until the process ends 4 s after the SIGTERM and leaves the statement without an answer.

--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -39,6 +39,7 @@
 		"1": lateAnswer,
 		"2": ownerKilled,
 		"3": staleFence,
+		"4": stopCuts,
 	}
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-cases NUMBER, in the repository")
