--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -40,6 +40,7 @@
 		"2": ownerKilled,
 		"3": staleFence,
 		"4": stopCuts,
+		"5": keyMoved,
 	}
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-cases NUMBER, in the repository")
