--- a/review/cases/stopcuts.go
+++ b/review/cases/stopcuts.go
@@ -12,8 +12,8 @@
 	longWork = 150 * time.Millisecond
 	// clientPause is the pause between two statements of a transaction.
 	clientPause = 350 * time.Millisecond
-	// txReads is how many reads a transaction has; BEGIN makes it 12 statements.
-	txReads = 11
+	// txReads is how many reads a transaction has; BEGIN and ROLLBACK make it 12 statements.
+	txReads = 10
 	// stopSessions is how many sessions are in a transaction.
 	stopSessions = 16
 	// stagger is the time between the beginnings of two transactions.
