--- a/io/dbpool/conn.go
+++ b/io/dbpool/conn.go
@@ -22,6 +22,9 @@
 	state     prep.ConnState
 	pools     *Pools
 	idleSince time.Duration
+	// outstanding is how many requests were sent whose answers have not been read. While
+	// there are any, the next answer belongs to one of them.
+	outstanding int
 	// hasPermit is set while the connection holds a permit of the database's gate.
 	// Like the other fields it belongs to whoever has the connection.
 	hasPermit bool
@@ -46,7 +49,7 @@
 }
 
 // Exchange sends a statement and returns its answer. After an error the statement
-// may have run, and the connection must be closed; after a time-out, DiscardReply may
+// may have run, and the connection must be closed; after a time-out, DiscardReplies may
 // be called first.
 func (c *Conn) Exchange(r Request) (reply coltsfootloft.Reply, err error) {
 	name := ""
@@ -58,6 +61,7 @@
 		c.session.Queue(k)
 	}
 	c.session.Forward(r.Statement, name, r.After)
+	c.outstanding += len(commands) + 1
 	c.pools.forcePermit(c)
 	started := c.pools.Clock.Elapsed()
 	c.pools.Observe(c.target.ID, func(k *pick.Candidate, _ time.Duration) { k.Start() })
@@ -65,23 +69,32 @@
 	if err := c.session.Flush(r.Deadline); err != nil {
 		return reply, errors.Wrap(err, "send")
 	}
-	for range commands {
-		answer, err := c.session.Receive(r.Deadline)
-		if err != nil {
-			return reply, errors.Wrap(err, "receive")
-		}
-		if answer.Failed() {
-			return reply, errors.Wrap(ErrAlign, answer.Reason.String())
-		}
-	}
-	reply, err = c.session.Receive(r.Deadline)
+	reply, err = c.receiveLast(r.Deadline)
 	if err != nil {
-		return reply, errors.Wrap(err, "receive")
+		return reply, err
 	}
 	c.recordReply(started, reply)
 	return reply, nil
 }
 
+// receiveLast reads the outstanding answers and returns the last one, which is that to the
+// statement. It fails if one of the commands before the statement failed.
+func (c *Conn) receiveLast(deadline time.Time) (coltsfootloft.Reply, error) {
+	for {
+		r, err := c.session.Receive(deadline)
+		if err != nil {
+			return coltsfootloft.Reply{}, errors.Wrap(err, "receive")
+		}
+		c.outstanding--
+		if c.outstanding == 0 {
+			return r, nil
+		}
+		if r.Failed() {
+			return coltsfootloft.Reply{}, errors.Wrap(ErrAlign, r.Reason.String())
+		}
+	}
+}
+
 // recordReply updates the statistics of the database and returns the permit.
 func (c *Conn) recordReply(started time.Duration, reply coltsfootloft.Reply) {
 	p := c.pools
@@ -111,17 +124,21 @@
 // Command sends a command of the host itself and returns its answer.
 func (c *Conn) Command(k coltsfootloft.Command, deadline time.Time) (coltsfootloft.Reply, error) {
 	c.session.Queue(k)
+	c.outstanding++
 	if err := c.session.Flush(deadline); err != nil {
 		return coltsfootloft.Reply{}, errors.Wrap(err, "send")
 	}
-	r, err := c.session.Receive(deadline)
-	return r, errors.Wrap(err, "receive")
+	return c.receiveLast(deadline)
 }
 
-// DiscardReply reads the late answer to a statement that timed out. It fails if the
-// answer does not come by the deadline or leaves a transaction open.
-func (c *Conn) DiscardReply(deadline time.Time) error {
-	r, err := c.session.Receive(deadline)
+// Outstanding returns how many requests were sent whose answers have not been read.
+func (c *Conn) Outstanding() int { return c.outstanding }
+
+// DiscardReplies reads the late answers to a statement that timed out and to the commands
+// before it. It fails if they don't come by the deadline, if a command failed, or if the
+// statement leaves a transaction open.
+func (c *Conn) DiscardReplies(deadline time.Time) error {
+	r, err := c.receiveLast(deadline)
 	if err != nil {
 		return errors.Wrap(err, "late answer")
 	}
--- a/io/dbpool/pools.go
+++ b/io/dbpool/pools.go
@@ -225,13 +225,14 @@
 	}
 }
 
-// Release returns a connection to its pool. If healthy is false it is closed.
+// Release returns a connection to its pool. It is closed if healthy is false, or if answers
+// are outstanding, which its next user would take for its own.
 func (p *Pools) Release(c *Conn, healthy bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := p.pool(c.target.ID)
 	p.releasePermit(n, c, false)
-	if !healthy {
+	if !healthy || c.outstanding > 0 {
 		p.closeConn(n, c)
 		p.openForWaiters(n)
 		return
--- a/io/dbpool/pools_test.go
+++ b/io/dbpool/pools_test.go
@@ -159,7 +159,7 @@
 			_, err := c.Exchange(readRequest(10 * time.Millisecond))
 			assert.ErrorContains(t, err, "no answer")
 			d.answers <- coltsfootloft.Reply{State: coltsfootloft.TxIdle}
-			assert.NilError(t, c.DiscardReply(time.Now().Add(time.Second)))
+			assert.NilError(t, c.DiscardReplies(time.Now().Add(time.Second)))
 			l.Release(c, true)
 		},
 		"refused": func(c *Conn) {
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -151,16 +151,25 @@
 	if dial.IsTimeout(err) && time.Now().Before(final) && !keep {
 		conn := n.conn
 		n.conn = nil
-		go n.relay.discardReply(conn, final)
+		go n.relay.discardReplies(conn, q.Statement.ID(), final)
 	}
 	return reply, err
 }
 
 func recordSilence(c *pick.Candidate, now time.Duration) { c.TimedOut(now) }
 
-// discardReply waits for a late answer until final and releases the connection.
-func (r *Relay) discardReply(conn *dbpool.Conn, final time.Time) {
-	err := conn.DiscardReply(final)
+// discardReplies waits until final for the late answer to a statement, and for those that are
+// outstanding before it, and releases the connection.
+func (r *Relay) discardReplies(conn *dbpool.Conn, id string, final time.Time) {
+	started := r.Clock.Elapsed()
+	outstanding := conn.Outstanding()
+	err := conn.DiscardReplies(final)
+	outcome := "connection released"
+	if err != nil {
+		outcome = "connection closed: " + err.Error()
+	}
+	r.Log.Info("late answers", "id", id, "database", conn.Target().ID, "outstanding", outstanding,
+		"waited_ms", (r.Clock.Elapsed() - started).Milliseconds(), "outcome", outcome)
 	r.Pools.Release(conn, err == nil)
 }
 
