--- a/io/edge/fleet_test.go
+++ b/io/edge/fleet_test.go
@@ -33,7 +33,9 @@
 	config    config
 	// withdrawalLimit is how soon a withdrawn key must stop working.
 	withdrawalLimit time.Duration
-	mu              sync.Mutex
+	// grace is the time that hosts have to shut down, in seconds.
+	grace float64
+	mu    sync.Mutex
 }
 
 // testHost is one host of a fleet.
@@ -159,6 +161,7 @@
 		},
 		config:          standardConfig(),
 		withdrawalLimit: withdrawal,
+		grace:           2,
 	}
 	f.store = &keyval.Server{
 		Listener: listen(t, "127.0.60.1"),
@@ -211,22 +214,37 @@
 // addHost starts host n in domain n.
 func (f *fleet) addHost(n int) *testHost {
 	ip := fmt.Sprintf("127.0.62.%d", n)
+	h := f.startHost(conf.EntrySettings{
+		Name:         fmt.Sprintf("host-%d", n),
+		Domain:       fmt.Sprintf("domain-%d", (n-1)%3+1),
+		Listen:       freeAddress(f.t, ip),
+		Ready:        freeAddress(f.t, ip),
+		Peer:         freeAddress(f.t, ip),
+		Store:        f.store.Listener.Addr().String(),
+		Control:      f.store.Listener.Addr().String(),
+		MemoryMB:     200,
+		WithdrawalMS: int(f.withdrawalLimit.Milliseconds()),
+		DrainMS:      3000,
+		GraceS:       f.grace,
+	})
+	f.hosts = append(f.hosts, h)
+	return h
+}
+
+// restart stops host i and starts it again under its name.
+func (f *fleet) restart(i int) {
+	f.hosts[i].stop()
+	assert.NilError(f.t, <-f.hosts[i].ended)
+	f.hosts[i] = f.startHost(f.hosts[i].settings)
+	f.await("restarted host", 5*time.Second, f.hosts[i].edge.isReady)
+}
+
+// startHost runs a host with these settings.
+func (f *fleet) startHost(s conf.EntrySettings) *testHost {
 	h := &testHost{
-		settings: conf.EntrySettings{
-			Name:         fmt.Sprintf("host-%d", n),
-			Domain:       fmt.Sprintf("domain-%d", (n-1)%3+1),
-			Listen:       freeAddress(f.t, ip),
-			Ready:        freeAddress(f.t, ip),
-			Peer:         freeAddress(f.t, ip),
-			Store:        f.store.Listener.Addr().String(),
-			Control:      f.store.Listener.Addr().String(),
-			MemoryMB:     200,
-			WithdrawalMS: int(f.withdrawalLimit.Milliseconds()),
-			DrainMS:      3000,
-			GraceS:       2,
-		},
-		ended: make(chan error, 1),
-		clock: &skewedClock{},
+		settings: s,
+		ended:    make(chan error, 1),
+		clock:    &skewedClock{},
 	}
 	log := logr.Discard()
 	if testing.Verbose() {
@@ -236,7 +254,6 @@
 	ctx, stop := context.WithCancel(context.Background())
 	h.stop = stop
 	go func() { h.ended <- h.edge.Run(ctx) }()
-	f.hosts = append(f.hosts, h)
 	return h
 }
 
--- /dev/null
+++ b/io/edge/restart_test.go
@@ -0,0 +1,49 @@
+package edge
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestHandlesEndWithTheRunThatGaveThemOut guards against a host that is started again and takes a
+// statement of a transaction of its earlier run for one of a transaction that another client began since.
+func TestHandlesEndWithTheRunThatGaveThemOut(t *testing.T) {
+	f := startFleet(t, 3, func(f *fleet) { f.config.Limits["TxIdleMs"] = 20_000 })
+	near := f.hosts[1]
+	owns := func() bool { return near.edge.relay.Owners.Of("db-1", "arima")[0] == "host-1" }
+	f.await("host-1 as the owner of the connections", 5*time.Second, owns)
+	begin := func(name string) []*client {
+		var clients []*client
+		for i := range 3 {
+			c, _ := connect(t, near, "file", "key-arima")
+			c.must("BEGIN")
+			c.must(fmt.Sprintf("WRITE %s-%d early", name, i))
+			clients = append(clients, c)
+		}
+		return clients
+	}
+	first := begin("first")
+	f.restart(0)
+	f.await("host-1 as the owner again", 5*time.Second, owns)
+	second := begin("second")
+	for _, c := range first {
+		assert.Equal(t, c.do("WRITE late x").code, "ABORTED")
+		assert.Equal(t, c.do("COMMIT").code, "ABORTED")
+	}
+	for _, c := range second {
+		c.must("COMMIT")
+	}
+	var committed []string
+	for _, r := range f.group.Runs() {
+		if r.Committed && r.Text != "COMMIT" {
+			committed = append(committed, strings.Fields(r.Text)[1])
+		}
+	}
+	slices.Sort(committed)
+	assert.DeepEqual(t, committed, []string{"second-0", "second-1", "second-2"})
+}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -60,7 +60,6 @@
 	mu         sync.Mutex
 	avoidUntil map[string]time.Duration
 	held       map[uint64]*heldConn
-	lastHandle uint64
 }
 
 // Conn is a connection to a database for one session at a time. It is either a
--- a/io/relay/serve.go
+++ b/io/relay/serve.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -76,6 +79,8 @@
 	if x.GetHandle() != 0 {
 		h := r.take(x.GetHandle(), from)
 		if h == nil {
+			r.Log.Info("transaction of another host is unknown", "host", from, "id", x.GetId(), "database", x.GetDatabase(),
+				"handle", strconv.FormatUint(x.GetHandle(), 16))
 			return nil, &relaypb.Response{
 				Outcome: relaypb.Outcome_OUTCOME_LOST,
 				Text:    "transaction has ended",
@@ -115,8 +120,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if handle == 0 {
-		r.lastHandle++
-		handle = r.lastHandle
+		handle = r.newHandle()
 	}
 	h := &heldConn{
 		conn: conn,
@@ -132,6 +136,19 @@
 	return handle
 }
 
+// newHandle returns a handle that names no other transaction. It is random, because other hosts
+// may still use handles that an earlier run of this host gave out. r.mu is held.
+func (r *Relay) newHandle() uint64 {
+	for {
+		var b [8]byte
+		_, _ = rand.Read(b[:]) // never fails
+		handle := binary.NativeEndian.Uint64(b[:])
+		if _, used := r.held[handle]; handle != 0 && !used {
+			return handle
+		}
+	}
+}
+
 // take removes a held connection from the table and returns it, or nil if the handle is
 // unknown or belongs to another host.
 func (r *Relay) take(handle uint64, from string) *heldConn {
