--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -333,6 +333,9 @@
 	// transactionShare is the part of the grace period after which open transactions
 	// are aborted.
 	transactionShare = 0.5
+	// serviceShare is the part of the grace period in which statements that are being
+	// served can be answered. The rest is for the release of the lease.
+	serviceShare = 0.9
 )
 
 // shutDown reports the host as not ready, waits for the load balancer to notice, closes
@@ -343,8 +346,8 @@
 	e.checkReadiness()
 	grace := float64(e.settings.Grace())
 	time.Sleep(time.Duration(grace * noticeShare))
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(grace*(transactionShare-noticeShare)))
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(grace*(serviceShare-noticeShare)))
 	defer cancel()
 	closeListener()
-	e.server.Drain(ctx)
+	e.server.Drain(ctx, time.Duration(grace*(transactionShare-noticeShare)))
 }
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -14,7 +14,9 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -80,11 +82,14 @@
 
 	mu       sync.Mutex
 	sessions map[*session]struct{}
-	draining atomic.Bool
-	once     sync.Once
-	wg       sync.WaitGroup
-	served   atomic.Uint64
-	retries  retryBudgets
+	// draining is set when sessions end outside a transaction, aborting when transactions
+	// end too, and closing when sessions end after the statement that they serve.
+	draining, aborting, closing atomic.Bool
+
+	once    sync.Once
+	wg      sync.WaitGroup
+	served  atomic.Uint64
+	retries retryBudgets
 }
 
 // Run accepts callers until ctx ends. Open sessions continue until Drain. It fails if
@@ -147,25 +152,13 @@
 
 // CloseIdle ends the sessions that are idle outside a transaction, so that their callers
 // reconnect to another host. It returns how many it ended.
-func (s *Server) CloseIdle() int {
-	s.mu.Lock()
-	sessions := make([]*session, 0, len(s.sessions))
-	for n := range s.sessions {
-		sessions = append(sessions, n)
-	}
-	s.mu.Unlock()
-	closed := 0
-	for _, n := range sessions {
-		if n.closeIdle() {
-			closed++
-		}
-	}
-	return closed
-}
+func (s *Server) CloseIdle() int { return s.forEach((*session).closeIdle) }
 
 // Drain ends each session as soon as it is idle outside a transaction. Transactions that
-// are still open when ctx ends are aborted, and their callers get an answer that says so.
-func (s *Server) Drain(ctx context.Context) {
+// are still open after txTime are aborted between two of their statements, and their callers
+// get an answer that says so. A statement that is being served is answered, unless ctx ends
+// first.
+func (s *Server) Drain(ctx context.Context, txTime time.Duration) {
 	s.draining.Store(true)
 	s.Log.Info("sessions draining", "ended", s.CloseIdle())
 	done := make(chan struct{})
@@ -173,15 +166,18 @@
 		s.wg.Wait()
 		close(done)
 	}()
-	select {
-	case <-done:
+	if await(ctx, done, txTime) {
 		return
-	case <-ctx.Done():
 	}
-	s.abortAll()
+	s.Log.Info("transactions aborted", "sessions", s.Sessions(), "aborted", s.abortAll())
+	if await(ctx, done, abortGrace) {
+		return
+	}
+	s.Log.Info("resting sessions closed", "sessions", s.Sessions(), "closed", s.closeResting())
 	select {
 	case <-done:
-	case <-time.After(abortGrace):
+	case <-ctx.Done():
+		s.Log.Info("sessions not drained in time", "sessions", s.Sessions())
 	}
 }
 
@@ -189,12 +185,45 @@
 // transaction.
 const abortGrace = time.Second
 
-func (s *Server) abortAll() {
+// await reports whether done is closed before d has passed and before ctx ends.
+func await(ctx context.Context, done <-chan struct{}, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-done:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// abortAll aborts all open transactions: those of resting sessions at once, the others when
+// their statement has been answered. It returns how many were resting.
+func (s *Server) abortAll() int {
+	s.aborting.Store(true)
+	return s.forEach(func(n *session) bool { return n.abortIdle(hostLeaving) })
+}
+
+// closeResting ends all sessions that serve no statement; the others end after theirs. It
+// returns how many were resting.
+func (s *Server) closeResting() int {
+	s.closing.Store(true)
+	return s.forEach((*session).closeResting)
+}
+
+// forEach calls f for each session and returns for how many it reported true.
+func (s *Server) forEach(f func(*session) bool) int {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	for n := range s.sessions {
-		n.abortIdle("the host is leaving")
+	sessions := slices.Collect(maps.Keys(s.sessions))
+	s.mu.Unlock()
+	count := 0
+	for _, n := range sessions {
+		if f(n) {
+			count++
+		}
 	}
+	return count
 }
 
 // Sessions returns the number of open sessions.
--- a/io/entry/session.go
+++ b/io/entry/session.go
@@ -83,9 +83,13 @@
 func (n *session) enterIdle() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.closed || n.tx == nil && n.server.draining.Load() {
+	s := n.server
+	if n.closed || s.closing.Load() || n.tx == nil && s.draining.Load() {
 		return false
 	}
+	if n.tx != nil && !n.tx.failed && s.aborting.Load() {
+		n.abortTransaction(hostLeaving)
+	}
 	n.busy = false
 	n.inTx = n.tx != nil
 	if n.inTx {
@@ -94,6 +98,9 @@
 	return true
 }
 
+// restedTooLong is the reason for which idle transactions are aborted.
+const restedTooLong = "transaction rested too long"
+
 // startIdleTimer aborts the open transaction if it is idle for too long.
 func (n *session) startIdleTimer() {
 	limit := time.Duration(0)
@@ -101,7 +108,7 @@
 		limit = c.IdleTransaction
 	}
 	if limit > 0 && n.tx.conn != nil {
-		n.idleTimer = time.AfterFunc(limit, func() { n.abortIdle("transaction rested too long") })
+		n.idleTimer = time.AfterFunc(limit, func() { n.abortIdle(restedTooLong) })
 	}
 }
 
@@ -131,14 +138,36 @@
 	return true
 }
 
-// abortIdle aborts the transaction of a session that is idle inside one. The caller gets
-// the error as the answer to its next statement.
-func (n *session) abortIdle(reason string) {
+// closeResting ends the session unless it serves a statement, and reports whether it did.
+func (n *session) closeResting() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.busy || n.tx == nil || n.closed {
-		return
+	if n.busy || n.closed {
+		return false
+	}
+	n.closed = true
+	n.conn.Close()
+	return true
+}
+
+// hostLeaving is the reason for which transactions are aborted when the host shuts down.
+const hostLeaving = "the host is leaving"
+
+// abortIdle aborts the transaction of a session that is idle inside one, and reports whether
+// it did.
+func (n *session) abortIdle(reason string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.busy || n.tx == nil || n.tx.failed || n.closed {
+		return false
 	}
+	n.abortTransaction(reason)
+	return true
+}
+
+// abortTransaction aborts the open transaction between two statements. The caller gets the
+// error as the answer to its next statement. n.mu is held.
+func (n *session) abortTransaction(reason string) {
 	n.server.Log.Info("transaction aborted", "database", n.startup.Database(), "account", n.account, "reason", reason)
 	n.tx.closeConn()
 	n.tx.failed = true
