--- a/io/edge/fault_test.go
+++ b/io/edge/fault_test.go
@@ -329,3 +329,35 @@
 		return true
 	})
 }
+
+// TestOddEntriesStopNoHost guards against hosts that end, or stop following the store, because another
+// writer left odd entries among those of the databases: those that run, and one that starts later.
+func TestOddEntriesStopNoHost(t *testing.T) {
+	f := startFleet(t, 3, nil)
+	f.store.Put("servers/db-0", []byte(strings.Repeat(`{"Service":`, 50_000)))
+	f.store.Put("servers/db-4", []byte(`{"Service":"notices","Address":"127.0.61.1:99999","Zone":"domain-1","ConfigVersion":"v1",
+		"Slots":4e18,"State":"ready","ColdRemainingMs":0,"DbRole":"primary","Seq":1,"born":1e300}`))
+	f.store.Put("servers/db-5", []byte(`{"Slots":1e400}`))
+	f.store.Put("servers/db-2", []byte(`[]`)) // over a database's own entry
+	f.restart(2)
+	f.changeSettings(func(c *config) { c.Routes[0].TimeoutMs = timeoutMS + 1 })
+	for _, h := range f.hosts {
+		f.await("settings after the odd entries", 3*time.Second, func() bool {
+			return h.edge.mirror.View().Settings.Version == uint64(f.config.ConfigVersion)
+		})
+		var used []string
+		for _, u := range h.edge.mirror.View().Members("notices") {
+			if !u.Removed {
+				used = append(used, u.Upstream.Name())
+			}
+		}
+		assert.DeepEqual(t, used, []string{"db-1", "db-3"})
+		c, code := connect(t, h, "file", "key-arima")
+		assert.Equal(t, code, "")
+		c.must("WRITE a b")
+	}
+	f.announce(1, "ready")
+	f.await("database that writes its entry again", 3*time.Second, func() bool {
+		return !f.hosts[2].edge.mirror.View().Upstreams["db-2"].Removed
+	})
+}
--- a/io/edge/fleet_test.go
+++ b/io/edge/fleet_test.go
@@ -281,13 +281,16 @@
 		role = "primary"
 	}
 	f.store.Put("servers/"+f.databases[i].ID(), map[string]any{
-		"Service": "notices",
-		"Address": f.databases[i].Addr(),
-		"Zone":    fmt.Sprintf("domain-%d", i+1),
-		"State":   state,
-		"DbRole":  role,
-		"Seq":     1,
-		"born":    1700000000000,
+		"Service":         "notices",
+		"Address":         f.databases[i].Addr(),
+		"Zone":            fmt.Sprintf("domain-%d", i+1),
+		"ConfigVersion":   "v1",
+		"Slots":           2,
+		"State":           state,
+		"ColdRemainingMs": 0,
+		"DbRole":          role,
+		"Seq":             1,
+		"born":            1700000000000,
 	})
 }
 
