entry: a statement that was read is served, also if its session is being closed

What callers could see: a connection closed without an answer to a statement that the host had read, at a SIGTERM, or while its settings were too old or it was cut off.

Whether a session is idle was decided by another goroutine, from a mark that the session sets after its statement has been read; in between the connection was closed.

Fix: closing a session interrupts its wait for a statement by a read deadline. If a statement was read, the session serves it and ends then, or after the transaction that it began.

Before the fix: server_test.go:93: 0 (caller.answered) != 1 After: passes, also under the race detector.

--- a/io/entry/server_test.go
+++ b/io/entry/server_test.go
@@ -42,3 +42,53 @@
 	s.wg.Wait()
 	assert.Equal(t, closed, 0)
 }
+
+// readyCaller has sent one statement, which Next returns once the test lets it.
+type readyCaller struct {
+	coltsfootloft.Caller
+	read     chan struct{} // closed when the statement has been read
+	proceed  chan struct{}
+	answered int
+}
+
+func (c *readyCaller) Next() (coltsfootloft.Statement, error) {
+	close(c.read)
+	<-c.proceed
+	return coltsfootloft.NewStatement("a1", "JUGGLE", coltsfootloft.VerbUnknown, "", ""), nil
+}
+
+func (c *readyCaller) Answer(coltsfootloft.Reply) error {
+	c.answered++
+	return nil
+}
+
+// TestStatementThatWasReadIsAnswered guards against a session that is closed as idle between the reading
+// of its statement and its being marked as busy, so that the statement gets no answer.
+func TestStatementThatWasReadIsAnswered(t *testing.T) {
+	conn, peer := net.Pipe()
+	defer peer.Close()
+	caller := &readyCaller{
+		read:    make(chan struct{}),
+		proceed: make(chan struct{}),
+	}
+	s := &Server{Log: logr.Discard()}
+	s.prepare()
+	n := &session{
+		server: s,
+		conn:   conn,
+		caller: caller,
+		busy:   true,
+	}
+	s.sessions[n] = struct{}{}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		n.serveStatements()
+	}()
+	<-caller.read
+	assert.Equal(t, s.CloseIdle(), 1)
+	assert.Equal(t, s.CloseIdle(), 0, "ended twice")
+	close(caller.proceed)
+	<-ended
+	assert.Equal(t, caller.answered, 1)
+}
--- a/io/entry/session.go
+++ b/io/entry/session.go
@@ -32,24 +32,26 @@
 	lastWriteGroup string
 	tx             *transaction
 
-	mu        sync.Mutex
-	busy      bool // serving a statement, or starting
-	inTx      bool
-	closed    bool
-	idleTimer *time.Timer
+	mu          sync.Mutex
+	busy        bool // serving a statement, or starting
+	inTx        bool
+	interrupted bool // reads no further statement
+	idleTimer   *time.Timer
 }
 
 func (n *session) run() {
 	defer n.conn.Close()
 	defer n.cleanUp()
-	if !n.handshake() {
-		return
+	if n.handshake() {
+		n.serveStatements()
 	}
+}
+
+// serveStatements serves the caller's statements until the session ends.
+func (n *session) serveStatements() {
 	for n.enterIdle() {
 		statement, err := n.caller.Next()
-		if !n.enterBusy() {
-			return
-		}
+		n.enterBusy()
 		if err != nil {
 			n.handleReadError(err)
 			return
@@ -84,9 +86,13 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	s := n.server
-	if n.closed || s.closing.Load() || n.tx == nil && s.draining.Load() {
+	if s.closing.Load() || n.tx == nil && (n.interrupted || s.draining.Load()) {
 		return false
 	}
+	if n.interrupted { // a transaction has begun since
+		n.interrupted = false
+		_ = n.conn.SetReadDeadline(time.Time{})
+	}
 	if n.tx != nil && !n.tx.failed && s.aborting.Load() {
 		n.abortTransaction(hostLeaving)
 	}
@@ -112,9 +118,8 @@
 	}
 }
 
-// enterBusy marks the session as serving a statement. It reports false if the session
-// has been closed.
-func (n *session) enterBusy() bool {
+// enterBusy marks the session as serving a statement.
+func (n *session) enterBusy() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.idleTimer != nil {
@@ -122,7 +127,13 @@
 		n.idleTimer = nil
 	}
 	n.busy = true
-	return !n.closed
+}
+
+// interrupt ends the session's wait for a statement. One that has already been read is still
+// served, which only the session's goroutine can tell. n.mu is held.
+func (n *session) interrupt() {
+	n.interrupted = true
+	_ = n.conn.SetReadDeadline(time.Unix(1, 0))
 }
 
 // closeIdle ends the session if it is idle outside a transaction, and reports whether it
@@ -130,11 +141,10 @@
 func (n *session) closeIdle() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.busy || n.inTx || n.closed {
+	if n.busy || n.inTx || n.interrupted {
 		return false
 	}
-	n.closed = true
-	n.conn.Close()
+	n.interrupt()
 	return true
 }
 
@@ -142,11 +152,10 @@
 func (n *session) closeResting() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.busy || n.closed {
+	if n.busy || n.interrupted {
 		return false
 	}
-	n.closed = true
-	n.conn.Close()
+	n.interrupt()
 	return true
 }
 
@@ -158,7 +167,7 @@
 func (n *session) abortIdle(reason string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.busy || n.tx == nil || n.tx.failed || n.closed {
+	if n.busy || n.tx == nil || n.tx.failed {
 		return false
 	}
 	n.abortTransaction(reason)
@@ -253,7 +262,6 @@
 func (n *session) cleanUp() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.closed = true
 	if n.idleTimer != nil {
 		n.idleTimer.Stop()
 	}
