relay: a host that leaves ends no statement of other hosts

What callers saw, or could see: when a host that owns connections was stopped, writes of other hosts' callers that it was running were answered INDOUBT, and their open transactions ABORTED.

The end of the process waited for its own sessions only, and it went on lending connections to other hosts until then.

Fix: from the SIGTERM on, the host answers statements that need a connection with BUSY and leaving, and the other host turns to the next owner at once.

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -339,15 +339,19 @@
 )
 
 // shutDown reports the host as not ready, waits for the load balancer to notice, closes
-// the listener, and ends the sessions as they become idle.
+// the listener, and ends the sessions as they become idle. Other hosts that use connections of
+// this one turn to other owners at once.
 func (e *Edge) shutDown(closeListener func()) {
 	e.log.Info("host shutting down", "sessions", e.server.Sessions(), "grace", e.settings.Grace().String())
 	close(e.leaving)
 	e.checkReadiness()
+	e.relay.Leave()
 	grace := float64(e.settings.Grace())
-	time.Sleep(time.Duration(grace * noticeShare))
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(grace*(serviceShare-noticeShare)))
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(grace*serviceShare))
 	defer cancel()
+	txEnd := time.Now().Add(time.Duration(grace * transactionShare))
+	time.Sleep(time.Duration(grace * noticeShare))
 	closeListener()
-	e.server.Drain(ctx, time.Duration(grace*(transactionShare-noticeShare)))
+	e.server.Drain(ctx, time.Until(txEnd))
+	e.relay.Drain(ctx, time.Until(txEnd))
 }
--- a/io/edge/stop_test.go
+++ b/io/edge/stop_test.go
@@ -39,3 +39,35 @@
 		assert.Equal(t, a.code, "ABORTED")
 	}
 }
+
+// TestStopCutsNoStatementOfOtherHosts guards against a host that ends while it runs statements for
+// sessions of other hosts: writes would be in doubt, and their transactions aborted.
+func TestStopCutsNoStatementOfOtherHosts(t *testing.T) {
+	f := startFleet(t, 3, func(f *fleet) { f.grace = 4 })
+	owner, near := f.hosts[0], f.hosts[1]
+	f.await("host-1 as the owner of the connections", 5*time.Second, func() bool {
+		return near.edge.relay.Owners.Of("db-1", "arima")[0] == "host-1"
+	})
+	f.group.SetHook("db-1", func() { time.Sleep(60 * time.Millisecond) })
+	tx, _ := connect(t, near, "file", "key-arima")
+	tx.must("BEGIN")
+	tx.must("WRITE hall early")
+	var wait sync.WaitGroup
+	for range 3 {
+		c, _ := connect(t, near, "file", "key-arima")
+		wait.Go(func() {
+			for end := time.Now().Add(3 * time.Second); time.Now().Before(end); {
+				if a := c.do("WRITE board x"); a.lost || a.code != "" && a.code != "BUSY" {
+					t.Errorf("a write got %+v", a)
+				}
+			}
+		})
+	}
+	owner.stop()
+	stopped := time.Now()
+	time.Sleep(time.Duration(f.grace * 0.45 * float64(time.Second)))
+	assert.Equal(t, tx.do("COMMIT").code, "", "%s after the stop", time.Since(stopped))
+	wait.Wait()
+	assert.NilError(t, <-owner.ended)
+	owner.ended <- nil // for the end of the fleet
+}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -60,6 +60,8 @@
 	mu         sync.Mutex
 	avoidUntil map[string]time.Duration
 	held       map[uint64]*heldConn
+	serving    int  // statements of other hosts that are being run
+	leaving    bool // other hosts get no further connections
 }
 
 // Conn is a connection to a database for one session at a time. It is either a
--- a/io/relay/remote.go
+++ b/io/relay/remote.go
@@ -21,6 +21,9 @@
 // longer wait for the answer.
 const waitShare = 0.6
 
+// errLeaving is the reason for which an owner that shuts down is avoided.
+var errLeaving = errors.New("the host is leaving")
+
 // exchangeRemote runs a statement on the owner's host.
 func (n *Conn) exchangeRemote(q dbpool.Request, final time.Time, keep bool) (coltsfootloft.Reply, error) {
 	r := n.relay
@@ -44,6 +47,9 @@
 	n.handle = a.GetHandle()
 	switch a.GetOutcome() {
 	case relaypb.Outcome_OUTCOME_BUSY:
+		if a.GetLeaving() {
+			r.avoid(n.owner, errLeaving)
+		}
 		return coltsfootloft.Reply{}, dbpool.ErrBusy
 	case relaypb.Outcome_OUTCOME_DOWN:
 		r.Pools.Observe(n.target.ID, func(c *pick.Candidate, now time.Duration) { c.Down(now) })
--- a/io/relay/serve.go
+++ b/io/relay/serve.go
@@ -51,6 +51,13 @@
 // exchange runs a statement of another host on a connection of this one.
 func (r *Relay) exchange(from string, x *relaypb.Exchange) *relaypb.Response {
 	received := time.Now()
+	if !r.beginServing(x.GetHandle() != 0) {
+		return &relaypb.Response{
+			Outcome: relaypb.Outcome_OUTCOME_BUSY,
+			Leaving: true,
+		}
+	}
+	defer r.endServing()
 	conn, failed := r.connection(from, x)
 	if failed != nil {
 		return failed
