--- a/io/entry/transaction.go
+++ b/io/entry/transaction.go
@@ -17,6 +17,7 @@
 // transaction is an open transaction of a session.
 type transaction struct {
 	operation
+	account  string // that the key belonged to when the transaction began
 	begin    coltsfootloft.Statement
 	readOnly bool
 	dest     destination
@@ -47,6 +48,7 @@
 	}
 	n.tx = &transaction{
 		operation: o,
+		account:   n.account,
 		begin:     st,
 		readOnly:  st.Verb() == coltsfootloft.VerbBeginRead,
 	}
@@ -55,7 +57,7 @@
 
 // serveInTransaction runs a read or a write in the open transaction.
 func (n *session) serveInTransaction(st coltsfootloft.Statement, shape *prep.Shape) coltsfootloft.Reply {
-	if _, refusal := n.authorize(); refusal != nil {
+	if !n.mayContinue() {
 		return n.abort(st, "key withdrawn or settings too old")
 	}
 	t := n.tx
@@ -91,6 +93,13 @@
 	return reply
 }
 
+// mayContinue reports whether the session's key is still valid, and still that of the account
+// for which the open transaction runs.
+func (n *session) mayContinue() bool {
+	_, refusal := n.authorize()
+	return refusal == nil && n.account == n.tx.account
+}
+
 func (n *session) request(st coltsfootloft.Statement, shape *prep.Shape, deadline time.Time) dbpool.Request {
 	r := dbpool.Request{
 		Statement: st,
@@ -213,7 +222,7 @@
 		n.tx = nil
 		return coltsfootloft.RefusedReply(coltsfootloft.ReasonAborted, "transaction failed before")
 	}
-	if _, refusal := n.authorize(); refusal != nil {
+	if !n.mayContinue() {
 		return n.abortCommit(st, "key withdrawn or settings too old")
 	}
 	if t.conn == nil {
