--- a/io/edge/session_test.go
+++ b/io/edge/session_test.go
@@ -195,3 +195,20 @@
 		}
 	}
 }
+
+// TestCommitRunsWithTheSessionsValues guards against a SET inside a transaction that the database does not
+// get before the COMMIT, which then runs with other values than were acknowledged.
+func TestCommitRunsWithTheSessionsValues(t *testing.T) {
+	f := startFleet(t, 3, nil)
+	c, _ := connect(t, f.hosts[0], "file", "key-arima")
+	c.must("SET who before")
+	c.must("BEGIN")
+	c.must("WRITE hall open")
+	c.must("SET who after")
+	c.must("COMMIT")
+	for _, r := range f.group.Runs() {
+		if r.Text == "COMMIT" {
+			assert.Equal(t, r.Values["who"], "after")
+		}
+	}
+}
--- a/io/entry/transaction.go
+++ b/io/entry/transaction.go
@@ -75,7 +75,7 @@
 		return n.abort(st, n.primaryLostReason())
 	}
 	limit := min(t.route.Timeout, txTargetLatencies*t.route.TargetLatency)
-	reply, err := t.conn.Exchange(n.request(st, shape, t.wall.Add(limit)), t.wall.Add(limit), true)
+	reply, err := t.conn.Exchange(n.request(t, st, shape, t.wall.Add(limit)), t.wall.Add(limit), true)
 	t.synced = true
 	if err != nil {
 		if t.dest.reader.IsPrimary {
@@ -100,13 +100,15 @@
 	return refusal == nil && n.account == n.tx.account
 }
 
-func (n *session) request(st coltsfootloft.Statement, shape *prep.Shape, deadline time.Time) dbpool.Request {
+// request returns the request for a statement of a transaction. It sets the session's values
+// if they have changed since the statement before.
+func (n *session) request(t *transaction, st coltsfootloft.Statement, shape *prep.Shape, deadline time.Time) dbpool.Request {
 	r := dbpool.Request{
 		Statement: st,
 		Shape:     shape,
 		Deadline:  deadline,
 	}
-	if !n.tx.synced || shape != nil {
+	if !t.synced || shape != nil {
 		r.Expected = &n.expected
 	}
 	return r
@@ -246,10 +248,7 @@
 	for {
 		sent := s.Clock.Elapsed()
 		final := t.wall.Add(t.route.Timeout)
-		reply, err := t.conn.Exchange(dbpool.Request{
-			Statement: st,
-			Deadline:  final,
-		}, final, true)
+		reply, err := t.conn.Exchange(n.request(t, st, nil, final), final, true)
 		if err != nil {
 			t.closeConn()
 			if t.dest.reader.IsPrimary {
