--- a/io/edge/fleet_test.go
+++ b/io/edge/fleet_test.go
@@ -274,16 +274,28 @@
 	}
 }
 
+// addGroup starts a second group, of one database.
+func (f *fleet) addGroup(ctx context.Context, name string) *linedb.Group {
+	g := &linedb.Group{Name: name}
+	d := g.Add(ctx, name+"-1", listen(f.t, "127.0.61.9"))
+	f.announceAs(d, name, "primary", "domain-1", "ready")
+	return g
+}
+
 // announce writes a database's entry in the store, as the database itself does.
 func (f *fleet) announce(i int, state string) {
 	role := "replica"
 	if f.group.Primary() == f.databases[i].ID() {
 		role = "primary"
 	}
-	f.store.Put("servers/"+f.databases[i].ID(), map[string]any{
-		"Service":         "notices",
-		"Address":         f.databases[i].Addr(),
-		"Zone":            fmt.Sprintf("domain-%d", i+1),
+	f.announceAs(f.databases[i], "notices", role, fmt.Sprintf("domain-%d", i+1), state)
+}
+
+func (f *fleet) announceAs(d *linedb.Database, group, role, domain, state string) {
+	f.store.Put("servers/"+d.ID(), map[string]any{
+		"Service":         group,
+		"Address":         d.Addr(),
+		"Zone":            domain,
 		"ConfigVersion":   "v1",
 		"Slots":           2,
 		"State":           state,
--- a/io/entry/choose.go
+++ b/io/entry/choose.go
@@ -102,8 +102,8 @@
 	if !ok {
 		return p, false
 	}
-	if o.route.Kind == coltsfootloft.RouteReadOwnWrites && n.lastWriteGroup == o.route.Group && n.lastWrite.Compare(p) > 0 {
-		p = n.lastWrite
+	if w := n.lastWrites[o.route.Group]; o.route.Kind == coltsfootloft.RouteReadOwnWrites && w.Compare(p) > 0 {
+		p = w
 	}
 	return p, true
 }
--- a/io/entry/session.go
+++ b/io/entry/session.go
@@ -26,11 +26,10 @@
 	// expected holds the session's values and prepared statements, which every
 	// connection that it borrows must have.
 	expected prep.SessionState
-	// lastWrite is the position of the session's latest commit, in group
-	// lastWriteGroup.
-	lastWrite      coltsfootloft.Position
-	lastWriteGroup string
-	tx             *transaction
+	// lastWrites holds the position of the session's latest commit in each group. A route
+	// may move to another group and back.
+	lastWrites map[string]coltsfootloft.Position
+	tx         *transaction
 
 	mu          sync.Mutex
 	busy        bool // serving a statement, or starting
@@ -258,6 +257,14 @@
 	return &r
 }
 
+// noteWrite records the position of a commit in a group.
+func (n *session) noteWrite(group string, p coltsfootloft.Position) {
+	if n.lastWrites == nil {
+		n.lastWrites = make(map[string]coltsfootloft.Position, 1)
+	}
+	n.lastWrites[group] = p
+}
+
 // cleanUp releases what the session holds.
 func (n *session) cleanUp() {
 	n.mu.Lock()
--- a/io/entry/single.go
+++ b/io/entry/single.go
@@ -84,8 +84,7 @@
 		s.Groups.Marks(o.route.Group).Add(d.reader.Primary.Epoch, sent, reply.Position)
 	}
 	if writes {
-		n.lastWrite = reply.Position
-		n.lastWriteGroup = o.route.Group
+		n.noteWrite(o.route.Group, reply.Position)
 	}
 	return reply, true
 }
--- a/io/entry/transaction.go
+++ b/io/entry/transaction.go
@@ -276,8 +276,7 @@
 			s.Groups.Marks(t.route.Group).Add(t.dest.reader.Primary.Epoch, sent, reply.Position)
 		}
 		if t.wrote {
-			n.lastWrite = reply.Position
-			n.lastWriteGroup = t.route.Group
+			n.noteWrite(t.route.Group, reply.Position)
 		}
 		n.finish(&t.operation, st, t.dest, reply)
 		return reply
