--- a/io/dbpool/conn.go
+++ b/io/dbpool/conn.go
@@ -77,8 +77,8 @@
 	return reply, nil
 }
 
-// receiveLast reads the outstanding answers and returns the last one, which is that to the
-// statement. It fails if one of the commands before the statement failed.
+// receiveLast reads all outstanding answers and returns the last one. It fails if one before it,
+// which is to a command that prepares the connection for the last request, is a failure.
 func (c *Conn) receiveLast(deadline time.Time) (coltsfootloft.Reply, error) {
 	for {
 		r, err := c.session.Receive(deadline)
