test: programs under test get ports that nothing else takes

Cause: portsAt let the system choose ports, released them and gave them to programs that listen some time later. Fleets of tests that run beside each other have hosts at the same addresses, and the system may choose a released port again.

Ruled out: a second start of h2 (its log has the one line), a port in TIME_WAIT (listeners have SO_REUSEADDR).

Ports come from stand/ports now: below the range that systems give out, each address once per process before any is given again. The edge tests and cmd/standin use the same.

--- a/cmd/standin/process_test.go
+++ b/cmd/standin/process_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -20,6 +19,7 @@
 	"coltsfootloft"
 	"coltsfootloft/io/dbops"
 	"coltsfootloft/stand/dbase"
+	"coltsfootloft/stand/ports"
 )
 
 // build compiles the command.
@@ -75,23 +75,14 @@
 	p.command.Wait()
 }
 
-// freeAddress returns an address that no process listens on. Its port is below the
-// system's range of ephemeral ports, so that it stays free.
+// freeAddress returns an address that no process listens on.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	for {
-		lastPort++
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", lastPort))
-		if err == nil {
-			defer l.Close()
-			return l.Addr().String()
-		}
-	}
+	list, err := ports.Choose("127.0.0.1", 1)
+	assert.NilError(t, err)
+	return list[0]
 }
 
-// lastPort is the last port that freeAddress has tried.
-var lastPort = 20_000 + os.Getpid()%10_000
-
 func connect(t testing.TB, address string) *pgx.Conn {
 	t.Helper()
 	c, err := pgx.Connect(t.Context(), "postgres://caroni@"+address+"/news?sslmode=disable")
--- a/io/edge/fleet_test.go
+++ b/io/edge/fleet_test.go
@@ -20,6 +20,7 @@
 	"coltsfootloft/io/boot"
 	"coltsfootloft/stand/keyval"
 	"coltsfootloft/stand/linedb"
+	"coltsfootloft/stand/ports"
 )
 
 // fleet is a small deployment in one process: a store, one group of three databases
@@ -142,9 +143,9 @@
 // freeAddress returns an IP:port on which nothing listens.
 func freeAddress(t *testing.T, ip string) string {
 	t.Helper()
-	l := listen(t, ip)
-	defer l.Close()
-	return l.Addr().String()
+	list, err := ports.Choose(ip, 1)
+	assert.NilError(t, err)
+	return list[0]
 }
 
 // startFleet starts a fleet of n hosts and waits until it serves. change, if not nil, may
--- a/test/network_test.go
+++ b/test/network_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"coltsfootloft/stand/ports"
 	"coltsfootloft/stand/relay"
 )
 
@@ -183,12 +184,7 @@
 // portsAt returns n addresses with free ports at an IP address.
 func portsAt(t testing.TB, ip string, n int) []string {
 	t.Helper()
-	list := make([]string, n)
-	for i := range list {
-		l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-		assert.NilError(t, err)
-		defer l.Close()
-		list[i] = l.Addr().String()
-	}
+	list, err := ports.Choose(ip, n)
+	assert.NilError(t, err)
 	return list
 }
