--- a/stand/ports/ports.go
+++ b/stand/ports/ports.go
@@ -2,6 +2,7 @@
 package ports
 
 import (
+	"context"
 	"net"
 	"os"
 	"strconv"
@@ -23,6 +24,7 @@
 // Choose returns n addresses of the form IP:port on which nothing listens. No port is
 // chosen again by the same process before all others of the range were.
 func Choose(ip string, n int) ([]string, error) {
+	var c net.ListenConfig
 	list := make([]string, 0, n)
 	for range count {
 		if len(list) == n {
@@ -31,7 +33,7 @@
 		// Processes start apart from each other, as several may choose at once.
 		port := first + (uint64(os.Getpid())*1009+given.Add(1))%count
 		address := net.JoinHostPort(ip, strconv.FormatUint(port, 10))
-		l, err := net.Listen("tcp", address)
+		l, err := c.Listen(context.Background(), "tcp", address)
 		if err != nil {
 			continue
 		}
