--- a/stand/relay/link.go
+++ b/stand/relay/link.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Sizes of the queue of one direction of a connection: bytes in a chunk, and chunks
@@ -116,7 +119,9 @@
 			}
 		}
 	})
-	r.readChunks(d, from, queue)
+	if r.readChunks(d, from, queue) != nil {
+		k.reset()
+	}
 	close(queue)
 	wg.Wait()
 }
@@ -129,8 +134,9 @@
 }
 
 // readChunks reads until the end of the stream and queues chunks with the time of
-// their delivery.
-func (r *Relay) readChunks(d Direction, from net.Conn, queue chan<- chunk) {
+// their delivery. It fails if the sender resets the connection: what was not delivered
+// is lost then, as a system sends nothing more on a connection that it has reset.
+func (r *Relay) readChunks(d Direction, from net.Conn, queue chan<- chunk) error {
 	var last time.Time
 	for {
 		b := make([]byte, chunkSize)
@@ -142,11 +148,14 @@
 				due:  last,
 			}
 		}
-		if err != nil {
+		if errors.Is(err, io.EOF) {
 			queue <- chunk{
 				due: last,
 			}
-			return
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "read")
 		}
 	}
 }
--- a/stand/relay/relay.go
+++ b/stand/relay/relay.go
@@ -4,7 +4,8 @@
 //
 //   - delay and jitter of each direction;
 //   - hold: bytes of a direction wait while connections stay open, as in a network
-//     partition;
+//     partition. They arrive later, also if their sender closes the connection, and
+//     are lost if it resets the connection;
 //   - cut: all connections, and every new one, are reset;
 //   - drop: the connection that carries a given byte is reset before that byte, so that
 //     a message arrives incomplete.
--- a/stand/relay/relay_test.go
+++ b/stand/relay/relay_test.go
@@ -198,3 +198,46 @@
 	h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/captured?direction=to-target", nil))
 	assert.Equal(t, w.Body.String(), "key")
 }
+
+// TestHeldBytesOfAClosedConnection checks that bytes arrive after the connection was
+// closed, in order, and that none do after it was reset.
+func TestHeldBytesOfAClosedConnection(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		r := &relay.Relay{Target: l.Addr().String()}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- r.Run(ctx) }()
+		<-r.Ready()
+		r.Hold(relay.ToTarget, true)
+		c := dial(t, r)
+		far, err := l.Accept()
+		assert.NilError(t, err)
+		for _, s := range []string{"one", "two"} {
+			_, err = io.WriteString(c, s)
+			assert.NilError(t, err)
+		}
+		for r.Status().ToTarget < 6 {
+			time.Sleep(time.Millisecond)
+		}
+		if reset {
+			assert.NilError(t, c.(*net.TCPConn).SetLinger(0))
+		}
+		assert.NilError(t, c.Close())
+		time.Sleep(20 * time.Millisecond)
+		r.Hold(relay.ToTarget, false)
+		b, err := io.ReadAll(far)
+		if reset {
+			assert.Equal(t, string(b), "")
+			assert.Assert(t, err != nil, "the far end must see the reset")
+		} else {
+			assert.NilError(t, err)
+			assert.Equal(t, string(b), "onetwo")
+		}
+		far.Close()
+		cancel()
+		assert.NilError(t, <-done)
+		l.Close()
+	}
+}
