entry: the map of sessions is made under its lock

Callers saw nothing of it; a host that is cut off or stopped within milliseconds of its start might have missed a session.

The readers hold the lock already, so making the map under it orders the two.

--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -119,6 +119,8 @@
 
 func (s *Server) prepare() {
 	s.once.Do(func() {
+		s.mu.Lock() // callers of Sessions and CloseIdle may come before Run
+		defer s.mu.Unlock()
 		s.sessions = make(map[*session]struct{})
 		s.retries.clock = s.Clock
 	})
--- a/io/entry/server_test.go
+++ b/io/entry/server_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"io"
 	"net"
 	"testing"
@@ -43,6 +44,21 @@
 	assert.Equal(t, closed, 0)
 }
 
+// TestSessionsAreCountedWhileRunBegins guards against a map of sessions that is written while
+// another goroutine counts them; the race detector sees it.
+func TestSessionsAreCountedWhileRunBegins(t *testing.T) {
+	s := &Server{
+		Listen: "127.0.0.1:0",
+		Log:    logr.Discard(),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx) }()
+	assert.Equal(t, s.Sessions()+s.CloseIdle(), 0)
+	cancel()
+	assert.NilError(t, <-ended)
+}
+
 // readyCaller has sent one statement, which Next returns once the test lets it.
 type readyCaller struct {
 	coltsfootloft.Caller
