failov, leader: commits that synchronous replicas have received survive

Cause: Successor never took a replica that drains, though it counts towards SyncReplicas until it ends; it passed over silent replicas, and a planned change went on with a replica that was behind.

Ruled out as the cause of that loss: a silent replica (all but the primary answered), a planned change that ran out of time (the primary was lost). TestSuccessorHasEveryAcknowledgedCommit covers these two.

Where it is above 0, what has received most is promoted even if it drains, nothing is promoted while silent replicas alone may have a commit, and a primary that drains is given up only for a replica that has caught up. With N copies acknowledged and fewer than N silent, one of those that answer has the commit, and the one that has received most has all. Groups with 0 are served as before.

--- a/core/leader/leader.go
+++ b/core/leader/leader.go
@@ -86,8 +86,11 @@
 	Answered bool
 	// Health is the answer; valid if Answered is set.
 	Health coltsfootloft.Health
-	// Leaving databases are not candidates.
+	// Leaving databases still receive commits. They are candidates only for commits that
+	// no other database may have.
 	Leaving bool
+	// Gone databases are not candidates, and nothing is expected from them any more.
+	Gone bool
 	// SameDomain is set for databases in the failure domain of the old primary. They
 	// are chosen last, because the fault that hit the primary may hit them too.
 	SameDomain bool
@@ -115,21 +118,37 @@
 // lost. A database whose log has diverged from the log of the term of the record
 // is the last choice: promoting it would bring back writes that reads of that
 // term have not seen.
-func (r Record) Successor(all []Status) (Status, bool) {
-	var best Status
+//
+// If commits are acknowledged only once sync replicas have received them, none may be
+// lost. A replica that leaves is chosen then if it has received more than the others, and
+// none is chosen while so many replicas are silent that they alone may have a commit,
+// unless the best one has all that the old primary has.
+func (r Record) Successor(all []Status, sync int) (Status, bool) {
+	var best, old Status
 	found := false
+	silent := 0
 	for _, s := range all {
-		if s.ID == r.Primary || !s.Answered || s.Leaving {
-			continue
-		}
-		if !found || r.isBetter(s, best) {
+		switch {
+		case s.ID == r.Primary:
+			old = s
+		case s.Gone:
+		case !s.Answered:
+			silent++
+		case s.Leaving && sync == 0:
+		case !found || r.isBetter(s, best):
 			best = s
 			found = true
 		}
 	}
+	if found && sync > 0 && silent >= sync {
+		found = old.Answered && best.hasAllOf(old)
+	}
 	return best, found
 }
 
+// hasAllOf reports whether s has received all that t has.
+func (s Status) hasAllOf(t Status) bool { return s.Health.Received.Compare(t.Health.Received) >= 0 }
+
 // hasDiverged reports whether the log of the database continues in an earlier
 // term beyond the start of the term of the record.
 func (r Record) hasDiverged(s Status) bool {
@@ -145,6 +164,9 @@
 	if c := a.Health.Received.Compare(b.Health.Received); c != 0 {
 		return c > 0
 	}
+	if a.Leaving != b.Leaving {
+		return b.Leaving
+	}
 	if a.SameDomain != b.SameDomain {
 		return b.SameDomain
 	}
--- a/core/leader/leader_test.go
+++ b/core/leader/leader_test.go
@@ -51,10 +51,41 @@
 		{ID: "e"},
 	}
 	old := Record{Primary: "old"}
-	c, ok := old.Successor(all)
+	c, ok := old.Successor(all, 0)
 	assert.Assert(t, ok)
 	assert.Equal(t, c.ID, "c")
-	_, ok = old.Successor([]Status{{ID: "e"}, leaving})
+	_, ok = old.Successor([]Status{{ID: "e"}, leaving}, 0)
+	assert.Assert(t, !ok)
+}
+
+// TestSuccessorHasEveryAcknowledgedCommit guards against the loss of commits that only a
+// replica which leaves, or is silent, has received.
+func TestSuccessorHasEveryAcknowledgedCommit(t *testing.T) {
+	r := Record{Primary: "old"}
+	behind := status("behind", coltsfootloft.Replica, 1, 10)
+	leaving := status("leaving", coltsfootloft.Replica, 1, 99)
+	leaving.Leaving = true
+	silent := Status{ID: "silent"}
+	gone := Status{
+		ID:   "gone",
+		Gone: true,
+	}
+	c, ok := r.Successor([]Status{{ID: "old"}, behind, leaving}, 1)
+	assert.Assert(t, ok)
+	assert.Equal(t, c.ID, "leaving")
+	stays := status("stays", coltsfootloft.Replica, 1, 99)
+	c, ok = r.Successor([]Status{{ID: "old"}, leaving, stays, gone}, 1)
+	assert.Assert(t, ok)
+	assert.Equal(t, c.ID, "stays", "one that leaves is not better than one that stays")
+	_, ok = r.Successor([]Status{{ID: "old"}, behind, silent}, 1)
+	assert.Assert(t, !ok, "the silent one alone may have a commit")
+	c, ok = r.Successor([]Status{{ID: "old"}, behind, leaving, silent}, 2)
+	assert.Assert(t, ok, "of two that have a commit, one answers")
+	assert.Equal(t, c.ID, "leaving")
+	c, ok = r.Successor([]Status{status("old", coltsfootloft.Replica, 1, 99), stays, silent}, 1)
+	assert.Assert(t, ok, "it has all that the old primary has")
+	assert.Equal(t, c.ID, "stays")
+	_, ok = r.Successor([]Status{status("old", coltsfootloft.Replica, 1, 99), behind, silent}, 1)
 	assert.Assert(t, !ok)
 }
 
@@ -69,14 +100,14 @@
 	}
 	diverged := status("parted", coltsfootloft.Primary, 4, 296)
 	behind := status("behind", coltsfootloft.Replica, 4, 280)
-	c, ok := r.Successor([]Status{diverged, behind})
+	c, ok := r.Successor([]Status{diverged, behind}, 0)
 	assert.Assert(t, ok)
 	assert.Equal(t, c.ID, "behind")
-	c, _ = r.Successor([]Status{diverged, behind, status("with", coltsfootloft.Replica, 5, 293)})
+	c, _ = r.Successor([]Status{diverged, behind, status("with", coltsfootloft.Replica, 5, 293)}, 0)
 	assert.Equal(t, c.ID, "with")
-	c, _ = r.Successor([]Status{diverged})
+	c, _ = r.Successor([]Status{diverged}, 0)
 	assert.Equal(t, c.ID, "parted")
-	c, _ = r.Successor([]Status{status("whole", coltsfootloft.Replica, 4, 292), behind})
+	c, _ = r.Successor([]Status{status("whole", coltsfootloft.Replica, 4, 292), behind}, 0)
 	assert.Equal(t, c.ID, "whole")
 }
 
--- a/io/edge/fleet_test.go
+++ b/io/edge/fleet_test.go
@@ -79,8 +79,9 @@
 }
 
 type service struct {
-	Name     string
-	MaxConns int
+	Name         string
+	MaxConns     int
+	SyncReplicas int
 }
 
 type tenant struct {
--- /dev/null
+++ b/io/edge/sync_test.go
@@ -0,0 +1,48 @@
+package edge
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestCommitsOfSyncReplicasSurvive guards against the promotion of a replica that lacks
+// acknowledged commits: of two replicas one receives nothing, the other one drains, and the
+// primary crashes.
+func TestCommitsOfSyncReplicasSurvive(t *testing.T) {
+	f := startFleet(t, 3, func(f *fleet) { f.config.Services[0].SyncReplicas = 1 })
+	assert.Equal(t, f.group.Primary(), "db-1")
+	f.group.PauseReplication("db-2", true)
+	h := f.hosts[1]
+	c, _ := connect(t, h, "file", "key-arima")
+	for n := range 20 {
+		c.must(fmt.Sprintf("WRITE page-%d %d", n, n))
+	}
+	f.announce(2, "draining")
+	f.await("a replica that leaves", 2*time.Second, func() bool { return h.edge.mirror.View().Upstreams["db-3"].Leaving })
+	f.group.SetDown("db-1", true)
+	f.await("another primary", 8*time.Second, func() bool {
+		o, ok := h.edge.groups.Primary("notices")
+		return ok && o.Target.ID != "db-1"
+	})
+	readAll := func() {
+		t.Helper()
+		c, _ := connect(t, h, "file", "key-arima")
+		for n := range 20 {
+			assert.DeepEqual(t, c.must(fmt.Sprintf("READ page-%d", n)).rows, []string{fmt.Sprint(n)})
+		}
+	}
+	readAll()
+	f.announce(2, "draining")          // as the primary
+	time.Sleep(400 * time.Millisecond) // it may be used for 1.5 s while it leaves
+	assert.Equal(t, f.group.Primary(), "db-3", "no replica has its commits")
+	readAll()
+	f.group.PauseReplication("db-2", false)
+	f.await("a primary that stays", 8*time.Second, func() bool {
+		o, ok := h.edge.groups.Primary("notices")
+		return ok && o.Target.ID == "db-2"
+	})
+	readAll()
+}
--- a/io/failov/change.go
+++ b/io/failov/change.go
@@ -48,10 +48,12 @@
 	primary := v.Upstreams[v.Groups[name].Primary].Upstream
 	statuses := make([]leader.Status, len(members))
 	var wg sync.WaitGroup
+	now := c.Clock.Elapsed()
 	for i, u := range members {
 		statuses[i] = leader.Status{
 			ID:         u.Upstream.Name(),
 			Leaving:    u.Leaving || u.Removed,
+			Gone:       u.Removed && now-u.Since > removedGrace,
 			SameDomain: u.Upstream.Domain() == primary.Domain(),
 		}
 		if slices.Contains(unreachable, statuses[i].ID) {
@@ -99,6 +101,13 @@
 	if cause == lostPrimary {
 		unreachable = []string{g.Primary}
 	}
+	if cause == leavingPrimary {
+		if err := c.awaitSuccessor(ctx, name, g); err != nil {
+			c.Log.Info("change of primary put off", "group", name, "why", cause, "reason", err.Error())
+			pause.For(ctx, 4*pollPeriod)
+			return
+		}
+	}
 	primary, err := c.replacePrimary(ctx, name, g, unreachable)
 	took := c.Clock.Elapsed() - started
 	if err != nil {
@@ -118,7 +127,7 @@
 	r := g.Record
 	version := g.Revision
 	if !r.Closing {
-		if _, ok := r.Successor(c.readStatuses(ctx, name, unreachable...)); !ok {
+		if _, ok := r.Successor(c.readStatuses(ctx, name, unreachable...), c.syncReplicas(name)); !ok {
 			return "", errors.New("no database can take over")
 		}
 		r.Closing = true
@@ -239,7 +248,7 @@
 		if primary, ok := leader.FindPrimary(statuses); ok && primary.ID != r.Primary && primary.Health.Term > r.Term {
 			return primary, nil
 		}
-		candidate, ok := r.Successor(excludeRefused(statuses, refused))
+		candidate, ok := r.Successor(excludeRefused(statuses, refused), c.syncReplicas(name))
 		if !ok {
 			clear(refused)
 			pause.For(ctx, 4*pollPeriod)
@@ -268,16 +277,53 @@
 	return leader.Status{}, errors.Wrap(ctx.Err(), "no database leads")
 }
 
+// excludeRefused returns the statuses with those of refused databases as not answered.
 func excludeRefused(statuses []leader.Status, refused map[string]bool) []leader.Status {
-	r := make([]leader.Status, 0, len(statuses))
-	for _, s := range statuses {
-		if !refused[s.ID] {
-			r = append(r, s)
-		}
+	r := slices.Clone(statuses)
+	for i := range r {
+		r[i].Answered = r[i].Answered && !refused[r[i].ID]
 	}
 	return r
 }
 
+// syncReplicas returns how many replicas have received a commit of the group before it is
+// acknowledged.
+func (c *Controller) syncReplicas(name string) int {
+	s := c.Mirror.View().Settings
+	if s == nil {
+		return 0
+	}
+	return s.SyncReplicas[name]
+}
+
+// awaitSuccessor waits until a replica that stays has received all that the primary had
+// at first, so that a primary which leaves is not given up for one that would lose commits
+// or that leaves as well. A group without synchronous replicas does not wait.
+func (c *Controller) awaitSuccessor(ctx context.Context, name string, g mirror.Group) error {
+	if c.syncReplicas(name) == 0 || g.Closing {
+		return nil
+	}
+	primary, known := c.Mirror.View().Upstreams[g.Primary]
+	if !known {
+		return nil
+	}
+	h, err := c.status(ctx, primary.Target())
+	if err != nil {
+		return nil //nolint:nilerr // nothing can be awaited from a primary that does not answer
+	}
+	deadline := c.Clock.Elapsed() + catchUpTimeout
+	for {
+		candidate, ok := g.Successor(c.readStatuses(ctx, name), 0)
+		if ok && candidate.Health.Received.Compare(h.Received) >= 0 {
+			return nil
+		}
+		if ctx.Err() != nil || c.Clock.Elapsed() > deadline {
+			return errors.Errorf("no replica that stays has what the primary has, received %d of %d", candidate.Health.Received.Offset(), h.Received.Offset())
+		}
+		pause.For(ctx, pollPeriod)
+	}
+}
+
 // demoteAndCatchUp demotes the old primary, if it answers, and then waits for a replica
 // that has received all that the old primary has.
 func (c *Controller) demoteAndCatchUp(ctx context.Context, name string, r leader.Record, unreachable []string) []leader.Status {
@@ -296,7 +342,7 @@
 	deadline := c.Clock.Elapsed() + catchUpTimeout
 	for {
 		statuses := c.readStatuses(ctx, name)
-		candidate, ok := r.Successor(statuses)
+		candidate, ok := r.Successor(statuses, 0)
 		if ok && candidate.Health.Received.Compare(last.Received) >= 0 {
 			return statuses
 		}
--- a/io/failov/failov.go
+++ b/io/failov/failov.go
@@ -68,8 +68,12 @@
 	removedGrace = 2500 * time.Millisecond
 )
 
-// lostPrimary is the cause of a change of a primary that most hosts fail to reach.
-const lostPrimary = "the primary is lost"
+// Causes of a change of a primary: most hosts fail to reach it, and it says that it will
+// leave.
+const (
+	lostPrimary    = "the primary is lost"
+	leavingPrimary = "the primary is leaving"
+)
 
 // Controller replaces primaries while this host holds the duty, and answers the holder
 // otherwise. Its exported fields are set before Run.
@@ -193,7 +197,7 @@
 	case !known:
 		c.changePrimary(ctx, name, "the primary is not announced")
 	case u.Leaving:
-		c.changePrimary(ctx, name, "the primary is leaving")
+		c.changePrimary(ctx, name, leavingPrimary)
 	case u.Removed && now-u.Since > removedGrace:
 		c.changePrimary(ctx, name, "the primary's announcement is gone")
 	default:
--- a/settings.go
+++ b/settings.go
@@ -18,6 +18,10 @@
 	// Connections maps each group to the connection limit of each of its
 	// databases, counted over all hosts.
 	Connections map[string]int
+	// SyncReplicas maps each group to the number of replicas that have received a commit
+	// before it is acknowledged. A group without any may lose the latest commits with its
+	// primary.
+	SyncReplicas map[string]int
 	// IdleTransaction is how long a transaction may be idle before the host may
 	// end it.
 	IdleTransaction time.Duration
