peer: what was sent on a lost link is withdrawn

Cause: a link that does not answer its probe was closed in the ordinary way, and the system goes on sending what it still has.

The link is reset then, so that the system drops what was not delivered. Links that are closed in good order, when idle or at a stop, are not reset, so that the last answers arrive.

--- a/io/peer/dial.go
+++ b/io/peer/dial.go
@@ -83,7 +83,7 @@
 		raw.Close()
 		return nil, err
 	}
-	k, err := newLink(host, l.Self, countedConn{Conn: conn, wire: l.counts.wire}, l.Clock.Now(), true)
+	k, err := newLink(host, l.Self, raw, countedConn{Conn: conn, wire: l.counts.wire}, l.Clock.Now(), true)
 	if err != nil {
 		conn.Close()
 		return nil, err
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -27,6 +27,7 @@
 	host    string
 	dialer  string
 	session *yamux.Session
+	raw     net.Conn // below TLS
 	opened  time.Time
 	// goingAway is set when the other side is told to open no more calls; guarded
 	// by Links.mu.
@@ -48,7 +49,7 @@
 	return c
 }
 
-func newLink(host, dialer string, conn net.Conn, now time.Time, client bool) (*link, error) {
+func newLink(host, dialer string, raw, conn net.Conn, now time.Time, client bool) (*link, error) {
 	open := yamux.Server
 	if client {
 		open = yamux.Client
@@ -61,6 +62,7 @@
 		host:    host,
 		dialer:  dialer,
 		session: s,
+		raw:     raw,
 		opened:  now,
 		wake:    make(chan struct{}, 1),
 	}
@@ -112,12 +114,22 @@
 			continue
 		}
 		if _, err := k.session.Ping(); err != nil {
-			_ = k.session.Close()
+			k.reset()
 			return
 		}
 	}
 }
 
+// reset closes the link and drops what was not delivered. Otherwise the system goes on
+// sending it, and requests whose callers were told that they are lost are handled when a
+// partition ends.
+func (k *link) reset() {
+	if c, ok := k.raw.(*net.TCPConn); ok {
+		_ = c.SetLinger(0)
+	}
+	_ = k.session.Close()
+}
+
 // adopt starts serving k and makes it the link for new calls, unless an existing one
 // is kept. The other link finishes the calls that it has. It reports false if the
 // links are closed.
--- a/io/peer/links_test.go
+++ b/io/peer/links_test.go
@@ -11,12 +11,15 @@
 	"math/big"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
+
+	"coltsfootloft/stand/relay"
 )
 
 // fleet runs Links that resolve each other by name.
@@ -274,6 +277,40 @@
 	assert.Assert(t, took < 1250*time.Millisecond)
 }
 
+// TestCallOfALostLinkIsNotDelivered guards against a request that is handled after its caller was
+// told that the link is lost, because a partition held it up.
+func TestCallOfALostLinkIsNotDelivered(t *testing.T) {
+	t.Cleanup(func() { goleak.VerifyNone(t) })
+	f := &fleet{addresses: make(map[string]string)}
+	a, b := &Links{Self: "a"}, &Links{Self: "b"}
+	f.start(t, a)
+	f.start(t, b)
+	var handled atomic.Int32
+	b.Register("note", func(context.Context, string, []byte) ([]byte, error) {
+		handled.Add(1)
+		return nil, nil
+	})
+	r := &relay.Relay{Target: f.addresses["b"]}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- r.Run(ctx) }()
+	<-r.Ready()
+	f.mu.Lock()
+	f.addresses["b"] = r.Addr().String()
+	f.mu.Unlock()
+	_, err := a.Call(t.Context(), "b", "note", nil)
+	assert.NilError(t, err)
+	r.Hold(relay.ToTarget, true)
+	_, err = a.Call(t.Context(), "b", "note", nil)
+	assert.Assert(t, err != nil && !NotHandled(err), "the link must be found lost")
+	time.Sleep(20 * time.Millisecond)
+	r.Hold(relay.ToTarget, false)
+	time.Sleep(100 * time.Millisecond)
+	assert.Equal(t, handled.Load(), int32(1))
+	cancel()
+	assert.NilError(t, <-ended)
+}
+
 func TestMutualTLSPinsNames(t *testing.T) {
 	t.Cleanup(func() { goleak.VerifyNone(t) })
 	issue := authority(t)
--- a/io/peer/serve.go
+++ b/io/peer/serve.go
@@ -43,7 +43,7 @@
 		raw.Close()
 		return
 	}
-	k, err := newLink(host, host, countedConn{Conn: conn, wire: l.counts.wire}, l.Clock.Now(), false)
+	k, err := newLink(host, host, raw, countedConn{Conn: conn, wire: l.counts.wire}, l.Clock.Now(), false)
 	if err != nil {
 		conn.Close()
 		return
