quota, grant: a late report to the keeper changes nothing

The keeper forgot the grant in use and gave it to others as well, until the host's next report.

Cause: reports carried neither the run of the host's process nor a number.

Ruled out: that the larger of both grants still counted.

Each report carries a random run and a number, and the keeper takes only the latest of a host's latest run, so that what it records is what the host stated last. The suspicion on core/loan is ruled out: the run of the borrower's process is part of its name (io/share, serve.go).

--- a/core/grant/allocator.go
+++ b/core/grant/allocator.go
@@ -92,8 +92,14 @@
 
 	accounts map[string]*account
 	reported map[string]bool
+	latest   map[string]number
+	// past holds the runs of each host's process before the latest one.
+	past map[string]map[uint64]struct{}
 }
 
+// number is that of a report among those of one run of a host's process.
+type number struct{ run, report uint64 }
+
 type account struct {
 	hosts map[string]*allocation
 	pool  bucket.Bucket
@@ -124,6 +130,36 @@
 // hasBucket reports whether the demand of the host is enough for a bucket of its own.
 func (h *allocation) hasBucket() bool { return h.demand*Validity.Seconds() >= minOperations }
 
+// Accept reports whether a report is the latest of its host, so that what it says of the
+// grants in use may be recorded. A report that was held up is not, nor is one of an earlier
+// run of the host's process. Run is 0 for a host that does not number its reports.
+func (al *Allocator) Accept(host string, run, report uint64) bool {
+	if run == 0 {
+		return true
+	}
+	if al.latest == nil {
+		al.latest = make(map[string]number)
+		al.past = make(map[string]map[uint64]struct{})
+	}
+	last, known := al.latest[host]
+	switch _, isPast := al.past[host][run]; {
+	case isPast:
+		return false
+	case known && run == last.run && report <= last.report:
+		return false
+	case known && run != last.run:
+		if al.past[host] == nil {
+			al.past[host] = make(map[uint64]struct{})
+		}
+		al.past[host][last.run] = struct{}{}
+	}
+	al.latest[host] = number{
+		run:    run,
+		report: report,
+	}
+	return true
+}
+
 // Report processes the report of a host on all accounts that it uses, and returns its
 // grants. hosts are the hosts with a lease. Until all of them have reported to a new
 // allocator, or until the grants of its predecessor have expired, each host that has not
--- a/io/quota/keeper.go
+++ b/io/quota/keeper.go
@@ -51,6 +51,10 @@
 		l.allocatorSince = since
 		l.allocator = grant.Allocator{Started: since}
 	}
+	if !l.allocator.Accept(from, r.GetRun(), r.GetNumber()) {
+		l.Log.Info("report is late", "host", from, "run", r.GetRun(), "number", r.GetNumber())
+		return nil
+	}
 	lines := make([]grant.Line, 0, len(r.GetLines()))
 	for _, n := range r.GetLines() {
 		lines = append(lines, grant.Line{
--- a/io/quota/keeper_test.go
+++ b/io/quota/keeper_test.go
@@ -37,6 +37,7 @@
 			Settings: &coltsfootloft.Settings{
 				Version:  12,
 				Revision: revision,
+				Accounts: map[string]coltsfootloft.Account{"arima": coltsfootloft.NewAccount("arima", 100, 100)},
 			},
 		},
 		{
@@ -128,3 +129,46 @@
 	assert.Equal(t, m.Era(), uint64(3))
 	assert.Equal(t, m.LatestVersion(), uint64(12))
 }
+
+// TestLateReportChangesNothing guards against a keeper that takes a report which was held up for the
+// latest one, and grants to others what the host still uses.
+func TestLateReportChangesNothing(t *testing.T) {
+	clock := &fixedClock{now: time.Hour}
+	m := &mirror.Mirror{
+		Store: storeInEra{era: 1},
+		Peers: &recordedCalls{},
+		Clock: clock,
+		Log:   logr.Discard(),
+	}
+	m.Register()
+	assert.NilError(t, m.Refresh(t.Context()))
+	l := &Limiter{
+		Mirror: m,
+		Clock:  clock,
+		Log:    logr.Discard(),
+		Duty:   &duty.Duty{Mirror: m},
+	}
+	report := func(host string, run, number uint64, demand float64) float64 {
+		g := l.grants(host, &quotapb.Report{
+			Run:    run,
+			Number: number,
+			Lines: []*quotapb.Line{{
+				Account: "arima",
+				Demand:  demand,
+			}},
+		})
+		if len(g) == 0 {
+			return 0
+		}
+		return g[0].GetRate()
+	}
+	limit := report("a", 7, 2, 100)
+	assert.Assert(t, limit > 0)
+	report("a", 7, 1, 0)
+	assert.Equal(t, report("b", 8, 1, 100), 0.0, "all of it is in use at a")
+	// A new process of a holds nothing, and a report of the one before it is late.
+	again := report("a", 9, 1, 100)
+	assert.Assert(t, again > 0)
+	report("a", 7, 3, 0)
+	assert.Equal(t, report("b", 8, 2, 100), limit-again, "the rest is in use at the new process of a")
+}
--- a/io/quota/quota.go
+++ b/io/quota/quota.go
@@ -13,6 +13,7 @@
 import (
 	"context"
 	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -81,6 +82,8 @@
 	accounts       map[string]*account
 	changed        chan struct{}
 	urgent         chan struct{}
+	run            uint64 // random number of this process
+	reports        uint64 // sent so far
 	lastReport     time.Duration
 	keeperSilent   bool
 	keeperStoreAge time.Duration // StoreAge of the keeper at its last answer
@@ -121,6 +124,7 @@
 		l.accounts = make(map[string]*account)
 		l.changed = make(chan struct{})
 		l.urgent = make(chan struct{}, 1)
+		l.run = rand.Uint64() | 1 // 0 stands for none
 	})
 }
 
@@ -294,6 +298,9 @@
 	sent := l.Clock.Elapsed()
 	r := l.buildReport(sent, onlyShort)
 	fresh := l.Mirror.Freshness()
+	l.reports++
+	r.Run = l.run
+	r.Number = l.reports
 	r.StoreEra = coltsfootloft.EraOf(fresh.Revision)
 	r.SettingsEra = coltsfootloft.EraOf(fresh.SettingsRevision)
 	r.SettingsRevision = coltsfootloft.NumberOf(fresh.SettingsRevision)
