KNOWN-RED: an odd registration keeps a primary from being replaced

Found by trial: an entry of another writer under the key of a host is taken for a host. Ruled out: the vote, and the entry's size.

--- a/io/edge/fault_test.go
+++ b/io/edge/fault_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"coltsfootloft"
 	"coltsfootloft/stand/keyval"
 )
 
@@ -361,3 +362,19 @@
 		return !f.hosts[2].edge.mirror.View().Upstreams["db-2"].Removed
 	})
 }
+
+// TestOddRegistrationStopsNoChange guards against an entry of another writer under the key of a host,
+// which is taken for a host whose confirmation a change of primary must await.
+func TestOddRegistrationStopsNoChange(t *testing.T) {
+	f := startFleet(t, 3, nil)
+	odd := f.store.Put("coltsfootloft/host/odd", []byte("{}"))
+	h := f.hosts[1]
+	f.await("the odd entry", 3*time.Second, func() bool {
+		return h.edge.mirror.View().Revision >= coltsfootloft.RevisionAt(1, odd)
+	})
+	f.group.SetDown("db-1", true)
+	f.await("another primary", 8*time.Second, func() bool {
+		o, ok := h.edge.groups.Primary("notices")
+		return ok && o.Target.ID != "db-1"
+	})
+}
