--- a/io/edge/fleet_test.go
+++ b/io/edge/fleet_test.go
@@ -21,6 +21,7 @@
 	"coltsfootloft/stand/keyval"
 	"coltsfootloft/stand/linedb"
 	"coltsfootloft/stand/ports"
+	"coltsfootloft/stand/relay"
 )
 
 // fleet is a small deployment in one process: a store, one group of three databases
@@ -32,6 +33,9 @@
 	databases []*linedb.Database
 	hosts     []*testHost
 	config    config
+	// links holds the way from hosts to each database, by its id, and to the store, under "";
+	// without one, hosts reach it directly.
+	links map[string]*relay.Switch
 	// withdrawalLimit is how soon a withdrawn key must stop working.
 	withdrawalLimit time.Duration
 	// grace is the time that hosts have to shut down, in seconds.
@@ -222,8 +226,8 @@
 		Listen:       freeAddress(f.t, ip),
 		Ready:        freeAddress(f.t, ip),
 		Peer:         freeAddress(f.t, ip),
-		Store:        f.store.Listener.Addr().String(),
-		Control:      f.store.Listener.Addr().String(),
+		Store:        f.addressOf("", f.store.Listener.Addr().String()),
+		Control:      f.addressOf("", f.store.Listener.Addr().String()),
 		MemoryMB:     200,
 		WithdrawalMS: int(f.withdrawalLimit.Milliseconds()),
 		DrainMS:      3000,
@@ -241,6 +245,31 @@
 	f.await("restarted host", 5*time.Second, f.hosts[i].edge.isReady)
 }
 
+// addressOf returns the address at which hosts reach a database, or the store.
+func (f *fleet) addressOf(name, direct string) string {
+	if s, ok := f.links[name]; ok {
+		return s.Listener.Addr().String()
+	}
+	return direct
+}
+
+// addLinks puts a switch before the store and before each database.
+func (f *fleet) addLinks(ctx context.Context) {
+	f.links = map[string]*relay.Switch{"": {
+		Listener: listen(f.t, "127.0.60.1"),
+		Target:   f.store.Listener.Addr().String(),
+	}}
+	for _, b := range f.databases {
+		f.links[b.ID()] = &relay.Switch{
+			Listener: listen(f.t, "127.0.61.4"),
+			Target:   b.Addr(),
+		}
+	}
+	for _, s := range f.links {
+		go func() { _ = s.Run(ctx) }()
+	}
+}
+
 // startHost runs a host with these settings.
 func (f *fleet) startHost(s conf.EntrySettings) *testHost {
 	h := &testHost{
@@ -296,7 +325,7 @@
 func (f *fleet) announceAs(d *linedb.Database, group, role, domain, state string) {
 	f.store.Put("servers/"+d.ID(), map[string]any{
 		"Service":         group,
-		"Address":         d.Addr(),
+		"Address":         f.addressOf(d.ID(), d.Addr()),
 		"Zone":            domain,
 		"ConfigVersion":   "v1",
 		"Slots":           2,
@@ -341,10 +370,11 @@
 
 // answer is the answer to a statement.
 type answer struct {
-	rows  []string
-	code  string // empty for a success
-	state string
-	lost  bool // the connection ended before the answer was complete
+	rows   []string
+	digest string
+	code   string // empty for a success
+	state  string
+	lost   bool // the connection ended before the answer was complete
 }
 
 // connect starts a session and returns the code of a refusal, or "closed" if the connection
@@ -394,6 +424,8 @@
 		switch word {
 		case "ROW":
 			a.rows = append(a.rows, rest)
+		case "DONE":
+			a.digest = rest
 		case "ERR":
 			a.code, _, _ = strings.Cut(rest, " ")
 		case "READY":
--- /dev/null
+++ b/io/edge/history_test.go
@@ -0,0 +1,553 @@
+package edge
+
+import (
+	"bufio"
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootloft/stand/relay"
+)
+
+var (
+	historySeed  = flag.Uint64("history-seed", 20261205, "seed of the first random history")
+	historyCount = flag.Int("history-count", 6, "number of random histories")
+)
+
+const (
+	historyLength = 6 * time.Second
+	callerCount   = 24
+	// noGrace is the time in seconds, as good as none, that a host gets to stop in the place of a
+	// crash.
+	noGrace = 0.05
+	// moveLimit is how long a key may be used for the account that it was taken from.
+	moveLimit = 2 * time.Second
+	// answerSlack is how long after it was sent a statement that no database ran may be cut off by
+	// a stop of its host.
+	answerSlack = 200 * time.Millisecond
+	// doubtEnds is how long a statement whose outcome is not known may still take effect.
+	doubtEnds = 400 * time.Millisecond
+)
+
+// history is a random history: callers on three hosts, and faults and planned work beside them.
+type history struct {
+	*fleet
+	random *rand.Rand
+	end    time.Time
+
+	mu       sync.Mutex
+	attempts []attempt
+	impaired []span            // of holds of links
+	stops    [][]span          // of each host, from its signal to its end
+	owners   []owner           // of the key that moves, in order
+	problems []string          // found while the history ran
+	acked    map[string]uint64 // value last acknowledged, by item
+	sent     map[string]uint64 // value last sent, by item
+}
+
+type span struct{ from, to time.Time }
+
+type owner struct {
+	account string
+	from    time.Time
+}
+
+// attempt is a statement that a caller sent, and its answer.
+type attempt struct {
+	answer
+	id, text, key string
+	host          int
+	sent, ended   time.Time
+	values        map[string]string // of the session, as acknowledged when it was sent
+	writes        []string          // ids of the writes that a COMMIT ends
+}
+
+// TestRandomHistories plays random histories and checks what callers and databases have seen. Each has
+// links held up between one host and one database or the store, hosts stopped and started again
+// beside open transactions, a key that moves between accounts, and odd entries in the store.
+func TestRandomHistories(t *testing.T) {
+	t.Parallel()
+	for i := range uint64(*historyCount) {
+		seed := *historySeed + i
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			newHistory(t, seed).play()
+		})
+	}
+}
+
+func newHistory(t *testing.T, seed uint64) *history {
+	t.Helper()
+	h := &history{
+		random: rand.New(rand.NewPCG(seed, 0)),
+		stops:  make([][]span, 3),
+		acked:  make(map[string]uint64),
+		sent:   make(map[string]uint64),
+	}
+	h.fleet = startFleet(t, 3, func(f *fleet) {
+		f.grace = 2
+		f.config.Limits["TxIdleMs"] = 5000
+		f.config.Tenants[0].ApiKeys = append(f.config.Tenants[0].ApiKeys, "key-roams")
+		for i := range f.config.Routes {
+			f.config.Routes[i].TargetLatencyMs = 150 // so that reads give up on a database early
+		}
+		f.addLinks(t.Context())
+	})
+	h.owners = []owner{{account: "arima"}}
+	for i, d := range h.databases {
+		delay := rand.New(rand.NewPCG(seed, uint64(100+i)))
+		var mu sync.Mutex
+		h.group.SetHook(d.ID(), func() {
+			mu.Lock()
+			wait := time.Duration(delay.IntN(120)) * time.Millisecond
+			mu.Unlock()
+			time.Sleep(wait)
+		})
+	}
+	return h
+}
+
+// play plays the history with one to three kinds of moves.
+func (h *history) play() {
+	moves := []func(){h.holdDatabase, h.holdStore, h.restartHost, h.restartHost, h.moveKey, h.writeOddEntry}
+	h.random.Shuffle(len(moves), func(i, j int) { moves[i], moves[j] = moves[j], moves[i] })
+	moves = moves[:1+h.random.IntN(3)]
+	h.end = time.Now().Add(historyLength)
+	var callers sync.WaitGroup
+	for i := range callerCount {
+		random := rand.New(rand.NewPCG(h.random.Uint64(), uint64(i)))
+		callers.Go(func() { h.call(i, random) })
+	}
+	for time.Now().Before(h.end) {
+		moves[h.random.IntN(len(moves))]()
+		time.Sleep(time.Duration(100+h.random.IntN(400)) * time.Millisecond)
+	}
+	callers.Wait()
+	h.check()
+}
+
+func (h *history) host(i int) *testHost {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.hosts[i]
+}
+
+func (h *history) hold(r *relay.Relay) {
+	d := time.Duration(50+h.random.IntN(2000)) * time.Millisecond
+	now := time.Now()
+	h.mu.Lock()
+	h.impaired = append(h.impaired, span{now, now.Add(d)})
+	h.mu.Unlock()
+	r.Hold(relay.Both, true)
+	time.AfterFunc(d, func() { r.Hold(relay.Both, false) })
+}
+
+func hostIP(i int) string { return fmt.Sprintf("127.0.62.%d", i+1) }
+
+func (h *history) holdDatabase() {
+	d := h.databases[h.random.IntN(len(h.databases))]
+	h.hold(h.links[d.ID()].From(hostIP(h.random.IntN(3))))
+}
+
+func (h *history) holdStore() { h.hold(h.links[""].From(hostIP(h.random.IntN(3)))) }
+
+// restartHost stops a host and starts it again under its name, often several times in a row.
+func (h *history) restartHost() {
+	i := h.random.IntN(3)
+	h.restartOnce(i)
+	for h.random.IntN(4) > 0 && time.Now().Before(h.end) {
+		time.Sleep(time.Duration(300+h.random.IntN(600)) * time.Millisecond)
+		h.restartOnce(i)
+	}
+}
+
+// restartOnce stops host i and starts it again. Half of the runs of a host get no time to end their
+// sessions.
+func (h *history) restartOnce(i int) {
+	old := h.host(i)
+	settings := old.settings
+	settings.GraceS = []float64{h.grace, noGrace}[h.random.IntN(2)]
+	from := time.Now()
+	h.mu.Lock()
+	if old.settings.GraceS == noGrace {
+		h.impaired = append(h.impaired, span{from, from})
+	}
+	h.stops[i] = append(h.stops[i], span{from, from.Add(time.Hour)})
+	h.mu.Unlock()
+	old.stop()
+	err := <-old.ended
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err != nil {
+		h.problems = append(h.problems, fmt.Sprintf("host %d ended: %v", i+1, err))
+	}
+	ended := time.Now()
+	h.stops[i][len(h.stops[i])-1].to = ended
+	if n := old.edge.server.Sessions(); n > 0 && old.settings.GraceS != noGrace && !h.isImpaired(from, ended) {
+		h.problems = append(h.problems, fmt.Sprintf("LOST: host %d ended while it served %d sessions", i+1, n))
+	}
+	h.hosts[i] = h.startHost(settings)
+}
+
+func (h *history) moveKey() {
+	h.changeSettings(func(c *config) {
+		from, to := &c.Tenants[0], &c.Tenants[1]
+		if !slices.Contains(from.ApiKeys, "key-roams") {
+			from, to = to, from
+		}
+		from.ApiKeys = slices.DeleteFunc(from.ApiKeys, func(k string) bool { return k == "key-roams" })
+		to.ApiKeys = append(to.ApiKeys, "key-roams")
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.owners = append(h.owners, owner{
+			account: to.Name,
+			from:    time.Now(),
+		})
+	})
+}
+
+// oddValues are values that other writers may leave in any folder of the store.
+var oddValues = []string{
+	"", "null", "{", "[]", `"x"`, "1e300", "\x00\xff", strings.Repeat("[", 5000), `{"domain": 7}`,
+	`{"address": "127.0.62.9:1", "domain": "domain-1", "size": 1e300}`, `{"size": -1e300}`, `{"epoch": 1e300}`,
+	`{"Service": "notices", "Address": "127.0.61.1:0", "Slots": 4e18}`,
+	`{"Service": "notices", "Address": "127.0.61.9:1", "Zone": "domain-1", "ConfigVersion": "v1", "Slots": 1e300, "State": "ready",
+		"ColdRemainingMs": 0, "DbRole": "primary", "Seq": 1}`,
+}
+
+func (h *history) writeOddEntry() {
+	folders := []string{"servers/", "op/", "status/", "", "coltsfootloft/", "coltsfootloft/host/", "coltsfootloft/group/", "coltsfootloft/duty/", "coltsfootloft/settled/"}
+	key := folders[h.random.IntN(len(folders))] + fmt.Sprintf("odd-%d", h.random.IntN(5))
+	h.store.Put(key, []byte(oddValues[h.random.IntN(len(oddValues))]))
+}
+
+// call runs sessions until the history ends.
+func (h *history) call(worker int, random *rand.Rand) {
+	key := []string{"key-arima", "key-siparia", "key-roams"}[worker%3]
+	for n := 0; time.Now().Before(h.end); n++ {
+		i := random.IntN(3)
+		s := h.open(i, []string{"file", "minutes"}[random.IntN(2)], key)
+		if s == nil {
+			time.Sleep(20 * time.Millisecond)
+			continue
+		}
+		s.item = fmt.Sprintf("item-%d", worker)
+		s.who = fmt.Sprintf("w%d-%d", worker, n)
+		s.run(random)
+		s.conn.Close()
+	}
+}
+
+// caller is one session of a history.
+type caller struct {
+	*client
+	history *history
+	host    int
+	key     string
+	item    string
+	who     string            // value of the session by which it can be told from others
+	values  map[string]string // of the session, as acknowledged
+	inTx    []string          // ids of the writes of the open transaction
+}
+
+// open starts a session; it returns nil if the host refuses it or is not there.
+func (h *history) open(i int, database, key string) *caller {
+	conn, err := net.DialTimeout("tcp", h.host(i).settings.Listen, time.Second)
+	if err != nil {
+		return nil
+	}
+	c := &client{
+		t:    h.t,
+		conn: conn,
+		r:    bufio.NewReader(conn),
+		name: fmt.Sprintf("%s-%d", strings.ReplaceAll(conn.LocalAddr().String(), ":", "-"), time.Now().UnixNano()),
+	}
+	fmt.Fprintf(conn, "START %s %s\r\n", database, key)
+	if word, _, _ := strings.Cut(c.line(), " "); word != "READY" {
+		conn.Close()
+		return nil
+	}
+	return &caller{
+		client:  c,
+		history: h,
+		host:    i,
+		key:     key,
+		values:  make(map[string]string),
+	}
+}
+
+// run sends statements until the session is lost, or for a while.
+func (s *caller) run(random *rand.Rand) {
+	if !s.set("who", s.who) {
+		return
+	}
+	for range 3 + random.IntN(12) {
+		if time.Now().After(s.history.end) || !s.step(random) {
+			return
+		}
+		time.Sleep(time.Duration(random.IntN(20)) * time.Millisecond)
+	}
+}
+
+// set sets a value of the session, and reports whether that was acknowledged.
+func (s *caller) set(name, value string) bool {
+	a := s.send("SET " + name + " " + value)
+	if a.lost || a.code != "" {
+		return false
+	}
+	s.values[name] = value
+	return true
+}
+
+// step sends a read, a write or a transaction, and reports whether the session goes on.
+func (s *caller) step(random *rand.Rand) bool {
+	switch random.IntN(5) {
+	case 0, 1:
+		least := s.history.ackedValue(s.item)
+		a := s.send("READ " + s.item)
+		s.checkRead(a, least)
+		return !a.lost
+	case 2:
+		return s.write()
+	}
+	return s.transaction(random)
+}
+
+func (s *caller) write() bool {
+	v := s.history.nextValue(s.item)
+	a := s.send(fmt.Sprintf("WRITE %s %d", s.item, v))
+	return s.settle(a, v)
+}
+
+// transaction sends a transaction, some of them for longer than a key may be used after it was taken.
+func (s *caller) transaction(random *rand.Rand) bool {
+	pause := time.Duration(random.IntN(80)) * time.Millisecond
+	if random.IntN(2) == 0 {
+		pause *= 20
+	}
+	if a := s.send("BEGIN"); a.lost || a.code != "" {
+		return !a.lost
+	}
+	var v uint64
+	s.inTx = nil
+	for range 1 + random.IntN(5) {
+		v = s.history.nextValue(s.item)
+		a := s.send(fmt.Sprintf("WRITE %s %d", s.item, v))
+		if a.lost {
+			return false
+		}
+		if a.code != "" {
+			return !s.send("ROLLBACK").lost
+		}
+		s.inTx = append(s.inTx, fmt.Sprintf("%s-%d", s.name, s.n))
+		time.Sleep(pause)
+	}
+	if random.IntN(3) == 0 && !s.set("mood", strconv.FormatUint(v, 10)) {
+		return false
+	}
+	a := s.send("COMMIT")
+	s.inTx = nil
+	return s.settle(a, v)
+}
+
+// settle notes what became of a write. If that is not known, it waits while the write may still take
+// effect, and reports that the session ends.
+func (s *caller) settle(a answer, v uint64) bool {
+	switch {
+	case a.code == "" && !a.lost:
+		s.history.mu.Lock()
+		s.history.acked[s.item] = v
+		s.history.mu.Unlock()
+	case a.lost || a.code == "INDOUBT":
+		time.Sleep(doubtEnds)
+		return false
+	}
+	return true
+}
+
+// send sends a statement and records it with its answer.
+func (s *caller) send(text string) answer {
+	sent := time.Now()
+	a := s.do(text)
+	at := attempt{
+		answer: a,
+		id:     fmt.Sprintf("%s-%d", s.name, s.n),
+		text:   text,
+		key:    s.key,
+		host:   s.host,
+		sent:   sent,
+		ended:  time.Now(),
+		values: maps.Clone(s.values),
+	}
+	if text == "COMMIT" {
+		at.writes = s.inTx
+	}
+	s.history.mu.Lock()
+	defer s.history.mu.Unlock()
+	s.history.attempts = append(s.history.attempts, at)
+	return a
+}
+
+func (h *history) ackedValue(item string) uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.acked[item]
+}
+
+func (h *history) nextValue(item string) uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.sent[item]++
+	return h.sent[item]
+}
+
+// checkRead checks that a read of an item that only this caller writes is not older than what was
+// acknowledged to it, nor one that was not sent.
+func (s *caller) checkRead(a answer, least uint64) {
+	if a.lost || a.code != "" {
+		return
+	}
+	h := s.history
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	v := uint64(0)
+	if len(a.rows) == 1 && a.rows[0] != "-" {
+		v, _ = strconv.ParseUint(a.rows[0], 10, 64)
+	}
+	if len(a.rows) != 1 || v < least || v > h.sent[s.item] {
+		h.problems = append(h.problems, fmt.Sprintf("STALE or MIXED: read %s of %s at host %d, at least %d acknowledged, %d sent", a.rows, s.item, s.host+1, least, h.sent[s.item]))
+	}
+}
+
+// check checks the attempts against the runs of the databases.
+func (h *history) check() {
+	h.t.Helper()
+	for i := range 3 {
+		select {
+		case err := <-h.host(i).ended:
+			h.problems = append(h.problems, fmt.Sprintf("host %d ended by itself: %v", i+1, err))
+			h.host(i).ended <- nil
+		default:
+		}
+	}
+	byID := make(map[string]*attempt, len(h.attempts))
+	for i := range h.attempts {
+		byID[h.attempts[i].id] = &h.attempts[i]
+	}
+	ran := make(map[string]bool)
+	commits := make(map[string]int)
+	for _, r := range h.group.Runs() {
+		a := byID[r.ID]
+		if a == nil {
+			h.report("UNASKED: %+v", r)
+			continue
+		}
+		ran[r.ID] = true
+		if r.Committed && r.Text != "COMMIT" {
+			commits[r.ID]++
+		}
+		if !strings.HasSuffix(r.Text, a.text) {
+			h.report("UNASKED: %q ran as %q", a.text, r.Text)
+		}
+		if !maps.Equal(a.values, r.Values) {
+			h.report("PINNED: %q ran with the values %v in place of %v", a.text, r.Values, a.values)
+		}
+		if !h.mayRun(a.key, r.Account, r.At) {
+			h.report("UNASKED: %q with %s ran for %s at %s", a.text, a.key, r.Account, r.At.Format("05.000"))
+		}
+	}
+	h.checkOutcomes(ran, commits)
+	succeeded := 0
+	for _, a := range h.attempts {
+		if a.code == "" && !a.lost {
+			succeeded++
+		}
+	}
+	h.t.Logf("%d statements, %d succeeded, %d moves of the key, %d holds", len(h.attempts), succeeded, len(h.owners)-1, len(h.impaired))
+	assert.Assert(h.t, succeeded > 0)
+	for _, p := range h.problems[:min(len(h.problems), 12)] {
+		h.t.Error(p)
+	}
+}
+
+func (h *history) report(format string, arguments ...any) {
+	h.problems = append(h.problems, fmt.Sprintf(format, arguments...))
+}
+
+// mayRun reports whether an account may have owned the key at a moment, as hosts know of it.
+func (h *history) mayRun(key, account string, at time.Time) bool {
+	if key != "key-roams" {
+		return key == "key-"+account
+	}
+	for i, o := range h.owners {
+		left := at
+		if i+1 < len(h.owners) {
+			left = h.owners[i+1].from.Add(moveLimit)
+		}
+		if o.account == account && !at.Before(o.from) && !at.After(left) {
+			return true
+		}
+	}
+	return false
+}
+
+// checkOutcomes checks each answer against what ran and what was committed.
+func (h *history) checkOutcomes(ran map[string]bool, commits map[string]int) {
+	for _, a := range h.attempts {
+		word, _, _ := strings.Cut(a.text, " ")
+		success := a.code == "" && !a.lost
+		doubt := a.lost || a.code == "INDOUBT"
+		if success && (word == "READ" || word == "WRITE" || word == "COMMIT") && !strings.HasSuffix(a.digest, "."+a.id) {
+			h.report("MIXED: %q was answered with %q %q", a.text, a.digest, a.rows)
+		}
+		if a.lost && h.isCut(a, ran[a.id]) {
+			h.report("LOST: %q at host %d, sent %s, no answer after %s, ran %v", a.text, a.host+1, a.sent.Format("05.000"), a.ended.Sub(a.sent), ran[a.id])
+		}
+		if commits[a.id] > 1 {
+			h.report("TWICE: %q was committed %d times", a.text, commits[a.id])
+		}
+		if word == "COMMIT" {
+			done := 0
+			for _, w := range a.writes {
+				done += commits[w]
+			}
+			if done != 0 && done != len(a.writes) || success && done == 0 || !success && !doubt && done != 0 {
+				h.report("COMMIT of %d writes answered %q, %d committed", len(a.writes), a.code, done)
+			}
+		}
+		if word == "WRITE" && !success && !doubt && commits[a.id] != 0 {
+			h.report("REFUSED: %q was answered %s and committed", a.text, a.code)
+		}
+	}
+}
+
+// isImpaired reports whether there was an impairment in a span or within a second before it.
+func (h *history) isImpaired(from, to time.Time) bool {
+	return slices.ContainsFunc(h.impaired, func(s span) bool {
+		return to.After(s.from) && from.Before(s.to.Add(time.Second))
+	})
+}
+
+// isCut reports whether a statement that got no answer was cut off by the stop of its host, with no
+// impairment near, after it had run or had been there for long enough to be answered.
+func (h *history) isCut(a attempt, ran bool) bool {
+	if h.isImpaired(a.sent, a.ended) {
+		return false
+	}
+	for _, s := range h.stops[a.host] {
+		if a.ended.After(s.from) && a.sent.Before(s.to) {
+			return ran || a.ended.Sub(a.sent) > answerSlack
+		}
+	}
+	return false
+}
