--- a/stand/relay/relay.go
+++ b/stand/relay/relay.go
@@ -10,6 +10,9 @@
 //   - drop: the connection that carries a given byte is reset before that byte, so that
 //     a message arrives incomplete.
 //
+// A [Switch] has a relay for each caller's address, for faults between one caller and the
+// target alone.
+//
 // The bytes can be captured, so that tests can check which ones never passed. All of
 // this can be changed while the relay runs, by methods or over HTTP with
 // [Relay.Handler].
