--- a/io/edge/history_test.go
+++ b/io/edge/history_test.go
@@ -25,8 +25,7 @@
 const (
 	historyLength = 6 * time.Second
 	callerCount   = 24
-	// noGrace is the time in seconds, as good as none, that a host gets to stop in the place of a
-	// crash.
+	// noGrace is the time to stop, in seconds, of a host whose stop stands for a crash.
 	noGrace = 0.05
 	// moveLimit is how long a key may be used for the account that it was taken from.
 	moveLimit = 2 * time.Second
