--- a/io/peer/call.go
+++ b/io/peer/call.go
@@ -99,7 +99,7 @@
 	return nil, &RemoteError{
 		host:    host,
 		duty:    duty,
-		message: a.GetMessage(),
+		message: string(a.GetMessage()),
 	}
 }
 
--- a/io/peer/serve.go
+++ b/io/peer/serve.go
@@ -107,7 +107,7 @@
 	}
 	if err != nil {
 		answer.Status = peerpb.Status_STATUS_FAILED
-		answer.Message = err.Error()
+		answer.Message = []byte(err.Error())
 		result = nil
 	}
 	if err != nil && late {
--- a/io/relay/remote.go
+++ b/io/relay/remote.go
@@ -28,8 +28,8 @@
 func (n *Conn) exchangeRemote(q dbpool.Request, final time.Time, keep bool) (coltsfootloft.Reply, error) {
 	r := n.relay
 	b, err := proto.Marshal(&relaypb.Request{Exchange: n.encode(q, final, keep)})
-	if err != nil {
-		panic(err) // messages of plain fields always encode
+	if err != nil { // the name of a database or account is not UTF-8; nothing was sent
+		return coltsfootloft.Reply{}, errors.Wrap(dbpool.ErrBusy, err.Error())
 	}
 	started := r.Clock.Elapsed()
 	r.Pools.Observe(n.target.ID, func(c *pick.Candidate, _ time.Duration) { c.Start() })
@@ -85,11 +85,11 @@
 		Handle:      n.handle,
 		Database:    n.target.ID,
 		Account:     n.account,
-		Id:          st.ID(),
-		Text:        st.Text(),
+		Id:          []byte(st.ID()),
+		Text:        []byte(st.Text()),
 		Verb:        uint32(st.Verb()),
-		Name:        st.Name(),
-		Detail:      st.Detail(),
+		Name:        []byte(st.Name()),
+		Detail:      []byte(st.Detail()),
 		AfterTerm:   q.After.Term().Counter(),
 		AfterOffset: q.After.Offset(),
 		WaitMs:      min(n.wait, time.Duration(waitShare*float64(time.Until(q.Deadline)))).Milliseconds(),
@@ -102,23 +102,32 @@
 	}
 	if q.Expected != nil {
 		x.Align = true
-		x.Values = q.Expected.Values()
+		for name, value := range q.Expected.Values() {
+			x.Values = append(x.Values, &relaypb.Value{
+				Name:  []byte(name),
+				Value: []byte(value),
+			})
+		}
 	}
 	if q.Shape != nil {
 		x.Shape = &relaypb.Shape{
 			Writes: q.Shape.Writes,
-			Text:   q.Shape.Text,
+			Text:   []byte(q.Shape.Text),
 		}
 	}
 	return x
 }
 
 func decode(a *relaypb.Response) coltsfootloft.Reply {
+	var rows []string
+	for _, row := range a.GetRows() {
+		rows = append(rows, string(row))
+	}
 	return coltsfootloft.Reply{
-		Rows:     a.GetRows(),
-		Digest:   a.GetDigest(),
+		Rows:     rows,
+		Digest:   string(a.GetDigest()),
 		Reason:   coltsfootloft.Reason(a.GetReason()),
-		Text:     a.GetText(),
+		Text:     string(a.GetText()),
 		State:    coltsfootloft.TxState(a.GetState()),
 		Position: coltsfootloft.NewPosition(coltsfootloft.NewTerm(a.GetTerm(), ""), a.GetOffset()),
 	}
@@ -128,7 +137,7 @@
 func (r *Relay) endRemote(owner string, handle uint64) {
 	b, err := proto.Marshal(&relaypb.Request{Drop: &relaypb.Drop{Handle: handle}})
 	if err != nil {
-		panic(err) // messages of plain fields always encode
+		panic(err) // a message without strings always encodes
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), rollbackTimeout)
--- a/io/relay/serve.go
+++ b/io/relay/serve.go
@@ -67,7 +67,7 @@
 		r.Pools.Release(conn, false)
 		return &relaypb.Response{
 			Outcome: relaypb.Outcome_OUTCOME_LOST,
-			Text:    err.Error(),
+			Text:    []byte(err.Error()),
 		}
 	}
 	a := encode(reply)
@@ -86,11 +86,11 @@
 	if x.GetHandle() != 0 {
 		h := r.take(x.GetHandle(), from)
 		if h == nil {
-			r.Log.Info("transaction of another host is unknown", "host", from, "id", x.GetId(), "database", x.GetDatabase(),
+			r.Log.Info("transaction of another host is unknown", "host", from, "id", string(x.GetId()), "database", x.GetDatabase(),
 				"handle", strconv.FormatUint(x.GetHandle(), 16))
 			return nil, &relaypb.Response{
 				Outcome: relaypb.Outcome_OUTCOME_LOST,
-				Text:    "transaction has ended",
+				Text:    []byte("transaction has ended"),
 			}
 		}
 		return h.conn, nil
@@ -172,29 +172,37 @@
 
 func request(x *relaypb.Exchange, received time.Time) dbpool.Request {
 	q := dbpool.Request{
-		Statement: coltsfootloft.NewStatement(x.GetId(), x.GetText(), coltsfootloft.Verb(x.GetVerb()), x.GetName(), x.GetDetail()),
+		Statement: coltsfootloft.NewStatement(string(x.GetId()), string(x.GetText()), coltsfootloft.Verb(x.GetVerb()), string(x.GetName()), string(x.GetDetail())),
 		After:     coltsfootloft.NewPosition(coltsfootloft.NewTerm(x.GetAfterTerm(), ""), x.GetAfterOffset()),
 		Deadline:  received.Add(time.Duration(x.GetAnswerMs()) * time.Millisecond),
 	}
 	if x.GetAlign() {
-		q.Expected = prep.NewSessionState(x.GetValues())
+		values := make(map[string]string, len(x.GetValues()))
+		for _, v := range x.GetValues() {
+			values[string(v.GetName())] = string(v.GetValue())
+		}
+		q.Expected = prep.NewSessionState(values)
 	}
 	if s := x.GetShape(); s != nil {
 		q.Shape = &prep.Shape{
 			Writes: s.GetWrites(),
-			Text:   s.GetText(),
+			Text:   string(s.GetText()),
 		}
 	}
 	return q
 }
 
 func encode(r coltsfootloft.Reply) *relaypb.Response {
+	var rows [][]byte
+	for _, row := range r.Rows {
+		rows = append(rows, []byte(row))
+	}
 	return &relaypb.Response{
 		Outcome: relaypb.Outcome_OUTCOME_ANSWERED,
-		Rows:    r.Rows,
-		Digest:  r.Digest,
+		Rows:    rows,
+		Digest:  []byte(r.Digest),
 		Reason:  uint32(r.Reason),
-		Text:    r.Text,
+		Text:    []byte(r.Text),
 		State:   uint32(r.State),
 		Term:    r.Position.Term().Counter(),
 		Offset:  r.Position.Offset(),
