--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -26,6 +26,7 @@
 	"coltsfootloft/io/lease"
 	"coltsfootloft/io/mirror"
 	"coltsfootloft/io/peer"
+	"coltsfootloft/io/port"
 	"coltsfootloft/io/probe"
 	"coltsfootloft/io/quota"
 	"coltsfootloft/io/relay"
@@ -266,12 +267,13 @@
 func (e *Edge) storeAge() time.Duration { return e.lease.StoreAge() }
 
 // Run serves until stop ends, and then shuts down gracefully. It fails if an address
-// can't be bound.
+// can't be bound, except while the address is taken: then it waits.
 func (e *Edge) Run(stop context.Context) error {
 	base, cancel := context.WithCancel(context.WithoutCancel(stop))
 	defer cancel()
 	var wg sync.WaitGroup
-	failed := make(chan error, 3)
+	defer wg.Wait()
+	defer cancel()
 	run := func(f func(context.Context)) {
 		wg.Add(1)
 		go func() {
@@ -279,6 +281,12 @@
 			f(base)
 		}()
 	}
+	if err := e.bind(stop, run); err != nil {
+		if stop.Err() != nil {
+			return nil
+		}
+		return err
+	}
 	run(e.mirror.Run)
 	run(e.lease.Run)
 	run(e.pools.Run)
@@ -289,19 +297,28 @@
 	}
 	accepting, stopAccepting := context.WithCancel(base)
 	defer stopAccepting()
-	run(func(ctx context.Context) { reportError(failed, e.peers.Run(ctx)) })
-	run(func(ctx context.Context) { reportError(failed, e.serveReady(ctx)) })
-	run(func(context.Context) { reportError(failed, e.server.Run(accepting)) })
+	// Both fail only if they can't be bound, and they are.
+	run(func(ctx context.Context) { _ = e.peers.Run(ctx) })
+	run(func(context.Context) { _ = e.server.Run(accepting) })
 	run(e.checkReadinessLoop)
-	var err error
-	select {
-	case err = <-failed:
-	case <-stop.Done():
-		e.shutDown(stopAccepting)
+	<-stop.Done()
+	e.shutDown(stopAccepting)
+	return nil
+}
+
+// bind listens on all addresses of the host. The host connects to others only after that:
+// an outgoing connection from the same IP could take one of the ports. The ready address is
+// served at once, so that the balancer gets an answer while the others are awaited.
+func (e *Edge) bind(ctx context.Context, run func(func(context.Context))) error {
+	ready, err := port.TCP(ctx, e.log.WithName("ready"), e.settings.Ready)
+	if err != nil {
+		return errors.Wrap(err, "ready address")
 	}
-	cancel()
-	wg.Wait()
-	return err
+	run(func(ctx context.Context) { e.serveReady(ctx, ready) })
+	if err := e.peers.Bind(ctx); err != nil {
+		return err
+	}
+	return e.server.Bind(ctx)
 }
 
 // runQuotaShard runs one shard of the client accounts, as soon as it has accounts.
@@ -320,12 +337,6 @@
 	wg.Wait()
 }
 
-func reportError(failed chan<- error, err error) {
-	if err != nil {
-		failed <- err
-	}
-}
-
 const (
 	// noticeShare is the part of the grace period in which the load balancer can
 	// notice that the host is not ready. It asks each second and needs two failures.
--- a/io/edge/ready.go
+++ b/io/edge/ready.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/pkg/errors"
 
 	"coltsfootloft/platform"
 )
@@ -102,8 +101,8 @@
 	return e.ready
 }
 
-// serveReady answers the balancer and serves the metrics.
-func (e *Edge) serveReady(ctx context.Context) error {
+// serveReady answers the balancer and serves the metrics until ctx ends.
+func (e *Edge) serveReady(ctx context.Context, listener net.Listener) {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
 		if !e.isReady() {
@@ -112,22 +111,13 @@
 	})
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		e.metrics.WritePrometheus(w)
-		metrics.WriteProcessMetrics(w)
+		metrics.WritePrometheus(w, true)
 	})
-	var lc net.ListenConfig
-	listener, err := lc.Listen(ctx, "tcp", e.settings.Ready)
-	if err != nil {
-		return errors.Wrap(err, "ready address")
-	}
 	server := &http.Server{
 		Handler:           mux,
 		ReadHeaderTimeout: headerTimeout,
 	}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	err = server.Serve(listener)
-	if ctx.Err() != nil {
-		return nil
-	}
-	return errors.Wrap(err, "ready address")
+	_ = server.Serve(listener) // ends only once the listener is closed
 }
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -28,6 +28,7 @@
 	"coltsfootloft"
 	"coltsfootloft/io/groups"
 	"coltsfootloft/io/mirror"
+	"coltsfootloft/io/port"
 	"coltsfootloft/io/relay"
 )
 
@@ -37,8 +38,6 @@
 	// settingsWait is how long the start of a session waits for the first settings.
 	// It is below the 2 s that a caller waits for its answer.
 	settingsWait = 1500 * time.Millisecond
-	// acceptPause is the wait after a failed accept.
-	acceptPause = 10 * time.Millisecond
 	// maxSessions bounds the sessions of one host. Each takes a goroutine and two
 	// buffers, about 16 KB.
 	maxSessions = 2500
@@ -80,6 +79,7 @@
 	// refused a write.
 	ReportUnreachable func(group, database string)
 
+	listener net.Listener
 	mu       sync.Mutex
 	sessions map[*session]struct{}
 	// draining is set when sessions end outside a transaction, aborting when transactions
@@ -92,27 +92,36 @@
 	retries retryBudgets
 }
 
-// Run accepts callers until ctx ends. Open sessions continue until Drain. It fails if
-// the address can't be bound.
-func (s *Server) Run(ctx context.Context) error {
-	s.prepare()
-	var lc net.ListenConfig
-	listener, err := lc.Listen(ctx, "tcp", s.Listen)
+// Bind listens on the address, and waits until ctx ends while the address is taken.
+func (s *Server) Bind(ctx context.Context) error {
+	listener, err := port.TCP(ctx, s.Log, s.Listen)
 	if err != nil {
 		return errors.Wrap(err, "callers")
 	}
-	stop := context.AfterFunc(ctx, func() { listener.Close() })
+	s.listener = listener
+	return nil
+}
+
+// Run accepts callers until ctx ends. Open sessions continue until Drain. It calls Bind if
+// that was not called before, and fails if the address can't be bound.
+func (s *Server) Run(ctx context.Context) error {
+	s.prepare()
+	if s.listener == nil {
+		if err := s.Bind(ctx); err != nil {
+			return err
+		}
+	}
+	stop := context.AfterFunc(ctx, func() { s.listener.Close() })
 	defer stop()
 	for {
-		conn, err := listener.Accept()
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return nil // only once the listener is closed
+		}
 		if ctx.Err() != nil {
+			conn.Close()
 			return nil
 		}
-		if err != nil {
-			s.Log.Error(err, "connection not accepted")
-			time.Sleep(acceptPause)
-			continue
-		}
 		s.open(conn)
 	}
 }
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -15,6 +15,7 @@
 	"coltsfootloft"
 	"coltsfootloft/core/conf"
 	"coltsfootloft/io/caller"
+	"coltsfootloft/io/port"
 )
 
 // Server accepts connections from callers. Its exported fields are set before Start.
@@ -55,8 +56,7 @@
 	if s.Peers != nil {
 		s.Peers.Register(duty, s.cancelFromPeer)
 	}
-	var c net.ListenConfig
-	l, err := c.Listen(ctx, "tcp", s.Listen)
+	l, err := port.TCP(ctx, s.Log, s.Listen)
 	if err != nil {
 		return nil, errors.Wrap(err, "listening for callers")
 	}
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -21,6 +21,7 @@
 	"coltsfootloft/io/front"
 	"coltsfootloft/io/member"
 	"coltsfootloft/io/peer"
+	"coltsfootloft/io/port"
 	"coltsfootloft/io/share"
 	"coltsfootloft/io/trace"
 	"coltsfootloft/io/watch"
@@ -88,16 +89,16 @@
 // transaction has ended or the drain wait of the settings has passed. It returns an
 // error if the host can't start, or if it could not be drained in time.
 func (h *Host) Run(ctx context.Context) error {
-	if err := h.Tracer.Open(ctx); err != nil {
-		return err
-	}
-	defer h.closeTracer()
-	if err := h.startFront(ctx); err != nil {
+	if err := h.bind(ctx); err != nil {
+		if ctx.Err() != nil {
+			return nil
+		}
 		return err
 	}
-	if err := h.startAdmin(ctx); err != nil {
+	if err := h.Tracer.Open(ctx); err != nil {
 		return err
 	}
+	defer h.closeTracer()
 	linksCtx, stopLinks := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopLinks()
 	tasksCtx, stopTasks := context.WithCancel(linksCtx)
@@ -174,6 +175,18 @@
 	}
 }
 
+// bind listens on all addresses of the host. The host connects to others only after that:
+// an outgoing connection from the same IP could take one of the ports.
+func (h *Host) bind(ctx context.Context) error {
+	if err := h.startAdmin(ctx); err != nil {
+		return err
+	}
+	if err := h.Links.Bind(ctx); err != nil {
+		return err
+	}
+	return h.startFront(ctx)
+}
+
 func (h *Host) startFront(ctx context.Context) error {
 	h.Limiter.OnReclaim(h.pools.reclaim)
 	h.Limiter.OnRevoke(h.pools.revoke)
@@ -187,8 +200,7 @@
 
 // startAdmin listens on the admin port. The task "admin" serves it.
 func (h *Host) startAdmin(ctx context.Context) error {
-	var c net.ListenConfig
-	l, err := c.Listen(ctx, "tcp", h.Settings.Admin())
+	l, err := port.TCP(ctx, h.Log.WithName("admin"), h.Settings.Admin())
 	if err != nil {
 		return errors.Wrap(err, "admin port")
 	}
--- a/io/peer/links.go
+++ b/io/peer/links.go
@@ -15,6 +15,7 @@
 
 	"coltsfootloft"
 	"coltsfootloft/io/dial"
+	"coltsfootloft/io/port"
 )
 
 const (
@@ -60,7 +61,7 @@
 	handlers map[string]coltsfootloft.Handler
 	counts   *counters
 	bound    chan struct{}
-	address  string
+	listener net.Listener
 	ids      atomic.Uint64
 	base     context.Context
 	stop     context.CancelFunc
@@ -91,29 +92,40 @@
 	return l.handlers[duty]
 }
 
-// Addr returns the address, IP:port, on which Run listens. It blocks until Run
+// Addr returns the address, IP:port, on which Run listens. It blocks until Bind or Run
 // listens.
 func (l *Links) Addr() string {
 	l.prepare()
 	<-l.bound
-	return l.address
+	return l.listener.Addr().String()
 }
 
-// Run accepts links until ctx ends, and then closes all links. It fails if it can't
-// listen on the address.
-func (l *Links) Run(ctx context.Context) error {
+// Bind listens on the address, and waits until ctx ends while the address is taken. Run
+// does so itself if Bind was not called before.
+func (l *Links) Bind(ctx context.Context) error {
 	l.prepare()
-	var lc net.ListenConfig
-	listener, err := lc.Listen(ctx, "tcp", l.Listen)
+	listener, err := port.TCP(ctx, l.Log, l.Listen)
 	if err != nil {
 		return errors.Wrap(err, "peer links")
 	}
-	l.address = listener.Addr().String()
+	l.listener = listener
 	close(l.bound)
+	return nil
+}
+
+// Run accepts links until ctx ends, and then closes all links. It fails if it can't
+// listen on the address.
+func (l *Links) Run(ctx context.Context) error {
+	l.prepare()
+	if l.listener == nil {
+		if err := l.Bind(ctx); err != nil {
+			return err
+		}
+	}
 	l.group.Add(1)
-	go l.accept(ctx, listener)
+	go l.accept(ctx, l.listener)
 	l.reap(ctx)
-	listener.Close()
+	l.listener.Close()
 	l.closeAll()
 	l.group.Wait()
 	return nil
