--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -44,6 +44,10 @@
 	maxQuotaShards = 8
 	// linkIdleTimeout is how long an unused link to another host is kept.
 	linkIdleTimeout = 20 * time.Second
+	// linkMemoryPart is the part of the memory that requests of other hosts may take, and
+	// again that answers to this host's own may take; at least minLinkMemory bytes each.
+	linkMemoryPart = 16
+	minLinkMemory  = 4 << 20
 )
 
 // Edge is one entry host.
@@ -117,6 +121,8 @@
 		Log:         e.log.WithName("peer"),
 		Metrics:     e.metrics,
 		IdleTimeout: linkIdleTimeout,
+		MaxHeld:     max(e.settings.MemoryMB<<20/linkMemoryPart, minLinkMemory),
+		Hosts:       func() int { return len(e.mirror.View().Hosts) },
 	}
 	e.mirror = &mirror.Mirror{
 		Store:           client,
--- /dev/null
+++ b/io/peer/admit.go
@@ -0,0 +1,115 @@
+package peer
+
+import (
+	"net"
+	"slices"
+)
+
+const (
+	// maxPending is how many accepted connections may be without their Hello. A host that is
+	// not held up sends it within milliseconds.
+	maxPending = 128
+	// linksPerHost is how many links each known host may have: the link for new calls, and
+	// one that finishes its calls.
+	linksPerHost = 2
+	// spareLinks is for hosts that are not known yet, since they have just started or this
+	// host has.
+	spareLinks = 128
+	// maxLinksOfHost is how many links of one name are kept. Older ones belong to earlier
+	// runs of a host, or to connections that it has lost.
+	maxLinksOfHost = 4
+	// maxStreams is how many requests are served at a time over all links, including those
+	// that are refused.
+	maxStreams = 1024
+)
+
+// admit adds an accepted connection to those that are not links yet. If there are too many, it
+// closes the oldest.
+func (l *Links) admit(conn net.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.pending) >= maxPending {
+		l.pending[0].Close()
+		l.pending = slices.Delete(l.pending, 0, 1)
+	}
+	l.pending = append(l.pending, conn)
+}
+
+// endPending removes a connection that has become a link or was closed.
+func (l *Links) endPending(conn net.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if i := slices.Index(l.pending, conn); i >= 0 {
+		l.pending = slices.Delete(l.pending, i, i+1)
+	}
+}
+
+// isFull reports whether there are as many links as other hosts need.
+func (l *Links) isFull() bool {
+	hosts := DefaultHosts
+	if l.Hosts != nil {
+		hosts = l.Hosts()
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.links)+len(l.retired) >= linksPerHost*hosts+spareLinks
+}
+
+// oldestOf returns the oldest link of a host that gets no new calls if the host has too many
+// links, or nil. l.mu is held.
+func (l *Links) oldestOf(host string) *link {
+	var oldest *link
+	n := 0
+	for k := range l.retired {
+		if k.host != host {
+			continue
+		}
+		n++
+		if oldest == nil || k.opened.Before(oldest.opened) {
+			oldest = k
+		}
+	}
+	if n < maxLinksOfHost {
+		return nil
+	}
+	return oldest
+}
+
+// beginServing counts a request that has come in on a link. It reports false if the link has
+// more of them than a host sends; the link is to be closed then. If there are too many over
+// all links, it closes the one that has the most.
+func (l *Links) beginServing(k *link) (served int64, ok bool) {
+	served = k.serving.Add(1)
+	if served > 2*int64(l.MaxCalls) {
+		return served, false
+	}
+	if l.streams.Add(1) > maxStreams {
+		l.busiest().reset()
+	}
+	return served, true
+}
+
+// endServing counts the end of a request for which beginServing was called.
+func (l *Links) endServing(k *link) {
+	k.lastUsed.Store(l.Clock.Now().UnixNano())
+	k.serving.Add(-1)
+	l.streams.Add(-1)
+}
+
+// busiest returns the link on which the most requests are served.
+func (l *Links) busiest() *link {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var most *link
+	for _, k := range l.links {
+		if most == nil || k.serving.Load() > most.serving.Load() {
+			most = k
+		}
+	}
+	for k := range l.retired {
+		if most == nil || k.serving.Load() > most.serving.Load() {
+			most = k
+		}
+	}
+	return most
+}
--- a/io/peer/dial.go
+++ b/io/peer/dial.go
@@ -123,7 +123,7 @@
 		return nil, err
 	}
 	var theirs peerpb.Hello
-	if _, err := readFrame(conn, &theirs, 0); err != nil {
+	if _, err := readHeader(conn, &theirs, maxRequestHeader, 0); err != nil {
 		return nil, err
 	}
 	if theirs.GetRefusal() != "" {
@@ -151,7 +151,7 @@
 		conn = secured
 	}
 	var theirs peerpb.Hello
-	if _, err := readFrame(conn, &theirs, 0); err != nil {
+	if _, err := readHeader(conn, &theirs, maxRequestHeader, 0); err != nil {
 		return nil, "", err
 	}
 	host := theirs.GetFrom()
@@ -180,6 +180,9 @@
 	if h.GetFrom() == "" || h.GetFrom() == l.Self {
 		return "no name of its own"
 	}
+	if l.isFull() {
+		return "too many links"
+	}
 	if secured == nil || l.TLS.ServerName != "" {
 		return ""
 	}
--- a/io/peer/frame.go
+++ b/io/peer/frame.go
@@ -11,8 +11,15 @@
 const (
 	// prefixSize is the size in bytes of the lengths of header and body, 4 bytes each.
 	prefixSize = 8
-	// maxHeader is the size of the largest header, in bytes.
+	// maxHeader is the size of the largest header of an answer, in bytes. It holds the
+	// message of an error.
 	maxHeader = 64 << 10
+	// maxRequestHeader is the size of the largest header of a request and of the largest
+	// Hello, in bytes. They hold a few names.
+	maxRequestHeader = 4 << 10
+	// firstStep is how much of a body is allocated at first, in bytes. Most bodies are
+	// smaller.
+	firstStep = 4 << 10
 )
 
 // encodeFrame returns the lengths (big endian), the header and the body as one slice.
@@ -28,23 +35,50 @@
 	return append(b, body...), nil
 }
 
-// readFrame reads a frame into header and returns the body, of at most limit bytes.
-func readFrame(r io.Reader, header proto.Message, limit int) ([]byte, error) {
+// readHeader reads the lengths and the header of a frame, which has most bytes or less. It returns
+// the size of the body that follows, of at most limit bytes.
+func readHeader(r io.Reader, header proto.Message, most, limit int) (int, error) {
 	var prefix [prefixSize]byte
 	if _, err := io.ReadFull(r, prefix[:]); err != nil {
-		return nil, err
+		return 0, err
 	}
 	h := binary.BigEndian.Uint32(prefix[:])
 	n := binary.BigEndian.Uint32(prefix[4:])
-	if h > maxHeader || uint64(n) > uint64(limit) {
-		return nil, errors.Wrapf(ErrTooLarge, "header of %d bytes, body of %d", h, n)
+	if uint64(h) > uint64(most) || uint64(n) > uint64(limit) {
+		return 0, errors.Wrapf(ErrTooLarge, "header of %d bytes, body of %d", h, n)
 	}
-	b := make([]byte, int(h)+int(n))
+	b := make([]byte, h)
 	if _, err := io.ReadFull(r, b); err != nil {
-		return nil, err
+		return 0, err
 	}
-	if err := proto.Unmarshal(b[:h], header); err != nil {
-		return nil, errors.Wrap(err, "frame header")
+	if err := proto.Unmarshal(b, header); err != nil {
+		return 0, errors.Wrap(err, "frame header")
+	}
+	return int(n), nil
+}
+
+// readBody reads a body of n bytes. It allocates as the bytes arrive, out of the room, and
+// fails with ErrBusy if that is used up; the rest is then not read. The caller gives the
+// room of the bytes that are returned back, also beside an error.
+func readBody(r io.Reader, n int, room *room) ([]byte, error) {
+	size := min(n, firstStep)
+	if !room.take(size) {
+		return nil, ErrBusy
+	}
+	b := make([]byte, size)
+	read := 0
+	for {
+		m, err := io.ReadFull(r, b[read:])
+		read += m
+		if err != nil || read == n {
+			return b, err
+		}
+		size = min(n, 2*len(b))
+		if !room.take(size - len(b)) {
+			return b[:read], errors.WithStack(ErrBusy)
+		}
+		larger := make([]byte, size)
+		copy(larger, b)
+		b = larger
 	}
-	return b[h:], nil
 }
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -139,6 +139,10 @@
 	if l.closed {
 		return false
 	}
+	if oldest := l.oldestOf(k.host); oldest != nil {
+		delete(l.retired, oldest)
+		go oldest.reset()
+	}
 	l.group.Add(2)
 	go l.serve(k)
 	go func() {
--- a/io/peer/links.go
+++ b/io/peer/links.go
@@ -24,6 +24,10 @@
 	DefaultMaxCalls = 128
 	// DefaultIdle is how long a link without calls stays open.
 	DefaultIdle = time.Minute
+	// DefaultMaxHeld is how many bytes of requests, and of answers, are held at a time.
+	DefaultMaxHeld = 64 << 20
+	// DefaultHosts is the number of other hosts that is assumed if it is not known.
+	DefaultHosts = 1000
 )
 
 // Links implements [coltsfootloft.Peers]. Set the exported fields before the first
@@ -55,6 +59,13 @@
 	MaxCalls int
 	// IdleTimeout is how long a link without calls stays open; DefaultIdle if 0.
 	IdleTimeout time.Duration
+	// MaxHeld is how many bytes of requests this host holds at a time over all links, with
+	// their answers, and how many of answers to its own calls; DefaultMaxHeld if 0. Requests
+	// beyond that fail with ErrBusy at their sender.
+	MaxHeld int
+	// Hosts returns the number of other hosts, which bounds the number of links;
+	// DefaultHosts is assumed if nil.
+	Hosts func() int
 
 	once     sync.Once
 	handlers map[string]coltsfootloft.Handler
@@ -62,6 +73,9 @@
 	bound    chan struct{}
 	address  string
 	ids      atomic.Uint64
+	requests room // requests of other hosts, and the answers to them
+	answers  room // answers of other hosts
+	streams  atomic.Int64
 	base     context.Context
 	stop     context.CancelFunc
 
@@ -71,6 +85,8 @@
 	// retired holds links that finish their calls and get no new ones.
 	retired map[*link]struct{}
 	dials   map[string]*attempt
+	// pending are the accepted connections that are not links yet, the oldest first.
+	pending []net.Conn
 	group   sync.WaitGroup
 }
 
@@ -140,6 +156,11 @@
 		if l.IdleTimeout == 0 {
 			l.IdleTimeout = DefaultIdle
 		}
+		if l.MaxHeld == 0 {
+			l.MaxHeld = DefaultMaxHeld
+		}
+		l.requests.limit = int64(l.MaxHeld)
+		l.answers.limit = int64(l.MaxHeld)
 	})
 }
 
--- a/io/peer/serve.go
+++ b/io/peer/serve.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
 
+	"coltsfootloft"
 	"coltsfootloft/io/peer/peerpb"
 )
 
@@ -25,9 +26,11 @@
 			time.Sleep(acceptPause)
 			continue
 		}
+		l.admit(conn)
 		l.group.Add(1)
 		go func() {
 			defer l.group.Done()
+			defer l.endPending(conn)
 			l.acceptLink(ctx, conn)
 		}()
 	}
@@ -66,64 +69,127 @@
 			_ = k.session.Close()
 			return
 		}
+		served, ok := l.beginServing(k)
+		if !ok {
+			l.Log.Info("peer link closed", "host", k.host, "reason", "too many requests", "requests", served)
+			k.reset()
+			return
+		}
 		l.group.Add(1)
 		go func() {
 			defer l.group.Done()
-			l.handle(ctx, k, s)
+			defer l.endServing(k)
+			l.handle(ctx, k, s, served > int64(l.MaxCalls))
 		}()
 	}
 }
 
 // handle reads one request from its stream and answers it.
-func (l *Links) handle(ctx context.Context, k *link, s *yamux.Stream) {
+func (l *Links) handle(ctx context.Context, k *link, s *yamux.Stream, busy bool) {
 	defer func() { _ = s.Close() }()
-	busy := k.serving.Add(1) > int64(l.MaxCalls)
-	defer func() {
-		k.lastUsed.Store(l.Clock.Now().UnixNano())
-		k.serving.Add(-1)
-	}()
 	var request peerpb.Request
-	body, err := readFrame(s, &request, l.MaxFrame)
-	if err != nil {
+	body, err := l.readRequest(s, &request, busy)
+	defer func() { l.requests.give(len(body)) }()
+	if err != nil && !errors.Is(err, ErrBusy) {
 		return
 	}
 	answer := &peerpb.Answer{Id: request.GetId()}
 	h := l.handler(request.GetDuty())
 	var result []byte
-	var late bool
 	switch {
-	case busy:
+	case err != nil:
 		answer.Status = peerpb.Status_STATUS_BUSY
 	case h == nil:
 		answer.Status = peerpb.Status_STATUS_UNKNOWN_DUTY
 	default:
-		ctx, cancel := l.requestContext(ctx, &request, s)
-		result, err = h(ctx, k.host, body)
-		late = errors.Is(ctx.Err(), context.DeadlineExceeded)
-		cancel()
+		result = l.run(ctx, k, s, &request, h, body, answer)
 	}
-	if err == nil && len(result) > l.MaxFrame {
-		err = ErrTooLarge
+	b, err := encodeFrame(answer, result)
+	if err != nil {
+		return
+	}
+	l.requests.force(len(b))
+	defer l.requests.give(len(b))
+	if h != nil { // other names come from the other side
+		l.counts.countSent(request.GetDuty(), len(b))
 	}
+	_ = s.SetWriteDeadline(time.Now().Add(frameTimeout))
+	_, _ = s.Write(b)
+}
+
+// frameTimeout bounds the time until a request has arrived, and until the other side has
+// taken the answer.
+const frameTimeout = 10 * time.Second
+
+// readRequest reads a request. It fails with ErrBusy if there is no room for it, or if busy
+// is set, after it has read the request all the same: its sender waits until that is sent. The
+// caller gives the room of the body back, also beside an error.
+func (l *Links) readRequest(s *yamux.Stream, request *peerpb.Request, busy bool) ([]byte, error) {
+	if err := s.SetReadDeadline(time.Now().Add(frameTimeout)); err != nil {
+		return nil, err
+	}
+	size, err := readHeader(s, request, maxRequestHeader, l.MaxFrame)
 	if err != nil {
-		answer.Status = peerpb.Status_STATUS_FAILED
-		answer.Message = []byte(err.Error())
-		result = nil
+		return nil, err
 	}
-	if err != nil && late {
-		answer.Status = peerpb.Status_STATUS_TIMEOUT
+	var body []byte
+	err = ErrBusy
+	if !busy {
+		body, err = readBody(shrinkingStream{s}, size, &l.requests)
 	}
-	b, err := encodeFrame(answer, result)
+	if errors.Is(err, ErrBusy) {
+		if _, err := io.CopyN(io.Discard, shrinkingStream{s}, int64(size-len(body))); err != nil {
+			return body, err
+		}
+	}
+	s.Shrink()
 	if err != nil {
-		return
+		return body, err
 	}
-	l.counts.countSent(request.GetDuty(), len(b))
-	_, _ = s.Write(b)
+	return body, s.SetReadDeadline(time.Time{})
 }
 
+// shrinkingStream frees the stream's own buffer whenever all of it has been read. Otherwise
+// each stream keeps a whole window until it ends.
+type shrinkingStream struct{ stream *yamux.Stream }
+
+// Read reads from the stream.
+func (s shrinkingStream) Read(p []byte) (int, error) {
+	n, err := s.stream.Read(p)
+	s.stream.Shrink()
+	return n, err
+}
+
+// run has the handler serve a request, sets the status of the answer, and returns its body.
+func (l *Links) run(ctx context.Context, k *link, s *yamux.Stream, request *peerpb.Request, h coltsfootloft.Handler, body []byte,
+	answer *peerpb.Answer,
+) []byte {
+	ctx, cancel := l.requestContext(ctx, k, request, s)
+	result, err := h(ctx, k.host, body)
+	late := errors.Is(ctx.Err(), context.DeadlineExceeded)
+	cancel()
+	if err == nil && len(result) > l.MaxFrame {
+		err = ErrTooLarge
+	}
+	if err == nil {
+		return result
+	}
+	answer.Status = peerpb.Status_STATUS_FAILED
+	if late {
+		answer.Status = peerpb.Status_STATUS_TIMEOUT
+	}
+	message := err.Error()
+	answer.Message = []byte(message[:min(len(message), maxMessage)])
+	return nil
+}
+
+// maxMessage is the size of the longest message of an error, in bytes, so that the header of
+// an answer stays below maxHeader.
+const maxMessage = 4 << 10
+
 // requestContext returns a context that ends at the caller's deadline, when the
 // caller gives up or when the link is lost.
-func (l *Links) requestContext(ctx context.Context, r *peerpb.Request, s *yamux.Stream) (context.Context, context.CancelFunc) {
+func (l *Links) requestContext(ctx context.Context, k *link, r *peerpb.Request, s *yamux.Stream) (context.Context, context.CancelFunc) {
 	ctx = withTrace(ctx, r.GetTrace())
 	var cancel context.CancelFunc
 	if t := r.GetTimeoutNanos(); t > 0 {
@@ -136,7 +202,9 @@
 		defer l.group.Done()
 		// The caller sends nothing after its request, so this returns when it
 		// closes the stream.
-		_, _ = io.Copy(io.Discard, s)
+		if n, _ := s.Read(make([]byte, 1)); n > 0 {
+			k.reset()
+		}
 		cancel()
 	}()
 	return ctx, cancel
