--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -96,6 +96,8 @@
 // the address can't be bound.
 func (s *Server) Run(ctx context.Context) error {
 	s.prepare()
+	s.wg.Add(1) // Drain must not find it at 0 while a connection is accepted
+	defer s.wg.Done()
 	var lc net.ListenConfig
 	listener, err := lc.Listen(ctx, "tcp", s.Listen)
 	if err != nil {
@@ -106,6 +108,9 @@
 	for {
 		conn, err := listener.Accept()
 		if ctx.Err() != nil {
+			if err == nil {
+				conn.Close()
+			}
 			return nil
 		}
 		if err != nil {
--- a/io/entry/server_test.go
+++ b/io/entry/server_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
@@ -108,3 +109,47 @@
 	<-ended
 	assert.Equal(t, caller.answered, 1)
 }
+
+// TestDrainAwaitsAcceptedConnection guards against a session that is counted while Drain waits for the
+// last one to end: Drain returned before it, or the process panicked ("WaitGroup misuse: Add called
+// concurrently with Wait", "WaitGroup is reused before previous Wait has returned").
+func TestDrainAwaitsAcceptedConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := listener.Addr().String()
+	assert.NilError(t, listener.Close())
+	accepted := make(chan chan struct{})
+	s := &Server{
+		Listen: address,
+		Codec: func(net.Conn) coltsfootloft.Caller {
+			open := make(chan struct{})
+			accepted <- open
+			<-open
+			return startingCaller{ended: open}
+		},
+		Log: logr.Discard(),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx) }()
+	var conn net.Conn
+	for conn == nil {
+		conn, _ = net.Dial("tcp", address)
+	}
+	defer conn.Close()
+	open := <-accepted
+	cancel()
+	drained := make(chan struct{})
+	go func() {
+		defer close(drained)
+		s.Drain(context.Background(), time.Minute)
+	}()
+	select {
+	case <-drained:
+		t.Error("drained before the connection was served")
+	case <-time.After(100 * time.Millisecond):
+	}
+	close(open)
+	<-drained
+	assert.NilError(t, <-ended)
+}
