--- a/io/admin/server.go
+++ b/io/admin/server.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"coltsfootloft/core/events"
+	"coltsfootloft/io/bound"
 )
 
 const (
@@ -60,6 +61,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		WriteTimeout:      writeTimeout,
 	}
+	bound.Limit(h)
 	closed := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(closed)
@@ -70,7 +72,7 @@
 		}
 	})
 	defer stop()
-	err := h.Serve(s.Listener)
+	err := h.Serve(&bound.Listener{Listener: s.Listener})
 	if ctx.Err() == nil {
 		return errors.Wrap(err, "admin port")
 	}
--- a/io/edge/ready.go
+++ b/io/edge/ready.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 
+	"coltsfootloft/io/bound"
 	"coltsfootloft/platform"
 )
 
@@ -27,6 +28,8 @@
 	keeperSilenceLimit = 1500 * time.Millisecond
 	// headerTimeout bounds reading the header of a balancer's request.
 	headerTimeout = 2 * time.Second
+	// responseTimeout bounds writing an answer, of which the metrics are the longest.
+	responseTimeout = 10 * time.Second
 )
 
 // checkReadinessLoop checks the readiness of the host every readinessInterval until ctx
@@ -122,10 +125,13 @@
 	server := &http.Server{
 		Handler:           mux,
 		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       headerTimeout,
+		WriteTimeout:      responseTimeout,
 	}
+	bound.Limit(server)
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	err = server.Serve(listener)
+	err = server.Serve(&bound.Listener{Listener: listener})
 	if ctx.Err() != nil {
 		return nil
 	}
