--- a/io/edge/ready.go
+++ b/io/edge/ready.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"coltsfootloft/io/bound"
 	"coltsfootloft/platform"
 )
 
@@ -26,6 +27,8 @@
 	keeperSilenceLimit = 1500 * time.Millisecond
 	// headerTimeout bounds reading the header of a balancer's request.
 	headerTimeout = 2 * time.Second
+	// responseTimeout bounds writing an answer, of which the metrics are the longest.
+	responseTimeout = 10 * time.Second
 )
 
 // checkReadinessLoop checks the readiness of the host every readinessInterval until ctx
@@ -116,8 +119,11 @@
 	server := &http.Server{
 		Handler:           mux,
 		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       headerTimeout,
+		WriteTimeout:      responseTimeout,
 	}
+	bound.Limit(server)
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	_ = server.Serve(listener) // ends only once the listener is closed
+	_ = server.Serve(&bound.Listener{Listener: listener}) // ends only once the listener is closed
 }
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -106,6 +106,8 @@
 // that was not called before, and fails if the address can't be bound.
 func (s *Server) Run(ctx context.Context) error {
 	s.prepare()
+	s.wg.Add(1) // Drain must not find it at 0 while a connection is accepted
+	defer s.wg.Done()
 	if s.listener == nil {
 		if err := s.Bind(ctx); err != nil {
 			return err
