--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -16,6 +16,7 @@
 
 	"coltsfootloft"
 	"coltsfootloft/core/conf"
+	"coltsfootloft/core/memory"
 	"coltsfootloft/io/boot"
 	"coltsfootloft/io/dbpool"
 	"coltsfootloft/io/dial"
@@ -61,6 +62,7 @@
 	quota    *quota.Shards
 	failover *failov.Controller
 	server   *entry.Server
+	messages *memory.Budget // lines of callers and answers of databases
 	leaving  chan struct{}
 
 	mu            sync.Mutex
@@ -81,6 +83,7 @@
 		leaving:  make(chan struct{}),
 	}
 	open := dial.From(s.Peer, 0)
+	e.buildMemory()
 	client := &platform.Client{
 		Store:   s.Store,
 		Control: s.Control,
@@ -93,7 +96,7 @@
 	e.buildDuties(client, opener)
 	e.server = &entry.Server{
 		Listen:            s.Listen,
-		Codec:             func(c net.Conn) coltsfootloft.Caller { return platform.NewCallerConn(c) },
+		Codec:             func(c net.Conn) coltsfootloft.Caller { return platform.NewBoundedCallerConn(c, e.messages) },
 		Mirror:            e.mirror,
 		Groups:            e.groups,
 		Relay:             e.relay,
--- /dev/null
+++ b/io/edge/memory.go
@@ -0,0 +1,27 @@
+package edge
+
+import "coltsfootloft/core/memory"
+
+// The shares of the process's memory that other processes may make it hold, beyond the
+// fixed size of sessions and connections. The rest is for these, for the host itself and for
+// garbage, which the runtime keeps near 0.6 of the memory.
+const (
+	messageShare = 1.0 / 8
+	// minMessages is the least memory for messages, so that the largest one fits, of
+	// 1 MiB, which is held twice while it is put together.
+	minMessages = 6 << 20
+)
+
+// buildMemory creates the budgets of the process and their metrics.
+func (e *Edge) buildMemory() {
+	total := float64(e.settings.MemoryMB << 20)
+	e.messages = memory.New(max(int64(messageShare*total), minMessages))
+	e.describeMemory("messages", e.messages)
+}
+
+func (e *Edge) describeMemory(what string, b *memory.Budget) {
+	label := `{what="` + what + `"}`
+	e.metrics.NewGauge("coltsfootloft_memory_used_bytes"+label, func() float64 { return float64(b.Used()) })
+	e.metrics.NewGauge("coltsfootloft_memory_limit_bytes"+label, func() float64 { return float64(b.Limit()) })
+	e.metrics.NewGauge("coltsfootloft_memory_refusals_total"+label, func() float64 { return float64(b.Refused()) })
+}
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -25,11 +25,7 @@
 // serve runs one statement. If last is true, the session ends after the reply.
 func (n *session) serve(st coltsfootloft.Statement) (reply coltsfootloft.Reply, last bool) {
 	if n.tx != nil && n.tx.failed && st.Verb() != coltsfootloft.VerbRollback && st.Verb() != coltsfootloft.VerbCommit {
-		if !n.tx.reported {
-			n.tx.reported = true
-			return n.withState(coltsfootloft.RefusedReply(coltsfootloft.ReasonAborted, "transaction aborted")), false
-		}
-		return n.withState(coltsfootloft.RefusedReply(coltsfootloft.ReasonMalformed, "transaction failed")), false
+		return n.refuseFailed(), false
 	}
 	switch st.Verb() {
 	case coltsfootloft.VerbSet, coltsfootloft.VerbPrepareRead, coltsfootloft.VerbPrepareWrite, coltsfootloft.VerbDeallocate:
@@ -50,6 +46,15 @@
 	return n.withState(coltsfootloft.RefusedReply(coltsfootloft.ReasonMalformed, "unknown statement")), false
 }
 
+// refuseFailed answers a statement of a transaction that has failed.
+func (n *session) refuseFailed() coltsfootloft.Reply {
+	if !n.tx.reported {
+		n.tx.reported = true
+		return n.withState(coltsfootloft.RefusedReply(coltsfootloft.ReasonAborted, "transaction aborted"))
+	}
+	return n.withState(coltsfootloft.RefusedReply(coltsfootloft.ReasonMalformed, "transaction failed"))
+}
+
 // withState sets the session's transaction state in a reply that the host makes itself.
 func (n *session) withState(r coltsfootloft.Reply) coltsfootloft.Reply {
 	switch {
--- a/io/entry/session.go
+++ b/io/entry/session.go
@@ -51,11 +51,17 @@
 	for n.enterIdle() {
 		statement, err := n.caller.Next()
 		n.enterBusy()
-		if err != nil {
+		if err != nil && !isWithoutMemory(err) {
 			n.handleReadError(err)
 			return
 		}
-		reply, last := n.serve(statement)
+		var reply coltsfootloft.Reply
+		last := false
+		if err != nil {
+			reply = n.refuseSkipped(statement, err)
+		} else {
+			reply, last = n.serve(statement)
+		}
 		if err := n.caller.Answer(reply); err != nil {
 			n.server.Log.V(1).Info("reply not delivered to caller", "id", statement.ID(), "reason", err.Error())
 			return
--- a/platform.go
+++ b/platform.go
@@ -19,6 +19,16 @@
 	Elapsed() time.Duration
 }
 
+// Memory bounds the bytes that other processes make the host hold. Codecs ask it before they
+// keep a message that is larger than the fixed buffers of a connection.
+type Memory interface {
+	// Take takes n bytes for a holder that already holds held bytes. It reports false
+	// if it may not have them.
+	Take(held, n int) bool
+	// Give gives n bytes back.
+	Give(n int)
+}
+
 // KeyValue is the part of the platform's store that all its users need. [Store] and
 // [EventStore] add two ways to follow changes.
 type KeyValue interface {
--- a/statement.go
+++ b/statement.go
@@ -101,7 +101,9 @@
 	// Refuse rejects the session instead of accepting it.
 	Refuse(reason Reason, text string) error
 	// Next reads the next statement. It returns io.EOF once the caller has ended
-	// the session.
+	// the session. If the host has no memory for the statement, it is skipped and Next
+	// fails with a *RefusalError with CodeMemory and returns a statement of which only
+	// the id is set. The session may go on then.
 	Next() (Statement, error)
 	// Answer writes the complete answer to a statement.
 	Answer(r Reply) error
