--- a/io/dbpool/conn.go
+++ b/io/dbpool/conn.go
@@ -48,7 +48,8 @@
 	Deadline time.Time
 }
 
-// Exchange sends a statement and returns its answer. After an error the statement
+// Exchange sends a statement and returns its answer, whose memory is given back by GiveBack
+// of the pools or by whoever uses it. After an error the statement
 // may have run, and the connection must be closed; after a time-out, DiscardReplies may
 // be called first.
 func (c *Conn) Exchange(r Request) (reply coltsfootloft.Reply, err error) {
@@ -89,6 +90,7 @@
 		if c.outstanding == 0 {
 			return r, nil
 		}
+		c.pools.GiveBack(r)
 		if r.Failed() {
 			return coltsfootloft.Reply{}, errors.Wrap(ErrAlign, r.Reason.String())
 		}
@@ -128,7 +130,9 @@
 	if err := c.session.Flush(deadline); err != nil {
 		return coltsfootloft.Reply{}, errors.Wrap(err, "send")
 	}
-	return c.receiveLast(deadline)
+	r, err := c.receiveLast(deadline)
+	c.pools.GiveBack(r)
+	return r, err
 }
 
 // Outstanding returns how many requests were sent whose answers have not been read.
@@ -142,6 +146,7 @@
 	if err != nil {
 		return errors.Wrap(err, "late answer")
 	}
+	c.pools.GiveBack(r)
 	if r.State != coltsfootloft.TxIdle {
 		return errors.New("late answer leaves a transaction open")
 	}
--- a/io/dbpool/pools.go
+++ b/io/dbpool/pools.go
@@ -70,6 +70,8 @@
 	Log logr.Logger
 	// Metrics receives the counters and histograms.
 	Metrics *metrics.Set
+	// Memory bounds the answers of databases. Nothing is given back if it is nil.
+	Memory coltsfootloft.Memory
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -240,6 +242,13 @@
 	p.handOver(n, c)
 }
 
+// GiveBack gives back the memory of an answer that is not used any more.
+func (p *Pools) GiveBack(r coltsfootloft.Reply) {
+	if p.Memory != nil && r.Taken > 0 {
+		p.Memory.Give(r.Taken)
+	}
+}
+
 // Run closes connections that have been idle for too long until ctx ends, and then all
 // idle ones.
 func (p *Pools) Run(ctx context.Context) {
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -90,10 +90,17 @@
 		Dial:    open,
 	}
 	client.Start()
-	opener := &platform.Dialer{Dial: open}
+	opener := &platform.Dialer{
+		Dial:   open,
+		Memory: e.messages,
+	}
 	e.buildStore(client)
 	e.buildDatabases(opener)
-	e.buildDuties(client, opener)
+	// Answers to the host itself fit into the buffer of a connection.
+	e.buildDuties(client, &platform.Dialer{
+		Dial:   open,
+		Memory: &memory.Budget{},
+	})
 	e.server = &entry.Server{
 		Listen:            s.Listen,
 		Codec:             func(c net.Conn) coltsfootloft.Caller { return platform.NewBoundedCallerConn(c, e.messages) },
@@ -101,6 +108,7 @@
 		Groups:            e.groups,
 		Relay:             e.relay,
 		Quota:             e.quota,
+		Memory:            e.messages,
 		Clock:             e.clock,
 		Log:               log.WithName("entry"),
 		Metrics:           e.metrics,
@@ -173,6 +181,7 @@
 		Outstanding:   owners.Outstanding,
 		Log:           e.log.WithName("lanes"),
 		Metrics:       e.metrics,
+		Memory:        e.messages,
 	}
 	e.groups = &groups.Groups{
 		Mirror: e.mirror,
@@ -191,6 +200,7 @@
 		Clock:       e.clock,
 		HoldTimeout: e.holdTimeout,
 		Log:         e.log.WithName("relay"),
+		Memory:      e.messages,
 	}
 	e.relay.Register()
 }
--- a/io/edge/memory_test.go
+++ b/io/edge/memory_test.go
@@ -276,3 +276,58 @@
 	assert.DeepEqual(t, c.must("READ k").rows, []string{large})
 	assert.Equal(t, m.Used(), int64(0))
 }
+
+// TestSlowReadersFitMemory guards against a host that is killed because callers ask for large
+// answers and don't read them.
+func TestSlowReadersFitMemory(t *testing.T) {
+	f := startFleet(t, 0, nil)
+	p := f.startProcess()
+	good, code := connect(t, p.testHost, "file", "key-arima")
+	assert.Equal(t, code, "")
+	good.must("WRITE large " + strings.Repeat("x", 900_000))
+	leave := p.herd(t, 400, func(_ int, c *client) {
+		_ = c.conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+		writeSome(c, "QUERY q-1 READ large\r\n")
+		_ = c.conn.SetReadDeadline(time.Now().Add(time.Second))
+		_, _ = c.r.Peek(1) // the answer has begun
+	})
+	assertAnswered(t, good)
+	leave()
+	f.awaitServed(p)
+	p.assertPeak(t)
+}
+
+// TestAnswerWithoutMemoryIsRefused guards against a wrong outcome of a read whose answer is
+// larger than what is free, at the host that the caller is connected to or at the one that
+// owns the connection.
+func TestAnswerWithoutMemoryIsRefused(t *testing.T) {
+	f := startFleet(t, 2, nil)
+	large := strings.Repeat("x", 60<<10)
+	for _, h := range f.hosts {
+		c, code := connect(t, h, "file", "key-arima")
+		assert.Equal(t, code, "")
+		c.must("WRITE k " + large)
+		for _, full := range f.hosts {
+			m := full.edge.messages
+			const step = 1 << 10
+			taken := 0
+			for m.Limit()-m.Used() > 100*step {
+				assert.Assert(t, m.Take(0, step))
+				taken += step
+			}
+			a := c.do("READ k")
+			if full == h {
+				assert.Equal(t, a.code, "TOOBIG")
+			}
+			assert.Assert(t, a.code == "TOOBIG" || a.code == "" && a.rows[0] == large, a.code)
+			assert.Equal(t, a.state, "I")
+			c.must("WRITE small v")
+			assert.DeepEqual(t, c.must("READ small").rows, []string{"v"})
+			c.must("BEGIN READ")
+			assert.Assert(t, c.do("READ k").code == "ABORTED" || full != h)
+			c.do("ROLLBACK")
+			m.Give(taken)
+			assert.Equal(t, m.Used(), int64(0))
+		}
+	}
+}
--- a/io/entry/memory.go
+++ b/io/entry/memory.go
@@ -1,11 +1,31 @@
 package entry
 
 import (
+	"time"
+
 	"github.com/pkg/errors"
 
 	"coltsfootloft"
+	"coltsfootloft/io/dbpool"
+	"coltsfootloft/io/relay"
 )
 
+// exchange runs a statement on a connection. The memory of its answer is kept until the
+// caller has the answer to the statement, whether it is passed on or not.
+func (n *session) exchange(conn *relay.Conn, q dbpool.Request, final time.Time, keep bool) (coltsfootloft.Reply, error) {
+	reply, err := conn.Exchange(q, final, keep)
+	n.taken += reply.Taken
+	return reply, err
+}
+
+// giveBack gives back the memory of the answers to the latest statement.
+func (n *session) giveBack() {
+	if n.taken > 0 {
+		n.server.Memory.Give(n.taken)
+		n.taken = 0
+	}
+}
+
 // isWithoutMemory reports whether a statement was skipped because there was no memory for it.
 func isWithoutMemory(err error) bool {
 	var refusal *coltsfootloft.RefusalError
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -72,6 +72,8 @@
 	Quota Admitter
 	// Clock is a monotonic clock that keeps running while the host is suspended.
 	Clock coltsfootloft.Clock
+	// Memory bounds the answers that sessions hold.
+	Memory coltsfootloft.Memory
 	// Log receives refusals, retries, unknown outcomes and a sample of the successes.
 	Log logr.Logger
 	// Metrics receives the counters and histograms.
@@ -96,7 +98,7 @@
 // the address can't be bound.
 func (s *Server) Run(ctx context.Context) error {
 	s.prepare()
-	var lc net.ListenConfig
+	lc := net.ListenConfig{Control: boundBuffers}
 	listener, err := lc.Listen(ctx, "tcp", s.Listen)
 	if err != nil {
 		return errors.Wrap(err, "callers")
--- a/io/entry/session.go
+++ b/io/entry/session.go
@@ -30,6 +30,8 @@
 	// may move to another group and back.
 	lastWrites map[string]coltsfootloft.Position
 	tx         *transaction
+	// taken is the memory of the answers to the statement that is being served.
+	taken int
 
 	mu          sync.Mutex
 	busy        bool // serving a statement, or starting
@@ -62,7 +64,9 @@
 		} else {
 			reply, last = n.serve(statement)
 		}
-		if err := n.caller.Answer(reply); err != nil {
+		err = n.caller.Answer(reply)
+		n.giveBack()
+		if err != nil {
 			n.server.Log.V(1).Info("reply not delivered to caller", "id", statement.ID(), "reason", err.Error())
 			return
 		}
--- a/io/entry/single.go
+++ b/io/entry/single.go
@@ -56,7 +56,7 @@
 	if !writes && retryAt.Before(final) && s.retries.Available(n.account) {
 		deadline = retryAt
 	}
-	reply, err := conn.Exchange(dbpool.Request{
+	reply, err := n.exchange(conn, dbpool.Request{
 		Statement: st,
 		Expected:  &n.expected,
 		Shape:     shape,
@@ -134,6 +134,9 @@
 		if writes || !n.server.retries.Take(n.account) {
 			return reply, true
 		}
+	case coltsfootloft.ReasonTooLarge:
+		n.server.Log.Info("answer dropped", "id", st.ID(), "upstream", d.reader.Target.ID, "group", o.route.Group, "reason", reply.Text)
+		return reply, true
 	default:
 		return reply, true
 	}
--- a/io/entry/transaction.go
+++ b/io/entry/transaction.go
@@ -75,7 +75,7 @@
 		return n.abort(st, n.primaryLostReason())
 	}
 	limit := min(t.route.Timeout, txTargetLatencies*t.route.TargetLatency)
-	reply, err := t.conn.Exchange(n.request(t, st, shape, t.wall.Add(limit)), t.wall.Add(limit), true)
+	reply, err := n.exchange(t.conn, n.request(t, st, shape, t.wall.Add(limit)), t.wall.Add(limit), true)
 	t.synced = true
 	if err != nil {
 		if t.dest.reader.IsPrimary {
@@ -170,7 +170,7 @@
 	t := n.tx
 	sent := s.Clock.Elapsed()
 	final := time.Now().Add(min(t.route.Timeout, t.route.TargetLatency))
-	reply, err := conn.Exchange(dbpool.Request{
+	reply, err := n.exchange(conn, dbpool.Request{
 		Statement: t.begin,
 		Expected:  &n.expected,
 		After:     d.after,
@@ -248,7 +248,7 @@
 	for {
 		sent := s.Clock.Elapsed()
 		final := t.wall.Add(t.route.Timeout)
-		reply, err := t.conn.Exchange(n.request(t, st, nil, final), final, true)
+		reply, err := n.exchange(t.conn, n.request(t, st, nil, final), final, true)
 		if err != nil {
 			t.closeConn()
 			if t.dest.reader.IsPrimary {
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -56,6 +56,8 @@
 	HoldTimeout func() time.Duration
 	// Log receives a line when an owner can't be reached.
 	Log logr.Logger
+	// Memory bounds the messages between hosts.
+	Memory coltsfootloft.Memory
 
 	mu         sync.Mutex
 	avoidUntil map[string]time.Duration
@@ -135,7 +137,8 @@
 // Target returns the database of the connection.
 func (n *Conn) Target() dbpool.Target { return n.target }
 
-// Exchange sends a statement and returns its answer. The errors dbpool.ErrBusy and
+// Exchange sends a statement and returns its answer, whose memory the caller gives back. The
+// errors dbpool.ErrBusy and
 // dbpool.ErrDown mean that it was not sent; after any other error it may have run.
 // The request's deadline bounds the wait of the caller. The answer of the database is
 // still awaited until final, so that the database's work is not interrupted. keep is set
--- a/io/relay/remote.go
+++ b/io/relay/remote.go
@@ -58,7 +58,7 @@
 		return coltsfootloft.Reply{}, errors.Errorf("no answer of the database: %s", a.GetText())
 	case relaypb.Outcome_OUTCOME_ANSWERED:
 	}
-	reply := decode(&a)
+	reply := r.takeReply(decode(&a), len(b))
 	r.Pools.Observe(n.target.ID, func(c *pick.Candidate, now time.Duration) { dbpool.RecordReply(c, now, started, reply) })
 	return reply, nil
 }
--- a/io/relay/serve.go
+++ b/io/relay/serve.go
@@ -38,7 +38,11 @@
 	a := &relaypb.Response{}
 	switch {
 	case q.GetExchange() != nil:
-		a = r.exchange(from, q.GetExchange())
+		var taken int
+		a, taken = r.exchange(from, q.GetExchange())
+		if taken > 0 {
+			defer r.Memory.Give(taken)
+		}
 	case q.GetDrop() != nil:
 		if h := r.take(q.GetDrop().GetHandle(), from); h != nil {
 			r.rollback(h.conn)
@@ -48,19 +52,20 @@
 	return b, errors.Wrap(err, "answer")
 }
 
-// exchange runs a statement of another host on a connection of this one.
-func (r *Relay) exchange(from string, x *relaypb.Exchange) *relaypb.Response {
+// exchange runs a statement of another host on a connection of this one. It returns how much
+// memory the response has taken.
+func (r *Relay) exchange(from string, x *relaypb.Exchange) (a *relaypb.Response, taken int) {
 	received := time.Now()
 	if !r.beginServing(x.GetHandle() != 0) {
 		return &relaypb.Response{
 			Outcome: relaypb.Outcome_OUTCOME_BUSY,
 			Leaving: true,
-		}
+		}, 0
 	}
 	defer r.endServing()
 	conn, failed := r.connection(from, x)
 	if failed != nil {
-		return failed
+		return failed, 0
 	}
 	reply, err := conn.Exchange(request(x, received))
 	if err != nil {
@@ -68,16 +73,17 @@
 		return &relaypb.Response{
 			Outcome: relaypb.Outcome_OUTCOME_LOST,
 			Text:    []byte(err.Error()),
-		}
+		}, 0
 	}
-	a := encode(reply)
+	reply, taken = r.takeCopies(reply)
+	a = encode(reply)
 	switch {
 	case reply.State == coltsfootloft.TxOpen && x.GetKeep():
 		a.Handle = r.hold(conn, from, x.GetHandle())
 	default:
 		r.Pools.Release(conn, reply.State == coltsfootloft.TxIdle && reply.Reason != coltsfootloft.ReasonNoStatement)
 	}
-	return a
+	return a, taken
 }
 
 // connection returns the connection for a statement, or the response if there is none.
--- a/statement.go
+++ b/statement.go
@@ -78,6 +78,9 @@
 	// Position is the newest position that the database had applied when it
 	// answered.
 	Position Position
+	// Taken is the number of bytes of [Memory] that the reply holds. Whoever receives
+	// the reply gives them back when it does not use it any more.
+	Taken int
 }
 
 // Failed reports whether the reply is a failure.
