--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -16,6 +16,7 @@
 
 	"coltsfootloft"
 	"coltsfootloft/core/conf"
+	"coltsfootloft/core/memory"
 	"coltsfootloft/io/boot"
 	"coltsfootloft/io/dbpool"
 	"coltsfootloft/io/dial"
@@ -66,6 +67,7 @@
 	quota    *quota.Shards
 	failover *failov.Controller
 	server   *entry.Server
+	messages *memory.Budget // lines of callers and answers of databases
 	leaving  chan struct{}
 
 	mu            sync.Mutex
@@ -86,23 +88,32 @@
 		leaving:  make(chan struct{}),
 	}
 	open := dial.From(s.Peer, 0)
+	e.buildMemory()
 	client := &platform.Client{
 		Store:   s.Store,
 		Control: s.Control,
 		Dial:    open,
 	}
 	client.Start()
-	opener := &platform.Dialer{Dial: open}
+	opener := &platform.Dialer{
+		Dial:   open,
+		Memory: e.messages,
+	}
 	e.buildStore(client)
 	e.buildDatabases(opener)
-	e.buildDuties(client, opener)
+	// Answers to the host itself fit into the buffer of a connection.
+	e.buildDuties(client, &platform.Dialer{
+		Dial:   open,
+		Memory: &memory.Budget{},
+	})
 	e.server = &entry.Server{
 		Listen:            s.Listen,
-		Codec:             func(c net.Conn) coltsfootloft.Caller { return platform.NewCallerConn(c) },
+		Codec:             func(c net.Conn) coltsfootloft.Caller { return platform.NewBoundedCallerConn(c, e.messages) },
 		Mirror:            e.mirror,
 		Groups:            e.groups,
 		Relay:             e.relay,
 		Quota:             e.quota,
+		Memory:            e.messages,
 		Clock:             e.clock,
 		Log:               log.WithName("entry"),
 		Metrics:           e.metrics,
@@ -177,6 +188,7 @@
 		Outstanding:   owners.Outstanding,
 		Log:           e.log.WithName("lanes"),
 		Metrics:       e.metrics,
+		Memory:        e.messages,
 	}
 	e.groups = &groups.Groups{
 		Mirror: e.mirror,
@@ -195,6 +207,7 @@
 		Clock:       e.clock,
 		HoldTimeout: e.holdTimeout,
 		Log:         e.log.WithName("relay"),
+		Memory:      e.messages,
 	}
 	e.relay.Register()
 }
@@ -316,7 +329,7 @@
 // an outgoing connection from the same IP could take one of the ports. The ready address is
 // served at once, so that the balancer gets an answer while the others are awaited.
 func (e *Edge) bind(ctx context.Context, run func(func(context.Context))) error {
-	ready, err := port.TCP(ctx, e.log.WithName("ready"), e.settings.Ready)
+	ready, err := port.TCP(ctx, e.log.WithName("ready"), e.settings.Ready, nil)
 	if err != nil {
 		return errors.Wrap(err, "ready address")
 	}
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -71,6 +71,8 @@
 	Quota Admitter
 	// Clock is a monotonic clock that keeps running while the host is suspended.
 	Clock coltsfootloft.Clock
+	// Memory bounds the answers that sessions hold.
+	Memory coltsfootloft.Memory
 	// Log receives refusals, retries, unknown outcomes and a sample of the successes.
 	Log logr.Logger
 	// Metrics receives the counters and histograms.
@@ -94,7 +96,7 @@
 
 // Bind listens on the address, and waits until ctx ends while the address is taken.
 func (s *Server) Bind(ctx context.Context) error {
-	listener, err := port.TCP(ctx, s.Log, s.Listen)
+	listener, err := port.TCP(ctx, s.Log, s.Listen, boundBuffers)
 	if err != nil {
 		return errors.Wrap(err, "callers")
 	}
--- a/io/port/port.go
+++ b/io/port/port.go
@@ -36,13 +36,17 @@
 	syscall.ENOMEM,
 }
 
+// Control sets options of a socket that is going to listen.
+type Control = func(network, address string, c syscall.RawConn) error
+
 // TCP listens on address, IP:port. While the address is taken or does not exist yet, it
 // tries again until ctx ends, and logs the first failure and one every few seconds. It
-// returns an error for other failures, and when ctx ends.
+// returns an error for other failures, and when ctx ends. Control, if not nil, is called for
+// the socket before it is bound, as by net.ListenConfig.
 //
 // Accept of the returned listener fails only once the listener is closed.
-func TCP(ctx context.Context, log logr.Logger, address string) (net.Listener, error) {
-	var c net.ListenConfig
+func TCP(ctx context.Context, log logr.Logger, address string, control Control) (net.Listener, error) {
+	c := net.ListenConfig{Control: control}
 	f := failure{log: log}
 	for delay := minRetryDelay; ; delay = min(2*delay, maxOpenDelay) {
 		l, err := c.Listen(ctx, "tcp", address)
