--- a/io/mirror/follow.go
+++ b/io/mirror/follow.go
@@ -35,6 +35,8 @@
 	pollWait = 1500 * time.Millisecond
 	// pollMargin is the time that a poll may take beyond pollWait.
 	pollMargin = 300 * time.Millisecond
+	// maxPollWait is the longest that another host may ask for.
+	maxPollWait = time.Minute
 	// unreachableAvoidance is how long a host that did not answer a poll is not used as a
 	// source, and notWatchingAvoidance one that answered that it does not watch the
 	// store.
@@ -127,7 +129,7 @@
 		Packs:  true,
 	})
 	if err != nil {
-		panic(err) // messages of plain fields always encode
+		panic(err) // a message of numbers always encodes
 	}
 	ctx, cancel := context.WithTimeout(ctx, pollWait+pollMargin)
 	defer cancel()
@@ -167,8 +169,12 @@
 	}
 	m.ObserveEra(p.GetEra())
 	after := coltsfootloft.RevisionAt(cmp.Or(p.GetEra(), coltsfootloft.EraOf(m.View().Revision)), p.GetAfter())
-	c := m.awaitChanges(ctx, after, time.Duration(p.GetWaitMs())*time.Millisecond)
+	wait := min(max(p.GetWaitMs(), 0), maxPollWait.Milliseconds())
+	c := m.awaitChanges(ctx, after, time.Duration(wait)*time.Millisecond)
 	if len(c.GetItems()) > 0 && p.GetPacks() {
+		if c.GetWhole() {
+			after = 0 // the answer is the same for all hosts that need it
+		}
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		return m.packed.encode(c, after)
--- a/io/mirror/history.go
+++ b/io/mirror/history.go
@@ -1,6 +1,8 @@
 package mirror
 
 import (
+	"slices"
+
 	"coltsfootloft"
 )
 
@@ -28,6 +30,9 @@
 				continue
 			}
 			h.settings = e
+			h.changes = slices.DeleteFunc(h.changes, func(c coltsfootloft.Event) bool {
+				return c.Kind == coltsfootloft.EventSettings
+			})
 		}
 		if e.Deleted {
 			delete(h.items, e.StoreKey)
--- a/io/mirror/pack.go
+++ b/io/mirror/pack.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"coltsfootloft"
+	"coltsfootloft/io/decode"
 	"coltsfootloft/io/mirror/mirrorpb"
 )
 
@@ -20,6 +21,8 @@
 	// maxUnpacked is the largest answer that is accepted, in bytes: twice the largest
 	// value of the store, for a listing with many others.
 	maxUnpacked = 4 << 20
+	// maxKept is how many answers are kept. Most hosts are one or two changes behind.
+	maxKept = 8
 )
 
 // packedAnswers holds the compressed answers to the polls of hosts that are equally far
@@ -54,6 +57,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "packed changes")
 	}
+	if len(p.byAfter) >= maxKept {
+		clear(p.byAfter)
+	}
 	p.byAfter[after] = b
 	return b, nil
 }
@@ -76,17 +82,20 @@
 // decodeChanges decodes an answer to a poll.
 func decodeChanges(b []byte) (*mirrorpb.Changes, error) {
 	c := &mirrorpb.Changes{}
-	if err := proto.Unmarshal(b, c); err != nil {
+	if err := decode.Message(b, c); err != nil {
 		return nil, errors.Wrap(err, "changes")
 	}
 	if len(c.GetPacked()) == 0 {
 		return c, nil
 	}
-	r := io.LimitReader(flate.NewReader(bytes.NewReader(c.GetPacked())), maxUnpacked)
+	r := io.LimitReader(flate.NewReader(bytes.NewReader(c.GetPacked())), maxUnpacked+1)
 	b, err := io.ReadAll(r)
 	if err != nil {
 		return nil, errors.Wrap(err, "packed changes")
 	}
+	if len(b) > maxUnpacked { // cut off, it may decode as fewer changes
+		return nil, errors.Errorf("packed changes over %d bytes", maxUnpacked)
+	}
 	c = &mirrorpb.Changes{}
-	return c, errors.Wrap(proto.Unmarshal(b, c), "packed changes")
+	return c, errors.Wrap(decode.Message(b, c), "packed changes")
 }
--- a/io/mirror/recall.go
+++ b/io/mirror/recall.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"coltsfootloft/core/leader"
+	"coltsfootloft/io/decode"
 	"coltsfootloft/io/mirror/mirrorpb"
 )
 
@@ -18,14 +19,14 @@
 func (m *Mirror) Recall(ctx context.Context, host string) (map[string]leader.Record, error) {
 	b, err := proto.Marshal(&mirrorpb.Recall{Era: m.Era()})
 	if err != nil {
-		panic(err) // messages of plain fields always encode
+		panic(err) // a message of numbers always encodes
 	}
 	b, err = m.Peers.Call(ctx, host, recallName, b)
 	if err != nil {
 		return nil, errors.Wrap(err, "recall")
 	}
 	var answer mirrorpb.Recalled
-	if err := proto.Unmarshal(b, &answer); err != nil {
+	if err := decode.Message(b, &answer); err != nil {
 		return nil, errors.Wrap(err, "recalled records")
 	}
 	records := make(map[string]leader.Record, len(answer.GetRecords()))
