--- a/io/failov/failov.go
+++ b/io/failov/failov.go
@@ -295,8 +295,8 @@
 
 func (c *Controller) call(ctx context.Context, host string, r *stewardpb.Request) (bool, error) {
 	b, err := proto.Marshal(r)
-	if err != nil {
-		panic(err) // messages of plain fields always encode
+	if err != nil { // the name of a group or database is not UTF-8
+		return false, errors.Wrap(err, "question")
 	}
 	b, err = c.Peers.Call(ctx, host, dutyName, b)
 	if err != nil {
--- a/io/relay/remote.go
+++ b/io/relay/remote.go
@@ -57,8 +57,13 @@
 	case relaypb.Outcome_OUTCOME_LOST:
 		return coltsfootloft.Reply{}, errors.Errorf("no answer of the database: %s", a.GetText())
 	case relaypb.Outcome_OUTCOME_ANSWERED:
+	default:
+		return coltsfootloft.Reply{}, errors.Errorf("answer of the keeper with outcome %d", a.GetOutcome())
+	}
+	reply, err := decodeReply(&a)
+	if err != nil {
+		return coltsfootloft.Reply{}, err
 	}
-	reply := decode(&a)
 	r.Pools.Observe(n.target.ID, func(c *pick.Candidate, now time.Duration) { dbpool.RecordReply(c, now, started, reply) })
 	return reply, nil
 }
@@ -118,7 +123,12 @@
 	return x
 }
 
-func decode(a *relaypb.Response) coltsfootloft.Reply {
+// decodeReply returns the reply in an answer. It fails if this host does not know the reason or
+// the state, which a later version may have added: callers could not be told either.
+func decodeReply(a *relaypb.Response) (coltsfootloft.Reply, error) {
+	if a.GetReason() > uint32(coltsfootloft.ReasonInDoubt) || a.GetState() > uint32(coltsfootloft.TxFailed) {
+		return coltsfootloft.Reply{}, errors.Errorf("answer of the keeper with reason %d, state %d", a.GetReason(), a.GetState())
+	}
 	var rows []string
 	for _, row := range a.GetRows() {
 		rows = append(rows, string(row))
@@ -130,7 +140,7 @@
 		Text:     string(a.GetText()),
 		State:    coltsfootloft.TxState(a.GetState()),
 		Position: coltsfootloft.NewPosition(coltsfootloft.NewTerm(a.GetTerm(), ""), a.GetOffset()),
-	}
+	}, nil
 }
 
 // endRemote asks an owner to roll back a transaction, without waiting for the answer.
--- a/io/relay/serve.go
+++ b/io/relay/serve.go
@@ -13,9 +13,14 @@
 	"coltsfootloft"
 	"coltsfootloft/core/prep"
 	"coltsfootloft/io/dbpool"
+	"coltsfootloft/io/decode"
 	"coltsfootloft/io/relay/relaypb"
 )
 
+// maxSpan is the longest time for which a statement of another host is waited for. Routes allow
+// some seconds.
+const maxSpan = 10 * time.Minute
+
 // heldConn is a connection that is held for another host's transaction.
 type heldConn struct {
 	conn  *dbpool.Conn
@@ -32,7 +37,7 @@
 
 func (r *Relay) handle(_ context.Context, from string, body []byte) ([]byte, error) {
 	var q relaypb.Request
-	if err := proto.Unmarshal(body, &q); err != nil {
+	if err := decode.Message(body, &q); err != nil {
 		return nil, errors.Wrap(err, "statement")
 	}
 	a := &relaypb.Response{}
@@ -100,7 +105,7 @@
 		return nil, &relaypb.Response{Outcome: relaypb.Outcome_OUTCOME_DOWN}
 	}
 	t := u.Target()
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(x.GetWaitMs())*time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), span(x.GetWaitMs()))
 	defer cancel()
 	conn, err := r.Pools.Acquire(ctx, t, x.GetAccount(), int(x.GetPriority()))
 	if errors.Is(err, dbpool.ErrDown) {
@@ -170,11 +175,16 @@
 	return h
 }
 
+// span returns a time in ms that another host has sent, at most maxSpan.
+func span(ms int64) time.Duration {
+	return time.Duration(min(max(ms, 0), maxSpan.Milliseconds())) * time.Millisecond
+}
+
 func request(x *relaypb.Exchange, received time.Time) dbpool.Request {
 	q := dbpool.Request{
 		Statement: coltsfootloft.NewStatement(string(x.GetId()), string(x.GetText()), coltsfootloft.Verb(x.GetVerb()), string(x.GetName()), string(x.GetDetail())),
 		After:     coltsfootloft.NewPosition(coltsfootloft.NewTerm(x.GetAfterTerm(), ""), x.GetAfterOffset()),
-		Deadline:  received.Add(time.Duration(x.GetAnswerMs()) * time.Millisecond),
+		Deadline:  received.Add(span(x.GetAnswerMs())),
 	}
 	if x.GetAlign() {
 		values := make(map[string]string, len(x.GetValues()))
