--- a/core/grant/allocator.go
+++ b/core/grant/allocator.go
@@ -60,6 +60,13 @@
 	// burst just before. A window of five seconds contains at most two new
 	// allocators, so this adds at most a tenth of the limit.
 	initialShare = 0.25
+	// maxHosts and maxRuns bound the names of hosts that an allocator keeps, and the runs of
+	// each: ten times the largest fleet, and more restarts than a host has in a year.
+	maxHosts = 8192
+	maxRuns  = 1024
+	// maxOtherAccounts bounds the accounts that hosts report and the allocator's settings
+	// don't have, as they are older or newer.
+	maxOtherAccounts = 1024
 )
 
 // Line is the report of a host for one account, or the grant in reply.
@@ -145,6 +152,8 @@
 	switch _, isPast := al.past[host][run]; {
 	case isPast:
 		return false
+	case !known && len(al.latest) >= maxHosts, known && run != last.run && len(al.past[host]) >= maxRuns:
+		return false
 	case known && run == last.run && report <= last.report:
 		return false
 	case known && run != last.run:
@@ -168,7 +177,9 @@
 	if al.reported == nil {
 		al.reported = make(map[string]bool)
 	}
-	al.reported[host] = true
+	if len(al.reported) < maxHosts {
+		al.reported[host] = true
+	}
 	return al.ReportSome(now, host, lines, hosts, limits)
 }
 
@@ -179,6 +190,9 @@
 		al.accounts = make(map[string]*account)
 	}
 	for _, l := range lines {
+		if _, ok := limits[l.Account]; !ok && al.accounts[l.Account] == nil && len(al.accounts) >= len(limits)+maxOtherAccounts {
+			continue
+		}
 		al.recordReport(now, host, l)
 	}
 	unreported := al.unreportedShare(now, hosts)
--- a/io/quota/keeper.go
+++ b/io/quota/keeper.go
@@ -9,6 +9,7 @@
 
 	"coltsfootloft"
 	"coltsfootloft/core/grant"
+	"coltsfootloft/io/decode"
 	"coltsfootloft/io/mirror"
 	"coltsfootloft/io/quota/quotapb"
 )
@@ -16,7 +17,7 @@
 // handle answers a report, with grants if this host is the keeper.
 func (l *Limiter) handle(_ context.Context, from string, body []byte) ([]byte, error) {
 	var r quotapb.Report
-	if err := proto.Unmarshal(body, &r); err != nil {
+	if err := decode.Message(body, &r); err != nil {
 		return nil, errors.Wrap(err, "report")
 	}
 	l.Mirror.ObserveReport(mirror.Freshness{
@@ -40,6 +41,18 @@
 	return b, errors.Wrap(err, "grants")
 }
 
+// maxAmount is the greatest rate, depth or number of operations that is taken from another host.
+const maxAmount = 1e12
+
+// amount returns a number that another host has sent, or 0 if it is none from 0 to maxAmount.
+// Numbers that are not finite would stay in the allocator's buckets.
+func amount(f float64) float64 {
+	if !(f >= 0 && f <= maxAmount) {
+		return 0
+	}
+	return f
+}
+
 func (l *Limiter) grants(from string, r *quotapb.Report) []*quotapb.Grant {
 	l.allocatorMu.Lock()
 	defer l.allocatorMu.Unlock()
@@ -59,11 +72,11 @@
 	for _, n := range r.GetLines() {
 		lines = append(lines, grant.Line{
 			Account:   n.GetAccount(),
-			Demand:    n.GetDemand(),
-			Held:      n.GetHeld(),
-			HeldBurst: n.GetHeldBurst(),
-			HeldFor:   time.Duration(n.GetHeldMs()) * time.Millisecond,
-			Want:      n.GetWant(),
+			Demand:    amount(n.GetDemand()),
+			Held:      amount(n.GetHeld()),
+			HeldBurst: amount(n.GetHeldBurst()),
+			HeldFor:   time.Duration(min(max(n.GetHeldMs(), 0), grant.Validity.Milliseconds())) * time.Millisecond,
+			Want:      amount(n.GetWant()),
 		})
 	}
 	report := l.allocator.Report
--- a/io/quota/quota.go
+++ b/io/quota/quota.go
@@ -311,8 +311,9 @@
 		return
 	}
 	b, err := proto.Marshal(r)
-	if err != nil {
-		panic(err) // messages of plain fields always encode
+	if err != nil { // the name of an account is not UTF-8
+		l.noteKeeperSilent(err.Error())
+		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -399,18 +400,18 @@
 			a.granted = true
 			a.bucket = bucket.New(0, 0, bucket.At(now))
 		}
-		a.bucket.Resize(bucket.At(now), x.GetRate(), x.GetBurst())
+		a.bucket.Resize(bucket.At(now), amount(x.GetRate()), amount(x.GetBurst()))
 		if now >= a.lentUntil {
 			a.lent = 0
 		}
-		if x.GetLent() > 0 {
-			a.lent += x.GetLent()
+		if lent := amount(x.GetLent()); lent > 0 {
+			a.lent += lent
 			a.lentUntil = sent + lentLifetime
 		}
 		if a.wanted(now) == 0 {
 			a.askAt = 0
 		}
-		a.rate = x.GetRate()
+		a.rate = amount(x.GetRate())
 		a.validUntil = sent + grant.Validity
 	}
 	close(l.changed)
