--- a/core/prep/prep.go
+++ b/core/prep/prep.go
@@ -21,6 +21,12 @@
 // transaction.
 const maxPrepared = 256
 
+// entryOverhead is what a value or a prepared statement takes besides its bytes, at least.
+const entryOverhead = 64
+
+// EntrySize is the number of bytes that a value or a prepared statement takes in a session.
+func EntrySize(name, detail string) int { return len(name) + len(detail) + entryOverhead }
+
 // Shape is a prepared statement without its name. Shapes that are equal share one
 // prepared statement on a connection.
 type Shape struct {
@@ -35,6 +41,7 @@
 type SessionState struct {
 	values   map[string]string
 	prepared map[string]Shape
+	size     int
 }
 
 // Set changes a session value.
@@ -42,6 +49,10 @@
 	if s.values == nil {
 		s.values = make(map[string]string)
 	}
+	if old, ok := s.values[name]; ok {
+		s.size -= EntrySize(name, old)
+	}
+	s.size += EntrySize(name, value)
 	s.values[name] = value
 }
 
@@ -50,13 +61,18 @@
 	if s.prepared == nil {
 		s.prepared = make(map[string]Shape)
 	}
+	s.Deallocate(name)
+	s.size += EntrySize(name, shape.Text)
 	s.prepared[name] = shape
 }
 
 // Deallocate removes a name and reports whether it was registered.
 func (s *SessionState) Deallocate(name string) bool {
-	_, ok := s.prepared[name]
-	delete(s.prepared, name)
+	shape, ok := s.prepared[name]
+	if ok {
+		s.size -= EntrySize(name, shape.Text)
+		delete(s.prepared, name)
+	}
 	return ok
 }
 
@@ -70,14 +86,22 @@
 // a session.
 func (s *SessionState) Len() int { return len(s.values) + len(s.prepared) }
 
+// Size is the number of bytes that the values and prepared statements take.
+func (s *SessionState) Size() int { return s.size }
+
 // ConnState is the current state of a connection: its session values and prepared
 // statements. The zero value is the state of a new connection.
 type ConnState struct {
 	values   map[string]string
 	prepared map[Shape]string
 	next     int
+	size     int
 }
 
+// Size is the number of bytes that the values and prepared statements take. They stay on a
+// connection after the session that they are from.
+func (c *ConnState) Size() int { return c.size }
+
 // Align returns the commands that bring the connection to the state that the session
 // expects and, if shape is not nil, prepare that shape, with the name of the shape on the
 // connection. It records the commands as done, so a connection on which one of them
@@ -95,6 +119,10 @@
 		if c.values == nil {
 			c.values = make(map[string]string)
 		}
+		if old, ok := c.values[n]; ok {
+			c.size -= EntrySize(n, old)
+		}
+		c.size += EntrySize(n, v)
 		c.values[n] = v
 		commands = append(commands, coltsfootloft.Command{
 			Kind:   coltsfootloft.CommandSet,
@@ -114,6 +142,7 @@
 		c.prepared = make(map[Shape]string)
 	}
 	c.prepared[*shape] = name
+	c.size += EntrySize(name, shape.Text)
 	return append(commands, coltsfootloft.Command{
 		Kind:   coltsfootloft.CommandPrepare,
 		Name:   name,
--- a/core/prep/prep_test.go
+++ b/core/prep/prep_test.go
@@ -36,9 +36,21 @@
 	}
 }
 
+// sizeOf returns the size of values and prepared statements.
+func sizeOf(values map[string]string, prepared map[string]Shape) int {
+	size := 0
+	for n, v := range values {
+		size += EntrySize(n, v)
+	}
+	for n, s := range prepared {
+		size += EntrySize(n, s.Text)
+	}
+	return size
+}
+
 // TestConnectionMatchesSession guards against state that leaks between
-// sessions. Random sessions borrow one connection in turn; each must find exactly its
-// own values, and its shape under the returned name.
+// sessions, and against sizes that part from it. Random sessions borrow one connection in
+// turn; each must find exactly its own values, and its shape under the returned name.
 func TestConnectionMatchesSession(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		sessions := make([]SessionState, 4)
@@ -68,6 +80,8 @@
 			}
 			commands, name := held.Align(w, wanted)
 			d.run(commands)
+			assert.Equal(t, w.Size(), sizeOf(w.values, w.prepared))
+			assert.Equal(t, held.Size(), sizeOf(d.values, d.prepared))
 			assert.Assert(t, maps.Equal(d.values, w.Values()) || len(d.values) == 0 && len(w.Values()) == 0)
 			if ok {
 				assert.Equal(t, d.prepared[name], s)
--- a/io/dbpool/conn.go
+++ b/io/dbpool/conn.go
@@ -16,12 +16,14 @@
 
 // Conn is a pooled connection, lent to one session at a time.
 type Conn struct {
-	session   coltsfootloft.Session
-	account   string
-	target    Target
-	state     prep.ConnState
-	pools     *Pools
-	idleSince time.Duration
+	session coltsfootloft.Session
+	account string
+	target  Target
+	state   prep.ConnState
+	// stateTaken is the memory that the state has taken.
+	stateTaken int
+	pools      *Pools
+	idleSince  time.Duration
 	// outstanding is how many requests were sent whose answers have not been read. While
 	// there are any, the next answer belongs to one of them.
 	outstanding int
--- a/io/dbpool/pools.go
+++ b/io/dbpool/pools.go
@@ -43,6 +43,9 @@
 	exhaustedWaitMax = time.Second
 	// idleLimit is how long an unused connection is kept.
 	idleLimit = 20 * time.Second
+	// freeState is how many bytes of values and prepared statements the host remembers
+	// of a connection without taking memory.
+	freeState = 16 << 10
 	// sweepEvery is the interval of the check for idle connections.
 	sweepEvery = 2 * time.Second
 )
@@ -70,8 +73,9 @@
 	Log logr.Logger
 	// Metrics receives the counters and histograms.
 	Metrics *metrics.Set
-	// Memory bounds the answers of databases. Nothing is given back if it is nil.
-	Memory coltsfootloft.Memory
+	// Memory bounds the answers of databases, StateMemory what the host remembers of the
+	// state of connections. Either is not bounded if it is nil.
+	Memory, StateMemory coltsfootloft.Memory
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -199,6 +203,9 @@
 // closeConn closes a connection that is not in the idle list.
 func (p *Pools) closeConn(n *pool, c *Conn) {
 	c.session.Close()
+	if c.stateTaken > 0 {
+		p.StateMemory.Give(c.stateTaken)
+	}
 	n.open--
 }
 
@@ -227,14 +234,15 @@
 	}
 }
 
-// Release returns a connection to its pool. It is closed if healthy is false, or if answers
-// are outstanding, which its next user would take for its own.
+// Release returns a connection to its pool. It is closed if healthy is false, if answers
+// are outstanding, which its next user would take for its own, or if there is no memory
+// to remember its values and prepared statements.
 func (p *Pools) Release(c *Conn, healthy bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := p.pool(c.target.ID)
 	p.releasePermit(n, c, false)
-	if !healthy || c.outstanding > 0 {
+	if !healthy || c.outstanding > 0 || !p.takeState(c) {
 		p.closeConn(n, c)
 		p.openForWaiters(n)
 		return
@@ -242,6 +250,25 @@
 	p.handOver(n, c)
 }
 
+// takeState takes memory for the values and prepared statements of a connection that its
+// user returns, or gives some back. It reports false if there is none.
+func (p *Pools) takeState(c *Conn) bool {
+	size := c.state.Size()
+	if size <= freeState {
+		size = 0
+	}
+	switch {
+	case p.StateMemory == nil || size == c.stateTaken:
+		return true
+	case size < c.stateTaken:
+		p.StateMemory.Give(c.stateTaken - size)
+	case !p.StateMemory.Take(c.stateTaken, size-c.stateTaken):
+		return false
+	}
+	c.stateTaken = size
+	return true
+}
+
 // GiveBack gives back the memory of an answer that is not used any more.
 func (p *Pools) GiveBack(r coltsfootloft.Reply) {
 	if p.Memory != nil && r.Taken > 0 {
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -63,6 +63,7 @@
 	failover *failov.Controller
 	server   *entry.Server
 	messages *memory.Budget // lines of callers and answers of databases
+	values   *memory.Budget // session values and prepared statements
 	leaving  chan struct{}
 
 	mu            sync.Mutex
@@ -109,6 +110,7 @@
 		Relay:             e.relay,
 		Quota:             e.quota,
 		Memory:            e.messages,
+		ValueMemory:       e.values,
 		Clock:             e.clock,
 		Log:               log.WithName("entry"),
 		Metrics:           e.metrics,
@@ -182,6 +184,7 @@
 		Log:           e.log.WithName("lanes"),
 		Metrics:       e.metrics,
 		Memory:        e.messages,
+		StateMemory:   e.values,
 	}
 	e.groups = &groups.Groups{
 		Mirror: e.mirror,
--- a/io/edge/memory.go
+++ b/io/edge/memory.go
@@ -7,6 +7,9 @@
 // garbage, which the runtime keeps near 0.6 of the memory.
 const (
 	messageShare = 1.0 / 8
+	// valueShare is that of session values, which are held as long as their sessions
+	// and so have a budget of their own.
+	valueShare = 1.0 / 16
 	// minMessages is the least memory for messages, so that the largest one fits, of
 	// 1 MiB, which is held twice while it is put together.
 	minMessages = 6 << 20
@@ -16,7 +19,9 @@
 func (e *Edge) buildMemory() {
 	total := float64(e.settings.MemoryMB << 20)
 	e.messages = memory.New(max(int64(messageShare*total), minMessages))
+	e.values = memory.New(int64(valueShare * total))
 	e.describeMemory("messages", e.messages)
+	e.describeMemory("values", e.values)
 }
 
 func (e *Edge) describeMemory(what string, b *memory.Budget) {
--- a/io/edge/memory_test.go
+++ b/io/edge/memory_test.go
@@ -331,3 +331,50 @@
 		}
 	}
 }
+
+// TestSessionValuesFitMemory guards against a host that is killed because of the values that
+// callers set in their sessions, which were bounded in number, not in bytes.
+func TestSessionValuesFitMemory(t *testing.T) {
+	f := startFleet(t, 0, nil)
+	p := f.startProcess()
+	good, code := connect(t, p.testHost, "file", "key-arima")
+	assert.Equal(t, code, "")
+	value := strings.Repeat("x", 30_000)
+	leave := p.herd(t, 1500, func(_ int, c *client) {
+		for i := range 4 {
+			if a := c.do(fmt.Sprintf("SET v%d %s", i, value)); a.code != "" || a.lost {
+				return
+			}
+		}
+	})
+	assertAnswered(t, good)
+	leave()
+	f.awaitServed(p)
+	p.assertPeak(t)
+}
+
+// TestSessionValuesAreGivenBack guards against values that stay counted when they are replaced,
+// when they are removed and when their session ends.
+func TestSessionValuesAreGivenBack(t *testing.T) {
+	f := startFleet(t, 1, nil)
+	h := f.hosts[0]
+	c, code := connect(t, h, "file", "key-arima")
+	assert.Equal(t, code, "")
+	long := strings.Repeat("x", 10_000)
+	c.must("SET a " + long)
+	c.must("PREPARE p READ " + long)
+	assert.Assert(t, h.edge.values.Used() > 20_000)
+	c.must("SET a short")
+	c.must("DEALLOC p")
+	assert.Assert(t, h.edge.values.Used() < 200)
+	taken := int(h.edge.values.Limit() - h.edge.values.Used() - 10_000)
+	for step := 1 << 10; taken >= step; taken -= step {
+		assert.Assert(t, h.edge.values.Take(0, step))
+	}
+	assert.Equal(t, c.do("SET a "+long).code, "BUSY")
+	c.must("SET b short")
+	assert.DeepEqual(t, c.must("READ k").rows, []string{"-"})
+	before := h.edge.values.Used()
+	c.conn.Close()
+	f.await("values given back", 5*time.Second, func() bool { return h.edge.values.Used() < before })
+}
--- a/io/entry/memory.go
+++ b/io/entry/memory.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"coltsfootloft"
+	"coltsfootloft/core/prep"
 	"coltsfootloft/io/dbpool"
 	"coltsfootloft/io/relay"
 )
@@ -32,17 +33,47 @@
 	return errors.As(err, &refusal) && refusal.Code() == coltsfootloft.CodeMemory
 }
 
-// refuseSkipped answers a statement that was skipped. It did not run, and an open transaction
-// is rolled back, since its caller repeats it from its beginning.
+// refuseSkipped answers a statement that was skipped.
 func (n *session) refuseSkipped(st coltsfootloft.Statement, err error) coltsfootloft.Reply {
+	if n.tx != nil && n.tx.failed {
+		return n.refuseFailed()
+	}
 	var refusal *coltsfootloft.RefusalError
 	errors.As(err, &refusal)
-	if n.tx == nil {
-		n.server.recordRefusal(st.Verb().String(), st.ID(), n, coltsfootloft.ReasonBusy, refusal.Message())
-		return coltsfootloft.RefusedReply(coltsfootloft.ReasonBusy, refusal.Message())
+	return n.refuseForMemory(st, refusal.Message())
+}
+
+// refuseForMemory refuses a statement that did not run. An open transaction is rolled back,
+// since its caller repeats it from its beginning.
+func (n *session) refuseForMemory(st coltsfootloft.Statement, text string) coltsfootloft.Reply {
+	if n.tx != nil {
+		return n.failTransaction(st, coltsfootloft.ReasonBusy, text)
 	}
-	if n.tx.failed {
-		return n.refuseFailed()
+	n.server.recordRefusal(st.Verb().String(), st.ID(), n, coltsfootloft.ReasonBusy, text)
+	return coltsfootloft.RefusedReply(coltsfootloft.ReasonBusy, text)
+}
+
+// takeValue takes memory for a value or a prepared statement, and reports whether there is
+// any.
+func (n *session) takeValue(st coltsfootloft.Statement) bool {
+	if st.Verb() == coltsfootloft.VerbDeallocate || n.server.ValueMemory == nil {
+		return true
+	}
+	size := prep.EntrySize(st.Name(), st.Detail())
+	if !n.server.ValueMemory.Take(n.valuesTaken, size) {
+		return false
+	}
+	n.valuesTaken += size
+	return true
+}
+
+// fitValues gives back the memory of values that were replaced or removed.
+func (n *session) fitValues() { n.keepValues(n.expected.Size()) }
+
+// keepValues gives back all but size bytes of the memory of session values.
+func (n *session) keepValues(size int) {
+	if n.valuesTaken > size {
+		n.server.ValueMemory.Give(n.valuesTaken - size)
+		n.valuesTaken = size
 	}
-	return n.failTransaction(st, coltsfootloft.ReasonBusy, refusal.Message())
 }
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"time"
 
 	"coltsfootloft"
@@ -74,13 +76,20 @@
 	if n.expected.Len() >= maxSessionValues && st.Verb() != coltsfootloft.VerbDeallocate {
 		return coltsfootloft.RefusedReply(coltsfootloft.ReasonTooLarge, "too many session values")
 	}
+	if !n.takeValue(st) {
+		text := fmt.Sprintf("no memory for %d bytes of session values; come back in 1000 ms", len(st.Name())+len(st.Detail()))
+		return n.refuseForMemory(st, text)
+	}
+	defer n.fitValues()
+	// The session keeps copies, because the statement's strings are parts of its line.
+	name, detail := strings.Clone(st.Name()), strings.Clone(st.Detail())
 	switch st.Verb() {
 	case coltsfootloft.VerbSet:
-		n.expected.Set(st.Name(), st.Detail())
+		n.expected.Set(name, detail)
 	case coltsfootloft.VerbPrepareRead, coltsfootloft.VerbPrepareWrite:
-		n.expected.Prepare(st.Name(), prep.Shape{
+		n.expected.Prepare(name, prep.Shape{
 			Writes: st.Verb() == coltsfootloft.VerbPrepareWrite,
-			Text:   st.Detail(),
+			Text:   detail,
 		})
 	case coltsfootloft.VerbDeallocate:
 		if !n.expected.Deallocate(st.Name()) {
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -72,8 +72,9 @@
 	Quota Admitter
 	// Clock is a monotonic clock that keeps running while the host is suspended.
 	Clock coltsfootloft.Clock
-	// Memory bounds the answers that sessions hold.
-	Memory coltsfootloft.Memory
+	// Memory bounds the answers that sessions hold, ValueMemory their values and prepared
+	// statements, which are held as long as the session.
+	Memory, ValueMemory coltsfootloft.Memory
 	// Log receives refusals, retries, unknown outcomes and a sample of the successes.
 	Log logr.Logger
 	// Metrics receives the counters and histograms.
--- a/io/entry/session.go
+++ b/io/entry/session.go
@@ -32,6 +32,8 @@
 	tx         *transaction
 	// taken is the memory of the answers to the statement that is being served.
 	taken int
+	// valuesTaken is the memory of the session's values and prepared statements.
+	valuesTaken int
 
 	mu          sync.Mutex
 	busy        bool // serving a statement, or starting
@@ -286,4 +288,5 @@
 		n.tx.closeConn()
 		n.tx = nil
 	}
+	n.keepValues(0)
 }
