--- a/io/entry/single.go
+++ b/io/entry/single.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/pkg/errors"
+
 	"coltsfootloft"
 	"coltsfootloft/core/prep"
 	"coltsfootloft/io/dbpool"
@@ -63,6 +65,9 @@
 		After:     d.after,
 		Deadline:  deadline,
 	}, final, false)
+	if errors.Is(err, relay.ErrNoMemory) {
+		return n.refuseOperation(o, st, coltsfootloft.ReasonBusy, "no memory for the statement; come back in 500 ms"), true
+	}
 	if wasNotSent(err) {
 		n.noteNotSent(o, d, err)
 		return reply, false
--- a/io/entry/transaction.go
+++ b/io/entry/transaction.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"strconv"
 	"time"
 
 	"coltsfootloft"
@@ -37,8 +38,15 @@
 	t.conn = nil
 }
 
+// maxBeginID bounds the id of the statement that opens a transaction, in bytes, because it is
+// kept until the transaction ends. Ids have 16 usually.
+const maxBeginID = 1 << 10
+
 // begin opens a transaction in the session. No database is contacted yet.
 func (n *session) begin(st coltsfootloft.Statement) (coltsfootloft.Reply, bool) {
+	if len(st.ID()) > maxBeginID {
+		return n.withState(coltsfootloft.RefusedReply(coltsfootloft.ReasonTooLarge, "id over "+strconv.Itoa(maxBeginID)+" bytes")), false
+	}
 	if n.tx != nil {
 		return n.withState(coltsfootloft.RefusedReply(coltsfootloft.ReasonMalformed, "a transaction is open")), false
 	}
@@ -78,7 +86,7 @@
 	reply, err := n.exchange(t.conn, n.request(t, st, shape, t.wall.Add(limit)), t.wall.Add(limit), true)
 	t.synced = true
 	if err != nil {
-		if t.dest.reader.IsPrimary {
+		if t.dest.reader.IsPrimary && !wasNotSent(err) {
 			n.server.ReportUnreachable(t.route.Group, t.dest.reader.Target.ID)
 		}
 		return n.abort(st, err.Error())
@@ -251,6 +259,9 @@
 		reply, err := n.exchange(t.conn, n.request(t, st, nil, final), final, true)
 		if err != nil {
 			t.closeConn()
+			if wasNotSent(err) {
+				return n.answerAborted(st, "commit not sent: "+err.Error())
+			}
 			if t.dest.reader.IsPrimary {
 				s.ReportUnreachable(t.route.Group, t.dest.reader.Target.ID)
 			}
--- a/io/relay/remote.go
+++ b/io/relay/remote.go
@@ -27,6 +27,11 @@
 // exchangeRemote runs a statement on the owner's host.
 func (n *Conn) exchangeRemote(q dbpool.Request, final time.Time, keep bool) (coltsfootloft.Reply, error) {
 	r := n.relay
+	taken, ok := r.takeRequest(q)
+	if !ok {
+		return coltsfootloft.Reply{}, ErrNoMemory
+	}
+	defer r.give(taken)
 	b, err := proto.Marshal(&relaypb.Request{Exchange: n.encode(q, final, keep)})
 	if err != nil { // the name of a database or account is not UTF-8; nothing was sent
 		return coltsfootloft.Reply{}, errors.Wrap(dbpool.ErrBusy, err.Error())
--- a/io/relay/serve.go
+++ b/io/relay/serve.go
@@ -39,10 +39,8 @@
 	switch {
 	case q.GetExchange() != nil:
 		var taken int
-		a, taken = r.exchange(from, q.GetExchange())
-		if taken > 0 {
-			defer r.Memory.Give(taken)
-		}
+		a, taken = r.exchangeBody(from, q.GetExchange(), body)
+		defer r.give(taken)
 	case q.GetDrop() != nil:
 		if h := r.take(q.GetDrop().GetHandle(), from); h != nil {
 			r.rollback(h.conn)
@@ -52,6 +50,17 @@
 	return b, errors.Wrap(err, "answer")
 }
 
+// exchangeBody runs a statement of another host that came as body, if there is memory for it.
+// It returns how much memory the response has taken.
+func (r *Relay) exchangeBody(from string, x *relaypb.Exchange, body []byte) (a *relaypb.Response, taken int) {
+	n, ok := r.takeBody(body)
+	if !ok {
+		return refuseStatement(x), 0
+	}
+	defer r.give(n)
+	return r.exchange(from, x)
+}
+
 // exchange runs a statement of another host on a connection of this one. It returns how much
 // memory the response has taken.
 func (r *Relay) exchange(from string, x *relaypb.Exchange) (a *relaypb.Response, taken int) {
