--- a/io/lease/lease.go
+++ b/io/lease/lease.go
@@ -8,7 +8,8 @@
 //
 // A store that comes back from a backup may have lost the lease or the registration. The
 // lease therefore ends when the host learns of a new era of the store, and the host
-// registers again.
+// registers again. So it does when its copy of the store shows that its registration was
+// overwritten or removed by another writer, as a change of primary may then pass it by.
 package lease
 
 import (
@@ -61,10 +62,10 @@
 	// Size is the processing capacity of the host, in standard processors.
 	Size float64
 
-	mu      sync.Mutex
-	session string
-	era     uint64 // of the registration
-	expires time.Duration
+	mu       sync.Mutex
+	session  string
+	revision uint64 // of the registration
+	expires  time.Duration
 }
 
 // Valid reports whether the host holds its lease now.
@@ -73,10 +74,10 @@
 // Left returns the remaining time of the lease without further renewal; 0 if the host has
 // none.
 func (l *Lease) Left() time.Duration {
-	era := l.Mirror.Era()
+	isRegistered := l.isRegistered()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.session == "" || l.era != era {
+	if l.session == "" || !isRegistered {
 		return 0
 	}
 	return max(l.expires-l.Clock.Elapsed(), 0)
@@ -97,18 +98,24 @@
 	return l.session
 }
 
-// Run acquires and renews the lease until ctx ends, and then releases it.
+// Run acquires and renews the lease until ctx ends, and then releases it. It waits before it
+// registers again soon after it has, as another writer may write again each time.
 func (l *Lease) Run(ctx context.Context) {
 	retry := minRetryDelay
 	for ctx.Err() == nil {
-		if err := l.register(ctx); err != nil {
+		err := l.register(ctx)
+		if err == nil {
+			registered := l.Clock.Elapsed()
+			l.renew(ctx)
+			if l.Clock.Elapsed()-registered > TTL {
+				retry = minRetryDelay
+				continue
+			}
+		} else {
 			l.Log.Info("lease not gained", "reason", err.Error(), "again_in", retry.String())
-			pause.For(ctx, retry)
-			retry = min(2*retry, l.Mirror.MaxRetryDelay(maxRetryDelay))
-			continue
 		}
-		retry = minRetryDelay
-		l.renew(ctx)
+		pause.For(ctx, retry)
+		retry = min(2*retry, l.Mirror.MaxRetryDelay(maxRetryDelay))
 	}
 	l.release()
 }
@@ -147,9 +154,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.session = session
-	l.era = coltsfootloft.EraOf(revision)
+	l.revision = revision
 	l.expires = sent + TTL - leaseMargin
-	l.Log.Info("lease gained", "lease", session, "era", l.era, "revision", revision)
+	l.Log.Info("lease gained", "lease", session, "era", coltsfootloft.EraOf(revision), "revision", revision)
 	return nil
 }
 
@@ -182,18 +189,15 @@
 func (l *Lease) renew(ctx context.Context) {
 	wait := renewPeriod
 	retry := minRetryDelay
-	for {
-		changed := l.Mirror.EraChanged()
+	for l.awaitRenewal(ctx, wait) {
 		if l.eraEnded() {
 			l.drop("the store was restored from a backup")
 			return
 		}
-		if !pause.Until(ctx, changed, wait) {
+		if !l.isRegistered() {
+			l.endDisplaced()
 			return
 		}
-		if l.eraEnded() {
-			continue
-		}
 		sent := l.Clock.Elapsed()
 		err := l.Store.RenewSession(ctx, l.ID())
 		switch {
@@ -212,12 +216,46 @@
 	}
 }
 
+// awaitRenewal waits until the next renewal, or until the store was restored or the host's
+// registration is not its own any more. It returns false if ctx ends first.
+func (l *Lease) awaitRenewal(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		restored := l.Mirror.EraChanged()
+		changed := l.Mirror.Changed()
+		if !l.isRegistered() {
+			return ctx.Err() == nil
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-timer.C:
+			return true
+		case <-restored:
+		case <-changed:
+		}
+	}
+}
+
 // eraEnded reports whether the store was restored since the host registered.
 func (l *Lease) eraEnded() bool {
 	era := l.Mirror.Era()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.era != era
+	return coltsfootloft.EraOf(l.revision) != era
+}
+
+// isRegistered reports whether the store was not restored since the host registered, and the
+// host's copy of the store still holds what it wrote.
+func (l *Lease) isRegistered() bool {
+	if l.eraEnded() {
+		return false
+	}
+	r, ok := l.Mirror.View().Hosts[l.Host]
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return ok && r.Revision == l.revision
 }
 
 // maxRenewRetryDelay is the maximum delay between failing renewals. It is shorter while
@@ -242,6 +280,14 @@
 	l.session = ""
 }
 
+// endDisplaced gives up the lease after another writer has overwritten or removed the host's
+// registration, and ends it in the store, so that the duties held under it are free.
+func (l *Lease) endDisplaced() {
+	session := l.ID()
+	l.drop("the registration was overwritten or removed")
+	l.close(session)
+}
+
 // release ends the lease in the store, so that other hosts need not wait for it to
 // expire.
 func (l *Lease) release() {
@@ -250,10 +296,15 @@
 		return
 	}
 	l.drop("the host is leaving")
+	l.close(session)
+}
+
+func (l *Lease) close(session string) {
 	const closeTimeout = 300 * time.Millisecond // part of the time that a host has to shut down
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	if err := l.Store.CloseSession(ctx, session); err != nil {
+	err := l.Store.CloseSession(ctx, session)
+	if err != nil && !errors.Is(err, coltsfootloft.ErrNoSession) {
 		l.Log.Info("lease not released", "lease", session, "reason", err.Error())
 	}
 }
