--- a/io/elect/confirm.go
+++ b/io/elect/confirm.go
@@ -68,8 +68,8 @@
 		Group: m.group.Name(),
 		Term:  need.Term().String(),
 	})
-	if err != nil {
-		panic(err)
+	if err != nil { // a term that a database reported is not UTF-8
+		return ""
 	}
 	body, err = m.elector.Peers.Call(ctx, host, dutyName, body)
 	if err != nil {
--- a/io/share/batcher.go
+++ b/io/share/batcher.go
@@ -192,14 +192,30 @@
 	}
 }
 
+const (
+	// maxAmount is the greatest rate, depth or number of tokens that is taken from another host.
+	maxAmount = 1e12
+	// maxPeriod is the longest period that is taken from another host.
+	maxPeriod = time.Hour
+)
+
+// amount returns a number that another host has sent, or 0 if it is none from 0 to maxAmount. One
+// that is not finite would stay in the buckets, and can't be written to the store.
+func amount(f float64) float64 {
+	if !(f >= 0 && f <= maxAmount) {
+		return 0
+	}
+	return f
+}
+
 func decodeAsk(a *sharepb.Ask) loan.Request {
 	return loan.Request{
 		Sequence:   a.GetSequence(),
-		Kept:       loan.NewPart(a.GetKeptRate(), a.GetKeptBurst()),
-		Want:       loan.NewPart(a.GetWantRate(), a.GetWantBurst()),
-		Tokens:     a.GetTokens(),
-		Room:       a.GetRoom(),
-		Returned:   a.GetReturned(),
+		Kept:       loan.NewPart(amount(a.GetKeptRate()), amount(a.GetKeptBurst())),
+		Want:       loan.NewPart(amount(a.GetWantRate()), amount(a.GetWantBurst())),
+		Tokens:     amount(a.GetTokens()),
+		Room:       amount(a.GetRoom()),
+		Returned:   amount(a.GetReturned()),
 		TokensOnly: a.GetSame(),
 		Partial:    a.GetPartial(),
 	}
@@ -218,10 +234,10 @@
 
 func decodeGrant(g *sharepb.Grant) loan.Grant {
 	return loan.Grant{
-		Part:       loan.NewPart(g.GetRate(), g.GetBurst()),
-		Tokens:     g.GetTokens(),
-		Spare:      g.GetLeft(),
+		Part:       loan.NewPart(amount(g.GetRate()), amount(g.GetBurst())),
+		Tokens:     amount(g.GetTokens()),
+		Spare:      amount(g.GetLeft()),
 		TokensOnly: g.GetSame(),
-		Period:     time.Duration(g.GetPeriodMilliseconds()) * time.Millisecond,
+		Period:     time.Duration(min(max(g.GetPeriodMilliseconds(), 0), maxPeriod.Milliseconds())) * time.Millisecond,
 	}
 }
--- a/io/watch/request.go
+++ b/io/watch/request.go
@@ -76,8 +76,8 @@
 	ctx, cancel := clockwork.WithTimeout(ctx, w.clock(), hold+answerSlack)
 	defer cancel()
 	body, err := proto.Marshal(request)
-	if err != nil {
-		panic(err)
+	if err != nil { // a term or name that a database reported is not UTF-8
+		return errors.Wrap(err, "request to "+host)
 	}
 	body, err = w.Peers.Call(ctx, host, dutyName, body)
 	if err != nil {
