--- a/io/peer/admit.go
+++ b/io/peer/admit.go
@@ -18,9 +18,11 @@
 	// maxLinksOfHost is how many links of one name are kept. Older ones belong to earlier
 	// runs of a host, or to connections that it has lost.
 	maxLinksOfHost = 4
-	// maxStreams is how many requests are served at a time over all links, including those
-	// that are refused.
-	maxStreams = 1024
+	// maxStreams is how many streams other hosts may have open over all links, and
+	// streamsPerCall how many on one link, as a multiple of the calls of a host. A stream stays
+	// open for a moment after its call.
+	maxStreams     = 1024
+	streamsPerCall = 4
 )
 
 // admit adds an accepted connection to those that are not links yet. If there are too many, it
@@ -75,39 +77,38 @@
 	return oldest
 }
 
-// beginServing counts a request that has come in on a link. It reports false if the link has
-// more of them than a host sends; the link is to be closed then. If there are too many over
+// beginStream counts a stream that the other side has opened. It reports false if the link has
+// more of them than a host opens; the link is to be closed then. If there are too many over
 // all links, it closes the one that has the most.
-func (l *Links) beginServing(k *link) (served int64, ok bool) {
-	served = k.serving.Add(1)
-	if served > 2*int64(l.MaxCalls) {
-		return served, false
-	}
+func (l *Links) beginStream(k *link) bool {
 	if l.streams.Add(1) > maxStreams {
 		l.busiest().reset()
 	}
-	return served, true
+	if k.streams.Add(1) > streamsPerCall*int64(l.MaxCalls) {
+		l.endStream(k)
+		return false
+	}
+	return true
 }
 
-// endServing counts the end of a request for which beginServing was called.
-func (l *Links) endServing(k *link) {
-	k.lastUsed.Store(l.Clock.Now().UnixNano())
-	k.serving.Add(-1)
+// endStream counts the end of a stream for which beginStream was called.
+func (l *Links) endStream(k *link) {
+	k.streams.Add(-1)
 	l.streams.Add(-1)
 }
 
-// busiest returns the link on which the most requests are served.
+// busiest returns the link on which the most streams are open.
 func (l *Links) busiest() *link {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var most *link
 	for _, k := range l.links {
-		if most == nil || k.serving.Load() > most.serving.Load() {
+		if most == nil || k.streams.Load() > most.streams.Load() {
 			most = k
 		}
 	}
 	for k := range l.retired {
-		if most == nil || k.serving.Load() > most.serving.Load() {
+		if most == nil || k.streams.Load() > most.streams.Load() {
 			most = k
 		}
 	}
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -35,6 +35,7 @@
 
 	calls    atomic.Int64
 	serving  atomic.Int64
+	streams  atomic.Int64 // opened by the other side and not closed by it
 	lastUsed atomic.Int64
 	wake     chan struct{}
 }
@@ -54,7 +55,7 @@
 	if client {
 		open = yamux.Client
 	}
-	s, err := open(conn, sessionConfig())
+	s, err := open(&guardedConn{Conn: conn}, sessionConfig())
 	if err != nil {
 		return nil, err
 	}
--- a/io/peer/serve.go
+++ b/io/peer/serve.go
@@ -69,28 +69,36 @@
 			_ = k.session.Close()
 			return
 		}
-		served, ok := l.beginServing(k)
-		if !ok {
-			l.Log.Info("peer link closed", "host", k.host, "reason", "too many requests", "requests", served)
+		if !l.beginStream(k) {
+			l.Log.Info("peer link closed", "host", k.host, "reason", "too many requests")
 			k.reset()
 			return
 		}
 		l.group.Add(1)
 		go func() {
 			defer l.group.Done()
-			defer l.endServing(k)
-			l.handle(ctx, k, s, served > int64(l.MaxCalls))
+			defer l.endStream(k)
+			l.handle(ctx, k, s)
+			awaitClose(k, s)
 		}()
 	}
 }
 
 // handle reads one request from its stream and answers it.
-func (l *Links) handle(ctx context.Context, k *link, s *yamux.Stream, busy bool) {
+func (l *Links) handle(ctx context.Context, k *link, s *yamux.Stream) {
 	defer func() { _ = s.Close() }()
+	busy := k.serving.Add(1) > int64(l.MaxCalls)
+	defer func() {
+		k.lastUsed.Store(l.Clock.Now().UnixNano())
+		k.serving.Add(-1)
+	}()
 	var request peerpb.Request
 	body, err := l.readRequest(s, &request, busy)
 	defer func() { l.requests.give(len(body)) }()
 	if err != nil && !errors.Is(err, ErrBusy) {
+		if isMalformed(err) {
+			k.reset() // what else comes on the stream would be kept until it is closed
+		}
 		return
 	}
 	answer := &peerpb.Answer{Id: request.GetId()}
@@ -117,6 +125,25 @@
 	_, _ = s.Write(b)
 }
 
+// isMalformed reports whether a request could not be read though its sender has not given up on it.
+func isMalformed(err error) bool {
+	for _, e := range []error{io.EOF, io.ErrUnexpectedEOF, yamux.ErrConnectionReset, yamux.ErrStreamClosed, yamux.ErrSessionShutdown} {
+		if errors.Is(err, e) {
+			return false
+		}
+	}
+	return true
+}
+
+// awaitClose waits until the other side has closed a stream, after which it keeps no bytes any more.
+// The other side sends none after its request.
+func awaitClose(k *link, s *yamux.Stream) {
+	_ = s.SetReadDeadline(time.Now().Add(streamCloseTimeout))
+	if n, _ := s.Read(make([]byte, 1)); n > 0 {
+		k.reset()
+	}
+}
+
 // frameTimeout bounds the time until a request has arrived, and until the other side has
 // taken the answer.
 const frameTimeout = 10 * time.Second
