--- a/stand/linedb/group.go
+++ b/stand/linedb/group.go
@@ -59,6 +59,8 @@
 	runs       []Run
 	maxFence   uint64
 	promotions []string
+	first      string      // the first primary
+	history    []promotion // changes of the primary after it, in order
 }
 
 // Database is one database of a group.
@@ -103,6 +105,7 @@
 		g.databases = make(map[string]*Database)
 		b.role = rolePrimary
 		g.primary = id
+		g.first = id
 	}
 	g.databases[id] = b
 	go b.accept()
@@ -230,6 +233,7 @@
 		term = max(term, x.term+1)
 	}
 	g.primary = b.id
+	g.history = append(g.history, promotion{b.id, time.Now()})
 	b.role = rolePrimary
 	b.term = term
 	for _, x := range g.databases {
--- a/stand/linedb/session.go
+++ b/stand/linedb/session.go
@@ -6,6 +6,8 @@
 	"io"
 	"maps"
 	"net"
+	"slices"
+	"sort"
 	"strconv"
 	"strings"
 	"time"
@@ -130,14 +132,8 @@
 	if b.role == rolePrimary {
 		return len(b.log)
 	}
-	n := 0
-	for _, c := range b.log {
-		if time.Since(c.at) < b.group.Lag {
-			break
-		}
-		n++
-	}
-	return n
+	seen := time.Now().Add(-b.group.Lag)
+	return sort.Search(len(b.log), func(i int) bool { return b.log[i].at.After(seen) })
 }
 
 // fail returns an error line and marks an open transaction as failed.
@@ -181,6 +177,7 @@
 	case "DEMOTE":
 		if term, _ := strconv.ParseUint(name, 10, 64); term > s.database.term && s.database.role == rolePrimary {
 			s.database.role = roleReplica
+			s.database.follow()
 		}
 		return s.status(), false
 	}
@@ -256,9 +253,10 @@
 		n = s.visible
 	}
 	value := "-"
-	for _, c := range b.log[:min(n, len(b.log))] {
+	for _, c := range slices.Backward(b.log[:min(n, len(b.log))]) {
 		if v, ok := c.items[name]; ok {
 			value = v
+			break
 		}
 	}
 	return "ROW " + value + "\r\nDONE " + s.digest(id) + "\r\n"
--- a/stand/relay/link.go
+++ b/stand/relay/link.go
@@ -57,7 +57,10 @@
 
 // forward connects a caller with the target.
 func (r *Relay) forward(ctx context.Context, caller net.Conn) {
-	var d net.Dialer
+	d := net.Dialer{}
+	if r.Source != "" {
+		d.LocalAddr = &net.TCPAddr{IP: net.ParseIP(r.Source)}
+	}
 	r.mu.Lock()
 	cut := r.cut
 	r.total++
--- a/stand/relay/relay.go
+++ b/stand/relay/relay.go
@@ -54,6 +54,8 @@
 	Listen string
 	// Target is the address to forward to, IP:port.
 	Target string
+	// Source is the IP from which to connect to the target; the system's choice if empty.
+	Source string
 	// Delay is the initial delay of each direction.
 	Delay time.Duration
 	// Seed is the seed of the random jitter.
--- a/stand/relay/switch.go
+++ b/stand/relay/switch.go
@@ -16,6 +16,8 @@
 	Listener net.Listener
 	// Target is the address to forward to, IP:port.
 	Target string
+	// KeepSource lets the target see the IP of origin. The IP must be one of this machine.
+	KeepSource bool
 
 	mu     sync.Mutex
 	relays map[string]*Relay
@@ -51,6 +53,9 @@
 	r, ok := s.relays[ip]
 	if !ok {
 		r = &Relay{Target: s.Target}
+		if s.KeepSource {
+			r.Source = ip
+		}
 		if s.relays == nil {
 			s.relays = make(map[string]*Relay)
 		}
