--- a/stand/child/child.go
+++ b/stand/child/child.go
@@ -26,6 +26,7 @@
 	reading sync.Mutex // held while nobody reads the standard output
 	started time.Time
 	peak    atomic.Int64
+	copied  chan struct{}
 	done    chan struct{}
 	end     End
 }
@@ -50,6 +51,9 @@
 	return "exit " + strconv.Itoa(e.Code)
 }
 
+// outputWait is how long the end of a process waits for its last output to be read.
+const outputWait = 200 * time.Millisecond
+
 // starts runs functions on one thread that never ends: the system kills a process when
 // the thread that started it ends.
 var starts = sync.OnceValue(func() chan<- func() {
@@ -68,6 +72,7 @@
 func Start(log string, env []string, path string, args ...string) (*Process, error) {
 	p := &Process{
 		command: exec.Command(path, args...), //nolint:gosec,noctx // what to run is the test's choice
+		copied:  make(chan struct{}),
 		done:    make(chan struct{}),
 	}
 	p.command.Env = env
@@ -114,6 +119,7 @@
 
 // copyOutput appends the standard output to the log until it ends or is closed.
 func (p *Process) copyOutput() {
+	defer close(p.copied)
 	defer p.log.Close()
 	b := make([]byte, 32<<10)
 	for {
@@ -138,6 +144,10 @@
 	if s, ok := p.command.ProcessState.Sys().(syscall.WaitStatus); ok && s.Signaled() {
 		p.end.Signal = s.Signal()
 	}
+	select {
+	case <-p.copied: // so that the log is complete
+	case <-time.After(outputWait):
+	}
 	close(p.done)
 }
 
