--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -3,7 +3,8 @@
 // Each event is one line with a constant message; variable data goes into named
 // fields. Errors are written as their message, without a stack trace. Names and
 // reasons may be logged, but never keys, secrets, SQL or values from it. As a
-// safeguard, the value of a field named in [RedactedFields] is never written.
+// safeguard, the value of a field named in [RedactedFields] is never written. Callers
+// choose some values, such as ids, so long ones are truncated.
 //
 // [AsyncWriter] keeps a slow output from blocking the process: it writes lines in
 // the background and drops those that don't fit into its queue.
@@ -12,6 +13,7 @@
 import (
 	"io"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -25,7 +27,11 @@
 // RedactedFields lists the names of fields whose values are never written.
 var RedactedFields = []string{"password", "secret", "key_secret", "verifier", "sql", "query", "parameters"}
 
-const redactedValue = "(hidden)"
+const (
+	redactedValue = "(hidden)"
+	// maxValue is the length in bytes at which a value is truncated.
+	maxValue = 1024
+)
 
 // Config holds the settings of a logger. Its fields must be set before Logger is
 // called.
@@ -104,7 +110,8 @@
 	return l.Core.Write(e, redact(fields))
 }
 
-// redact replaces the values of [RedactedFields], and errors by their message.
+// redact replaces the values of [RedactedFields], and errors by their message. It
+// truncates long strings.
 func redact(fields []zapcore.Field) []zapcore.Field {
 	r := make([]zapcore.Field, len(fields))
 	for i, f := range fields {
@@ -113,13 +120,23 @@
 		case slices.Contains(RedactedFields, f.Key):
 			f = zap.String(f.Key, redactedValue)
 		case f.Type == zapcore.ErrorType && isError:
-			f = zap.String(f.Key, err.Error())
+			f = zap.String(f.Key, truncate(err.Error()))
+		case f.Type == zapcore.StringType:
+			f.String = truncate(f.String)
 		}
 		r[i] = f
 	}
 	return r
 }
 
+// truncate returns at most maxValue bytes of s, and says how many s has.
+func truncate(s string) string {
+	if len(s) <= maxValue {
+		return s
+	}
+	return strings.ToValidUTF8(s[:maxValue], "") + "... (" + strconv.Itoa(maxValue) + " of " + strconv.Itoa(len(s)) + " bytes)"
+}
+
 // clock is the time source of zap.
 type clock struct{ now func() time.Time }
 
