--- a/cmd/coltsfootloft/entry.go
+++ b/cmd/coltsfootloft/entry.go
@@ -3,19 +3,13 @@
 import (
 	"context"
 	"flag"
-	"fmt"
 	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
-	"syscall"
 
-	"github.com/go-logr/logr"
 	"github.com/google/subcommands"
 
-	"coltsfootloft/core/conf"
 	"coltsfootloft/io/edge"
-	"coltsfootloft/io/logs"
 )
 
 const (
@@ -32,7 +26,8 @@
 
 // entryCommand runs one entry host on the users' platform.
 type entryCommand struct {
-	path string
+	signals *signals
+	path    string
 }
 
 // Name returns the name of the command.
@@ -46,7 +41,7 @@
 	return `entry [-settings FILE]
 Runs an entry host on the users' platform until SIGTERM, which makes it leave: it is
 not ready any more, serves on until the balancer has seen it, and ends its sessions as
-they come to rest. Without the flag the file is named by ` + settingsEnv + `.
+they come to rest. A second one changes nothing. Without the flag the file is named by ` + settingsEnv + `.
 Exit codes: 0 left in good order, 1 failed, 2 bad settings.
 `
 }
@@ -58,61 +53,32 @@
 
 // Execute runs the host until a signal ends it and returns the exit code.
 func (c *entryCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	settings, err := conf.LoadEntry(c.path)
+	out := startOutput(os.Stdout, "json")
+	log, err := out.logger("")
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return subcommands.ExitUsageError
+		panic(err) // the default level is known
 	}
-	writer := logs.NewAsyncWriter(os.Stdout)
-	done := make(chan struct{})
-	flushed := make(chan struct{})
-	go func() {
-		defer close(flushed)
-		writer.Run(done)
-	}()
-	defer func() {
-		close(done)
-		<-flushed
-	}()
-	log, err := logs.Config{
-		Output: writer,
-		Format: "json",
-		Level:  settings.LogLevel,
-	}.Logger()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return subcommands.ExitUsageError
+	ctx, stop := c.signals.context(ctx, log, false)
+	defer stop()
+	file := &settingsFile{path: c.path}
+	settings, err := file.load(ctx, log)
+	if err == nil {
+		log, err = out.logger(settings.LogLevel)
+	}
+	switch {
+	case ctx.Err() != nil:
+		return out.end(log, nil, subcommands.ExitSuccess, "signal before the settings were read")
+	case err != nil:
+		complain(err)
+		return out.end(log, err, subcommands.ExitUsageError, "settings not valid")
 	}
 	runtime.GOMAXPROCS(1) // a host has a fraction of one core
 	debug.SetGCPercent(entryGCPercent)
 	debug.SetMemoryLimit(int64(float64(settings.MemoryMB<<20) * memoryShare))
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
-	go func() {
-		for range hangup {
-			c.reload(settings, log)
-		}
-	}()
+	go file.follow(ctx, c.signals.hangup, settings, log)
 	log.Info("host starting", "name", settings.Name, "domain", settings.Domain, "listen", settings.Listen)
 	if err := edge.Build(settings, log).Run(ctx); err != nil {
-		log.Error(err, "host ended")
-		return subcommands.ExitFailure
-	}
-	log.Info("host ended")
-	return subcommands.ExitSuccess
-}
-
-// reload reads the settings file again and logs whether it differs from the running
-// settings. The host keeps running with the old ones; new ones, such as addresses,
-// take effect at the next start.
-func (c *entryCommand) reload(running conf.EntrySettings, log logr.Logger) {
-	loaded, err := conf.LoadEntry(c.path)
-	if err != nil {
-		log.Error(err, "settings file not reloaded; keeping the running settings")
-		return
+		return out.end(log, err, subcommands.ExitFailure, "failed")
 	}
-	log.Info("settings file read again", "changed", loaded != running)
+	return out.end(log, nil, subcommands.ExitSuccess, "signal")
 }
--- a/cmd/coltsfootloft/main.go
+++ b/cmd/coltsfootloft/main.go
@@ -15,11 +15,12 @@
 )
 
 func main() {
+	s := catchSignals()
 	c := subcommands.NewCommander(flag.CommandLine, "coltsfootloft")
 	c.Register(c.HelpCommand(), "")
 	c.Register(c.FlagsCommand(), "")
-	c.Register(&serveCommand{}, "hosts")
-	c.Register(&entryCommand{}, "hosts")
+	c.Register(&serveCommand{signals: s}, "hosts")
+	c.Register(&entryCommand{signals: s}, "hosts")
 	tools := &cmds.Tools{
 		Out:     os.Stdout,
 		Err:     os.Stderr,
@@ -27,5 +28,8 @@
 	}
 	tools.Register(c)
 	flag.Parse()
+	if name := flag.Arg(0); name != "serve" && name != "entry" {
+		go s.exit()
+	}
 	os.Exit(int(c.Execute(context.Background())))
 }
--- a/cmd/coltsfootloft/process_test.go
+++ b/cmd/coltsfootloft/process_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -28,6 +29,8 @@
 
 func run(m *testing.M) int {
 	flag.Parse()
+	// Programs inherit ignored signals, but not handled ones.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	if *program != "" {
 		return m.Run()
 	}
@@ -164,3 +167,11 @@
 	}
 	return status.ExitStatus()
 }
+
+// awaitEnd checks that the last line tells how the process ended.
+func (p *process) awaitEnd(t *testing.T, words string) {
+	t.Helper()
+	all := strings.Split(strings.TrimSpace(p.out.String()), "\n")
+	last := all[len(all)-1]
+	assert.Assert(t, strings.Contains(last, "host ended") && strings.Contains(last, words), last)
+}
--- a/cmd/coltsfootloft/serve.go
+++ b/cmd/coltsfootloft/serve.go
@@ -3,18 +3,14 @@
 import (
 	"context"
 	"flag"
-	"fmt"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/google/subcommands"
 	"github.com/jonboulle/clockwork"
 
 	"coltsfootloft/core/conf"
 	"coltsfootloft/io/host"
-	"coltsfootloft/io/logs"
 )
 
 // gcPercent is above Go's default of 100, for less processor time at the cost of
@@ -23,7 +19,8 @@
 
 // serveCommand runs one entry host.
 type serveCommand struct {
-	loader conf.Loader
+	signals *signals
+	loader  conf.Loader
 }
 
 // Name returns the name of the command.
@@ -48,18 +45,19 @@
 func (c *serveCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	settings, problems := c.loader.Load()
 	if err := problems.Err(); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return subcommands.ExitUsageError
+		complain(err)
+		out := startOutput(os.Stderr, "text")
+		log, _ := out.logger("")
+		return out.end(log, nil, subcommands.ExitUsageError, "settings not valid")
 	}
-	log, err := logs.Config{
-		Output: os.Stderr,
-		Format: settings.LogFormat(),
-		Level:  settings.LogLevel(),
-	}.Logger()
+	out := startOutput(os.Stderr, settings.LogFormat())
+	log, err := out.logger(settings.LogLevel())
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
+		complain(err)
 		return subcommands.ExitUsageError
 	}
+	ctx, stop := c.signals.context(ctx, log, true)
+	defer stop()
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
@@ -68,16 +66,15 @@
 	}
 	h, err := host.Build(settings, clockwork.NewRealClock(), log)
 	if err != nil {
-		log.Error(err, "creating the host")
-		return subcommands.ExitUsageError
+		return out.end(log, err, subcommands.ExitUsageError, "host not created")
 	}
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	context.AfterFunc(ctx, stop)
+	go func() {
+		for range c.signals.hangup {
+			log.Info("hangup received; process settings are read at the next start only")
+		}
+	}()
 	if err := h.Run(ctx); err != nil {
-		log.Error(err, "host ended")
-		return subcommands.ExitFailure
+		return out.end(log, err, subcommands.ExitFailure, "failed")
 	}
-	log.Info("host ended")
-	return subcommands.ExitSuccess
+	return out.end(log, nil, subcommands.ExitSuccess, "drained")
 }
--- a/io/lease/lease.go
+++ b/io/lease/lease.go
@@ -164,6 +164,7 @@
 	if err := json.Unmarshal(old.Value(), &p); err != nil {
 		l.Log.Info("registration of an earlier run can't be read", "reason", err.Error())
 	}
+	l.Log.Info("registration of an earlier run, or of a call without an answer, is still in the store", "lease", p.Lease)
 	if p.Lease != "" {
 		err := l.Store.CloseSession(ctx, p.Lease)
 		if err != nil && !errors.Is(err, coltsfootloft.ErrNoSession) {
