--- a/cmd/coltsfootloft/entry.go
+++ b/cmd/coltsfootloft/entry.go
@@ -77,7 +77,9 @@
 	debug.SetMemoryLimit(int64(float64(settings.MemoryMB<<20) * memoryShare))
 	go file.follow(ctx, c.signals.hangup, settings, log)
 	log.Info("host starting", "name", settings.Name, "domain", settings.Domain, "listen", settings.Listen)
-	if err := edge.Build(settings, log).Run(ctx); err != nil {
+	host := edge.Build(settings, log)
+	host.CountDroppedLines(out.writer.Dropped)
+	if err := host.Run(ctx); err != nil {
 		return out.end(log, err, subcommands.ExitFailure, "failed")
 	}
 	return out.end(log, nil, subcommands.ExitSuccess, "signal")
--- a/cmd/coltsfootloft/output.go
+++ b/cmd/coltsfootloft/output.go
@@ -6,7 +6,6 @@
 	"os"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 	"github.com/google/subcommands"
 
@@ -34,7 +33,6 @@
 		flushed: make(chan struct{}),
 	}
 	o.writer.Format = format
-	metrics.NewGauge("coltsfootloft_log_lines_dropped_total", func() float64 { return float64(o.writer.Dropped()) })
 	go func() {
 		defer close(o.flushed)
 		o.writer.Run(o.done)
--- a/cmd/coltsfootloft/process_test.go
+++ b/cmd/coltsfootloft/process_test.go
@@ -75,6 +75,8 @@
 	return l.buf.String()
 }
 
+func (l *lines) contains(words string) bool { return strings.Contains(l.String(), words) }
+
 // prepare returns an entry host that has settings and was not started. No store answers it.
 func prepare(t *testing.T) *process {
 	t.Helper()
--- a/cmd/coltsfootloft/serve.go
+++ b/cmd/coltsfootloft/serve.go
@@ -6,11 +6,13 @@
 	"os"
 	"runtime/debug"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/subcommands"
 	"github.com/jonboulle/clockwork"
 
 	"coltsfootloft/core/conf"
 	"coltsfootloft/io/host"
+	"coltsfootloft/io/logs"
 )
 
 // gcPercent is above Go's default of 100, for less processor time at the cost of
@@ -56,6 +58,7 @@
 		complain(err)
 		return subcommands.ExitUsageError
 	}
+	metrics.NewGauge(logs.DroppedMetric, func() float64 { return float64(out.writer.Dropped()) })
 	ctx, stop := c.signals.context(ctx, log, true)
 	defer stop()
 	if os.Getenv("GOGC") == "" {
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -24,6 +24,7 @@
 	"coltsfootloft/io/failov"
 	"coltsfootloft/io/groups"
 	"coltsfootloft/io/lease"
+	"coltsfootloft/io/logs"
 	"coltsfootloft/io/mirror"
 	"coltsfootloft/io/peer"
 	"coltsfootloft/io/port"
@@ -107,6 +108,12 @@
 	return e
 }
 
+// CountDroppedLines exports the number of lines that the log dropped as a metric. It must be
+// called before Run.
+func (e *Edge) CountDroppedLines(dropped func() uint64) {
+	e.metrics.NewGauge(logs.DroppedMetric, func() float64 { return float64(dropped()) })
+}
+
 func (e *Edge) keyLimit() time.Duration { return e.settings.Withdrawal() - withdrawalMargin }
 
 func (e *Edge) buildStore(client *platform.Client) {
--- a/io/edge/ready.go
+++ b/io/edge/ready.go
@@ -111,7 +111,7 @@
 	})
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		e.metrics.WritePrometheus(w)
-		metrics.WritePrometheus(w, true)
+		metrics.WriteProcessMetrics(w)
 	})
 	server := &http.Server{
 		Handler:           mux,
--- a/io/logs/async.go
+++ b/io/logs/async.go
@@ -10,6 +10,9 @@
 	"github.com/pkg/errors"
 )
 
+// DroppedMetric is the name of the metric with the number of lines that were dropped.
+const DroppedMetric = "coltsfootloft_log_lines_dropped_total"
+
 const (
 	// queueLines is the length of the queue in lines, of a few hundred bytes each.
 	queueLines = 2048
