--- a/cmd/coltsfootloft/process_test.go
+++ b/cmd/coltsfootloft/process_test.go
@@ -100,12 +100,17 @@
 		done: make(chan struct{}),
 	}
 	assert.NilError(t, os.WriteFile(p.path, p.source(t), 0o600))
+	p.prepareCommand()
+	return p
+}
+
+// prepareCommand sets the command of an entry host.
+func (p *process) prepareCommand() {
 	p.cmd = exec.Command(*program, "entry")
 	p.cmd.Env = append(os.Environ(), settingsEnv+"="+p.path)
 	p.cmd.Stdout = &p.out
 	p.cmd.Stderr = &p.out
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	return p
 }
 
 // source returns the settings file.
