--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -64,6 +64,8 @@
 	failover *failov.Controller
 	server   *entry.Server
 	leaving  chan struct{}
+	// droppedLines returns how many lines of the log were dropped.
+	droppedLines func() uint64
 
 	mu            sync.Mutex
 	ready         bool
@@ -81,7 +83,10 @@
 		metrics:  metrics.NewSet(),
 		clock:    clock,
 		leaving:  make(chan struct{}),
+
+		droppedLines: func() uint64 { return 0 },
 	}
+	e.metrics.NewGauge(logs.DroppedMetric, func() float64 { return float64(e.droppedLines()) })
 	open := dial.From(s.Peer, 0)
 	client := &platform.Client{
 		Store:   s.Store,
@@ -108,11 +113,9 @@
 	return e
 }
 
-// CountDroppedLines exports the number of lines that the log dropped as a metric. It must be
+// CountDroppedLines sets the source of the metric of lines that the log dropped. It must be
 // called before Run.
-func (e *Edge) CountDroppedLines(dropped func() uint64) {
-	e.metrics.NewGauge(logs.DroppedMetric, func() float64 { return float64(dropped()) })
-}
+func (e *Edge) CountDroppedLines(dropped func() uint64) { e.droppedLines = dropped }
 
 func (e *Edge) keyLimit() time.Duration { return e.settings.Withdrawal() - withdrawalMargin }
 
