--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -320,7 +320,7 @@
 // an outgoing connection from the same IP could take one of the ports. The ready address is
 // served at once, so that the balancer gets an answer while the others are awaited.
 func (e *Edge) bind(ctx context.Context, run func(func(context.Context))) error {
-	ready, err := port.TCP(ctx, e.log.WithName("ready"), e.settings.Ready)
+	ready, err := port.TCP(ctx, nil, e.log.WithName("ready"), e.settings.Ready)
 	if err != nil {
 		return errors.Wrap(err, "ready address")
 	}
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -94,7 +94,7 @@
 
 // Bind listens on the address, and waits until ctx ends while the address is taken.
 func (s *Server) Bind(ctx context.Context) error {
-	listener, err := port.TCP(ctx, s.Log, s.Listen)
+	listener, err := port.TCP(ctx, nil, s.Log, s.Listen)
 	if err != nil {
 		return errors.Wrap(err, "callers")
 	}
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -56,7 +56,7 @@
 	if s.Peers != nil {
 		s.Peers.Register(duty, s.cancelFromPeer)
 	}
-	l, err := port.TCP(ctx, s.Log, s.Listen)
+	l, err := port.TCP(ctx, nil, s.Log, s.Listen)
 	if err != nil {
 		return nil, errors.Wrap(err, "listening for callers")
 	}
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -200,7 +200,7 @@
 
 // startAdmin listens on the admin port. The task "admin" serves it.
 func (h *Host) startAdmin(ctx context.Context) error {
-	l, err := port.TCP(ctx, h.Log.WithName("admin"), h.Settings.Admin())
+	l, err := port.TCP(ctx, nil, h.Log.WithName("admin"), h.Settings.Admin())
 	if err != nil {
 		return errors.Wrap(err, "admin port")
 	}
--- a/io/peer/links.go
+++ b/io/peer/links.go
@@ -104,7 +104,7 @@
 // does so itself if Bind was not called before.
 func (l *Links) Bind(ctx context.Context) error {
 	l.prepare()
-	listener, err := port.TCP(ctx, l.Log, l.Listen)
+	listener, err := port.TCP(ctx, nil, l.Log, l.Listen)
 	if err != nil {
 		return errors.Wrap(err, "peer links")
 	}
--- a/io/port/port.go
+++ b/io/port/port.go
@@ -36,13 +36,15 @@
 	syscall.ENOMEM,
 }
 
-// TCP listens on address, IP:port. While the address is taken or does not exist yet, it
+// TCP listens on address, IP:port, with the options of c; nil means none. While the address is taken or does not exist yet, it
 // tries again until ctx ends, and logs the first failure and one every few seconds. It
 // returns an error for other failures, and when ctx ends.
 //
 // Accept of the returned listener fails only once the listener is closed.
-func TCP(ctx context.Context, log logr.Logger, address string) (net.Listener, error) {
-	var c net.ListenConfig
+func TCP(ctx context.Context, c *net.ListenConfig, log logr.Logger, address string) (net.Listener, error) {
+	if c == nil {
+		c = &net.ListenConfig{}
+	}
 	f := failure{log: log}
 	for delay := minRetryDelay; ; delay = min(2*delay, maxOpenDelay) {
 		l, err := c.Listen(ctx, "tcp", address)
--- a/io/port/port_test.go
+++ b/io/port/port_test.go
@@ -31,7 +31,7 @@
 	assert.NilError(t, err)
 	var lines atomic.Int64
 	time.AfterFunc(300*time.Millisecond, func() { taken.Close() })
-	l, err := TCP(t.Context(), counting(&lines), list[0])
+	l, err := TCP(t.Context(), nil, counting(&lines), list[0])
 	assert.NilError(t, err)
 	defer l.Close()
 	assert.Equal(t, lines.Load(), int64(2), "want one line for the failure and one for its end")
@@ -47,7 +47,7 @@
 	defer taken.Close()
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
-	_, err = TCP(ctx, logr.Discard(), list[0])
+	_, err = TCP(ctx, nil, logr.Discard(), list[0])
 	assert.ErrorIs(t, err, context.DeadlineExceeded)
 	assert.ErrorContains(t, err, list[0])
 }
@@ -55,7 +55,7 @@
 // TestBadAddressIsRefused guards against a process that waits for an address that it can
 // never get, without an exit code that says so.
 func TestBadAddressIsRefused(t *testing.T) {
-	_, err := TCP(t.Context(), logr.Discard(), "127.0.0.1:70000")
+	_, err := TCP(t.Context(), nil, logr.Discard(), "127.0.0.1:70000")
 	assert.ErrorContains(t, err, "70000")
 }
 
