--- a/cmd/coltsfootloft/process_test.go
+++ b/cmd/coltsfootloft/process_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -28,6 +29,8 @@
 
 func run(m *testing.M) int {
 	flag.Parse()
+	// Programs inherit ignored signals, but not handled ones.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	if *program != "" {
 		return m.Run()
 	}
@@ -72,6 +75,8 @@
 	return l.buf.String()
 }
 
+func (l *lines) contains(words string) bool { return strings.Contains(l.String(), words) }
+
 // prepare returns an entry host that has settings and was not started. No store answers it.
 func prepare(t *testing.T) *process {
 	t.Helper()
@@ -95,12 +100,17 @@
 		done: make(chan struct{}),
 	}
 	assert.NilError(t, os.WriteFile(p.path, p.source(t), 0o600))
+	p.prepareCommand()
+	return p
+}
+
+// prepareCommand sets the command of an entry host.
+func (p *process) prepareCommand() {
 	p.cmd = exec.Command(*program, "entry")
 	p.cmd.Env = append(os.Environ(), settingsEnv+"="+p.path)
 	p.cmd.Stdout = &p.out
 	p.cmd.Stderr = &p.out
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	return p
 }
 
 // source returns the settings file.
@@ -164,3 +174,11 @@
 	}
 	return status.ExitStatus()
 }
+
+// awaitEnd checks that the last line tells how the process ended.
+func (p *process) awaitEnd(t *testing.T, words string) {
+	t.Helper()
+	all := strings.Split(strings.TrimSpace(p.out.String()), "\n")
+	last := all[len(all)-1]
+	assert.Assert(t, strings.Contains(last, "host ended") && strings.Contains(last, words), last)
+}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -25,6 +25,7 @@
 	"coltsfootloft/io/failov"
 	"coltsfootloft/io/groups"
 	"coltsfootloft/io/lease"
+	"coltsfootloft/io/logs"
 	"coltsfootloft/io/mirror"
 	"coltsfootloft/io/peer"
 	"coltsfootloft/io/port"
@@ -70,6 +71,8 @@
 	messages *memory.Budget // lines of callers and answers of databases
 	values   *memory.Budget // session values and prepared statements
 	leaving  chan struct{}
+	// droppedLines returns how many lines of the log were dropped.
+	droppedLines func() uint64
 
 	mu            sync.Mutex
 	ready         bool
@@ -87,7 +90,10 @@
 		metrics:  metrics.NewSet(),
 		clock:    clock,
 		leaving:  make(chan struct{}),
+
+		droppedLines: func() uint64 { return 0 },
 	}
+	e.metrics.NewGauge(logs.DroppedMetric, func() float64 { return float64(e.droppedLines()) })
 	open := dial.From(s.Peer, 0)
 	e.buildMemory()
 	client := &platform.Client{
@@ -124,6 +130,10 @@
 	return e
 }
 
+// CountDroppedLines sets the source of the metric of lines that the log dropped. It must be
+// called before Run.
+func (e *Edge) CountDroppedLines(dropped func() uint64) { e.droppedLines = dropped }
+
 func (e *Edge) keyLimit() time.Duration { return e.settings.Withdrawal() - withdrawalMargin }
 
 func (e *Edge) buildStore(client *platform.Client) {
@@ -332,7 +342,7 @@
 // an outgoing connection from the same IP could take one of the ports. The ready address is
 // served at once, so that the balancer gets an answer while the others are awaited.
 func (e *Edge) bind(ctx context.Context, run func(func(context.Context))) error {
-	ready, err := port.TCP(ctx, e.log.WithName("ready"), e.settings.Ready, nil)
+	ready, err := port.TCP(ctx, nil, e.log.WithName("ready"), e.settings.Ready)
 	if err != nil {
 		return errors.Wrap(err, "ready address")
 	}
