--- a/io/front/server.go
+++ b/io/front/server.go
@@ -67,6 +67,10 @@
 // Run serves callers until ctx ends or Drain is called. It requires a successful
 // Start.
 func (s *Server) Run(ctx context.Context) error {
+	if !s.beginAccepting() {
+		return nil
+	}
+	defer s.running.Done()
 	stop := context.AfterFunc(ctx, func() { s.listener.Close() })
 	defer stop()
 	for {
@@ -83,6 +87,18 @@
 	}
 }
 
+// beginAccepting counts the accepting goroutine, so that Drain does not find the WaitGroup at 0 while
+// a connection is accepted. It reports false if Drain has been called.
+func (s *Server) beginAccepting() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		return false
+	}
+	s.running.Add(1)
+	return true
+}
+
 func (s *Server) serve(ctx context.Context, c net.Conn) {
 	defer c.Close()
 	cc := &callerConn{server: s}
