--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -96,7 +96,9 @@
 // the address can't be bound.
 func (s *Server) Run(ctx context.Context) error {
 	s.prepare()
-	s.wg.Add(1) // Drain must not find it at 0 while a connection is accepted
+	if !s.beginAccepting() {
+		return nil
+	}
 	defer s.wg.Done()
 	var lc net.ListenConfig
 	listener, err := lc.Listen(ctx, "tcp", s.Listen)
@@ -122,6 +124,18 @@
 	}
 }
 
+// beginAccepting counts the accepting goroutine, so that Drain does not find the WaitGroup at 0 while
+// a connection is accepted. It reports false if Drain has been called.
+func (s *Server) beginAccepting() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining.Load() {
+		return false
+	}
+	s.wg.Add(1)
+	return true
+}
+
 func (s *Server) prepare() {
 	s.once.Do(func() {
 		s.mu.Lock() // callers of Sessions and CloseIdle may come before Run
@@ -166,7 +180,9 @@
 // get an answer that says so. A statement that is being served is answered, unless ctx ends
 // first.
 func (s *Server) Drain(ctx context.Context, txTime time.Duration) {
+	s.mu.Lock()
 	s.draining.Store(true)
+	s.mu.Unlock()
 	s.Log.Info("sessions draining", "ended", s.CloseIdle())
 	done := make(chan struct{})
 	go func() {
