peer: reading a request takes no more than it did

The first 4 KB of a body are read with the header again, and a stream that waits to be closed has no timer of its own.

--- a/io/peer/call.go
+++ b/io/peer/call.go
@@ -73,11 +73,11 @@
 		return nil, lostError(ctx, k.host, duty, err)
 	}
 	var answer peerpb.Answer
-	size, err := readHeader(s, &answer, maxHeader, l.MaxFrame)
+	first, size, err := readHeader(s, &answer, maxHeader, l.MaxFrame)
 	if err != nil {
 		return nil, lostError(ctx, k.host, duty, err)
 	}
-	b, err = readBody(s, size, &l.answers)
+	b, err = readBody(s, first, size, &l.answers)
 	l.answers.give(len(b))
 	if err != nil {
 		return nil, lostError(ctx, k.host, duty, err)
--- a/io/peer/dial.go
+++ b/io/peer/dial.go
@@ -123,7 +123,7 @@
 		return nil, err
 	}
 	var theirs peerpb.Hello
-	if _, err := readHeader(conn, &theirs, maxRequestHeader, 0); err != nil {
+	if _, _, err := readHeader(conn, &theirs, maxRequestHeader, 0); err != nil {
 		return nil, err
 	}
 	if theirs.GetRefusal() != "" {
@@ -151,7 +151,7 @@
 		conn = secured
 	}
 	var theirs peerpb.Hello
-	if _, err := readHeader(conn, &theirs, maxRequestHeader, 0); err != nil {
+	if _, _, err := readHeader(conn, &theirs, maxRequestHeader, 0); err != nil {
 		return nil, "", err
 	}
 	host := theirs.GetFrom()
--- a/io/peer/flood_test.go
+++ b/io/peer/flood_test.go
@@ -48,7 +48,7 @@
 	_, err = conn.Write(b)
 	assert.NilError(t, err)
 	var hello peerpb.Hello
-	_, err = readHeader(conn, &hello, maxRequestHeader, 0)
+	_, _, err = readHeader(conn, &hello, maxRequestHeader, 0)
 	assert.NilError(t, err)
 	if hello.GetRefusal() != "" {
 		return nil, hello.GetRefusal()
--- a/io/peer/frame.go
+++ b/io/peer/frame.go
@@ -36,49 +36,49 @@
 }
 
 // readHeader reads the lengths and the header of a frame, which has most bytes or less. It returns
-// the size of the body that follows, of at most limit bytes.
-func readHeader(r io.Reader, header proto.Message, most, limit int) (int, error) {
+// the first bytes of the body, up to firstStep, and the size of the whole body, of at most
+// limit bytes.
+func readHeader(r io.Reader, header proto.Message, most, limit int) (first []byte, size int, err error) {
 	var prefix [prefixSize]byte
 	if _, err := io.ReadFull(r, prefix[:]); err != nil {
-		return 0, err
+		return nil, 0, err
 	}
 	h := binary.BigEndian.Uint32(prefix[:])
 	n := binary.BigEndian.Uint32(prefix[4:])
 	if uint64(h) > uint64(most) || uint64(n) > uint64(limit) {
-		return 0, errors.Wrapf(ErrTooLarge, "header of %d bytes, body of %d", h, n)
+		return nil, 0, errors.Wrapf(ErrTooLarge, "header of %d bytes, body of %d", h, n)
 	}
-	b := make([]byte, h)
+	b := make([]byte, int(h)+min(int(n), firstStep))
 	if _, err := io.ReadFull(r, b); err != nil {
-		return 0, err
+		return nil, 0, err
 	}
-	if err := proto.Unmarshal(b, header); err != nil {
-		return 0, errors.Wrap(err, "frame header")
+	if err := proto.Unmarshal(b[:h], header); err != nil {
+		return nil, 0, errors.Wrap(err, "frame header")
 	}
-	return int(n), nil
+	return b[h:], int(n), nil
 }
 
-// readBody reads a body of n bytes. It allocates as the bytes arrive, out of the room, and
-// fails with ErrBusy if that is used up; the rest is then not read. The caller gives the
-// room of the bytes that are returned back, also beside an error.
-func readBody(r io.Reader, n int, room *room) ([]byte, error) {
-	size := min(n, firstStep)
-	if !room.take(size) {
+// readBody reads the rest of a body of size bytes of which the first ones have been read. It
+// allocates as the bytes arrive, out of the room, and fails with ErrBusy if that is used up; the
+// rest is then not read. The caller gives the room of the bytes that are returned back, also
+// beside an error.
+func readBody(r io.Reader, first []byte, size int, room *room) ([]byte, error) {
+	b := first
+	if !room.take(len(b)) {
 		return nil, ErrBusy
 	}
-	b := make([]byte, size)
-	read := 0
-	for {
-		m, err := io.ReadFull(r, b[read:])
-		read += m
-		if err != nil || read == n {
-			return b, err
-		}
-		size = min(n, 2*len(b))
-		if !room.take(size - len(b)) {
-			return b[:read], errors.WithStack(ErrBusy)
+	for len(b) < size {
+		read := len(b)
+		n := min(size, 2*read)
+		if !room.take(n - read) {
+			return b, errors.WithStack(ErrBusy)
 		}
-		larger := make([]byte, size)
+		larger := make([]byte, n)
 		copy(larger, b)
 		b = larger
+		if _, err := io.ReadFull(r, b[read:]); err != nil {
+			return b, err
+		}
 	}
+	return b, nil
 }
--- a/io/peer/fuzz_test.go
+++ b/io/peer/fuzz_test.go
@@ -22,12 +22,12 @@
 	f.Fuzz(func(t *testing.T, b []byte) {
 		for _, m := range []proto.Message{&peerpb.Hello{}, &peerpb.Request{}, &peerpb.Answer{}} {
 			r := bytes.NewReader(b)
-			size, err := readHeader(r, m, maxHeader, 1<<16)
+			first, size, err := readHeader(r, m, maxHeader, 1<<16)
 			if err != nil {
 				continue
 			}
 			all := room{limit: 1 << 15}
-			body, err := readBody(r, size, &all)
+			body, err := readBody(r, first, size, &all)
 			assert.Equal(t, all.used.Load(), int64(len(body)))
 			assert.Assert(t, len(body) <= 2*len(b)+firstStep, "%d bytes for %d", len(body), len(b))
 			if err == nil {
--- a/io/peer/serve.go
+++ b/io/peer/serve.go
@@ -135,10 +135,9 @@
 	return true
 }
 
-// awaitClose waits until the other side has closed a stream, after which it keeps no bytes any more.
-// The other side sends none after its request.
+// awaitClose waits until the other side has closed a stream, after which it keeps no bytes any more, for
+// streamCloseTimeout at most. The other side sends none after its request.
 func awaitClose(k *link, s *yamux.Stream) {
-	_ = s.SetReadDeadline(time.Now().Add(streamCloseTimeout))
 	if n, _ := s.Read(make([]byte, 1)); n > 0 {
 		k.reset()
 	}
@@ -155,21 +154,27 @@
 	if err := s.SetReadDeadline(time.Now().Add(frameTimeout)); err != nil {
 		return nil, err
 	}
-	size, err := readHeader(s, request, maxRequestHeader, l.MaxFrame)
+	body, size, err := readHeader(s, request, maxRequestHeader, l.MaxFrame)
 	if err != nil {
 		return nil, err
 	}
-	var body []byte
-	err = ErrBusy
-	if !busy {
-		body, err = readBody(shrinkingStream{s}, size, &l.requests)
+	rest := shrinkingStream{s}
+	if busy {
+		if _, err := io.CopyN(io.Discard, rest, int64(size-len(body))); err != nil {
+			return nil, err
+		}
+		return nil, ErrBusy
 	}
+	body, err = readBody(rest, body, size, &l.requests)
 	if errors.Is(err, ErrBusy) {
-		if _, err := io.CopyN(io.Discard, shrinkingStream{s}, int64(size-len(body))); err != nil {
+		read := len(body)
+		if body == nil {
+			read = min(size, firstStep)
+		}
+		if _, err := io.CopyN(io.Discard, rest, int64(size-read)); err != nil {
 			return body, err
 		}
 	}
-	s.Shrink()
 	if err != nil {
 		return body, err
 	}
