--- a/io/mirror/bounds_test.go
+++ b/io/mirror/bounds_test.go
@@ -97,9 +97,36 @@
 	}
 }
 
+// TestErasThatDoNotExistAreIgnored guards against an era that no revision can hold, in a malformed message
+// of another host: all rights of this host would end for good.
+func TestErasThatDoNotExistAreIgnored(t *testing.T) {
+	m := newMirror(t)
+	m.RecentlyReached = func() bool { return false }
+	m.Store = emptyStore{}
+	for _, era := range []uint64{1 << 20, 1 << 60} {
+		body, err := proto.Marshal(&mirrorpb.Poll{Era: era})
+		assert.NilError(t, err)
+		_, err = m.handle(t.Context(), "other", body)
+		assert.NilError(t, err)
+		assert.Equal(t, m.Era(), uint64(0))
+	}
+	m.ObserveEra(coltsfootloft.MaxEra)
+	assert.Equal(t, m.Era(), uint64(coltsfootloft.MaxEra))
+}
+
 func FuzzDecodeChanges(f *testing.F) {
-	var p packedAnswers
-	b, err := p.encode(largeSettings(7), 6)
+	plain, err := proto.Marshal(&mirrorpb.Changes{
+		Watching: true,
+		Items:    []*mirrorpb.Item{{Key: "op/config"}},
+	})
+	if err != nil {
+		f.Fatal(err)
+	}
+	packed, err := pack(plain)
+	if err != nil {
+		f.Fatal(err)
+	}
+	b, err := proto.Marshal(&mirrorpb.Changes{Packed: packed})
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/io/mirror/era.go
+++ b/io/mirror/era.go
@@ -58,9 +58,10 @@
 	return m.era.changed
 }
 
-// ObserveEra records that the store is in an era, or was.
+// ObserveEra records that the store is in an era, or was. One that no revision can hold is ignored: the
+// host could not leave it, and would pass it on.
 func (m *Mirror) ObserveEra(era uint64) {
-	if era <= m.era.era.Load() {
+	if era <= m.era.era.Load() || era > coltsfootloft.MaxEra {
 		return
 	}
 	m.era.mu.Lock()
--- a/io/mirror/freshness.go
+++ b/io/mirror/freshness.go
@@ -62,7 +62,7 @@
 func (m *Mirror) ObservePeer(f Freshness) {
 	v := m.View()
 	m.ObserveReport(f)
-	if f.SettingsVersion > 0 && f.SettingsAge < unconfirmedAge {
+	if f.SettingsVersion > 0 && f.SettingsRevision > 0 && f.SettingsAge < unconfirmedAge {
 		m.advanceHorizon(f.Sent-f.SettingsAge, coltsfootloft.Event{Settings: f.settings()})
 	}
 	if v.Revision < f.Revision && m.checkingLag.CompareAndSwap(false, true) {
@@ -74,7 +74,7 @@
 // shows what the store lost when it was restored, but confirms nothing.
 func (m *Mirror) ObserveReport(f Freshness) {
 	m.ObserveEra(coltsfootloft.EraOf(f.Revision))
-	if f.SettingsVersion > 0 {
+	if f.SettingsVersion > 0 && f.SettingsRevision > 0 {
 		m.noteNewestAtPeer(f.settings())
 	}
 }
--- a/io/quota/odd_test.go
+++ b/io/quota/odd_test.go
@@ -83,6 +83,31 @@
 	}
 }
 
+// TestErasThatDoNotExistAreIgnored guards against an era, or a number of a change, that no revision can
+// hold: the host took it for another era, in which all rights have ended.
+func TestErasThatDoNotExistAreIgnored(t *testing.T) {
+	for _, r := range []*quotapb.Report{
+		{StoreEra: 1<<20 + 5},
+		{
+			SettingsEra:      1<<20 + 5,
+			SettingsVersion:  13,
+			SettingsRevision: 1,
+		},
+	} {
+		l, _ := newKeeper(t)
+		b, err := proto.Marshal(r)
+		assert.NilError(t, err)
+		_, err = l.handle(t.Context(), "other", b)
+		assert.NilError(t, err)
+		l.applyGrants(0, &quotapb.Grants{
+			StoreEra:      1,
+			StoreRevision: 1<<44 + 7<<44,
+		})
+		assert.Equal(t, l.Mirror.Era(), uint64(1))
+		assert.Equal(t, l.Mirror.LatestVersion(), uint64(12))
+	}
+}
+
 // FuzzHandle passes arbitrary bytes to the keeper as reports of other hosts.
 func FuzzHandle(f *testing.F) {
 	b, err := proto.Marshal(&quotapb.Report{
