--- a/io/member/answer.go
+++ b/io/member/answer.go
@@ -11,6 +11,7 @@
 
 	"coltsfootloft"
 	"coltsfootloft/core/gossip"
+	"coltsfootloft/io/decode"
 	"coltsfootloft/io/member/memberpb"
 )
 
@@ -44,7 +45,7 @@
 // answer handles a request of another host.
 func (v *View) answer(ctx context.Context, from string, body []byte) ([]byte, error) {
 	var r memberpb.Request
-	if err := proto.Unmarshal(body, &r); err != nil {
+	if err := decode.Message(body, &r); err != nil {
 		return nil, errors.Wrap(err, "member request")
 	}
 	a := &memberpb.Answer{}
--- a/io/share/odd_test.go
+++ b/io/share/odd_test.go
@@ -6,8 +6,10 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"coltsfootloft/io/decode"
 	"coltsfootloft/io/share/sharepb"
 )
 
@@ -41,3 +43,20 @@
 		assert.Assert(t, g.Period > 0 && g.Period <= time.Hour)
 	}
 }
+
+// TestRequestsWithoutNumberAreRefused guards against a request whose empty elements take a hundred
+// times the bytes that they have on the wire.
+func TestRequestsWithoutNumberAreRefused(t *testing.T) {
+	b, err := proto.Marshal(&sharepb.Request{Loan: &sharepb.LoanRequest{Accounts: emptyAsks(1 << 16)}})
+	assert.NilError(t, err)
+	_, err = (&Limiter{}).handle(t.Context(), "other", b)
+	assert.ErrorIs(t, err, decode.ErrTooMany)
+}
+
+func emptyAsks(n int) []*sharepb.Ask {
+	all := make([]*sharepb.Ask, n)
+	for i := range all {
+		all[i] = &sharepb.Ask{}
+	}
+	return all
+}
--- a/io/share/serve.go
+++ b/io/share/serve.go
@@ -11,6 +11,7 @@
 
 	"coltsfootloft/core/loan"
 	"coltsfootloft/core/seat"
+	"coltsfootloft/io/decode"
 	"coltsfootloft/io/share/sharepb"
 )
 
@@ -27,7 +28,7 @@
 // handle answers the requests of other hosts.
 func (l *Limiter) handle(ctx context.Context, from string, body []byte) ([]byte, error) {
 	q := &sharepb.Request{}
-	if err := proto.Unmarshal(body, q); err != nil {
+	if err := decode.Message(body, q); err != nil {
 		return nil, errors.Wrap(err, "share: request from "+from)
 	}
 	r := &sharepb.Response{}
