--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -111,6 +111,7 @@
 		Quota:             e.quota,
 		Memory:            e.messages,
 		ValueMemory:       e.values,
+		SessionLimit:      sessionLimit(s.MemoryMB),
 		Clock:             e.clock,
 		Log:               log.WithName("entry"),
 		Metrics:           e.metrics,
--- a/io/entry/memory.go
+++ b/io/entry/memory.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/pkg/errors"
-
 	"coltsfootloft"
 	"coltsfootloft/core/prep"
 	"coltsfootloft/io/dbpool"
@@ -27,20 +25,12 @@
 	}
 }
 
-// isWithoutMemory reports whether a statement was skipped because there was no memory for it.
-func isWithoutMemory(err error) bool {
-	var refusal *coltsfootloft.RefusalError
-	return errors.As(err, &refusal) && refusal.Code() == coltsfootloft.CodeMemory
-}
-
 // refuseSkipped answers a statement that was skipped.
 func (n *session) refuseSkipped(st coltsfootloft.Statement, err error) coltsfootloft.Reply {
 	if n.tx != nil && n.tx.failed {
 		return n.refuseFailed()
 	}
-	var refusal *coltsfootloft.RefusalError
-	errors.As(err, &refusal)
-	return n.refuseForMemory(st, refusal.Message())
+	return n.refuseForMemory(st, err.Error()+"; come back in 500 ms")
 }
 
 // refuseForMemory refuses a statement that did not run. An open transaction is rolled back,
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -13,6 +13,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"net"
@@ -39,9 +40,11 @@
 	settingsWait = 1500 * time.Millisecond
 	// acceptPause is the wait after a failed accept.
 	acceptPause = 10 * time.Millisecond
-	// maxSessions bounds the sessions of one host. Each takes a goroutine and two
-	// buffers, about 16 KB.
-	maxSessions = 2500
+	// MaxSessions is the largest number of sessions of one host.
+	MaxSessions = 2500
+	// SessionSize is what a session takes, in bytes: a goroutine, two buffers, and
+	// garbage.
+	SessionSize = 16 << 10
 )
 
 // Admitter enforces the rates of client accounts.
@@ -75,6 +78,8 @@
 	// Memory bounds the answers that sessions hold, ValueMemory their values and prepared
 	// statements, which are held as long as the session.
 	Memory, ValueMemory coltsfootloft.Memory
+	// SessionLimit is the maximum number of sessions, MaxSessions if 0.
+	SessionLimit int
 	// Log receives refusals, retries, unknown outcomes and a sample of the successes.
 	Log logr.Logger
 	// Metrics receives the counters and histograms.
@@ -136,10 +141,11 @@
 		caller: s.Codec(conn),
 		busy:   true,
 	}
+	limit := cmp.Or(s.SessionLimit, MaxSessions)
 	s.mu.Lock()
-	if len(s.sessions) >= maxSessions {
+	if len(s.sessions) >= limit {
 		s.mu.Unlock()
-		s.Log.Info("connection refused", "reason", "too many sessions", "sessions", maxSessions)
+		s.Log.Info("connection refused", "reason", "too many sessions", "sessions", limit)
 		conn.Close()
 		return
 	}
--- a/io/entry/server_test.go
+++ b/io/entry/server_test.go
@@ -108,3 +108,22 @@
 	<-ended
 	assert.Equal(t, caller.answered, 1)
 }
+
+// TestSessionsAreLimited guards against more sessions than the host has memory for.
+func TestSessionsAreLimited(t *testing.T) {
+	ended := make(chan struct{})
+	s := &Server{
+		Codec:        func(net.Conn) coltsfootloft.Caller { return startingCaller{ended: ended} },
+		Log:          logr.Discard(),
+		SessionLimit: 2,
+	}
+	s.prepare()
+	for range 4 {
+		conn, peer := net.Pipe()
+		defer peer.Close()
+		s.open(conn)
+	}
+	assert.Equal(t, s.Sessions(), 2)
+	close(ended)
+	s.wg.Wait()
+}
--- a/io/entry/session.go
+++ b/io/entry/session.go
@@ -55,7 +55,7 @@
 	for n.enterIdle() {
 		statement, err := n.caller.Next()
 		n.enterBusy()
-		if err != nil && !isWithoutMemory(err) {
+		if err != nil && !errors.Is(err, coltsfootloft.ErrNoMemory) {
 			n.handleReadError(err)
 			return
 		}
--- a/outcome.go
+++ b/outcome.go
@@ -105,8 +105,6 @@
 	CodeRoute = "3D000"
 	// CodeReadOnly: the route accepts no writes.
 	CodeReadOnly = "25006"
-	// CodeMemory: the host has no memory for the message.
-	CodeMemory = "53200"
 	// CodeProtocol: the message is malformed or out of order.
 	CodeProtocol = "08P01"
 )
--- a/statement.go
+++ b/statement.go
@@ -1,6 +1,14 @@
 package coltsfootloft
 
-import "time"
+import (
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ErrNoMemory is returned by [Caller.Next] for a statement that was skipped, because the host
+// had no memory for it.
+var ErrNoMemory = errors.New("no memory")
 
 // Statement is one decoded statement of a caller. Its text is sent to the database
 // unchanged, except for the name of a prepared statement.
@@ -104,9 +112,9 @@
 	// Refuse rejects the session instead of accepting it.
 	Refuse(reason Reason, text string) error
 	// Next reads the next statement. It returns io.EOF once the caller has ended
-	// the session. If the host has no memory for the statement, it is skipped and Next
-	// fails with a *RefusalError with CodeMemory and returns a statement of which only
-	// the id is set. The session may go on then.
+	// the session. If the host has no memory for the statement, it is skipped, and Next
+	// fails with ErrNoMemory and returns a statement of which only the id is set. The
+	// session may go on then.
 	Next() (Statement, error)
 	// Answer writes the complete answer to a statement.
 	Answer(r Reply) error
