--- a/io/edge/herd_test.go
+++ b/io/edge/herd_test.go
@@ -38,7 +38,7 @@
 }
 
 // startProcess builds the program and runs a host of the fleet with smallMemoryMB. The test
-// fails if the process has ended by itself.
+// fails if the process ends otherwise than by its signal to stop.
 func (f *fleet) startProcess() *hostProcess {
 	t := f.t
 	dir := t.TempDir()
@@ -74,14 +74,11 @@
 	ended := make(chan error, 1)
 	go func() { ended <- c.Wait() }()
 	t.Cleanup(func() {
-		select {
-		case err := <-ended:
+		close(p.done)
+		_ = c.Process.Signal(syscall.SIGTERM)
+		if err := <-ended; err != nil {
 			t.Errorf("the process ended by itself: %v %s", err, errOut.String())
-		default:
-			_ = c.Process.Signal(syscall.SIGTERM)
-			<-ended
 		}
-		close(p.done)
 	})
 	go p.watchMemory()
 	f.await("a host that is ready", 10*time.Second, func() bool { return p.ready(t) })
