--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -129,6 +129,7 @@
 		Domain:          e.settings.Domain,
 		Peers:           e.peers,
 		Decode:          platform.Decode,
+		IsLease:         platform.IsLease,
 		RecentlyReached: func() bool { return e.storeAge() < storeSilenceLimit },
 	}
 	e.mirror.Register()
--- a/io/failov/change.go
+++ b/io/failov/change.go
@@ -182,27 +182,25 @@
 
 // awaitConfirmations waits until no host uses the old primary: each has confirmed the
 // closing record, or its lease has ended. Hosts that the store lost the registration of,
-// when it was restored, can't be asked, so their leases are waited for.
+// when it was restored, can't be asked, so their leases are waited for. So are those of hosts
+// whose registration another writer has overwritten.
 func (c *Controller) awaitConfirmations(ctx context.Context, revision uint64) error {
 	started := c.Clock.Elapsed()
 	if rest := lease.TTL - c.Mirror.EraAge(); rest > 0 && !pause.For(ctx, rest) {
 		return errors.Wrap(ctx.Err(), "wait for leases of an earlier era")
 	}
-	hosts := c.Mirror.View().Hosts
+	hosts := holders(c.Mirror.View(), revision)
 	request := &stewardpb.Request{Confirm: &stewardpb.Confirm{
 		Revision: coltsfootloft.NumberOf(revision),
 		Era:      coltsfootloft.EraOf(revision),
 	}}
 	var wg sync.WaitGroup
 	errs := make(chan error, len(hosts))
-	for name, p := range hosts {
-		if p.Revision > revision {
-			continue
-		}
+	for _, h := range hosts {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			if err := c.awaitConfirmation(ctx, name, p, request); err != nil {
+			if err := c.awaitConfirmation(ctx, h, request); err != nil {
 				errs <- err
 			}
 		}()
@@ -215,22 +213,24 @@
 	return err
 }
 
-// awaitConfirmation waits for the confirmation of one host or the end of its
-// registration.
-func (c *Controller) awaitConfirmation(ctx context.Context, name string, p mirror.Registration, r *stewardpb.Request) error {
+// awaitConfirmation waits for the confirmation of one host or the end of its rights.
+func (c *Controller) awaitConfirmation(ctx context.Context, h holder, r *stewardpb.Request) error {
 	for {
 		changed := c.Mirror.Changed()
-		if current, ok := c.Mirror.View().Hosts[name]; !ok || current.Revision != p.Revision {
+		v := c.Mirror.View()
+		if !c.mayHold(v, h) {
 			return nil
 		}
-		callCtx, cancel := context.WithTimeout(ctx, statusTimeout)
-		confirmed, err := c.call(callCtx, name, r)
-		cancel()
-		if err == nil && confirmed {
-			return nil
+		if current, ok := v.Hosts[h.name]; ok && current.Revision == h.Revision {
+			callCtx, cancel := context.WithTimeout(ctx, statusTimeout)
+			confirmed, err := c.call(callCtx, h.name, r)
+			cancel()
+			if err == nil && confirmed {
+				return nil
+			}
 		}
 		if ctx.Err() != nil {
-			return errors.Wrapf(ctx.Err(), "host %s has not confirmed the closing record", name)
+			return errors.Wrapf(ctx.Err(), "host %s has not confirmed the closing record", h.name)
 		}
 		if _, ok := c.Duty.Holds(); !ok {
 			return errNotHolder
--- a/io/failov/failov.go
+++ b/io/failov/failov.go
@@ -106,7 +106,10 @@
 	primaries  map[string]*primaryState
 	lastReport map[string]time.Duration
 	recalled   recalled
-	once       sync.Once
+	// ended holds when the store has ended the leases of displaced registrations, or said that
+	// they have ended.
+	ended map[string]time.Duration
+	once  sync.Once
 }
 
 // primaryState is what the holder has observed of the primary of one group.
@@ -129,6 +132,7 @@
 		c.busy = make(map[string]bool)
 		c.primaries = make(map[string]*primaryState)
 		c.lastReport = make(map[string]time.Duration)
+		c.ended = make(map[string]time.Duration)
 	})
 }
 
@@ -138,6 +142,7 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	wg.Go(func() { c.settleEras(ctx) })
+	wg.Go(func() { c.repairHosts(ctx) })
 	for ctx.Err() == nil {
 		changed := c.Mirror.Changed()
 		if _, ok := c.Duty.Holds(); !ok {
--- a/io/mirror/follow.go
+++ b/io/mirror/follow.go
@@ -148,7 +148,12 @@
 	events := make([]coltsfootloft.Event, 0, len(c.GetItems()))
 	for _, i := range c.GetItems() {
 		r := coltsfootloft.RevisionAt(cmp.Or(i.GetEra(), era), i.GetRevision())
-		events = append(events, m.Decode(i.GetKey(), i.GetValue(), r, i.GetGone()))
+		e := m.Decode(i.GetKey(), i.GetValue(), r, i.GetGone())
+		if i.GetCreated() > 0 {
+			e.Created = coltsfootloft.RevisionAt(coltsfootloft.EraOf(r), i.GetCreated())
+			e.Lease = i.GetLease()
+		}
+		events = append(events, e)
 	}
 	switch {
 	case c.GetWhole() && revision >= m.View().Revision:
@@ -226,6 +231,10 @@
 		if era := coltsfootloft.EraOf(e.Revision); era != c.GetEra() {
 			i.Era = era
 		}
+		if e.Kind == coltsfootloft.EventProxyKey {
+			i.Created = coltsfootloft.NumberOf(e.Created)
+			i.Lease = e.Lease
+		}
 		c.Items = append(c.Items, i)
 	}
 	return c
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -89,6 +89,9 @@
 	Peers coltsfootloft.Peers
 	// Decode decodes a key of the store and its value.
 	Decode func(key string, value []byte, revision uint64, deleted bool) coltsfootloft.Event
+	// IsLease reports whether the lease of a registration is the one that the store names for the
+	// key.
+	IsLease func(session, name string) bool
 	// RecentlyReached reports whether the store has answered this host recently.
 	RecentlyReached func() bool
 	// IsKeeper reports whether this host is the quota keeper, on whose confirmations other
@@ -220,7 +223,7 @@
 			if e.Revision <= v.Revision {
 				continue // a later listing includes it
 			}
-			if err := v.apply(now, e); err != nil {
+			if err := m.apply(v, now, e); err != nil {
 				problems = append(problems, errors.Wrap(err, e.Key))
 			}
 			applied = append(applied, e)
@@ -237,7 +240,9 @@
 		if revision < v.Revision {
 			return nil
 		}
+		before := v.hostsBefore()
 		problems := v.replace(now, events, revision)
+		problems = append(problems, m.replaceHosts(v, now, events, before)...)
 		m.history.replace(events, revision, v.Settings)
 		return problems
 	})
--- a/io/mirror/view.go
+++ b/io/mirror/view.go
@@ -1,7 +1,6 @@
 package mirror
 
 import (
-	"encoding/json"
 	"maps"
 	"slices"
 	"strconv"
@@ -113,6 +112,11 @@
 	Upstreams map[string]Upstream
 	// Hosts are the registered hosts by name.
 	Hosts map[string]Registration
+	// Odd are the entries under keys of hosts that are no registrations, by name of the host.
+	Odd map[string]OddEntry
+	// Displaced are the registrations that another writer has overwritten while their hosts may
+	// have been alive, by lease. They stay until the host has registered again.
+	Displaced map[string]Displaced
 	// HostsVersion increases with every change of Hosts.
 	HostsVersion uint64
 	// Groups are the records by name of the group.
@@ -150,6 +154,8 @@
 	c := *v
 	c.Upstreams = maps.Clone(v.Upstreams)
 	c.Hosts = maps.Clone(v.Hosts)
+	c.Odd = maps.Clone(v.Odd)
+	c.Displaced = maps.Clone(v.Displaced)
 	c.Groups = maps.Clone(v.Groups)
 	c.Duties = maps.Clone(v.Duties)
 	return &c
@@ -159,12 +165,15 @@
 	return &View{
 		Upstreams: make(map[string]Upstream),
 		Hosts:     make(map[string]Registration),
+		Odd:       make(map[string]OddEntry),
+		Displaced: make(map[string]Displaced),
 		Groups:    make(map[string]Group),
 		Duties:    make(map[string]Duty),
 	}
 }
 
-// apply applies one event and returns an error if its value can't be used.
+// apply applies one event that is not about a host and returns an error if its value can't be
+// used.
 func (v *View) apply(now time.Duration, e coltsfootloft.Event) error {
 	switch e.Kind {
 	case coltsfootloft.EventSettings:
@@ -225,13 +234,6 @@
 }
 
 func (v *View) applyOwn(now time.Duration, e coltsfootloft.Event) error {
-	if name, ok := strings.CutPrefix(e.Key, hostPrefix); ok {
-		v.HostsVersion++
-		return applyValue(v.Hosts, name, e, func(b []byte) (Registration, error) {
-			p := Registration{Revision: e.Revision}
-			return p, errors.Wrap(json.Unmarshal(b, &p), "registration of "+name)
-		})
-	}
 	if name, ok := strings.CutPrefix(e.Key, groupPrefix); ok {
 		if g, known := v.Groups[name]; known {
 			if e.Revision <= g.Revision {
@@ -315,8 +317,6 @@
 		v.keepPast()
 	}
 	v.Settled = Settled{}
-	v.Hosts = make(map[string]Registration)
-	v.HostsVersion++
 	v.Duties = make(map[string]Duty)
 	listed := make(map[string]bool)
 	for _, e := range events {
--- a/settings.go
+++ b/settings.go
@@ -100,6 +100,11 @@
 	Key string
 	// Revision is the store's revision of the change.
 	Revision uint64
+	// Created is the store's revision of the key's creation; 0 if it is not known.
+	Created uint64
+	// Lease is the store's name of the lease that the key belongs to. It is empty if there is
+	// none, or if Created is not known.
+	Lease string
 	// Deleted is set if the key was deleted.
 	Deleted bool
 	// StoreKey is the full key in the store, and Value the raw value.
--- a/stand/keyval/server.go
+++ b/stand/keyval/server.go
@@ -35,6 +35,8 @@
 	NoAnswers bool
 	// RefusedHosts holds the IPs of hosts whose calls are refused with 503.
 	RefusedHosts map[string]bool
+	// BlindHosts holds the IPs of hosts whose watches and listings are left unanswered.
+	BlindHosts map[string]bool
 	// LoseAnswers applies changes but closes the connection without an answer.
 	LoseAnswers bool
 	// ApplyDelay is how long changes whose answer is lost are delayed.
@@ -204,7 +206,7 @@
 		s.mu.Unlock()
 		host, _, _ := net.SplitHostPort(r.RemoteAddr)
 		switch {
-		case f.NoAnswers:
+		case f.NoAnswers, f.BlindHosts[host] && (path == "kv-watch" || path == "kv-range"):
 			<-r.Context().Done()
 		case f.Down || f.RefusedHosts[host]:
 			w.WriteHeader(http.StatusServiceUnavailable)
