--- a/io/edge/history_test.go
+++ b/io/edge/history_test.go
@@ -222,9 +222,18 @@
 		"ColdRemainingMs": 0, "DbRole": "primary", "Seq": 1}`,
 }
 
+// writeOddEntry leaves an odd value in any folder, or over the registration of a host, or removes that.
 func (h *history) writeOddEntry() {
 	folders := []string{"servers/", "op/", "status/", "", "coltsfootloft/", "coltsfootloft/host/", "coltsfootloft/group/", "coltsfootloft/duty/", "coltsfootloft/settled/"}
 	key := folders[h.random.IntN(len(folders))] + fmt.Sprintf("odd-%d", h.random.IntN(5))
+	registration := fmt.Sprintf("coltsfootloft/host/host-%d", 1+h.random.IntN(3))
+	switch h.random.IntN(6) {
+	case 0:
+		h.store.Remove(registration)
+		return
+	case 1, 2:
+		key = registration
+	}
 	h.store.Put(key, []byte(oddValues[h.random.IntN(len(oddValues))]))
 }
 
