--- a/io/edge/restart_test.go
+++ b/io/edge/restart_test.go
@@ -47,3 +47,29 @@
 	slices.Sort(committed)
 	assert.DeepEqual(t, committed, []string{"second-0", "second-1", "second-2"})
 }
+
+// TestCommitOfAnEndedTransactionIsAborted guards against a commit whose outcome is told as unknown, although
+// the owner of the transaction's connection was started again or is gone and nothing was sent.
+func TestCommitOfAnEndedTransactionIsAborted(t *testing.T) {
+	f := startFleet(t, 3, func(f *fleet) { f.config.Limits["TxIdleMs"] = 20_000 })
+	near := f.hosts[1]
+	owns := func() bool { return near.edge.relay.Owners.Of("db-1", "arima")[0] == "host-1" }
+	f.await("host-1 as the owner of the connections", 5*time.Second, owns)
+	var clients []*client
+	for i := range 2 {
+		c, _ := connect(t, near, "file", "key-arima")
+		c.must("BEGIN")
+		c.must(fmt.Sprintf("WRITE page-%d x", i))
+		clients = append(clients, c)
+	}
+	f.hosts[0].stop()
+	assert.NilError(t, <-f.hosts[0].ended)
+	f.hosts[0].ended <- nil
+	assert.Equal(t, clients[0].do("COMMIT").code, "ABORTED", "host gone")
+	f.hosts[0] = f.startHost(f.hosts[0].settings)
+	f.await("host-1 as the owner again", 5*time.Second, owns)
+	assert.Equal(t, clients[1].do("COMMIT").code, "ABORTED", "host started again")
+	for _, r := range f.group.Runs() {
+		assert.Assert(t, !r.Committed, "%+v", r)
+	}
+}
--- a/io/entry/transaction.go
+++ b/io/entry/transaction.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/pkg/errors"
+
 	"coltsfootloft"
 	"coltsfootloft/core/prep"
 	"coltsfootloft/io/dbpool"
@@ -257,6 +259,9 @@
 			if !t.wrote {
 				return n.answerAborted(st, "no answer to the end of a transaction that only read")
 			}
+			if errors.Is(err, relay.ErrTransactionEnded) {
+				return n.answerAborted(st, err.Error())
+			}
 			return n.outcomeUnknown(st, "no answer to a commit: "+err.Error())
 		}
 		if reply.Reason == coltsfootloft.ReasonBusy && reply.State == coltsfootloft.TxOpen && t.waitLeft(s.Clock.Elapsed()) > 0 {
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -135,8 +135,9 @@
 // Target returns the database of the connection.
 func (n *Conn) Target() dbpool.Target { return n.target }
 
-// Exchange sends a statement and returns its answer. The errors dbpool.ErrBusy and
-// dbpool.ErrDown mean that it was not sent; after any other error it may have run.
+// Exchange sends a statement and returns its answer. The errors dbpool.ErrBusy,
+// dbpool.ErrDown and ErrTransactionEnded mean that it was not sent; after any other error it may
+// have run.
 // The request's deadline bounds the wait of the caller. The answer of the database is
 // still awaited until final, so that the database's work is not interrupted. keep is set
 // in a transaction, whose connection is kept after the statement.
--- a/io/relay/remote.go
+++ b/io/relay/remote.go
@@ -21,6 +21,10 @@
 // longer wait for the answer.
 const waitShare = 0.6
 
+// ErrTransactionEnded means that a statement of a transaction was not sent, since the transaction
+// has ended or its connection can't be reached.
+var ErrTransactionEnded = errors.New("transaction has ended")
+
 // errLeaving is the reason for which an owner that shuts down is avoided.
 var errLeaving = errors.New("the host is leaving")
 
@@ -55,6 +59,9 @@
 		r.Pools.Observe(n.target.ID, func(c *pick.Candidate, now time.Duration) { c.Down(now) })
 		return coltsfootloft.Reply{}, dbpool.ErrDown
 	case relaypb.Outcome_OUTCOME_LOST:
+		if a.GetNotSent() {
+			return coltsfootloft.Reply{}, ErrTransactionEnded
+		}
 		return coltsfootloft.Reply{}, errors.Errorf("no answer of the database: %s", a.GetText())
 	case relaypb.Outcome_OUTCOME_ANSWERED:
 	}
@@ -70,7 +77,7 @@
 		if n.handle == 0 {
 			return errors.Wrap(dbpool.ErrBusy, err.Error())
 		}
-		return errors.Wrap(err, "keeper of the transaction")
+		return errors.Wrap(ErrTransactionEnded, err.Error())
 	}
 	n.relay.Pools.Observe(n.target.ID, recordSilence)
 	if !errors.Is(err, context.DeadlineExceeded) {
--- a/io/relay/serve.go
+++ b/io/relay/serve.go
@@ -91,6 +91,7 @@
 			return nil, &relaypb.Response{
 				Outcome: relaypb.Outcome_OUTCOME_LOST,
 				Text:    []byte("transaction has ended"),
+				NotSent: true,
 			}
 		}
 		return h.conn, nil
