--- a/io/failov/hosts.go
+++ b/io/failov/hosts.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"coltsfootloft"
+	"coltsfootloft/io/failov/stewardpb"
 	"coltsfootloft/io/lease"
 	"coltsfootloft/io/mirror"
 	"coltsfootloft/io/pause"
@@ -48,6 +50,65 @@
 	return hosts
 }
 
+// awaitConfirmations waits until no host uses the old primary: each has confirmed the
+// closing record, or its lease has ended. Hosts that the store lost the registration of,
+// when it was restored, can't be asked, so their leases are waited for. So are those of hosts
+// whose registration another writer has overwritten.
+func (c *Controller) awaitConfirmations(ctx context.Context, revision uint64) error {
+	started := c.Clock.Elapsed()
+	if rest := lease.TTL - c.Mirror.EraAge(); rest > 0 && !pause.For(ctx, rest) {
+		return errors.Wrap(ctx.Err(), "wait for leases of an earlier era")
+	}
+	hosts := holders(c.Mirror.View(), revision)
+	request := &stewardpb.Request{Confirm: &stewardpb.Confirm{
+		Revision: coltsfootloft.NumberOf(revision),
+		Era:      coltsfootloft.EraOf(revision),
+	}}
+	var wg sync.WaitGroup
+	errs := make(chan error, len(hosts))
+	for _, h := range hosts {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if err := c.awaitConfirmation(ctx, h, request); err != nil {
+				errs <- err
+			}
+		}()
+	}
+	wg.Wait()
+	close(errs)
+	err := <-errs
+	c.Log.Info("hosts asked to confirm the closing record", "revision", revision, "hosts", len(hosts), "ok", err == nil,
+		"took_ms", (c.Clock.Elapsed() - started).Milliseconds())
+	return err
+}
+
+// awaitConfirmation waits for the confirmation of one host or the end of its rights.
+func (c *Controller) awaitConfirmation(ctx context.Context, h holder, r *stewardpb.Request) error {
+	for {
+		changed := c.Mirror.Changed()
+		v := c.Mirror.View()
+		if !c.mayHold(v, h) {
+			return nil
+		}
+		if current, ok := v.Hosts[h.name]; ok && current.Revision == h.Revision {
+			callCtx, cancel := context.WithTimeout(ctx, statusTimeout)
+			confirmed, err := c.call(callCtx, h.name, r)
+			cancel()
+			if err == nil && confirmed {
+				return nil
+			}
+		}
+		if ctx.Err() != nil {
+			return errors.Wrapf(ctx.Err(), "host %s has not confirmed the closing record", h.name)
+		}
+		if _, ok := c.Duty.Holds(); !ok {
+			return errNotHolder
+		}
+		pause.Until(ctx, changed, pollPeriod)
+	}
+}
+
 // mayHold reports whether a host may still have rights under a registration.
 func (c *Controller) mayHold(v *mirror.View, h holder) bool {
 	if p, ok := v.Hosts[h.name]; ok && p.Revision == h.Revision {
