--- a/cmd/coltsfootloft/file_test.go
+++ b/cmd/coltsfootloft/file_test.go
@@ -39,6 +39,7 @@
 
 // TestSettingsThatStayBad guards against a process that neither serves nor ends.
 func TestSettingsThatStayBad(t *testing.T) {
+	t.Parallel()
 	p := prepare(t)
 	p.settings.Domain = ""
 	assert.NilError(t, os.WriteFile(p.path, p.source(t), 0o600))
@@ -61,6 +62,7 @@
 // TestChangedSettingsFileEndsNoHost guards against a running host that ends because its file of
 // settings is bad or missing, and against a change that nobody hears of.
 func TestChangedSettingsFileEndsNoHost(t *testing.T) {
+	t.Parallel()
 	p := prepare(t)
 	p.start(t)
 	awaitConnect(t, p.settings.Listen)
--- a/cmd/coltsfootloft/output_test.go
+++ b/cmd/coltsfootloft/output_test.go
@@ -34,6 +34,7 @@
 // TestBrokenOutputDoesNotEndHost guards against a host that SIGPIPE ends, because the reader
 // of its standard output or error has ended.
 func TestBrokenOutputDoesNotEndHost(t *testing.T) {
+	t.Parallel()
 	p := prepare(t)
 	r, w, err := os.Pipe()
 	assert.NilError(t, err)
@@ -93,6 +94,7 @@
 // TestRefusedSettingsEndHostWithoutReader guards against a process that neither starts nor ends,
 // because nobody reads why.
 func TestRefusedSettingsEndHostWithoutReader(t *testing.T) {
+	t.Parallel()
 	p := prepare(t)
 	p.cmd.Env = append(os.Environ(), settingsEnv+"=")
 	r, w := fullPipe(t, true)
--- a/cmd/coltsfootloft/ports_test.go
+++ b/cmd/coltsfootloft/ports_test.go
@@ -89,6 +89,7 @@
 // TestHostLivesWithoutDescriptors guards against a host that ends, or takes no callers any
 // more, after it was out of file descriptors.
 func TestHostLivesWithoutDescriptors(t *testing.T) {
+	t.Parallel()
 	p := prepare(t)
 	p.cmd.Path = "/bin/sh"
 	p.cmd.Args = []string{"sh", "-c", `ulimit -n 40; exec "$0" entry`, *program}
--- a/cmd/coltsfootloft/signals_test.go
+++ b/cmd/coltsfootloft/signals_test.go
@@ -102,6 +102,7 @@
 // TestStopAtTheStart guards against a host that does not end, or ends as if it had failed, when it
 // is stopped before it serves. Until main begins SIGTERM has its default effect, exit code 143.
 func TestStopAtTheStart(t *testing.T) {
+	t.Parallel()
 	codes := make(map[int]int)
 	for i := range *signalRuns {
 		p := prepare(t)
