--- a/io/share/admit.go
+++ b/io/share/admit.go
@@ -16,6 +16,7 @@
 // account is this host's part of one client account.
 type account struct {
 	limiter *Limiter
+	name    string
 
 	mutex  sync.Mutex
 	limit  coltsfootloft.Account
@@ -215,6 +216,6 @@
 func (e *account) refusal(reason string) error {
 	return coltsfootloft.Refuse(
 		coltsfootloft.CodeRate,
-		"client account "+e.limit.Name()+" is over its rate: "+reason,
+		"client account "+e.name+" is over its rate: "+reason,
 	).WithHint("Send it again later, or ask the operator for a higher rate or burst.")
 }
--- a/io/share/limits.go
+++ b/io/share/limits.go
@@ -82,6 +82,7 @@
 		if !known {
 			e = &account{
 				limiter:    l,
+				name:       a.Name(),
 				startsFull: old == nil,
 			}
 		}
--- a/io/share/sole_test.go
+++ b/io/share/sole_test.go
@@ -56,6 +56,24 @@
 	assert.NilError(t, err)
 }
 
+// TestRefusalBesideAChangeOfSettings guards against a refusal that reads the account's settings while they
+// are changed; the race detector sees it.
+func TestRefusalBesideAChangeOfSettings(t *testing.T) {
+	l := &Limiter{Clock: clockwork.NewRealClock()}
+	l.Configure(solePlan(10, 5, 1))
+	changed := make(chan struct{})
+	go func() {
+		defer close(changed)
+		for i := range 200 {
+			l.Configure(solePlan(float64(10+i%2), 5, 1))
+		}
+	}()
+	for range 200 {
+		assert.ErrorContains(t, l.Admit(t.Context(), "team/a", 6), "team/a")
+	}
+	<-changed
+}
+
 func BenchmarkAdmit(b *testing.B) {
 	l := &Limiter{Clock: clockwork.NewRealClock()}
 	l.Configure(solePlan(1e9, 1e9, 1))
