--- a/io/peer/doc.go
+++ b/io/peer/doc.go
@@ -16,6 +16,14 @@
 // holds the time until the caller's deadline; the handler's context ends after that
 // time, when the caller gives up or when the link is lost.
 //
+// # Limits
+//
+// Anybody who reaches the port may open links, so what they make a host hold is bounded: the
+// number of links, of connections without a Hello, of streams and of pings, the size of headers,
+// and the bytes of all requests and answers together ([Links].MaxHeld). Bodies are allocated
+// as they arrive. A request beyond a limit is answered as busy, not handled; a link on which
+// the other side does what no host does is closed.
+//
 // # Failures
 //
 // While calls wait for answers the link is probed, so that a peer which is cut off or
