--- a/io/peer/serve.go
+++ b/io/peer/serve.go
@@ -78,6 +78,7 @@
 		go func() {
 			defer l.group.Done()
 			defer l.endStream(k)
+			defer func() { _ = s.Close() }()
 			l.handle(ctx, k, s)
 			awaitClose(k, s)
 		}()
@@ -86,7 +87,6 @@
 
 // handle reads one request from its stream and answers it.
 func (l *Links) handle(ctx context.Context, k *link, s *yamux.Stream) {
-	defer func() { _ = s.Close() }()
 	busy := k.serving.Add(1) > int64(l.MaxCalls)
 	defer func() {
 		k.lastUsed.Store(l.Clock.Now().UnixNano())
@@ -136,8 +136,10 @@
 }
 
 // awaitClose waits until the other side has closed a stream, after which it keeps no bytes any more, for
-// streamCloseTimeout at most. The other side sends none after its request.
+// streamCloseTimeout at most. The other side sends none after its request. Once this side has
+// closed the stream, nothing can be read.
 func awaitClose(k *link, s *yamux.Stream) {
+	_ = s.SetReadDeadline(time.Now().Add(streamCloseTimeout))
 	if n, _ := s.Read(make([]byte, 1)); n > 0 {
 		k.reset()
 	}
