--- a/cmd/soak/group.go
+++ b/cmd/soak/group.go
@@ -33,6 +33,7 @@
 	g := &group{
 		Group: &linedb.Group{
 			Name:        fmt.Sprintf("group-%d", number+1),
+			Lag:         lag,
 			MaxConns:    connections,
 			PromoteTime: promotion,
 		},
--- a/cmd/soak/moves.go
+++ b/cmd/soak/moves.go
@@ -36,7 +36,7 @@
 		"link":     impairLink,
 		"settings": storm,
 		"keys":     moveKeys,
-		"database": killDatabase,
+		"database": impairDatabase,
 		"herd":     sendHerd,
 	}
 }
@@ -279,15 +279,25 @@
 	})
 }
 
-// killDatabase takes a database down, half of the time the primary.
-func killDatabase(ctx context.Context, s *soak, random *rand.Rand) {
+// impairDatabase takes a database down, half of the time the primary, has it slow, or has it lose answers.
+func impairDatabase(ctx context.Context, s *soak, random *rand.Rand) {
 	g := s.groups[random.IntN(len(s.groups))]
 	id := g.ids[random.IntN(len(g.ids))]
 	if random.IntN(2) == 0 {
 		id = g.Primary()
 	}
 	d := between(random, 200*time.Millisecond, 6*time.Second)
-	g.kill(id, d)
+	switch random.IntN(4) {
+	case 0:
+		g.LoseAnswers(id, 1+random.IntN(20))
+		return
+	case 1:
+		wait := between(random, 10*time.Millisecond, 300*time.Millisecond)
+		g.SetHook(id, func() { time.Sleep(wait) })
+		defer g.SetHook(id, nil)
+	default:
+		g.kill(id, d)
+	}
 	rest(ctx, d)
 }
 
--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -24,6 +24,7 @@
 	grace       = 6 * time.Second
 	recovery    = 12 * time.Second
 	promotion   = 600 * time.Millisecond
+	lag         = 60 * time.Millisecond // of replicas
 	timeoutMS   = 2000
 	targetMS    = 400
 	databases   = 3  // of each group
--- a/cmd/soak/worker.go
+++ b/cmd/soak/worker.go
@@ -102,7 +102,11 @@
 	if !s.set("who", who) {
 		return
 	}
-	for range 3 + s.random.IntN(20) {
+	count := 3 + s.random.IntN(20)
+	if s.random.IntN(5) == 0 {
+		count *= 5 // beyond the time in which a key must stop working
+	}
+	for range count {
 		if s.soak.isQuiet() || !s.step() {
 			return
 		}
