--- a/cmd/soak/host.go
+++ b/cmd/soak/host.go
@@ -45,14 +45,18 @@
 	overdue bool
 	// memory is set when it is killed because it has more than its memory, as the platform does.
 	memory bool
+	// unloaded is set while the last SIGHUP came before the program was loaded, when no
+	// program can handle it.
+	unloaded bool
 }
 
 // plan tells how a host is started next.
 type plan struct {
 	after time.Duration
-	// hangups is how many SIGHUPs it gets in the first milliseconds, while the settings file
-	// is written anew in pieces.
-	hangups int
+	// hangups is how many SIGHUPs it gets in the first milliseconds, hangupDelay after its start,
+	// while the settings file is written anew in pieces.
+	hangups     int
+	hangupDelay time.Duration
 	// taken is how long another process holds the address takenAddress.
 	taken        time.Duration
 	takenAddress int
@@ -144,8 +148,9 @@
 	h.cause = cause{}
 	if p.hangups > 0 {
 		go func() {
+			time.Sleep(p.hangupDelay)
 			for range p.hangups {
-				process.Signal(syscall.SIGHUP)
+				h.hangUp(process)
 				time.Sleep(time.Millisecond)
 			}
 			<-written
@@ -154,6 +159,16 @@
 	return process, nil
 }
 
+// hangUp sends SIGHUP to a process of the host.
+func (h *host) hangUp(p *child.Process) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.process == p {
+		h.cause.unloaded = !p.Handles(syscall.SIGHUP)
+		p.Signal(syscall.SIGHUP)
+	}
+}
+
 // rewrite writes the settings file anew, in pieces and several times.
 func (h *host) rewrite(written chan<- struct{}) {
 	defer close(written)
@@ -273,6 +288,8 @@
 		return "SIGKILL after SIGTERM and the grace period", false
 	case c.kill && e.Signal == syscall.SIGKILL:
 		return "SIGKILL", false
+	case c.unloaded && e.Signal == syscall.SIGHUP:
+		return "SIGHUP before the program was loaded", false
 	case c.term && e.Signal == syscall.SIGTERM:
 		return "SIGTERM before its handler", false
 	case c.term && e.Signal == 0 && e.Code == 0:
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -68,7 +68,8 @@
 	}
 	if o.program == "" {
 		o.program = filepath.Join(folder, "coltsfootloft")
-		build := exec.CommandContext(ctx, "go", "build", "-o", o.program, "coltsfootloft/cmd/coltsfootloft") //nolint:gosec // the path is the operator's
+		// As the platform builds it: see deploy/system.toml.
+		build := exec.CommandContext(ctx, "go", "build", "-ldflags=-linkmode=external", "-o", o.program, "coltsfootloft/cmd/coltsfootloft") //nolint:gosec // the path is the operator's
 		if out, err := build.CombinedOutput(); err != nil {
 			return errors.Wrap(err, string(out))
 		}
--- a/cmd/soak/moves.go
+++ b/cmd/soak/moves.go
@@ -106,7 +106,7 @@
 		close(written)
 	}
 	for range 1 + random.IntN(10) {
-		withProcess(h, func(p *child.Process) { p.Signal(syscall.SIGHUP) })
+		withProcess(h, h.hangUp)
 		rest(ctx, between(random, time.Millisecond, 30*time.Millisecond))
 	}
 	<-written
@@ -115,8 +115,9 @@
 // hangUpStart starts a host again, with SIGHUPs in its first milliseconds.
 func hangUpStart(_ context.Context, s *soak, random *rand.Rand) {
 	s.anyHost(random).stop(stopSignal(random), plan{
-		after:   between(random, 50*time.Millisecond, time.Second),
-		hangups: 1 + random.IntN(30),
+		after:       between(random, 50*time.Millisecond, time.Second),
+		hangups:     1 + random.IntN(30),
+		hangupDelay: between(random, 0, 12*time.Millisecond),
 	})
 }
 
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -43,6 +43,9 @@
 		{cause{kill: true}, child.End{Code: -1, Signal: syscall.SIGHUP}, true},
 		{cause{kill: true}, child.End{Code: 2}, true},
 		{cause{kill: true, memory: true}, child.End{Code: -1, Signal: syscall.SIGKILL}, true},
+		{cause{}, child.End{Code: -1, Signal: syscall.SIGHUP}, true},
+		{cause{unloaded: true}, child.End{Code: -1, Signal: syscall.SIGHUP}, false},
+		{cause{unloaded: true}, child.End{Code: 2}, true},
 		{cause{term: true, kill: true}, child.End{Code: 0}, false},
 	} {
 		reason, own := c.cause.classify(c.end)
--- a/stand/child/child.go
+++ b/stand/child/child.go
@@ -4,7 +4,6 @@
 package child
 
 import (
-	"bytes"
 	"os"
 	"os/exec"
 	"runtime"
@@ -169,6 +168,26 @@
 // Signal sends a signal to the process, if it has not ended.
 func (p *Process) Signal(s syscall.Signal) { _ = p.command.Process.Signal(s) }
 
+// Handles reports whether the process has a handler for a signal, or ignores it. Until its
+// program is loaded, it does neither, and the signal ends it.
+func (p *Process) Handles(s syscall.Signal) bool {
+	for _, name := range []string{"SigIgn:", "SigCgt:"} {
+		set, err := strconv.ParseUint(p.status(name), 16, 64)
+		if err == nil && set>>(uint(s)-1)&1 == 1 {
+			return true
+		}
+	}
+	return false
+}
+
+// status returns a field of the status of the process; empty if it has ended.
+func (p *Process) status(name string) string {
+	status, _ := os.ReadFile("/proc/" + strconv.Itoa(p.PID()) + "/status")
+	_, rest, _ := strings.Cut(string(status), name)
+	line, _, _ := strings.Cut(rest, "\n")
+	return strings.TrimSpace(strings.TrimSuffix(line, "kB"))
+}
+
 // HoldOutput leaves the standard output unread for a time.
 func (p *Process) HoldOutput(d time.Duration) {
 	p.reading.Lock()
@@ -181,12 +200,8 @@
 // SamplePeak reads the largest resident memory so far, in KB. It returns the last reading
 // if the process has ended.
 func (p *Process) SamplePeak() int64 {
-	status, _ := os.ReadFile("/proc/" + strconv.Itoa(p.PID()) + "/status")
-	if _, rest, ok := bytes.Cut(status, []byte("VmHWM:")); ok {
-		line, _, _ := strings.Cut(string(rest), "kB")
-		if n, err := strconv.ParseInt(strings.TrimSpace(line), 10, 64); err == nil {
-			p.peak.Store(max(n, p.peak.Load()))
-		}
+	if n, err := strconv.ParseInt(p.status("VmHWM:"), 10, 64); err == nil {
+		p.peak.Store(max(n, p.peak.Load()))
 	}
 	return p.peak.Load()
 }
