--- a/io/dbpool/conn.go
+++ b/io/dbpool/conn.go
@@ -16,12 +16,14 @@
 
 // Conn is a pooled connection, lent to one session at a time.
 type Conn struct {
-	session   coltsfootloft.Session
-	account   string
-	target    Target
-	state     prep.ConnState
-	pools     *Pools
-	idleSince time.Duration
+	session coltsfootloft.Session
+	account string
+	target  Target
+	state   prep.ConnState
+	// stateTaken is the memory that the state has taken.
+	stateTaken int
+	pools      *Pools
+	idleSince  time.Duration
 	// outstanding is how many requests were sent whose answers have not been read. While
 	// there are any, the next answer belongs to one of them.
 	outstanding int
@@ -48,7 +50,8 @@
 	Deadline time.Time
 }
 
-// Exchange sends a statement and returns its answer. After an error the statement
+// Exchange sends a statement and returns its answer, whose memory is given back by GiveBack
+// of the pools or by whoever uses it. After an error the statement
 // may have run, and the connection must be closed; after a time-out, DiscardReplies may
 // be called first.
 func (c *Conn) Exchange(r Request) (reply coltsfootloft.Reply, err error) {
@@ -89,6 +92,7 @@
 		if c.outstanding == 0 {
 			return r, nil
 		}
+		c.pools.GiveBack(r)
 		if r.Failed() {
 			return coltsfootloft.Reply{}, errors.Wrap(ErrAlign, r.Reason.String())
 		}
@@ -128,7 +132,9 @@
 	if err := c.session.Flush(deadline); err != nil {
 		return coltsfootloft.Reply{}, errors.Wrap(err, "send")
 	}
-	return c.receiveLast(deadline)
+	r, err := c.receiveLast(deadline)
+	c.pools.GiveBack(r)
+	return r, err
 }
 
 // Outstanding returns how many requests were sent whose answers have not been read.
@@ -142,6 +148,7 @@
 	if err != nil {
 		return errors.Wrap(err, "late answer")
 	}
+	c.pools.GiveBack(r)
 	if r.State != coltsfootloft.TxIdle {
 		return errors.New("late answer leaves a transaction open")
 	}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -16,6 +16,7 @@
 
 	"coltsfootloft"
 	"coltsfootloft/core/conf"
+	"coltsfootloft/core/memory"
 	"coltsfootloft/io/boot"
 	"coltsfootloft/io/dbpool"
 	"coltsfootloft/io/dial"
@@ -26,6 +27,7 @@
 	"coltsfootloft/io/lease"
 	"coltsfootloft/io/mirror"
 	"coltsfootloft/io/peer"
+	"coltsfootloft/io/port"
 	"coltsfootloft/io/probe"
 	"coltsfootloft/io/quota"
 	"coltsfootloft/io/relay"
@@ -44,6 +46,10 @@
 	maxQuotaShards = 8
 	// linkIdleTimeout is how long an unused link to another host is kept.
 	linkIdleTimeout = 20 * time.Second
+	// linkMemoryPart is the part of the memory that requests of other hosts may take, and
+	// again that answers to this host's own may take; at least minLinkMemory bytes each.
+	linkMemoryPart = 16
+	minLinkMemory  = 4 << 20
 )
 
 // Edge is one entry host.
@@ -61,6 +67,8 @@
 	quota    *quota.Shards
 	failover *failov.Controller
 	server   *entry.Server
+	messages *memory.Budget // lines of callers and answers of databases
+	values   *memory.Budget // session values and prepared statements
 	leaving  chan struct{}
 
 	mu            sync.Mutex
@@ -81,23 +89,33 @@
 		leaving:  make(chan struct{}),
 	}
 	open := dial.From(s.Peer, 0)
+	e.buildMemory()
 	client := &platform.Client{
 		Store:   s.Store,
 		Control: s.Control,
 		Dial:    open,
 	}
 	client.Start()
-	opener := &platform.Dialer{Dial: open}
+	opener := &platform.Dialer{
+		Dial:   open,
+		Memory: e.messages,
+	}
 	e.buildStore(client)
 	e.buildDatabases(opener)
-	e.buildDuties(client, opener)
+	// Answers to the host itself fit into the buffer of a connection.
+	e.buildDuties(client, &platform.Dialer{
+		Dial:   open,
+		Memory: &memory.Budget{},
+	})
 	e.server = &entry.Server{
 		Listen:            s.Listen,
-		Codec:             func(c net.Conn) coltsfootloft.Caller { return platform.NewCallerConn(c) },
+		Codec:             func(c net.Conn) coltsfootloft.Caller { return platform.NewBoundedCallerConn(c, e.messages) },
 		Mirror:            e.mirror,
 		Groups:            e.groups,
 		Relay:             e.relay,
 		Quota:             e.quota,
+		Memory:            e.messages,
+		ValueMemory:       e.values,
 		Clock:             e.clock,
 		Log:               log.WithName("entry"),
 		Metrics:           e.metrics,
@@ -117,6 +135,8 @@
 		Log:         e.log.WithName("peer"),
 		Metrics:     e.metrics,
 		IdleTimeout: linkIdleTimeout,
+		MaxHeld:     max(e.settings.MemoryMB<<20/linkMemoryPart, minLinkMemory),
+		Hosts:       func() int { return len(e.mirror.View().Hosts) },
 	}
 	e.mirror = &mirror.Mirror{
 		Store:           client,
@@ -170,6 +190,8 @@
 		Outstanding:   owners.Outstanding,
 		Log:           e.log.WithName("lanes"),
 		Metrics:       e.metrics,
+		Memory:        e.messages,
+		StateMemory:   e.values,
 	}
 	e.groups = &groups.Groups{
 		Mirror: e.mirror,
@@ -188,6 +210,7 @@
 		Clock:       e.clock,
 		HoldTimeout: e.holdTimeout,
 		Log:         e.log.WithName("relay"),
+		Memory:      e.messages,
 	}
 	e.relay.Register()
 }
@@ -266,12 +289,13 @@
 func (e *Edge) storeAge() time.Duration { return e.lease.StoreAge() }
 
 // Run serves until stop ends, and then shuts down gracefully. It fails if an address
-// can't be bound.
+// can't be bound, except while the address is taken: then it waits.
 func (e *Edge) Run(stop context.Context) error {
 	base, cancel := context.WithCancel(context.WithoutCancel(stop))
 	defer cancel()
 	var wg sync.WaitGroup
-	failed := make(chan error, 3)
+	defer wg.Wait()
+	defer cancel()
 	run := func(f func(context.Context)) {
 		wg.Add(1)
 		go func() {
@@ -279,6 +303,12 @@
 			f(base)
 		}()
 	}
+	if err := e.bind(stop, run); err != nil {
+		if stop.Err() != nil {
+			return nil
+		}
+		return err
+	}
 	run(e.mirror.Run)
 	run(e.lease.Run)
 	run(e.pools.Run)
@@ -289,19 +319,28 @@
 	}
 	accepting, stopAccepting := context.WithCancel(base)
 	defer stopAccepting()
-	run(func(ctx context.Context) { reportError(failed, e.peers.Run(ctx)) })
-	run(func(ctx context.Context) { reportError(failed, e.serveReady(ctx)) })
-	run(func(context.Context) { reportError(failed, e.server.Run(accepting)) })
+	// Both fail only if they can't be bound, and they are.
+	run(func(ctx context.Context) { _ = e.peers.Run(ctx) })
+	run(func(context.Context) { _ = e.server.Run(accepting) })
 	run(e.checkReadinessLoop)
-	var err error
-	select {
-	case err = <-failed:
-	case <-stop.Done():
-		e.shutDown(stopAccepting)
+	<-stop.Done()
+	e.shutDown(stopAccepting)
+	return nil
+}
+
+// bind listens on all addresses of the host. The host connects to others only after that:
+// an outgoing connection from the same IP could take one of the ports. The ready address is
+// served at once, so that the balancer gets an answer while the others are awaited.
+func (e *Edge) bind(ctx context.Context, run func(func(context.Context))) error {
+	ready, err := port.TCP(ctx, e.log.WithName("ready"), e.settings.Ready, nil)
+	if err != nil {
+		return errors.Wrap(err, "ready address")
 	}
-	cancel()
-	wg.Wait()
-	return err
+	run(func(ctx context.Context) { e.serveReady(ctx, ready) })
+	if err := e.peers.Bind(ctx); err != nil {
+		return err
+	}
+	return e.server.Bind(ctx)
 }
 
 // runQuotaShard runs one shard of the client accounts, as soon as it has accounts.
@@ -320,12 +359,6 @@
 	wg.Wait()
 }
 
-func reportError(failed chan<- error, err error) {
-	if err != nil {
-		failed <- err
-	}
-}
-
 const (
 	// noticeShare is the part of the grace period in which the load balancer can
 	// notice that the host is not ready. It asks each second and needs two failures.
--- a/io/edge/ready.go
+++ b/io/edge/ready.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/pkg/errors"
 
+	"coltsfootloft/io/bound"
 	"coltsfootloft/platform"
 )
 
@@ -27,6 +27,8 @@
 	keeperSilenceLimit = 1500 * time.Millisecond
 	// headerTimeout bounds reading the header of a balancer's request.
 	headerTimeout = 2 * time.Second
+	// responseTimeout bounds writing an answer, of which the metrics are the longest.
+	responseTimeout = 10 * time.Second
 )
 
 // checkReadinessLoop checks the readiness of the host every readinessInterval until ctx
@@ -102,8 +104,8 @@
 	return e.ready
 }
 
-// serveReady answers the balancer and serves the metrics.
-func (e *Edge) serveReady(ctx context.Context) error {
+// serveReady answers the balancer and serves the metrics until ctx ends.
+func (e *Edge) serveReady(ctx context.Context, listener net.Listener) {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
 		if !e.isReady() {
@@ -112,22 +114,16 @@
 	})
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		e.metrics.WritePrometheus(w)
-		metrics.WriteProcessMetrics(w)
+		metrics.WritePrometheus(w, true)
 	})
-	var lc net.ListenConfig
-	listener, err := lc.Listen(ctx, "tcp", e.settings.Ready)
-	if err != nil {
-		return errors.Wrap(err, "ready address")
-	}
 	server := &http.Server{
 		Handler:           mux,
 		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       headerTimeout,
+		WriteTimeout:      responseTimeout,
 	}
+	bound.Limit(server)
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	err = server.Serve(listener)
-	if ctx.Err() != nil {
-		return nil
-	}
-	return errors.Wrap(err, "ready address")
+	_ = server.Serve(&bound.Listener{Listener: listener}) // ends only once the listener is closed
 }
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"time"
 
 	"coltsfootloft"
@@ -25,11 +27,7 @@
 // serve runs one statement. If last is true, the session ends after the reply.
 func (n *session) serve(st coltsfootloft.Statement) (reply coltsfootloft.Reply, last bool) {
 	if n.tx != nil && n.tx.failed && st.Verb() != coltsfootloft.VerbRollback && st.Verb() != coltsfootloft.VerbCommit {
-		if !n.tx.reported {
-			n.tx.reported = true
-			return n.withState(coltsfootloft.RefusedReply(coltsfootloft.ReasonAborted, "transaction aborted")), false
-		}
-		return n.withState(coltsfootloft.RefusedReply(coltsfootloft.ReasonMalformed, "transaction failed")), false
+		return n.refuseFailed(), false
 	}
 	switch st.Verb() {
 	case coltsfootloft.VerbSet, coltsfootloft.VerbPrepareRead, coltsfootloft.VerbPrepareWrite, coltsfootloft.VerbDeallocate:
@@ -50,6 +48,15 @@
 	return n.withState(coltsfootloft.RefusedReply(coltsfootloft.ReasonMalformed, "unknown statement")), false
 }
 
+// refuseFailed answers a statement of a transaction that has failed.
+func (n *session) refuseFailed() coltsfootloft.Reply {
+	if !n.tx.reported {
+		n.tx.reported = true
+		return n.withState(coltsfootloft.RefusedReply(coltsfootloft.ReasonAborted, "transaction aborted"))
+	}
+	return n.withState(coltsfootloft.RefusedReply(coltsfootloft.ReasonMalformed, "transaction failed"))
+}
+
 // withState sets the session's transaction state in a reply that the host makes itself.
 func (n *session) withState(r coltsfootloft.Reply) coltsfootloft.Reply {
 	switch {
@@ -69,13 +76,20 @@
 	if n.expected.Len() >= maxSessionValues && st.Verb() != coltsfootloft.VerbDeallocate {
 		return coltsfootloft.RefusedReply(coltsfootloft.ReasonTooLarge, "too many session values")
 	}
+	if !n.takeValue(st) {
+		text := fmt.Sprintf("no memory for %d bytes of session values; come back in 1000 ms", len(st.Name())+len(st.Detail()))
+		return n.refuseForMemory(st, text)
+	}
+	defer n.fitValues()
+	// The session keeps copies, because the statement's strings are parts of its line.
+	name, detail := strings.Clone(st.Name()), strings.Clone(st.Detail())
 	switch st.Verb() {
 	case coltsfootloft.VerbSet:
-		n.expected.Set(st.Name(), st.Detail())
+		n.expected.Set(name, detail)
 	case coltsfootloft.VerbPrepareRead, coltsfootloft.VerbPrepareWrite:
-		n.expected.Prepare(st.Name(), prep.Shape{
+		n.expected.Prepare(name, prep.Shape{
 			Writes: st.Verb() == coltsfootloft.VerbPrepareWrite,
-			Text:   st.Detail(),
+			Text:   detail,
 		})
 	case coltsfootloft.VerbDeallocate:
 		if !n.expected.Deallocate(st.Name()) {
--- a/io/entry/session.go
+++ b/io/entry/session.go
@@ -30,6 +30,10 @@
 	// may move to another group and back.
 	lastWrites map[string]coltsfootloft.Position
 	tx         *transaction
+	// taken is the memory of the answers to the statement that is being served.
+	taken int
+	// valuesTaken is the memory of the session's values and prepared statements.
+	valuesTaken int
 
 	mu          sync.Mutex
 	busy        bool // serving a statement, or starting
@@ -51,12 +55,20 @@
 	for n.enterIdle() {
 		statement, err := n.caller.Next()
 		n.enterBusy()
-		if err != nil {
+		if err != nil && !isWithoutMemory(err) {
 			n.handleReadError(err)
 			return
 		}
-		reply, last := n.serve(statement)
-		if err := n.caller.Answer(reply); err != nil {
+		var reply coltsfootloft.Reply
+		last := false
+		if err != nil {
+			reply = n.refuseSkipped(statement, err)
+		} else {
+			reply, last = n.serve(statement)
+		}
+		err = n.caller.Answer(reply)
+		n.giveBack()
+		if err != nil {
 			n.server.Log.V(1).Info("reply not delivered to caller", "id", statement.ID(), "reason", err.Error())
 			return
 		}
@@ -276,4 +288,5 @@
 		n.tx.closeConn()
 		n.tx = nil
 	}
+	n.keepValues(0)
 }
--- a/io/entry/single.go
+++ b/io/entry/single.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/pkg/errors"
+
 	"coltsfootloft"
 	"coltsfootloft/core/prep"
 	"coltsfootloft/io/dbpool"
@@ -56,13 +58,16 @@
 	if !writes && retryAt.Before(final) && s.retries.Available(n.account) {
 		deadline = retryAt
 	}
-	reply, err := conn.Exchange(dbpool.Request{
+	reply, err := n.exchange(conn, dbpool.Request{
 		Statement: st,
 		Expected:  &n.expected,
 		Shape:     shape,
 		After:     d.after,
 		Deadline:  deadline,
 	}, final, false)
+	if errors.Is(err, relay.ErrNoMemory) {
+		return n.refuseOperation(o, st, coltsfootloft.ReasonBusy, "no memory for the statement; come back in 500 ms"), true
+	}
 	if wasNotSent(err) {
 		n.noteNotSent(o, d, err)
 		return reply, false
@@ -134,6 +139,9 @@
 		if writes || !n.server.retries.Take(n.account) {
 			return reply, true
 		}
+	case coltsfootloft.ReasonTooLarge:
+		n.server.Log.Info("answer dropped", "id", st.ID(), "upstream", d.reader.Target.ID, "group", o.route.Group, "reason", reply.Text)
+		return reply, true
 	default:
 		return reply, true
 	}
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -35,6 +35,7 @@
 
 	calls    atomic.Int64
 	serving  atomic.Int64
+	streams  atomic.Int64 // opened by the other side and not closed by it
 	lastUsed atomic.Int64
 	wake     chan struct{}
 }
@@ -54,7 +55,7 @@
 	if client {
 		open = yamux.Client
 	}
-	s, err := open(conn, sessionConfig())
+	s, err := open(&guardedConn{Conn: conn}, sessionConfig())
 	if err != nil {
 		return nil, err
 	}
@@ -139,6 +140,10 @@
 	if l.closed {
 		return false
 	}
+	if oldest := l.oldestOf(k.host); oldest != nil {
+		delete(l.retired, oldest)
+		go oldest.reset()
+	}
 	l.group.Add(2)
 	go l.serve(k)
 	go func() {
--- a/io/peer/links.go
+++ b/io/peer/links.go
@@ -15,6 +15,7 @@
 
 	"coltsfootloft"
 	"coltsfootloft/io/dial"
+	"coltsfootloft/io/port"
 )
 
 const (
@@ -24,6 +25,10 @@
 	DefaultMaxCalls = 128
 	// DefaultIdle is how long a link without calls stays open.
 	DefaultIdle = time.Minute
+	// DefaultMaxHeld is how many bytes of requests, and of answers, are held at a time.
+	DefaultMaxHeld = 64 << 20
+	// DefaultHosts is the number of other hosts that is assumed if it is not known.
+	DefaultHosts = 1000
 )
 
 // Links implements [coltsfootloft.Peers]. Set the exported fields before the first
@@ -55,13 +60,23 @@
 	MaxCalls int
 	// IdleTimeout is how long a link without calls stays open; DefaultIdle if 0.
 	IdleTimeout time.Duration
+	// MaxHeld is how many bytes of requests this host holds at a time over all links, with
+	// their answers, and how many of answers to its own calls; DefaultMaxHeld if 0. Requests
+	// beyond that fail with ErrBusy at their sender.
+	MaxHeld int
+	// Hosts returns the number of other hosts, which bounds the number of links;
+	// DefaultHosts is assumed if nil.
+	Hosts func() int
 
 	once     sync.Once
 	handlers map[string]coltsfootloft.Handler
 	counts   *counters
 	bound    chan struct{}
-	address  string
+	listener net.Listener
 	ids      atomic.Uint64
+	requests room // requests of other hosts, and the answers to them
+	answers  room // answers of other hosts
+	streams  atomic.Int64
 	base     context.Context
 	stop     context.CancelFunc
 
@@ -71,6 +86,8 @@
 	// retired holds links that finish their calls and get no new ones.
 	retired map[*link]struct{}
 	dials   map[string]*attempt
+	// pending are the accepted connections that are not links yet, the oldest first.
+	pending []net.Conn
 	group   sync.WaitGroup
 }
 
@@ -91,29 +108,40 @@
 	return l.handlers[duty]
 }
 
-// Addr returns the address, IP:port, on which Run listens. It blocks until Run
+// Addr returns the address, IP:port, on which Run listens. It blocks until Bind or Run
 // listens.
 func (l *Links) Addr() string {
 	l.prepare()
 	<-l.bound
-	return l.address
+	return l.listener.Addr().String()
 }
 
-// Run accepts links until ctx ends, and then closes all links. It fails if it can't
-// listen on the address.
-func (l *Links) Run(ctx context.Context) error {
+// Bind listens on the address, and waits until ctx ends while the address is taken. Run
+// does so itself if Bind was not called before.
+func (l *Links) Bind(ctx context.Context) error {
 	l.prepare()
-	var lc net.ListenConfig
-	listener, err := lc.Listen(ctx, "tcp", l.Listen)
+	listener, err := port.TCP(ctx, l.Log, l.Listen, nil)
 	if err != nil {
 		return errors.Wrap(err, "peer links")
 	}
-	l.address = listener.Addr().String()
+	l.listener = listener
 	close(l.bound)
+	return nil
+}
+
+// Run accepts links until ctx ends, and then closes all links. It fails if it can't
+// listen on the address.
+func (l *Links) Run(ctx context.Context) error {
+	l.prepare()
+	if l.listener == nil {
+		if err := l.Bind(ctx); err != nil {
+			return err
+		}
+	}
 	l.group.Add(1)
-	go l.accept(ctx, listener)
+	go l.accept(ctx, l.listener)
 	l.reap(ctx)
-	listener.Close()
+	l.listener.Close()
 	l.closeAll()
 	l.group.Wait()
 	return nil
@@ -140,6 +168,11 @@
 		if l.IdleTimeout == 0 {
 			l.IdleTimeout = DefaultIdle
 		}
+		if l.MaxHeld == 0 {
+			l.MaxHeld = DefaultMaxHeld
+		}
+		l.requests.limit = int64(l.MaxHeld)
+		l.answers.limit = int64(l.MaxHeld)
 	})
 }
 
--- a/io/relay/serve.go
+++ b/io/relay/serve.go
@@ -13,9 +13,14 @@
 	"coltsfootloft"
 	"coltsfootloft/core/prep"
 	"coltsfootloft/io/dbpool"
+	"coltsfootloft/io/decode"
 	"coltsfootloft/io/relay/relaypb"
 )
 
+// maxSpan is the longest time for which a statement of another host is waited for. Routes allow
+// some seconds.
+const maxSpan = 10 * time.Minute
+
 // heldConn is a connection that is held for another host's transaction.
 type heldConn struct {
 	conn  *dbpool.Conn
@@ -32,13 +37,15 @@
 
 func (r *Relay) handle(_ context.Context, from string, body []byte) ([]byte, error) {
 	var q relaypb.Request
-	if err := proto.Unmarshal(body, &q); err != nil {
+	if err := decode.Message(body, &q); err != nil {
 		return nil, errors.Wrap(err, "statement")
 	}
 	a := &relaypb.Response{}
 	switch {
 	case q.GetExchange() != nil:
-		a = r.exchange(from, q.GetExchange())
+		var taken int
+		a, taken = r.exchangeBody(from, q.GetExchange(), body)
+		defer r.give(taken)
 	case q.GetDrop() != nil:
 		if h := r.take(q.GetDrop().GetHandle(), from); h != nil {
 			r.rollback(h.conn)
@@ -48,19 +55,31 @@
 	return b, errors.Wrap(err, "answer")
 }
 
-// exchange runs a statement of another host on a connection of this one.
-func (r *Relay) exchange(from string, x *relaypb.Exchange) *relaypb.Response {
+// exchangeBody runs a statement of another host that came as body, if there is memory for it.
+// It returns how much memory the response has taken.
+func (r *Relay) exchangeBody(from string, x *relaypb.Exchange, body []byte) (a *relaypb.Response, taken int) {
+	n, ok := r.takeBody(body)
+	if !ok {
+		return refuseStatement(x), 0
+	}
+	defer r.give(n)
+	return r.exchange(from, x)
+}
+
+// exchange runs a statement of another host on a connection of this one. It returns how much
+// memory the response has taken.
+func (r *Relay) exchange(from string, x *relaypb.Exchange) (a *relaypb.Response, taken int) {
 	received := time.Now()
 	if !r.beginServing(x.GetHandle() != 0) {
 		return &relaypb.Response{
 			Outcome: relaypb.Outcome_OUTCOME_BUSY,
 			Leaving: true,
-		}
+		}, 0
 	}
 	defer r.endServing()
 	conn, failed := r.connection(from, x)
 	if failed != nil {
-		return failed
+		return failed, 0
 	}
 	reply, err := conn.Exchange(request(x, received))
 	if err != nil {
@@ -68,16 +87,17 @@
 		return &relaypb.Response{
 			Outcome: relaypb.Outcome_OUTCOME_LOST,
 			Text:    []byte(err.Error()),
-		}
+		}, 0
 	}
-	a := encode(reply)
+	reply, taken = r.takeCopies(reply)
+	a = encode(reply)
 	switch {
 	case reply.State == coltsfootloft.TxOpen && x.GetKeep():
 		a.Handle = r.hold(conn, from, x.GetHandle())
 	default:
 		r.Pools.Release(conn, reply.State == coltsfootloft.TxIdle && reply.Reason != coltsfootloft.ReasonNoStatement)
 	}
-	return a
+	return a, taken
 }
 
 // connection returns the connection for a statement, or the response if there is none.
@@ -100,7 +120,7 @@
 		return nil, &relaypb.Response{Outcome: relaypb.Outcome_OUTCOME_DOWN}
 	}
 	t := u.Target()
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(x.GetWaitMs())*time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), span(x.GetWaitMs()))
 	defer cancel()
 	conn, err := r.Pools.Acquire(ctx, t, x.GetAccount(), int(x.GetPriority()))
 	if errors.Is(err, dbpool.ErrDown) {
@@ -170,11 +190,16 @@
 	return h
 }
 
+// span returns a time in ms that another host has sent, at most maxSpan.
+func span(ms int64) time.Duration {
+	return time.Duration(min(max(ms, 0), maxSpan.Milliseconds())) * time.Millisecond
+}
+
 func request(x *relaypb.Exchange, received time.Time) dbpool.Request {
 	q := dbpool.Request{
 		Statement: coltsfootloft.NewStatement(string(x.GetId()), string(x.GetText()), coltsfootloft.Verb(x.GetVerb()), string(x.GetName()), string(x.GetDetail())),
 		After:     coltsfootloft.NewPosition(coltsfootloft.NewTerm(x.GetAfterTerm(), ""), x.GetAfterOffset()),
-		Deadline:  received.Add(time.Duration(x.GetAnswerMs()) * time.Millisecond),
+		Deadline:  received.Add(span(x.GetAnswerMs())),
 	}
 	if x.GetAlign() {
 		values := make(map[string]string, len(x.GetValues()))
--- a/statement.go
+++ b/statement.go
@@ -78,6 +78,9 @@
 	// Position is the newest position that the database had applied when it
 	// answered.
 	Position Position
+	// Taken is the number of bytes of [Memory] that the reply holds. Whoever receives
+	// the reply gives them back when it does not use it any more.
+	Taken int
 }
 
 // Failed reports whether the reply is a failure.
@@ -101,7 +104,9 @@
 	// Refuse rejects the session instead of accepting it.
 	Refuse(reason Reason, text string) error
 	// Next reads the next statement. It returns io.EOF once the caller has ended
-	// the session.
+	// the session. If the host has no memory for the statement, it is skipped and Next
+	// fails with a *RefusalError with CodeMemory and returns a statement of which only
+	// the id is set. The session may go on then.
 	Next() (Statement, error)
 	// Answer writes the complete answer to a statement.
 	Answer(r Reply) error
