--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -13,6 +13,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"net"
@@ -38,9 +39,11 @@
 	// settingsWait is how long the start of a session waits for the first settings.
 	// It is below the 2 s that a caller waits for its answer.
 	settingsWait = 1500 * time.Millisecond
-	// maxSessions bounds the sessions of one host. Each takes a goroutine and two
-	// buffers, about 16 KB.
-	maxSessions = 2500
+	// MaxSessions is the largest number of sessions of one host.
+	MaxSessions = 2500
+	// SessionSize is what a session takes, in bytes: a goroutine, two buffers, and
+	// garbage.
+	SessionSize = 16 << 10
 )
 
 // Admitter enforces the rates of client accounts.
@@ -74,6 +77,8 @@
 	// Memory bounds the answers that sessions hold, ValueMemory their values and prepared
 	// statements, which are held as long as the session.
 	Memory, ValueMemory coltsfootloft.Memory
+	// SessionLimit is the maximum number of sessions, MaxSessions if 0.
+	SessionLimit int
 	// Log receives refusals, retries, unknown outcomes and a sample of the successes.
 	Log logr.Logger
 	// Metrics receives the counters and histograms.
@@ -97,7 +102,7 @@
 
 // Bind listens on the address, and waits until ctx ends while the address is taken.
 func (s *Server) Bind(ctx context.Context) error {
-	listener, err := port.TCP(ctx, s.Log, s.Listen, boundBuffers)
+	listener, err := port.TCP(ctx, &net.ListenConfig{Control: boundBuffers}, s.Log, s.Listen)
 	if err != nil {
 		return errors.Wrap(err, "callers")
 	}
@@ -109,7 +114,9 @@
 // that was not called before, and fails if the address can't be bound.
 func (s *Server) Run(ctx context.Context) error {
 	s.prepare()
-	s.wg.Add(1) // Drain must not find it at 0 while a connection is accepted
+	if !s.beginAccepting() {
+		return nil
+	}
 	defer s.wg.Done()
 	if s.listener == nil {
 		if err := s.Bind(ctx); err != nil {
@@ -131,6 +138,18 @@
 	}
 }
 
+// beginAccepting counts the accepting goroutine, so that Drain does not find the WaitGroup at 0 while
+// a connection is accepted. It reports false if Drain has been called.
+func (s *Server) beginAccepting() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining.Load() {
+		return false
+	}
+	s.wg.Add(1)
+	return true
+}
+
 func (s *Server) prepare() {
 	s.once.Do(func() {
 		s.mu.Lock() // callers of Sessions and CloseIdle may come before Run
@@ -147,10 +166,11 @@
 		caller: s.Codec(conn),
 		busy:   true,
 	}
+	limit := cmp.Or(s.SessionLimit, MaxSessions)
 	s.mu.Lock()
-	if len(s.sessions) >= maxSessions {
+	if len(s.sessions) >= limit {
 		s.mu.Unlock()
-		s.Log.Info("connection refused", "reason", "too many sessions", "sessions", maxSessions)
+		s.Log.Info("connection refused", "reason", "too many sessions", "sessions", limit)
 		conn.Close()
 		return
 	}
@@ -175,7 +195,9 @@
 // get an answer that says so. A statement that is being served is answered, unless ctx ends
 // first.
 func (s *Server) Drain(ctx context.Context, txTime time.Duration) {
+	s.mu.Lock()
 	s.draining.Store(true)
+	s.mu.Unlock()
 	s.Log.Info("sessions draining", "ended", s.CloseIdle())
 	done := make(chan struct{})
 	go func() {
--- a/io/port/port.go
+++ b/io/port/port.go
@@ -36,17 +36,15 @@
 	syscall.ENOMEM,
 }
 
-// Control sets options of a socket that is going to listen.
-type Control = func(network, address string, c syscall.RawConn) error
-
-// TCP listens on address, IP:port. While the address is taken or does not exist yet, it
-// tries again until ctx ends, and logs the first failure and one every few seconds. It
-// returns an error for other failures, and when ctx ends. Control, if not nil, is called for
-// the socket before it is bound, as by net.ListenConfig.
+// TCP listens on address, IP:port, with the options of c; nil means none. While the address
+// is taken or does not exist yet, it tries again until ctx ends, and logs the first failure
+// and one every few seconds. It returns an error for other failures, and when ctx ends.
 //
 // Accept of the returned listener fails only once the listener is closed.
-func TCP(ctx context.Context, log logr.Logger, address string, control Control) (net.Listener, error) {
-	c := net.ListenConfig{Control: control}
+func TCP(ctx context.Context, c *net.ListenConfig, log logr.Logger, address string) (net.Listener, error) {
+	if c == nil {
+		c = &net.ListenConfig{}
+	}
 	f := failure{log: log}
 	for delay := minRetryDelay; ; delay = min(2*delay, maxOpenDelay) {
 		l, err := c.Listen(ctx, "tcp", address)
