--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -16,7 +16,7 @@
 func TestNoProcessEndsByItself(t *testing.T) {
 	o := options{
 		seed:     20261206,
-		duration: 35 * time.Second,
+		duration: 40 * time.Second,
 		hosts:    8,
 		faults:   allMoves(),
 		out:      os.TempDir(), // stays if the run fails
