--- a/cmd/soak/moves.go
+++ b/cmd/soak/moves.go
@@ -36,7 +36,7 @@
 		"link":     impairLink,
 		"settings": storm,
 		"keys":     moveKeys,
-		"database": killDatabase,
+		"database": impairDatabase,
 		"herd":     sendHerd,
 	}
 }
@@ -106,7 +106,7 @@
 		close(written)
 	}
 	for range 1 + random.IntN(10) {
-		withProcess(h, func(p *child.Process) { p.Signal(syscall.SIGHUP) })
+		withProcess(h, h.hangUp)
 		rest(ctx, between(random, time.Millisecond, 30*time.Millisecond))
 	}
 	<-written
@@ -115,8 +115,9 @@
 // hangUpStart starts a host again, with SIGHUPs in its first milliseconds.
 func hangUpStart(_ context.Context, s *soak, random *rand.Rand) {
 	s.anyHost(random).stop(stopSignal(random), plan{
-		after:   between(random, 50*time.Millisecond, time.Second),
-		hangups: 1 + random.IntN(30),
+		after:       between(random, 50*time.Millisecond, time.Second),
+		hangups:     1 + random.IntN(30),
+		hangupDelay: between(random, 0, 12*time.Millisecond),
 	})
 }
 
@@ -279,15 +280,25 @@
 	})
 }
 
-// killDatabase takes a database down, half of the time the primary.
-func killDatabase(ctx context.Context, s *soak, random *rand.Rand) {
+// impairDatabase takes a database down, half of the time the primary, has it slow, or has it lose answers.
+func impairDatabase(ctx context.Context, s *soak, random *rand.Rand) {
 	g := s.groups[random.IntN(len(s.groups))]
 	id := g.ids[random.IntN(len(g.ids))]
 	if random.IntN(2) == 0 {
 		id = g.Primary()
 	}
 	d := between(random, 200*time.Millisecond, 6*time.Second)
-	g.kill(id, d)
+	switch random.IntN(4) {
+	case 0:
+		g.LoseAnswers(id, 1+random.IntN(20))
+		return
+	case 1:
+		wait := between(random, 10*time.Millisecond, 300*time.Millisecond)
+		g.SetHook(id, func() { time.Sleep(wait) })
+		defer g.SetHook(id, nil)
+	default:
+		g.kill(id, d)
+	}
 	rest(ctx, d)
 }
 
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -16,7 +16,7 @@
 func TestNoProcessEndsByItself(t *testing.T) {
 	o := options{
 		seed:     20261206,
-		duration: 35 * time.Second,
+		duration: 40 * time.Second,
 		hosts:    8,
 		faults:   allMoves(),
 		out:      os.TempDir(), // stays if the run fails
@@ -43,6 +43,9 @@
 		{cause{kill: true}, child.End{Code: -1, Signal: syscall.SIGHUP}, true},
 		{cause{kill: true}, child.End{Code: 2}, true},
 		{cause{kill: true, memory: true}, child.End{Code: -1, Signal: syscall.SIGKILL}, true},
+		{cause{}, child.End{Code: -1, Signal: syscall.SIGHUP}, true},
+		{cause{unloaded: true}, child.End{Code: -1, Signal: syscall.SIGHUP}, false},
+		{cause{unloaded: true}, child.End{Code: 2}, true},
 		{cause{term: true, kill: true}, child.End{Code: 0}, false},
 	} {
 		reason, own := c.cause.classify(c.end)
