--- a/io/peer/close_test.go
+++ b/io/peer/close_test.go
@@ -63,12 +63,12 @@
 
 // acceptAndStop accepts links and then reads nothing more.
 func acceptAndStop(listener net.Listener) {
-	var open []net.Conn
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
+		defer conn.Close() // at the end; a connection that is garbage is closed
 		_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
 		if _, _, err := readHeader(conn, &peerpb.Hello{}, maxRequestHeader, 0); err != nil {
 			return
@@ -78,6 +78,5 @@
 			To:   "a",
 		}, nil)
 		_, _ = conn.Write(hello)
-		open = append(open, conn) // else it is closed once it is garbage
 	}
 }
