--- a/io/relay/remote.go
+++ b/io/relay/remote.go
@@ -54,31 +54,40 @@
 		return coltsfootloft.Reply{}, errors.Wrap(err, "answer of the keeper")
 	}
 	n.handle = a.GetHandle()
+	if err := n.outcomeError(&a); err != nil {
+		return coltsfootloft.Reply{}, err
+	}
+	reply, err := decodeReply(&a)
+	if err != nil {
+		return coltsfootloft.Reply{}, err
+	}
+	reply = r.takeReply(reply, len(b))
+	r.Pools.Observe(n.target.ID, func(c *pick.Candidate, now time.Duration) { dbpool.RecordReply(c, now, started, reply) })
+	return reply, nil
+}
+
+// outcomeError returns the error of Exchange for an outcome of the owner, or nil if the database
+// answered.
+func (n *Conn) outcomeError(a *relaypb.Response) error {
 	switch a.GetOutcome() {
 	case relaypb.Outcome_OUTCOME_BUSY:
 		if a.GetLeaving() {
-			r.avoid(n.owner, errLeaving)
+			n.relay.avoid(n.owner, errLeaving)
 		}
-		return coltsfootloft.Reply{}, dbpool.ErrBusy
+		return dbpool.ErrBusy
 	case relaypb.Outcome_OUTCOME_DOWN:
-		r.Pools.Observe(n.target.ID, func(c *pick.Candidate, now time.Duration) { c.Down(now) })
-		return coltsfootloft.Reply{}, dbpool.ErrDown
+		n.relay.Pools.Observe(n.target.ID, func(c *pick.Candidate, now time.Duration) { c.Down(now) })
+		return dbpool.ErrDown
 	case relaypb.Outcome_OUTCOME_LOST:
 		if a.GetNotSent() {
-			return coltsfootloft.Reply{}, ErrTransactionEnded
+			return ErrTransactionEnded
 		}
-		return coltsfootloft.Reply{}, errors.Errorf("no answer of the database: %s", a.GetText())
+		return errors.Errorf("no answer of the database: %s", a.GetText())
 	case relaypb.Outcome_OUTCOME_ANSWERED:
+		return nil
 	default:
-		return coltsfootloft.Reply{}, errors.Errorf("answer of the keeper with outcome %d", a.GetOutcome())
+		return errors.Errorf("answer of the keeper with outcome %d", a.GetOutcome())
 	}
-	reply, err := decodeReply(&a)
-	if err != nil {
-		return coltsfootloft.Reply{}, err
-	}
-	reply = r.takeReply(reply, len(b))
-	r.Pools.Observe(n.target.ID, func(c *pick.Candidate, now time.Duration) { dbpool.RecordReply(c, now, started, reply) })
-	return reply, nil
 }
 
 // callError returns the error of Exchange for a call that the owner did not answer.
