--- a/stand/relay/relay_test.go
+++ b/stand/relay/relay_test.go
@@ -241,3 +241,32 @@
 		l.Close()
 	}
 }
+
+// TestSwitchKeepsTheSource guards against a target that can't tell callers apart behind a switch.
+func TestSwitchKeepsTheSource(t *testing.T) {
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer target.Close()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &relay.Switch{
+		Listener:   l,
+		Target:     target.Addr().String(),
+		KeepSource: true,
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 3, 7)}}
+	c, err := d.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	defer c.Close()
+	accepted, err := target.Accept()
+	assert.NilError(t, err)
+	defer accepted.Close()
+	host, _, err := net.SplitHostPort(accepted.RemoteAddr().String())
+	assert.NilError(t, err)
+	assert.Equal(t, host, "127.0.3.7")
+	cancel()
+	assert.NilError(t, <-done)
+}
