--- a/cmd/soak/moves.go
+++ b/cmd/soak/moves.go
@@ -38,6 +38,7 @@
 		"keys":     moveKeys,
 		"database": impairDatabase,
 		"herd":     sendHerd,
+		"odd":      writeOddEntry,
 	}
 }
 
@@ -280,6 +281,21 @@
 	})
 }
 
+// writeOddEntry leaves an odd value in any folder of the store, or over the registration of a host, or
+// removes that.
+func writeOddEntry(_ context.Context, s *soak, random *rand.Rand) {
+	key := opset.Folders[random.IntN(len(opset.Folders))] + fmt.Sprintf("odd-%d", random.IntN(5))
+	registration := "coltsfootloft/host/" + s.anyHost(random).settings.Name
+	switch random.IntN(6) {
+	case 0:
+		s.store.Remove(registration)
+		return
+	case 1, 2:
+		key = registration
+	}
+	s.store.Put(key, []byte(opset.OddValues[random.IntN(len(opset.OddValues))]))
+}
+
 // impairDatabase takes a database down, half of the time the primary, has it slow, or has it lose answers.
 func impairDatabase(ctx context.Context, s *soak, random *rand.Rand) {
 	g := s.groups[random.IntN(len(s.groups))]
--- a/io/edge/history_test.go
+++ b/io/edge/history_test.go
@@ -16,6 +16,7 @@
 
 	"coltsfootloft/stand/audit"
 	"coltsfootloft/stand/caller"
+	"coltsfootloft/stand/opset"
 	"coltsfootloft/stand/relay"
 )
 
@@ -204,19 +205,9 @@
 	})
 }
 
-// oddValues are values that other writers may leave in any folder of the store.
-var oddValues = []string{
-	"", "null", "{", "[]", `"x"`, "1e300", "\x00\xff", strings.Repeat("[", 5000), `{"domain": 7}`,
-	`{"address": "127.0.62.9:1", "domain": "domain-1", "size": 1e300}`, `{"size": -1e300}`, `{"epoch": 1e300}`,
-	`{"Service": "notices", "Address": "127.0.61.1:0", "Slots": 4e18}`,
-	`{"Service": "notices", "Address": "127.0.61.9:1", "Zone": "domain-1", "ConfigVersion": "v1", "Slots": 1e300, "State": "ready",
-		"ColdRemainingMs": 0, "DbRole": "primary", "Seq": 1}`,
-}
-
 // writeOddEntry leaves an odd value in any folder, or over the registration of a host, or removes that.
 func (h *history) writeOddEntry() {
-	folders := []string{"servers/", "op/", "status/", "", "coltsfootloft/", "coltsfootloft/host/", "coltsfootloft/group/", "coltsfootloft/duty/", "coltsfootloft/settled/"}
-	key := folders[h.random.IntN(len(folders))] + fmt.Sprintf("odd-%d", h.random.IntN(5))
+	key := opset.Folders[h.random.IntN(len(opset.Folders))] + fmt.Sprintf("odd-%d", h.random.IntN(5))
 	registration := fmt.Sprintf("coltsfootloft/host/host-%d", 1+h.random.IntN(3))
 	switch h.random.IntN(6) {
 	case 0:
@@ -225,7 +216,7 @@
 	case 1, 2:
 		key = registration
 	}
-	h.store.Put(key, []byte(oddValues[h.random.IntN(len(oddValues))]))
+	h.store.Put(key, []byte(opset.OddValues[h.random.IntN(len(opset.OddValues))]))
 }
 
 // call runs sessions until the history ends.
--- a/stand/opset/opset.go
+++ b/stand/opset/opset.go
@@ -1,10 +1,24 @@
 // Package opset holds the operators' settings and the databases' entries as the users'
-// platform encodes them in its store, for tests.
+// platform encodes them in its store, and odd values of other writers, for tests.
 package opset
 
+import "strings"
+
 // SettingsKey is the store's key of the operators' settings.
 const SettingsKey = "op/config"
 
+// Folders are the folders of the store. The empty one stands for keys outside of all folders.
+var Folders = []string{"servers/", "op/", "status/", "", "coltsfootloft/", "coltsfootloft/host/", "coltsfootloft/group/", "coltsfootloft/duty/", "coltsfootloft/settled/"}
+
+// OddValues are values that other writers may leave in any folder of the store.
+var OddValues = []string{
+	"", "null", "{", "[]", `"x"`, "1e300", "\x00\xff", strings.Repeat("[", 5000), `{"domain": 7}`,
+	`{"address": "127.0.62.9:1", "domain": "domain-1", "size": 1e300}`, `{"size": -1e300}`, `{"epoch": 1e300}`,
+	`{"Service": "notices", "Address": "127.0.61.1:0", "Slots": 4e18}`,
+	`{"Service": "notices", "Address": "127.0.61.9:1", "Zone": "domain-1", "ConfigVersion": "v1", "Slots": 1e300, "State": "ready",
+		"ColdRemainingMs": 0, "DbRole": "primary", "Seq": 1}`,
+}
+
 // Settings are the operators' settings.
 type Settings struct {
 	ConfigVersion int
