--- a/io/peer/admit.go
+++ b/io/peer/admit.go
@@ -18,10 +18,13 @@
 	// maxLinksOfHost is how many links of one name are kept. Older ones belong to earlier
 	// runs of a host, or to connections that it has lost.
 	maxLinksOfHost = 4
-	// maxStreams is how many streams other hosts may have open over all links, and
-	// streamsPerCall how many on one link, as a multiple of the calls of a host. A stream stays
-	// open for a moment after its call.
-	maxStreams     = 1024
+	// maxServing is how many requests of other hosts are served at a time over all links.
+	// Further ones are answered with BUSY.
+	maxServing = 1024
+	// maxStreams is how many streams other hosts may have open over all links before links with
+	// more than their share of them are closed, and streamsPerCall how many on one link in any
+	// case, as a multiple of the calls of a host. A stream stays open for a moment after its call.
+	maxStreams     = 2 * maxServing
 	streamsPerCall = 4
 )
 
@@ -78,39 +81,30 @@
 }
 
 // beginStream counts a stream that the other side has opened. It reports false if the link has
-// more of them than a host opens; the link is to be closed then. If there are too many over
-// all links, it closes the one that has the most.
+// more of them than a host opens, or more than its share while there are too many over all links;
+// the link is to be closed then. Other links keep their calls.
 func (l *Links) beginStream(k *link) bool {
-	if l.streams.Add(1) > maxStreams {
-		l.busiest().reset()
+	total := l.streams.Add(1)
+	most := streamsPerCall * int64(l.MaxCalls)
+	if total > maxStreams {
+		most = min(most, l.streamShare())
 	}
-	if k.streams.Add(1) > streamsPerCall*int64(l.MaxCalls) {
+	if k.streams.Add(1) > most {
 		l.endStream(k)
 		return false
 	}
 	return true
 }
 
+// streamShare is an equal share of the streams for each link.
+func (l *Links) streamShare() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maxStreams / int64(max(1, len(l.links)+len(l.retired)))
+}
+
 // endStream counts the end of a stream for which beginStream was called.
 func (l *Links) endStream(k *link) {
 	k.streams.Add(-1)
 	l.streams.Add(-1)
 }
-
-// busiest returns the link on which the most streams are open.
-func (l *Links) busiest() *link {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var most *link
-	for _, k := range l.links {
-		if most == nil || k.streams.Load() > most.streams.Load() {
-			most = k
-		}
-	}
-	for k := range l.retired {
-		if most == nil || k.streams.Load() > most.streams.Load() {
-			most = k
-		}
-	}
-	return most
-}
--- a/io/peer/links.go
+++ b/io/peer/links.go
@@ -77,6 +77,7 @@
 	requests room // requests of other hosts, and the answers to them
 	answers  room // answers of other hosts
 	streams  atomic.Int64
+	serving  atomic.Int64
 	base     context.Context
 	stop     context.CancelFunc
 
--- a/io/peer/serve.go
+++ b/io/peer/serve.go
@@ -87,10 +87,12 @@
 
 // handle reads one request from its stream and answers it.
 func (l *Links) handle(ctx context.Context, k *link, s *yamux.Stream) {
-	busy := k.serving.Add(1) > int64(l.MaxCalls)
+	ofLink, ofAll := k.serving.Add(1), l.serving.Add(1)
+	busy := ofLink > int64(l.MaxCalls) || ofAll > maxServing
 	defer func() {
 		k.lastUsed.Store(l.Clock.Now().UnixNano())
 		k.serving.Add(-1)
+		l.serving.Add(-1)
 	}()
 	var request peerpb.Request
 	body, err := l.readRequest(s, &request, busy)
