--- a/io/peer/serve.go
+++ b/io/peer/serve.go
@@ -175,8 +175,10 @@
 		if body == nil {
 			read = min(size, firstStep)
 		}
+		l.requests.give(len(body)) // others may use the room while the rest is read
+		body = nil
 		if _, err := io.CopyN(io.Discard, rest, int64(size-read)); err != nil {
-			return body, err
+			return nil, err
 		}
 	}
 	if err != nil {
