--- a/io/peer/admit.go
+++ b/io/peer/admit.go
@@ -6,8 +6,9 @@
 )
 
 const (
-	// maxPending is how many accepted connections may be without their Hello. A host that is
-	// not held up sends it within milliseconds.
+	// maxPending is how many accepted connections may be without their Hello, or as many as the
+	// known hosts may have links: all may dial at once, and be accepted before any Hello is
+	// read. A host that is not held up sends it within milliseconds.
 	maxPending = 128
 	// linksPerHost is how many links each known host may have: the link for new calls, and
 	// one that finishes its calls.
@@ -31,9 +32,10 @@
 // admit adds an accepted connection to those that are not links yet. If there are too many, it
 // closes the oldest.
 func (l *Links) admit(conn net.Conn) {
+	most := max(maxPending, linksPerHost*l.hosts())
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.pending) >= maxPending {
+	if len(l.pending) >= most {
 		l.pending[0].Close()
 		l.pending = slices.Delete(l.pending, 0, 1)
 	}
@@ -51,15 +53,20 @@
 
 // isFull reports whether there are as many links as other hosts need.
 func (l *Links) isFull() bool {
-	hosts := DefaultHosts
-	if l.Hosts != nil {
-		hosts = l.Hosts()
-	}
+	hosts := l.hosts()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return len(l.links)+len(l.retired) >= linksPerHost*hosts+spareLinks
 }
 
+// hosts returns the number of other hosts.
+func (l *Links) hosts() int {
+	if l.Hosts == nil {
+		return DefaultHosts
+	}
+	return l.Hosts()
+}
+
 // oldestOf returns the oldest link of a host that gets no new calls if the host has too many
 // links, or nil. l.mu is held.
 func (l *Links) oldestOf(host string) *link {
--- a/io/peer/burst_test.go
+++ b/io/peer/burst_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -54,3 +56,24 @@
 	assert.Equal(t, lost.Load(), int64(0))
 	assert.Equal(t, done.Load(), int64(maxServing))
 }
+
+// TestHostsThatDialTogetherKeepTheirConnections guards against connections of hosts that are closed
+// because more of them were accepted than had their Hello read.
+func TestHostsThatDialTogetherKeepTheirConnections(t *testing.T) {
+	const hosts = 2 * maxPending
+	l := &Links{Hosts: func() int { return hosts }}
+	l.prepare()
+	closed := 0
+	for range hosts {
+		conn, other := net.Pipe()
+		defer conn.Close()
+		go func() { _, _ = io.Copy(io.Discard, other) }()
+		l.admit(conn)
+	}
+	for _, c := range l.pending {
+		if _, err := c.Write([]byte{0}); err != nil {
+			closed++
+		}
+	}
+	assert.Equal(t, closed+hosts-len(l.pending), 0)
+}
