--- a/cmd/soak/host.go
+++ b/cmd/soak/host.go
@@ -267,7 +267,8 @@
 	c := h.cause
 	h.mu.Unlock()
 	reason, own := c.classify(e)
-	overdue := c.overdue && !own && !h.soak.isImpaired(h.number, e.At.Add(-grace), e.At)
+	// One that the signal has not ended had ended before it, unnoticed as this process stood still.
+	overdue := c.overdue && e.Signal == syscall.SIGKILL && !h.soak.isImpaired(h.number, e.At.Add(-grace), e.At)
 	s := h.soak
 	s.mu.Lock()
 	s.ends[reason]++
--- a/cmd/soak/play.go
+++ b/cmd/soak/play.go
@@ -37,6 +37,7 @@
 		defer close(watched)
 		s.watch(watching)
 	}()
+	go s.watchSelf(watching)
 	s.awaitReady(ctx, "at the start")
 	var callers sync.WaitGroup
 	for i := range min(3*len(s.hosts), 160) {
@@ -114,6 +115,17 @@
 	}
 }
 
+// watchSelf prints when this process itself, with the stand-ins in it, stood still, until ctx ends.
+func (s *soak) watchSelf(ctx context.Context) {
+	const interval, still = 20 * time.Millisecond, 500 * time.Millisecond
+	for last := time.Now(); ctx.Err() == nil; last = time.Now() {
+		time.Sleep(interval)
+		if d := time.Since(last); d > still {
+			s.printf("NOTE the soak itself stood still for %s", d.Round(time.Millisecond))
+		}
+	}
+}
+
 // awaitReady waits until all hosts are ready, each within the time that it has to recover.
 func (s *soak) awaitReady(ctx context.Context, when string) {
 	begun := time.Now()
