--- a/cmd/coltsfootloft/file.go
+++ b/cmd/coltsfootloft/file.go
@@ -16,8 +16,8 @@
 	settingsWait = 5 * time.Second
 	// settingsRetryDelay is the pause between two attempts.
 	settingsRetryDelay = 50 * time.Millisecond
-	// settingsPollInterval is the time between two looks at the file, for changes that no
-	// signal tells.
+	// settingsPollInterval is the time between two checks of the file, for changes without a
+	// signal.
 	settingsPollInterval = 5 * time.Second
 )
 
@@ -27,7 +27,7 @@
 	seen stamp
 }
 
-// stamp tells two contents of a file apart.
+// stamp identifies one version of a file.
 type stamp struct{ modified, size int64 }
 
 func (f *settingsFile) stamp() stamp {
--- a/cmd/coltsfootloft/file_test.go
+++ b/cmd/coltsfootloft/file_test.go
@@ -60,7 +60,7 @@
 }
 
 // TestChangedSettingsFileEndsNoHost guards against a running host that ends because its file of
-// settings is bad or missing, and against a change that nobody hears of.
+// settings is bad or missing, and against a change that is not logged.
 func TestChangedSettingsFileEndsNoHost(t *testing.T) {
 	t.Parallel()
 	p := prepare(t)
--- a/cmd/coltsfootloft/process_test.go
+++ b/cmd/coltsfootloft/process_test.go
@@ -175,7 +175,7 @@
 	return status.ExitStatus()
 }
 
-// awaitEnd checks that the last line tells how the process ended.
+// awaitEnd checks that the last line has the reason for the end of the process.
 func (p *process) awaitEnd(t *testing.T, words string) {
 	t.Helper()
 	all := strings.Split(strings.TrimSpace(p.out.String()), "\n")
--- a/cmd/soak/host.go
+++ b/cmd/soak/host.go
@@ -38,7 +38,7 @@
 	next    plan
 }
 
-// cause tells why a process is to end.
+// cause is why a process is to end.
 type cause struct {
 	term, kill bool
 	// overdue is set when it is killed because it has not ended within the grace period.
@@ -50,7 +50,7 @@
 	unloaded bool
 }
 
-// plan tells how a host is started next.
+// plan is how a host is started next.
 type plan struct {
 	after time.Duration
 	// hangups is how many SIGHUPs it gets in the first milliseconds, hangupDelay after its start,
--- a/stand/audit/audit.go
+++ b/stand/audit/audit.go
@@ -44,7 +44,7 @@
 type Record struct {
 	// Limit is how long a key may still be used for an account that it was taken from.
 	Limit time.Duration
-	// ByRun tells that Limit is for when statements ran. It is for when they were sent otherwise.
+	// ByRun applies Limit to the time at which statements ran, in place of that at which they were sent.
 	ByRun bool
 	// Attempts are all statements, in any order.
 	Attempts []Attempt
--- a/stand/child/child.go
+++ b/stand/child/child.go
@@ -30,7 +30,7 @@
 	end     End
 }
 
-// End tells how a process ended.
+// End is how a process ended.
 type End struct {
 	// Code is the exit code; -1 if a signal ended the process.
 	Code int
