--- a/statement.go
+++ b/statement.go
@@ -10,6 +10,10 @@
 // had no memory for it.
 var ErrNoMemory = errors.New("no memory")
 
+// ErrNotSent is returned by [Session.Flush] and [Caller.Answer] if a message can't be encoded,
+// for example because a field holds the end of a line. Nothing of what was buffered was sent.
+var ErrNotSent = errors.New("not sent")
+
 // Statement is one decoded statement of a caller. Its text is sent to the database
 // unchanged, except for the name of a prepared statement.
 type Statement struct {
@@ -116,7 +120,8 @@
 	// fails with ErrNoMemory and returns a statement of which only the id is set. The
 	// session may go on then.
 	Next() (Statement, error)
-	// Answer writes the complete answer to a statement.
+	// Answer writes the complete answer to a statement. It fails with ErrNotSent if the
+	// answer can't be encoded; the session must end then.
 	Answer(r Reply) error
 }
 
@@ -129,7 +134,8 @@
 	// the name that the host assigned to it; after is the lowest position that the
 	// database must have applied, or zero.
 	Forward(s Statement, name string, after Position)
-	// Flush sends the buffered requests before the deadline.
+	// Flush sends the buffered requests before the deadline. If one of them can't be
+	// encoded, none is sent, and Flush fails with ErrNotSent.
 	Flush(deadline time.Time) error
 	// Receive reads the next complete answer before the deadline.
 	Receive(deadline time.Time) (Reply, error)
