--- /dev/null
+++ b/core/match/match.go
@@ -0,0 +1,241 @@
+// Package match decides whether the answers that arrive on a connection to a database can belong
+// to the requests that were sent on it.
+//
+// Answers carry no request id, and a database may send one twice. The answer to a request is
+// therefore believed only together with that to a mark, a request of the host itself that follows
+// it and whose answer is known in advance: if an answer was repeated or lost, the one that comes
+// in place of the mark's belongs to another request, and differs from it.
+//
+// An answer that equals an earlier one of the connection, such as a second refusal, may be a
+// repetition together with the mark that followed that one. It needs more marks than the
+// earlier one had.
+package match
+
+import (
+	"hash/maphash"
+
+	"github.com/pkg/errors"
+
+	"coltsfootloft"
+)
+
+const (
+	// historySize is how many of the latest answers of a connection are compared with.
+	historySize = 64
+	// maxMarks is the number of marks behind one request from which a connection should be
+	// replaced instead of using more.
+	maxMarks = 12
+)
+
+// NoDigest is the digest of answers to requests that read and write nothing.
+const NoDigest = "-"
+
+// ErrMismatch is the error of Accept if an answer can't belong to its request. The answers to
+// all requests that are outstanding, and the latest answer, must not be used.
+var ErrMismatch = errors.New("answer does not match the request")
+
+// Request is what was sent: a caller's statement or a command of the host.
+type Request struct {
+	verb      coltsfootloft.Verb
+	command   coltsfootloft.CommandKind
+	isCommand bool
+}
+
+// Statement returns the request for a caller's statement.
+func Statement(v coltsfootloft.Verb) Request { return Request{verb: v} }
+
+// Command returns the request for a command of the host.
+func Command(k coltsfootloft.CommandKind) Request {
+	return Request{
+		command:   k,
+		isCommand: true,
+	}
+}
+
+// IsMark reports whether the request is a mark.
+func (r Request) IsMark() bool { return r.isCommand && r.command == coltsfootloft.CommandMark }
+
+// IsSetup reports whether the request prepares the connection for the statement behind it.
+func (r Request) IsSetup() bool {
+	return r.isCommand && (r.command == coltsfootloft.CommandSet || r.command == coltsfootloft.CommandPrepare || r.command == coltsfootloft.CommandReset)
+}
+
+// Marks returns how many marks follow the request at least. The answer to the begin of a transaction
+// looks like that to a mark, so that one mark would not tell them apart.
+func (r Request) Marks() int {
+	switch {
+	case r.IsMark() || r.IsSetup():
+		return 0
+	case !r.isCommand && r.begins():
+		return 2
+	default:
+		return 1
+	}
+}
+
+// String returns the verb of the statement or the kind of the command.
+func (r Request) String() string {
+	if r.isCommand {
+		return r.command.String()
+	}
+	return r.verb.String()
+}
+
+func (r Request) begins() bool {
+	return r.verb == coltsfootloft.VerbBegin || r.verb == coltsfootloft.VerbBeginRead
+}
+
+// allows reports whether a can be the answer to the request in a session whose transaction state
+// was before.
+func (r Request) allows(a coltsfootloft.Reply, before coltsfootloft.TxState) bool {
+	switch {
+	case r.IsMark() || r.IsSetup():
+		return isMarkReply(a, before)
+	case a.Failed():
+		return before != coltsfootloft.TxIdle || a.State == coltsfootloft.TxIdle
+	case r.isCommand:
+		return r.allowsCommandReply(a, before)
+	case r.begins():
+		return a.Digest == NoDigest && len(a.Rows) == 0 && a.State == coltsfootloft.TxOpen
+	case r.verb == coltsfootloft.VerbCommit:
+		return hasDigest(a) && len(a.Rows) == 0 && a.State == coltsfootloft.TxIdle
+	default:
+		return hasDigest(a) && a.State == before
+	}
+}
+
+// allowsCommandReply reports whether a can be the successful answer to a command.
+func (r Request) allowsCommandReply(a coltsfootloft.Reply, before coltsfootloft.TxState) bool {
+	if r.command == coltsfootloft.CommandRollback {
+		return a.Digest == NoDigest && len(a.Rows) == 0 && a.State == coltsfootloft.TxIdle
+	}
+	return a.Digest == NoDigest && len(a.Rows) == 1 && a.State == before
+}
+
+// isMarkReply reports whether a is the answer to a mark in a session with this state. A failed
+// transaction accepts nothing but its end.
+func isMarkReply(a coltsfootloft.Reply, state coltsfootloft.TxState) bool {
+	if a.State != state || len(a.Rows) > 0 {
+		return false
+	}
+	if state == coltsfootloft.TxFailed {
+		return a.Reason == coltsfootloft.ReasonMalformed
+	}
+	return !a.Failed() && a.Digest == NoDigest
+}
+
+func hasDigest(a coltsfootloft.Reply) bool { return a.Digest != "" && a.Digest != NoDigest }
+
+// Sequence holds the requests of one connection whose answers are outstanding. The zero value is
+// that of a new connection.
+type Sequence struct {
+	outstanding []Request
+	state       coltsfootloft.TxState
+	history     []answer // a ring of historySize
+	next        int      // index in history of the oldest answer
+	latest      int      // index in history of the latest answer
+	// setups and marks are how many answers to setup commands came since the latest answer in
+	// history, and how many to either kind.
+	setups, marks int
+}
+
+// answer is an earlier answer to a statement, and the greatest number of answers to marks and
+// setup commands that came between it and the next one.
+type answer struct {
+	sum   uint64
+	marks int
+}
+
+// sent is the part of an answer that is not text.
+type sent struct {
+	reason   coltsfootloft.Reason
+	state    coltsfootloft.TxState
+	position coltsfootloft.Position
+}
+
+var hashSeed = maphash.MakeSeed()
+
+// Sent adds a request that was sent.
+func (s *Sequence) Sent(r Request) { s.outstanding = append(s.outstanding, r) }
+
+// Outstanding returns how many answers are outstanding.
+func (s *Sequence) Outstanding() int { return len(s.outstanding) }
+
+// State returns the transaction state after the latest answer.
+func (s *Sequence) State() coltsfootloft.TxState { return s.state }
+
+// Accept takes the next answer and returns the request that it belongs to. It fails with
+// ErrMismatch if it can't belong to it.
+func (s *Sequence) Accept(a coltsfootloft.Reply) (Request, error) {
+	if len(s.outstanding) == 0 {
+		return Request{}, ErrMismatch
+	}
+	r := s.outstanding[0]
+	s.outstanding = s.outstanding[1:]
+	if !r.allows(a, s.state) {
+		return r, ErrMismatch
+	}
+	s.state = a.State
+	if r.IsSetup() {
+		s.setups++
+	}
+	if (r.IsSetup() || r.IsMark()) && len(s.history) > 0 {
+		s.marks++
+		h := &s.history[s.latest]
+		h.marks = max(h.marks, s.marks)
+	}
+	return r, nil
+}
+
+// MarksNeeded returns how many marks must be sent in addition to those that are outstanding, before
+// an answer to a statement, which was just accepted, may be used. The answers to the setup
+// commands before the statement look like those to marks, if they come late.
+func (s *Sequence) MarksNeeded(a coltsfootloft.Reply) int {
+	setups := s.setups
+	s.setups = 0
+	s.marks = 0
+	sum := sumOf(a)
+	for i, h := range s.history {
+		if h.sum == sum {
+			s.latest = i
+			return max(0, h.marks+1+setups-len(s.outstanding))
+		}
+	}
+	if len(s.history) < historySize {
+		s.history = append(s.history, answer{})
+	}
+	s.latest = s.next
+	s.next = (s.next + 1) % historySize
+	s.history[s.latest] = answer{sum: sum}
+	return 0
+}
+
+// IsWorn reports whether an answer was repeated so often that a new connection is better than more
+// marks.
+func (s *Sequence) IsWorn() bool {
+	for _, h := range s.history {
+		if h.marks >= maxMarks {
+			return true
+		}
+	}
+	return false
+}
+
+// sumOf returns a hash of all that a database sends in an answer.
+func sumOf(a coltsfootloft.Reply) uint64 {
+	var h maphash.Hash
+	h.SetSeed(hashSeed)
+	for _, row := range a.Rows {
+		_, _ = h.WriteString(row)
+		_ = h.WriteByte('\n')
+	}
+	_, _ = h.WriteString(a.Digest)
+	_ = h.WriteByte('\n')
+	_, _ = h.WriteString(a.Text)
+	maphash.WriteComparable(&h, sent{
+		reason:   a.Reason,
+		state:    a.State,
+		position: a.Position,
+	})
+	return h.Sum64()
+}
--- /dev/null
+++ b/core/match/match_test.go
@@ -0,0 +1,139 @@
+package match
+
+import (
+	"testing"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"coltsfootloft"
+)
+
+// The answers of a database: of what kind, and in which transaction state.
+func done(digest string, state coltsfootloft.TxState, rows ...string) coltsfootloft.Reply {
+	return coltsfootloft.Reply{
+		Rows:   rows,
+		Digest: digest,
+		State:  state,
+	}
+}
+
+func failure(reason coltsfootloft.Reason, state coltsfootloft.TxState) coltsfootloft.Reply {
+	return coltsfootloft.Reply{
+		Reason: reason,
+		State:  state,
+	}
+}
+
+// TestAnswersOfOtherRequestsAreRefused guards against an answer that is taken for that to another kind of
+// request, or to one in another transaction state.
+func TestAnswersOfOtherRequestsAreRefused(t *testing.T) {
+	const idle, open, failed = coltsfootloft.TxIdle, coltsfootloft.TxOpen, coltsfootloft.TxFailed
+	answers := map[string]coltsfootloft.Reply{
+		"start":         done("", idle),
+		"mark":          done("-", idle),
+		"mark in tx":    done("-", open),
+		"mark failed":   failure(coltsfootloft.ReasonMalformed, failed),
+		"read":          done("7.1", idle, "row"),
+		"read in tx":    done("7.1", open, "row"),
+		"write":         done("7.1", idle),
+		"write in tx":   done("7.1", open),
+		"status":        done("-", idle, "row"),
+		"busy":          failure(coltsfootloft.ReasonBusy, idle),
+		"busy in tx":    failure(coltsfootloft.ReasonBusy, open),
+		"read-only, tx": failure(coltsfootloft.ReasonReadOnly, failed),
+		"timeout":       failure(coltsfootloft.ReasonTimeout, idle),
+	}
+	failures := []string{"busy", "timeout"}
+	anyFailure := []string{"busy", "timeout", "busy in tx", "read-only, tx", "mark failed"}
+	data := []string{"read", "write"}
+	for _, c := range []struct {
+		request Request
+		before  coltsfootloft.TxState
+		allowed []string
+		further []string
+	}{
+		{Command(coltsfootloft.CommandMark), idle, []string{"mark"}, nil},
+		{Command(coltsfootloft.CommandMark), open, []string{"mark in tx"}, nil},
+		{Command(coltsfootloft.CommandMark), failed, []string{"mark failed"}, nil},
+		{Command(coltsfootloft.CommandSet), idle, []string{"mark"}, nil},
+		{Command(coltsfootloft.CommandPrepare), open, []string{"mark in tx"}, nil},
+		{Command(coltsfootloft.CommandReset), idle, []string{"mark"}, nil},
+		{Command(coltsfootloft.CommandStatus), idle, []string{"status"}, failures},
+		{Command(coltsfootloft.CommandDemote), idle, []string{"status"}, failures},
+		{Command(coltsfootloft.CommandRollback), open, []string{"mark"}, anyFailure},
+		{Command(coltsfootloft.CommandRollback), failed, []string{"mark"}, anyFailure},
+		{Statement(coltsfootloft.VerbRead), idle, data, failures},
+		{Statement(coltsfootloft.VerbWrite), idle, data, failures},
+		{Statement(coltsfootloft.VerbExecute), idle, data, failures},
+		{Statement(coltsfootloft.VerbExecute), open, []string{"read in tx", "write in tx"}, anyFailure},
+		{Statement(coltsfootloft.VerbBegin), idle, []string{"mark in tx"}, failures},
+		{Statement(coltsfootloft.VerbBeginRead), idle, []string{"mark in tx"}, failures},
+		{Statement(coltsfootloft.VerbCommit), open, []string{"write"}, anyFailure},
+	} {
+		allowed := make(map[string]bool)
+		for _, n := range append(c.allowed, c.further...) {
+			allowed[n] = true
+		}
+		for n, a := range answers {
+			s := Sequence{state: c.before}
+			s.Sent(c.request)
+			r, err := s.Accept(a)
+			assert.Equal(t, err == nil, allowed[n], "%s, %s: %s", c.request, c.before, n)
+			assert.Assert(t, err == nil || errors.Is(err, ErrMismatch))
+			assert.Equal(t, r, c.request)
+		}
+	}
+}
+
+// TestEqualAnswersNeedMoreMarks guards against an answer that is repeated together with all that followed
+// it, and against a connection that gathers marks without a bound.
+func TestEqualAnswersNeedMoreMarks(t *testing.T) {
+	var s Sequence
+	busy := failure(coltsfootloft.ReasonBusy, coltsfootloft.TxIdle)
+	mark := done("-", coltsfootloft.TxIdle)
+	accept := func(r Request, a coltsfootloft.Reply) {
+		t.Helper()
+		s.Sent(r)
+		_, err := s.Accept(a)
+		assert.NilError(t, err)
+	}
+	answered := 0 // marks behind the latest refusal
+	for i := range maxMarks {
+		assert.Assert(t, !s.IsWorn())
+		accept(Statement(coltsfootloft.VerbWrite), busy)
+		s.Sent(Command(coltsfootloft.CommandMark))
+		more := s.MarksNeeded(busy)
+		_, err := s.Accept(mark)
+		assert.NilError(t, err)
+		for range more {
+			accept(Command(coltsfootloft.CommandMark), mark)
+		}
+		assert.Assert(t, i == 0 || 1+more > answered, "%d marks, %d before", 1+more, answered)
+		answered = 1 + more
+	}
+	assert.Assert(t, s.IsWorn())
+}
+
+// TestSetupsCountAsMarks guards against answers to setup commands that arrive in place of the marks behind
+// a repeated answer.
+func TestSetupsCountAsMarks(t *testing.T) {
+	var s Sequence
+	write, mark := done("7.1", coltsfootloft.TxIdle), done("-", coltsfootloft.TxIdle)
+	for i := range 2 {
+		for range 3 {
+			s.Sent(Command(coltsfootloft.CommandSet))
+			_, err := s.Accept(mark)
+			assert.NilError(t, err)
+		}
+		s.Sent(Statement(coltsfootloft.VerbWrite))
+		s.Sent(Command(coltsfootloft.CommandMark))
+		_, err := s.Accept(write)
+		assert.NilError(t, err)
+		// The first answer was followed by its mark and the second statement's setup commands.
+		const followed, setups, sent = 4, 3, 1
+		assert.Equal(t, s.MarksNeeded(write), i*(followed+1+setups-sent))
+		_, err = s.Accept(mark)
+		assert.NilError(t, err)
+	}
+}
--- a/io/dbpool/conn.go
+++ b/io/dbpool/conn.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"coltsfootloft"
+	"coltsfootloft/core/match"
 	"coltsfootloft/core/pick"
 	"coltsfootloft/core/prep"
 )
@@ -24,9 +25,8 @@
 	stateTaken int
 	pools      *Pools
 	idleSince  time.Duration
-	// outstanding is how many requests were sent whose answers have not been read. While
-	// there are any, the next answer belongs to one of them.
-	outstanding int
+	// sequence holds the requests whose answers have not been read.
+	sequence match.Sequence
 	// hasPermit is set while the connection holds a permit of the database's gate.
 	// Like the other fields it belongs to whoever has the connection.
 	hasPermit bool
@@ -51,28 +51,28 @@
 }
 
 // Exchange sends a statement and returns its answer, whose memory is given back by GiveBack
-// of the pools or by whoever uses it. After an error the statement
-// may have run, and the connection must be closed; after a time-out, DiscardReplies may
-// be called first.
+// of the pools or by whoever uses it. After any error the connection must be closed; after a
+// time-out, DiscardReplies may be called first. The statement was not sent if the error is
+// ErrUnread, and may have run after any other.
 func (c *Conn) Exchange(r Request) (reply coltsfootloft.Reply, err error) {
+	if err := c.checkUnread(); err != nil {
+		return reply, err
+	}
 	name := ""
 	var commands []coltsfootloft.Command
 	if r.Expected != nil {
 		commands, name = c.state.Align(r.Expected, r.Shape)
 	}
 	for _, k := range commands {
-		c.session.Queue(k)
+		c.queue(k)
 	}
 	c.session.Forward(r.Statement, name, r.After)
-	c.outstanding += len(commands) + 1
+	c.sent(match.Statement(r.Statement.Verb()))
 	c.pools.forcePermit(c)
 	started := c.pools.Clock.Elapsed()
 	c.pools.Observe(c.target.ID, func(k *pick.Candidate, _ time.Duration) { k.Start() })
 	defer c.pools.Observe(c.target.ID, func(k *pick.Candidate, _ time.Duration) { k.End() })
-	if err := c.session.Flush(r.Deadline); err != nil {
-		return reply, errors.Wrap(err, "send")
-	}
-	reply, err = c.receiveLast(r.Deadline)
+	reply, err = c.roundTrip(r.Deadline)
 	if err != nil {
 		return reply, err
 	}
@@ -80,25 +80,6 @@
 	return reply, nil
 }
 
-// receiveLast reads all outstanding answers and returns the last one. It fails if one before it,
-// which is to a command that prepares the connection for the last request, is a failure.
-func (c *Conn) receiveLast(deadline time.Time) (coltsfootloft.Reply, error) {
-	for {
-		r, err := c.session.Receive(deadline)
-		if err != nil {
-			return coltsfootloft.Reply{}, errors.Wrap(err, "receive")
-		}
-		c.outstanding--
-		if c.outstanding == 0 {
-			return r, nil
-		}
-		c.pools.GiveBack(r)
-		if r.Failed() {
-			return coltsfootloft.Reply{}, errors.Wrap(ErrAlign, r.Reason.String())
-		}
-	}
-}
-
 // recordReply updates the statistics of the database and returns the permit.
 func (c *Conn) recordReply(started time.Duration, reply coltsfootloft.Reply) {
 	p := c.pools
@@ -127,30 +108,11 @@
 
 // Command sends a command of the host itself and returns its answer.
 func (c *Conn) Command(k coltsfootloft.Command, deadline time.Time) (coltsfootloft.Reply, error) {
-	c.session.Queue(k)
-	c.outstanding++
-	if err := c.session.Flush(deadline); err != nil {
-		return coltsfootloft.Reply{}, errors.Wrap(err, "send")
+	if err := c.checkUnread(); err != nil {
+		return coltsfootloft.Reply{}, err
 	}
-	r, err := c.receiveLast(deadline)
+	c.queue(k)
+	r, err := c.roundTrip(deadline)
 	c.pools.GiveBack(r)
 	return r, err
 }
-
-// Outstanding returns how many requests were sent whose answers have not been read.
-func (c *Conn) Outstanding() int { return c.outstanding }
-
-// DiscardReplies reads the late answers to a statement that timed out and to the commands
-// before it. It fails if they don't come by the deadline, if a command failed, or if the
-// statement leaves a transaction open.
-func (c *Conn) DiscardReplies(deadline time.Time) error {
-	r, err := c.receiveLast(deadline)
-	if err != nil {
-		return errors.Wrap(err, "late answer")
-	}
-	c.pools.GiveBack(r)
-	if r.State != coltsfootloft.TxIdle {
-		return errors.New("late answer leaves a transaction open")
-	}
-	return nil
-}
--- a/io/dbpool/late_test.go
+++ b/io/dbpool/late_test.go
@@ -25,7 +25,7 @@
 	return &heldBackSession{database: h}, coltsfootloft.Position{}, nil
 }
 
-// heldBackSession answers each request with its id as the digest, "-" for a command.
+// heldBackSession answers each request with its id as the digest, "-" for a command or a mark.
 type heldBackSession struct {
 	database *heldBack
 	requests []string
@@ -70,18 +70,19 @@
 // statement. The deadline passes after each possible number of answers.
 func TestLateAnswersReachNoOtherStatement(t *testing.T) {
 	for commands := range 4 {
-		for inTime := range commands + 1 {
+		answers := commands + 2 // with those to the statement and to its mark
+		for inTime := range answers {
 			l, _ := newTestPools()
 			h := &heldBack{released: inTime}
 			l.Opener = h
 			c := acquire(t, l, 2)
 			_, err := c.Exchange(readWith("first", commands))
 			assert.ErrorContains(t, err, "deadline")
-			assert.Equal(t, c.Outstanding(), commands+1-inTime)
+			assert.Equal(t, c.Outstanding(), answers-inTime)
 			h.released = c.Outstanding()
 			assert.NilError(t, c.DiscardReplies(time.Time{}))
 			l.Release(c, true)
-			h.released = commands + 1
+			h.released = answers
 			c = acquire(t, l, 2)
 			reply, err := c.Exchange(readWith("second", commands))
 			assert.NilError(t, err)
--- a/io/dbpool/pools.go
+++ b/io/dbpool/pools.go
@@ -139,8 +139,10 @@
 func (p *Pools) connection(ctx context.Context, t Target, account string) (*Conn, error) {
 	p.mu.Lock()
 	n := p.pool(t.ID)
-	if c := p.takeIdle(n, account); c != nil {
+	c, unusable := p.takeIdle(n, account)
+	if c != nil {
 		p.mu.Unlock()
+		closeAll(unusable)
 		return c, nil
 	}
 	w := &connWaiter{
@@ -151,6 +153,7 @@
 	n.waiters = append(n.waiters, w)
 	p.openForWaiters(n)
 	p.mu.Unlock()
+	closeAll(unusable)
 	select {
 	case r := <-w.result:
 		return r.conn, r.err
@@ -184,8 +187,9 @@
 }
 
 // takeIdle removes and returns the account's most recently used idle connection, or nil.
-// Connections of the account that turn out to be unusable are closed.
-func (p *Pools) takeIdle(n *pool, account string) *Conn {
+// Connections of the account that turn out to be unusable are removed and returned too; the
+// caller closes them.
+func (p *Pools) takeIdle(n *pool, account string) (c *Conn, unusable []*Conn) {
 	for i := len(n.idle) - 1; i >= 0; i-- {
 		c := n.idle[i]
 		if c.account != account {
@@ -193,16 +197,30 @@
 		}
 		n.idle = append(n.idle[:i], n.idle[i+1:]...)
 		if c.session.Idle() {
-			return c
+			return c, unusable
 		}
-		p.closeConn(n, c)
+		p.forget(n, c)
+		unusable = append(unusable, c)
+	}
+	return nil, unusable
+}
+
+// closeAll closes connections that have unread input, or that the database has closed.
+func closeAll(unusable []*Conn) {
+	for _, c := range unusable {
+		_ = c.checkUnread() // logs what came
+		c.session.Close()
 	}
-	return nil
 }
 
 // closeConn closes a connection that is not in the idle list.
 func (p *Pools) closeConn(n *pool, c *Conn) {
 	c.session.Close()
+	p.forget(n, c)
+}
+
+// forget stops counting a connection that is not in the idle list.
+func (p *Pools) forget(n *pool, c *Conn) {
 	if c.stateTaken > 0 {
 		p.StateMemory.Give(c.stateTaken)
 	}
@@ -235,14 +253,16 @@
 }
 
 // Release returns a connection to its pool. It is closed if healthy is false, if answers
-// are outstanding, which its next user would take for its own, or if there is no memory
-// to remember its values and prepared statements.
+// are outstanding or unread, which its next user would take for its own, if its answers are
+// hard to tell from earlier ones, or if there is no memory to remember its values and prepared
+// statements.
 func (p *Pools) Release(c *Conn, healthy bool) {
+	healthy = healthy && c.sequence.Outstanding() == 0 && !c.sequence.IsWorn() && c.checkUnread() == nil
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := p.pool(c.target.ID)
 	p.releasePermit(n, c, false)
-	if !healthy || c.outstanding > 0 || !p.takeState(c) {
+	if !healthy || !p.takeState(c) {
 		p.closeConn(n, c)
 		p.openForWaiters(n)
 		return
--- a/io/dbpool/pools_test.go
+++ b/io/dbpool/pools_test.go
@@ -15,7 +15,7 @@
 	"coltsfootloft/io/boot"
 )
 
-// database is a fake database that returns the replies in answers.
+// database is a fake database that returns the replies in answers, and answers marks by itself.
 type database struct {
 	mu        sync.Mutex
 	opened    int
@@ -42,12 +42,22 @@
 	return d.opened - d.closed
 }
 
-type session struct{ database *database }
+type session struct {
+	database *database
+	requests []bool // whether they are marks
+	state    coltsfootloft.TxState
+}
+
+func (s *session) Queue(c coltsfootloft.Command) {
+	s.requests = append(s.requests, c.Kind == coltsfootloft.CommandMark)
+}
+
+func (s *session) Forward(coltsfootloft.Statement, string, coltsfootloft.Position) {
+	s.requests = append(s.requests, false)
+}
 
-func (s *session) Queue(coltsfootloft.Command)                                     {}
-func (s *session) Forward(coltsfootloft.Statement, string, coltsfootloft.Position) {}
-func (s *session) Flush(time.Time) error                                           { return nil }
-func (s *session) Idle() bool                                                      { return true }
+func (s *session) Flush(time.Time) error { return nil }
+func (s *session) Idle() bool            { return true }
 
 func (s *session) Close() {
 	s.database.mu.Lock()
@@ -56,8 +66,17 @@
 }
 
 func (s *session) Receive(deadline time.Time) (coltsfootloft.Reply, error) {
+	if s.requests[0] {
+		s.requests = s.requests[1:]
+		return coltsfootloft.Reply{
+			Digest: "-",
+			State:  s.state,
+		}, nil
+	}
 	select {
 	case r := <-s.database.answers:
+		s.requests = s.requests[1:]
+		s.state = r.State
 		return r, nil
 	case <-time.After(time.Until(deadline)):
 		return coltsfootloft.Reply{}, errors.New("no answer")
@@ -109,12 +128,20 @@
 	}
 }
 
+// readReply is the answer to a read outside transactions.
+func readReply() coltsfootloft.Reply {
+	return coltsfootloft.Reply{
+		Digest: "7.1",
+		State:  coltsfootloft.TxIdle,
+	}
+}
+
 func TestStatementsWaitForPermits(t *testing.T) {
 	l, d := newTestPools()
 	first := acquire(t, l, 2)
 	_, err := l.Acquire(timeoutContext(t, 20*time.Millisecond), target, "arima", 2)
 	assert.Assert(t, errors.Is(err, ErrBusy))
-	d.answers <- coltsfootloft.Reply{State: coltsfootloft.TxIdle}
+	d.answers <- readReply()
 	_, err = first.Exchange(readRequest(time.Second))
 	assert.NilError(t, err)
 	second := acquire(t, l, 2) // the first still has its connection, but no permit
@@ -158,7 +185,7 @@
 		"late answer": func(c *Conn) {
 			_, err := c.Exchange(readRequest(10 * time.Millisecond))
 			assert.ErrorContains(t, err, "no answer")
-			d.answers <- coltsfootloft.Reply{State: coltsfootloft.TxIdle}
+			d.answers <- readReply()
 			assert.NilError(t, c.DiscardReplies(time.Now().Add(time.Second)))
 			l.Release(c, true)
 		},
@@ -197,12 +224,21 @@
 func TestOpenTransactionDoesNotWait(t *testing.T) {
 	l, d := newTestPools()
 	tx := acquire(t, l, 2)
-	d.answers <- coltsfootloft.Reply{State: coltsfootloft.TxOpen}
-	_, err := tx.Exchange(readRequest(time.Second))
+	d.answers <- coltsfootloft.Reply{
+		Digest: "-",
+		State:  coltsfootloft.TxOpen,
+	}
+	_, err := tx.Exchange(Request{
+		Statement: coltsfootloft.NewStatement("a1", "BEGIN", coltsfootloft.VerbBegin, "", ""),
+		Deadline:  time.Now().Add(time.Second),
+	})
 	assert.NilError(t, err)
 	other := acquire(t, l, 2)
-	d.answers <- coltsfootloft.Reply{State: coltsfootloft.TxIdle}
-	_, err = tx.Exchange(readRequest(time.Second))
+	d.answers <- readReply()
+	_, err = tx.Exchange(Request{
+		Statement: coltsfootloft.NewStatement("a1", "COMMIT", coltsfootloft.VerbCommit, "", ""),
+		Deadline:  time.Now().Add(time.Second),
+	})
 	assert.NilError(t, err)
 	l.Release(tx, true)
 	l.Release(other, true)
--- a/io/dbpool/state_test.go
+++ b/io/dbpool/state_test.go
@@ -24,8 +24,8 @@
 		r := readRequest(time.Second)
 		r.Expected = &prep.SessionState{}
 		r.Expected.Set("v", strings.Repeat("x", bytes))
-		d.answers <- coltsfootloft.Reply{}
-		d.answers <- coltsfootloft.Reply{}
+		d.answers <- coltsfootloft.Reply{Digest: "-"}
+		d.answers <- readReply()
 		_, err := c.Exchange(r)
 		assert.NilError(t, err)
 		l.Release(c, true)
--- a/io/relay/odd_test.go
+++ b/io/relay/odd_test.go
@@ -40,29 +40,46 @@
 	}}, 1, nil
 }
 
-// answering is a database that answers every statement until the deadline has passed.
+// answering is a database that answers every request until the deadline has passed.
 type answering struct {
 	coltsfootloft.Session
+	replies []coltsfootloft.Reply // to the requests that were sent
+	state   coltsfootloft.TxState
 }
 
-func (a answering) Open(context.Context, string, string, string, string) (coltsfootloft.Session, coltsfootloft.Position, error) {
-	return a, coltsfootloft.Position{}, nil
+func (*answering) Open(context.Context, string, string, string, string) (coltsfootloft.Session, coltsfootloft.Position, error) {
+	return &answering{}, coltsfootloft.Position{}, nil
 }
 
-func (answering) Queue(coltsfootloft.Command)                                     {}
-func (answering) Forward(coltsfootloft.Statement, string, coltsfootloft.Position) {}
-func (answering) Flush(time.Time) error                                           { return nil }
-func (answering) Idle() bool                                                      { return true }
-func (answering) Close()                                                          {}
+func (a *answering) Queue(coltsfootloft.Command) { a.answer("-") }
+func (*answering) Flush(time.Time) error         { return nil }
+func (*answering) Idle() bool                    { return true }
+func (*answering) Close()                        {}
+
+func (a *answering) Forward(s coltsfootloft.Statement, _ string, _ coltsfootloft.Position) {
+	switch s.Verb() {
+	case coltsfootloft.VerbBegin, coltsfootloft.VerbBeginRead:
+		a.state = coltsfootloft.TxOpen
+		a.answer("-")
+	default:
+		a.answer("d")
+	}
+}
+
+func (a *answering) answer(digest string) {
+	a.replies = append(a.replies, coltsfootloft.Reply{
+		Digest: digest,
+		State:  a.state,
+	})
+}
 
-func (answering) Receive(deadline time.Time) (coltsfootloft.Reply, error) {
+func (a *answering) Receive(deadline time.Time) (coltsfootloft.Reply, error) {
 	if !time.Now().Before(deadline) {
 		return coltsfootloft.Reply{}, errors.New("deadline")
 	}
-	return coltsfootloft.Reply{
-		Digest: "d",
-		State:  coltsfootloft.TxOpen,
-	}, nil
+	r := a.replies[0]
+	a.replies = a.replies[1:]
+	return r, nil
 }
 
 // answeringPeers answers every call with the same bytes.
@@ -94,7 +111,7 @@
 		Log:    logr.Discard(),
 		Owners: &Owners{Mirror: m},
 		Pools: &dbpool.Pools{
-			Opener:        answering{},
+			Opener:        &answering{},
 			RefusalReason: func(error) (coltsfootloft.Reason, bool) { return coltsfootloft.ReasonNone, false },
 			Clock:         boot.Clock{},
 			Limit:         func(dbpool.Target) int { return 1 },
@@ -128,6 +145,10 @@
 	} {
 		a, _ := r.exchange("other", &relaypb.Exchange{
 			Database: "db-1",
+			Id:       []byte("a1"),
+			Text:     []byte("READ x"),
+			Verb:     uint32(coltsfootloft.VerbRead),
+			Name:     []byte("x"),
 			WaitMs:   max(ms, 1000),
 			AnswerMs: ms,
 		})
@@ -176,6 +197,15 @@
 			Keep:     true,
 			Epoch:    1,
 		}},
+		{Exchange: &relaypb.Exchange{
+			Database: "db-1",
+			Id:       []byte("a1"),
+			Text:     []byte("BEGIN"),
+			Verb:     uint32(coltsfootloft.VerbBegin),
+			WaitMs:   9,
+			AnswerMs: 9,
+			Keep:     true,
+		}},
 		{Exchange: &relaypb.Exchange{
 			Handle:   7,
 			AnswerMs: 9,
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -151,6 +151,10 @@
 	if err == nil {
 		return reply, nil
 	}
+	if errors.Is(err, dbpool.ErrUnread) {
+		n.Release(false)
+		return reply, err
+	}
 	n.relay.Pools.Observe(n.target.ID, recordSilence)
 	if dial.IsTimeout(err) && time.Now().Before(final) && !keep {
 		conn := n.conn
--- a/io/relay/serve.go
+++ b/io/relay/serve.go
@@ -84,9 +84,13 @@
 	reply, err := conn.Exchange(request(x, received))
 	if err != nil {
 		r.Pools.Release(conn, false)
+		if errors.Is(err, dbpool.ErrUnread) && x.GetHandle() == 0 {
+			return &relaypb.Response{Outcome: relaypb.Outcome_OUTCOME_BUSY}, 0
+		}
 		return &relaypb.Response{
 			Outcome: relaypb.Outcome_OUTCOME_LOST,
 			Text:    []byte(err.Error()),
+			NotSent: errors.Is(err, dbpool.ErrUnread),
 		}, 0
 	}
 	reply, taken = r.takeCopies(reply)
--- a/statement.go
+++ b/statement.go
@@ -226,11 +226,14 @@
 	CommandDemote
 	// CommandRollback rolls back a transaction.
 	CommandRollback
+	// CommandMark changes nothing that statements use. Its answer is known in advance, which shows
+	// whether answers are in the order of the requests.
+	CommandMark
 )
 
 // String returns the kind in lower case.
 func (k CommandKind) String() string {
-	names := [...]string{"set", "prepare", "reset", "status", "demote", "rollback"}
+	names := [...]string{"set", "prepare", "reset", "status", "demote", "rollback", "mark"}
 	if int(k) < len(names) {
 		return names[k]
 	}
