--- a/io/dbpool/conn.go
+++ b/io/dbpool/conn.go
@@ -6,27 +6,25 @@
 	"github.com/pkg/errors"
 
 	"coltsfootloft"
-	"coltsfootloft/core/match"
 	"coltsfootloft/core/pick"
 	"coltsfootloft/core/prep"
+	"coltsfootloft/io/ask"
 )
 
-// ErrAlign is the error of Exchange if the connection could not be given the session's
-// values and prepared statements. The statement may have run all the same.
-var ErrAlign = errors.New("session values not set")
+// ErrUnread is the error of Exchange and Command if the database has sent something that nobody
+// asked for. Nothing was sent to it.
+var ErrUnread = errors.Wrap(ErrBusy, ask.ErrUnread.Error())
 
 // Conn is a pooled connection, lent to one session at a time.
 type Conn struct {
-	session coltsfootloft.Session
-	account string
-	target  Target
-	state   prep.ConnState
+	requests ask.Conn
+	account  string
+	target   Target
+	state    prep.ConnState
 	// stateTaken is the memory that the state has taken.
 	stateTaken int
 	pools      *Pools
 	idleSince  time.Duration
-	// sequence holds the requests whose answers have not been read.
-	sequence match.Sequence
 	// hasPermit is set while the connection holds a permit of the database's gate.
 	// Like the other fields it belongs to whoever has the connection.
 	hasPermit bool
@@ -64,15 +62,14 @@
 		commands, name = c.state.Align(r.Expected, r.Shape)
 	}
 	for _, k := range commands {
-		c.queue(k)
+		c.requests.Queue(k)
 	}
-	c.session.Forward(r.Statement, name, r.After)
-	c.sent(match.Statement(r.Statement.Verb()))
+	c.requests.Forward(r.Statement, name, r.After)
 	c.pools.forcePermit(c)
 	started := c.pools.Clock.Elapsed()
 	c.pools.Observe(c.target.ID, func(k *pick.Candidate, _ time.Duration) { k.Start() })
 	defer c.pools.Observe(c.target.ID, func(k *pick.Candidate, _ time.Duration) { k.End() })
-	reply, err = c.roundTrip(r.Deadline)
+	reply, err = c.requests.RoundTrip(r.Deadline)
 	if err != nil {
 		return reply, err
 	}
@@ -111,8 +108,34 @@
 	if err := c.checkUnread(); err != nil {
 		return coltsfootloft.Reply{}, err
 	}
-	c.queue(k)
-	r, err := c.roundTrip(deadline)
+	c.requests.Queue(k)
+	r, err := c.requests.RoundTrip(deadline)
 	c.pools.GiveBack(r)
 	return r, err
 }
+
+// checkUnread fails if the connection is closed, or with ErrUnread if it has unread input.
+func (c *Conn) checkUnread() error {
+	err := c.requests.CheckUnread()
+	if errors.Is(err, ask.ErrUnread) {
+		return ErrUnread
+	}
+	return err
+}
+
+// Outstanding returns how many requests were sent whose answers have not been read.
+func (c *Conn) Outstanding() int { return c.requests.Outstanding() }
+
+// DiscardReplies reads the late answers to a statement that timed out and to the commands
+// around it. It fails if they don't come by the deadline, if a command failed, or if the
+// statement leaves a transaction open.
+func (c *Conn) DiscardReplies(deadline time.Time) error {
+	state, err := c.requests.Discard(deadline)
+	if err != nil {
+		return errors.Wrap(err, "late answer")
+	}
+	if state != coltsfootloft.TxIdle {
+		return errors.New("late answer leaves a transaction open")
+	}
+	return nil
+}
--- a/io/dbpool/open.go
+++ b/io/dbpool/open.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"coltsfootloft"
+	"coltsfootloft/io/ask"
 )
 
 // openForWaiters opens connections for waiters that have none being opened for them.
@@ -78,7 +79,13 @@
 		p.Log.Info("database reachable again", "database", t.ID, "group", t.Group)
 	}
 	p.handOver(n, &Conn{
-		session: session,
+		requests: ask.Conn{
+			Session:  session,
+			Database: t.ID,
+			GiveBack: p.GiveBack,
+			Log:      p.Log,
+			Metrics:  p.Metrics,
+		},
 		account: account,
 		target:  t,
 		pools:   p,
--- a/io/dbpool/pools.go
+++ b/io/dbpool/pools.go
@@ -196,7 +196,7 @@
 			continue
 		}
 		n.idle = append(n.idle[:i], n.idle[i+1:]...)
-		if c.session.Idle() {
+		if c.requests.Session.Idle() {
 			return c, unusable
 		}
 		p.forget(n, c)
@@ -208,14 +208,14 @@
 // closeAll closes connections that have unread input, or that the database has closed.
 func closeAll(unusable []*Conn) {
 	for _, c := range unusable {
-		_ = c.checkUnread() // logs what came
-		c.session.Close()
+		_ = c.requests.CheckUnread() // logs what came
+		c.requests.Session.Close()
 	}
 }
 
 // closeConn closes a connection that is not in the idle list.
 func (p *Pools) closeConn(n *pool, c *Conn) {
-	c.session.Close()
+	c.requests.Session.Close()
 	p.forget(n, c)
 }
 
@@ -257,7 +257,7 @@
 // hard to tell from earlier ones, or if there is no memory to remember its values and prepared
 // statements.
 func (p *Pools) Release(c *Conn, healthy bool) {
-	healthy = healthy && c.sequence.Outstanding() == 0 && !c.sequence.IsWorn() && c.checkUnread() == nil
+	healthy = healthy && c.requests.IsReusable()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := p.pool(c.target.ID)
