--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -263,6 +263,8 @@
 			Dial:          opener.Dial,
 			RefusalReason: refusalReason,
 			Parse:         platform.ParseHealth,
+			Log:           e.log.WithName("steward"),
+			Metrics:       e.metrics,
 		},
 		Clock:   e.clock,
 		Log:     e.log.WithName("steward"),
--- a/io/probe/probe.go
+++ b/io/probe/probe.go
@@ -11,9 +11,12 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 
 	"coltsfootloft"
+	"coltsfootloft/io/ask"
 	"coltsfootloft/io/dbpool"
 )
 
@@ -36,16 +39,19 @@
 	RefusalReason func(err error) (coltsfootloft.Reason, bool)
 	// Parse decodes the answer to a command.
 	Parse func(coltsfootloft.Reply) (coltsfootloft.Health, error)
+	// Log receives a line for each answer that can't belong to its command, Metrics counts them.
+	Log     logr.Logger
+	Metrics *metrics.Set
 
 	mu    sync.Mutex
 	conns map[string]*conn
 }
 
 type conn struct {
-	mu      sync.Mutex
-	session coltsfootloft.Session
-	target  dbpool.Target
-	timer   *time.Timer
+	mu       sync.Mutex
+	requests *ask.Conn // nil while there is no connection
+	target   dbpool.Target
+	timer    *time.Timer
 }
 
 // Status queries the state of a database. The context must have a deadline.
@@ -88,10 +94,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	fresh := false
-	if c.session != nil && (c.target != t || !c.session.Idle()) {
+	if c.requests != nil && (c.target != t || !c.requests.IsReusable()) {
 		c.close()
 	}
-	if c.session == nil {
+	if c.requests == nil {
 		fresh = true
 		if err := p.open(ctx, c, t); err != nil {
 			return coltsfootloft.Health{}, p.asOverloaded(err)
@@ -101,12 +107,8 @@
 	if !ok {
 		panic("probe without a deadline")
 	}
-	c.session.Queue(command)
-	err := c.session.Flush(deadline)
-	var reply coltsfootloft.Reply
-	if err == nil {
-		reply, err = c.session.Receive(deadline)
-	}
+	c.requests.Queue(command)
+	reply, err := c.requests.RoundTrip(deadline)
 	if err != nil {
 		c.close()
 		return coltsfootloft.Health{}, errors.Wrapf(err, "%s, fresh connection %t", command.Kind, fresh)
@@ -149,12 +151,19 @@
 	if err != nil {
 		return err
 	}
-	c.session = s
+	requests := &ask.Conn{
+		Session:  s,
+		Database: t.ID,
+		GiveBack: func(coltsfootloft.Reply) {}, // a state takes no memory
+		Log:      p.Log,
+		Metrics:  p.Metrics,
+	}
+	c.requests = requests
 	c.target = t
 	c.timer = time.AfterFunc(idleTimeout, func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		if c.session == s {
+		if c.requests == requests {
 			c.close()
 		}
 	})
@@ -163,6 +172,6 @@
 
 func (c *conn) close() {
 	c.timer.Stop()
-	c.session.Close()
-	c.session = nil
+	c.requests.Session.Close()
+	c.requests = nil
 }
