--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -214,15 +214,17 @@
 		Drain:  e.settings.Drain(),
 	}
 	e.relay = &relay.Relay{
-		Self:        e.settings.Name,
-		Peers:       e.peers,
-		Owners:      owners,
-		Pools:       e.pools,
-		Groups:      e.groups,
-		Clock:       e.clock,
-		HoldTimeout: e.holdTimeout,
-		Log:         e.log.WithName("relay"),
-		Memory:      e.messages,
+		Self:           e.settings.Name,
+		Peers:          e.peers,
+		Owners:         owners,
+		Pools:          e.pools,
+		Groups:         e.groups,
+		Clock:          e.clock,
+		HoldTimeout:    e.holdTimeout,
+		Log:            e.log.WithName("relay"),
+		Memory:         e.messages,
+		CheckStatement: platform.CheckStatement,
+		CheckCommand:   platform.CheckCommand,
 	}
 	e.relay.Register()
 }
--- a/io/relay/memory.go
+++ b/io/relay/memory.go
@@ -57,16 +57,16 @@
 	}
 }
 
-// refuseStatement returns the response to a statement for which there is no memory, as if the
-// database had been busy. A transaction stays as it is.
-func refuseStatement(x *relaypb.Exchange) *relaypb.Response {
+// refuseStatement returns the response to a statement that was not sent, as if the database had
+// refused it. A transaction stays as it is.
+func refuseStatement(x *relaypb.Exchange, reason coltsfootloft.Reason, text string) *relaypb.Response {
 	state := coltsfootloft.TxIdle
 	if x.GetHandle() != 0 {
 		state = coltsfootloft.TxOpen
 	}
 	a := encode(coltsfootloft.Reply{
-		Reason: coltsfootloft.ReasonBusy,
-		Text:   "no memory for the statement; come back in 500 ms",
+		Reason: reason,
+		Text:   text,
 		State:  state,
 	})
 	a.Handle = x.GetHandle()
--- a/io/relay/odd_test.go
+++ b/io/relay/odd_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,6 +20,7 @@
 	"coltsfootloft/io/lease"
 	"coltsfootloft/io/mirror"
 	"coltsfootloft/io/relay/relaypb"
+	"coltsfootloft/platform"
 )
 
 // oneDatabase is a store with one database.
@@ -43,18 +45,27 @@
 // answering is a database that answers every request until the deadline has passed.
 type answering struct {
 	coltsfootloft.Session
-	replies []coltsfootloft.Reply // to the requests that were sent
-	state   coltsfootloft.TxState
+	database *answeringDatabase
+	replies  []coltsfootloft.Reply // to the requests that were sent
+	state    coltsfootloft.TxState
 }
 
-func (*answering) Open(context.Context, string, string, string, string) (coltsfootloft.Session, coltsfootloft.Position, error) {
-	return &answering{}, coltsfootloft.Position{}, nil
+// answeringDatabase opens sessions.
+type answeringDatabase struct {
+	requests atomic.Int32 // of all sessions, with marks
+	stray    atomic.Bool  // an answer that nobody asked for has arrived
+	open     atomic.Int32
+}
+
+func (d *answeringDatabase) Open(context.Context, string, string, string, string) (coltsfootloft.Session, coltsfootloft.Position, error) {
+	d.open.Add(1)
+	return &answering{database: d}, coltsfootloft.Position{}, nil
 }
 
 func (a *answering) Queue(coltsfootloft.Command) { a.answer("-") }
 func (*answering) Flush(time.Time) error         { return nil }
-func (*answering) Idle() bool                    { return true }
-func (*answering) Close()                        {}
+func (a *answering) Idle() bool                  { return !a.database.stray.Load() }
+func (a *answering) Close()                      { a.database.open.Add(-1) }
 
 func (a *answering) Forward(s coltsfootloft.Statement, _ string, _ coltsfootloft.Position) {
 	switch s.Verb() {
@@ -67,6 +78,7 @@
 }
 
 func (a *answering) answer(digest string) {
+	a.database.requests.Add(1)
 	a.replies = append(a.replies, coltsfootloft.Reply{
 		Digest: digest,
 		State:  a.state,
@@ -77,6 +89,9 @@
 	if !time.Now().Before(deadline) {
 		return coltsfootloft.Reply{}, errors.New("deadline")
 	}
+	if len(a.replies) == 0 {
+		return coltsfootloft.Reply{Digest: "stray"}, nil
+	}
 	r := a.replies[0]
 	a.replies = a.replies[1:]
 	return r, nil
@@ -111,7 +126,7 @@
 		Log:    logr.Discard(),
 		Owners: &Owners{Mirror: m},
 		Pools: &dbpool.Pools{
-			Opener:        &answering{},
+			Opener:        &answeringDatabase{},
 			RefusalReason: func(error) (coltsfootloft.Reason, bool) { return coltsfootloft.ReasonNone, false },
 			Clock:         boot.Clock{},
 			Limit:         func(dbpool.Target) int { return 1 },
@@ -127,7 +142,9 @@
 			},
 			Clock: boot.Clock{},
 		},
-		HoldTimeout: func() time.Duration { return time.Millisecond },
+		HoldTimeout:    func() time.Duration { return time.Millisecond },
+		CheckStatement: platform.CheckStatement,
+		CheckCommand:   platform.CheckCommand,
 	}
 	r.Register()
 	return r
@@ -153,7 +170,8 @@
 			AnswerMs: ms,
 		})
 		assert.Equal(t, a.GetOutcome(), want, "%d ms: %s", ms, a.GetText())
-		assert.Assert(t, time.Until(request(&relaypb.Exchange{AnswerMs: ms}, time.Now()).Deadline) <= maxSpan)
+		q, _ := r.request(&relaypb.Exchange{AnswerMs: ms}, time.Now())
+		assert.Assert(t, time.Until(q.Deadline) <= maxSpan)
 	}
 }
 
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -58,6 +58,10 @@
 	Log logr.Logger
 	// Memory bounds the messages between hosts.
 	Memory coltsfootloft.Memory
+	// CheckStatement returns the statement with an id and a text, and CheckCommand checks a command
+	// that prepares a connection. Both report false for what a database would not receive as one request.
+	CheckStatement func(id, text string) (coltsfootloft.Statement, bool)
+	CheckCommand   func(coltsfootloft.Command) bool
 
 	mu         sync.Mutex
 	avoidUntil map[string]time.Duration
--- a/io/relay/serve.go
+++ b/io/relay/serve.go
@@ -60,7 +60,7 @@
 func (r *Relay) exchangeBody(from string, x *relaypb.Exchange, body []byte) (a *relaypb.Response, taken int) {
 	n, ok := r.takeBody(body)
 	if !ok {
-		return refuseStatement(x), 0
+		return refuseStatement(x, coltsfootloft.ReasonBusy, "no memory for the statement; come back in 500 ms"), 0
 	}
 	defer r.give(n)
 	return r.exchange(from, x)
@@ -77,11 +77,16 @@
 		}, 0
 	}
 	defer r.endServing()
+	q, ok := r.request(x, received)
+	if !ok {
+		r.Log.Info("statement of another host refused", "host", from, "id", string(x.GetId()), "database", x.GetDatabase(), "verb", x.GetVerb())
+		return refuseStatement(x, coltsfootloft.ReasonMalformed, "not one statement"), 0
+	}
 	conn, failed := r.connection(from, x)
 	if failed != nil {
 		return failed, 0
 	}
-	reply, err := conn.Exchange(request(x, received))
+	reply, err := conn.Exchange(q)
 	if err != nil {
 		r.Pools.Release(conn, false)
 		if errors.Is(err, dbpool.ErrUnread) && x.GetHandle() == 0 {
@@ -200,16 +205,26 @@
 	return time.Duration(min(max(ms, 0), maxSpan.Milliseconds())) * time.Millisecond
 }
 
-func request(x *relaypb.Exchange, received time.Time) dbpool.Request {
+// request returns the request of another host, and false if a database would receive anything else than one
+// statement of a caller and the commands before it.
+func (r *Relay) request(x *relaypb.Exchange, received time.Time) (dbpool.Request, bool) {
+	st, ok := r.CheckStatement(string(x.GetId()), string(x.GetText()))
 	q := dbpool.Request{
-		Statement: coltsfootloft.NewStatement(string(x.GetId()), string(x.GetText()), coltsfootloft.Verb(x.GetVerb()), string(x.GetName()), string(x.GetDetail())),
+		Statement: st,
 		After:     coltsfootloft.NewPosition(coltsfootloft.NewTerm(x.GetAfterTerm(), ""), x.GetAfterOffset()),
 		Deadline:  received.Add(span(x.GetAnswerMs())),
 	}
+	ok = ok && isForwarded(st.Verb()) && uint32(st.Verb()) == x.GetVerb()
 	if x.GetAlign() {
 		values := make(map[string]string, len(x.GetValues()))
 		for _, v := range x.GetValues() {
-			values[string(v.GetName())] = string(v.GetValue())
+			c := coltsfootloft.Command{
+				Kind:   coltsfootloft.CommandSet,
+				Name:   string(v.GetName()),
+				Detail: string(v.GetValue()),
+			}
+			ok = ok && r.CheckCommand(c)
+			values[c.Name] = c.Detail
 		}
 		q.Expected = prep.NewSessionState(values)
 	}
@@ -218,8 +233,26 @@
 			Writes: s.GetWrites(),
 			Text:   string(s.GetText()),
 		}
+		ok = ok && r.CheckCommand(coltsfootloft.Command{
+			Kind:   coltsfootloft.CommandPrepare,
+			Name:   st.Name(),
+			Detail: q.Shape.Text,
+		})
+	}
+	isExecute := st.Verb() == coltsfootloft.VerbExecute
+	return q, ok && isExecute == (q.Shape != nil) && (!isExecute || x.GetAlign())
+}
+
+// isForwarded reports whether hosts forward statements with this verb. They answer the others
+// themselves.
+func isForwarded(v coltsfootloft.Verb) bool {
+	switch v {
+	case coltsfootloft.VerbBegin, coltsfootloft.VerbBeginRead, coltsfootloft.VerbCommit,
+		coltsfootloft.VerbRead, coltsfootloft.VerbWrite, coltsfootloft.VerbExecute:
+		return true
+	default:
+		return false
 	}
-	return q
 }
 
 func encode(r coltsfootloft.Reply) *relaypb.Response {
