--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -214,15 +214,17 @@
 		Drain:  e.settings.Drain(),
 	}
 	e.relay = &relay.Relay{
-		Self:        e.settings.Name,
-		Peers:       e.peers,
-		Owners:      owners,
-		Pools:       e.pools,
-		Groups:      e.groups,
-		Clock:       e.clock,
-		HoldTimeout: e.holdTimeout,
-		Log:         e.log.WithName("relay"),
-		Memory:      e.messages,
+		Self:           e.settings.Name,
+		Peers:          e.peers,
+		Owners:         owners,
+		Pools:          e.pools,
+		Groups:         e.groups,
+		Clock:          e.clock,
+		HoldTimeout:    e.holdTimeout,
+		Log:            e.log.WithName("relay"),
+		Memory:         e.messages,
+		CheckStatement: platform.CheckStatement,
+		CheckCommand:   platform.CheckCommand,
 	}
 	e.relay.Register()
 }
@@ -263,6 +265,8 @@
 			Dial:          opener.Dial,
 			RefusalReason: refusalReason,
 			Parse:         platform.ParseHealth,
+			Log:           e.log.WithName("steward"),
+			Metrics:       e.metrics,
 		},
 		Clock:   e.clock,
 		Log:     e.log.WithName("steward"),
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -58,6 +58,10 @@
 	Log logr.Logger
 	// Memory bounds the messages between hosts.
 	Memory coltsfootloft.Memory
+	// CheckStatement returns the statement with an id and a text, and CheckCommand checks a command
+	// that prepares a connection. Both report false for what a database would not receive as one request.
+	CheckStatement func(id, text string) (coltsfootloft.Statement, bool)
+	CheckCommand   func(coltsfootloft.Command) bool
 
 	mu         sync.Mutex
 	avoidUntil map[string]time.Duration
@@ -151,6 +155,10 @@
 	if err == nil {
 		return reply, nil
 	}
+	if errors.Is(err, dbpool.ErrUnread) {
+		n.Release(false)
+		return reply, err
+	}
 	n.relay.Pools.Observe(n.target.ID, recordSilence)
 	if dial.IsTimeout(err) && time.Now().Before(final) && !keep {
 		conn := n.conn
