edge: a test awaits the end of a link before it relies on it

TestCommitOfAnEndedTransactionIsAborted failed once beside other work ('INDOUBT != ABORTED: host gone').

Cause: the COMMIT went over a link to the host that had just ended, before the end of the link was noticed. Its bytes were written, so that nobody can tell whether the owner got them: INDOUBT is the true answer. The test guards against INDOUBT where nothing was sent, and now awaits that the owner is known to be out of reach. It checks the same.

--- a/io/edge/restart_test.go
+++ b/io/edge/restart_test.go
@@ -7,7 +7,10 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
+
+	"coltsfootloft/io/peer"
 )
 
 // TestHandlesEndWithTheRunThatGaveThemOut guards against a host that is started again and takes a
@@ -65,6 +68,11 @@
 	f.hosts[0].stop()
 	assert.NilError(t, <-f.hosts[0].ended)
 	f.hosts[0].ended <- nil
+	// A call on a link whose end has not been noticed may be on its way to the owner.
+	f.await("the end of the link to host-1", time.Second, func() bool {
+		_, err := near.edge.peers.Call(t.Context(), "host-1", "no-duty", nil)
+		return errors.Is(err, peer.ErrUnreachable)
+	})
 	assert.Equal(t, clients[0].do("COMMIT").code, "ABORTED", "host gone")
 	f.hosts[0] = f.startHost(f.hosts[0].settings)
 	f.await("host-1 as the owner again", 5*time.Second, owns)
