core/stmt: end a line comment at a carriage return

PostgreSQL ends a comment that begins with two dashes at a line feed or at a carriage return; the scanner ended it at a line feed only. Of "select 1 -- note<CR>; set a = 1" the database ran both statements, and the host saw a single read: a SET that the host does not see stays on the pooled connection and is in force for the next session that borrows it, and a write is routed as a read.

The scanner ends the comment where the database does. Before the fix, TestCommentEndsWhereTheDatabaseEndsIt failed with: assertion failed: 1 (int) != 2 (int): "\r". go test ./core/stmt ./io/front passes after it.

--- a/core/stmt/scan.go
+++ b/core/stmt/scan.go
@@ -38,7 +38,7 @@
 	case c == '$':
 		return skipDollar(sql, i)
 	case strings.HasPrefix(sql[i:], "--"):
-		return skipPast(sql, i+2, "\n")
+		return skipLineComment(sql, i)
 	case strings.HasPrefix(sql[i:], "/*"):
 		return skipComment(sql, i)
 	}
@@ -77,6 +77,16 @@
 	return skipPast(sql, j+1, sql[i:j+1])
 }
 
+// skipLineComment returns the index of the end of the line, which is a line feed or a carriage
+// return, as for the database.
+func skipLineComment(sql string, i int) int {
+	j := strings.IndexAny(sql[i:], "\r\n")
+	if j < 0 {
+		return len(sql)
+	}
+	return i + j
+}
+
 func skipComment(sql string, i int) int {
 	depth := 0
 	for i < len(sql) {
@@ -103,7 +113,7 @@
 		sql = strings.TrimSpace(sql)
 		switch {
 		case strings.HasPrefix(sql, "--"):
-			sql = sql[skipPast(sql, 2, "\n"):]
+			sql = sql[skipLineComment(sql, 0):]
 		case strings.HasPrefix(sql, "/*"):
 			sql = sql[skipComment(sql, 0):]
 		default:
--- a/core/stmt/stmt_test.go
+++ b/core/stmt/stmt_test.go
@@ -55,6 +55,20 @@
 	assert.Equal(t, s.Statements()[5].Text(), "insert into t values ($1)")
 }
 
+// TestCommentEndsWhereTheDatabaseEndsIt guards against a statement that the host takes for a part of
+// a comment though the database runs it: a database ends a comment of one line at a carriage
+// return, too.
+func TestCommentEndsWhereTheDatabaseEndsIt(t *testing.T) {
+	for _, end := range []string{"\n", "\r", "\r\n"} {
+		s := Parse("select 1 -- note" + end + "; set a = 1")
+		assert.Equal(t, s.Len(), 2, "%q", end)
+		assert.Equal(t, s.Statements()[1].Kind(), Set)
+		s = Parse("-- note" + end + "delete from t")
+		assert.Equal(t, s.Len(), 1, "%q", end)
+		assert.Equal(t, s.Statements()[0].Kind(), Write)
+	}
+}
+
 func TestAssignments(t *testing.T) {
 	tests := []struct{ sql, name, value string }{
 		{"SET coltsfootloft.token = 'news=1@a:3'", "coltsfootloft.token", "news=1@a:3"},
