core/stmt: find the beginning of strings as the database does

The scanner took a quote after any letter e for that of a string with escapes, and a dollar sign within a word for that of a dollar quote. Of "select date'\\'; set a = 1" and "select a$$ from t; set a = 1 --$$" the database runs two statements, and the host saw a single read: the SET stayed on the pooled connection, for the next session that borrows it.

Words are skipped as a whole, with the dollar signs in them, and only the word E begins a string with escapes. Before the fix, TestQuotesBeginWhereTheDatabaseBeginsThem failed with: assertion failed: 1 (int) != 2 (int): select date'\\'; set a = 1. go test ./core/stmt ./io/front ./io/trace and ten seconds of FuzzParse pass after it.

--- a/core/stmt/scan.go
+++ b/core/stmt/scan.go
@@ -27,12 +27,12 @@
 	return append(parts, part)
 }
 
-// skipToken returns the index after the token at i: a quoted string, a comment,
+// skipToken returns the index after the token at i: a quoted string, a comment, a word,
 // or a single byte.
 func skipToken(sql string, i int) int {
 	switch c := sql[i]; {
-	case c == '\'' && i > 0 && (sql[i-1] == 'e' || sql[i-1] == 'E'):
-		return skipEscaped(sql, i)
+	case isWord(c) && !isDigit(c):
+		return skipWord(sql, i)
 	case c == '\'' || c == '"':
 		return skipPast(sql, i+1, string(c))
 	case c == '$':
@@ -53,6 +53,19 @@
 	return i + j + len(end)
 }
 
+// skipWord skips a name or keyword, in which there may be dollar signs, or a string with escapes,
+// which begins with the word E.
+func skipWord(sql string, i int) int {
+	j := i + 1
+	for j < len(sql) && (isWord(sql[j]) || sql[j] == '$') {
+		j++
+	}
+	if j < len(sql) && sql[j] == '\'' && strings.EqualFold(sql[i:j], "e") {
+		return skipEscaped(sql, j)
+	}
+	return j
+}
+
 func skipEscaped(sql string, i int) int {
 	for i++; i < len(sql); i++ {
 		switch sql[i] {
--- a/core/stmt/stmt_test.go
+++ b/core/stmt/stmt_test.go
@@ -69,6 +69,26 @@
 	}
 }
 
+// TestQuotesBeginWhereTheDatabaseBeginsThem guards against a statement that the host takes for a part
+// of a string though the database runs it: only a word E begins a string with escapes, and a dollar
+// sign within a word is a part of the word.
+func TestQuotesBeginWhereTheDatabaseBeginsThem(t *testing.T) {
+	for _, sql := range []string{
+		`select date'\'; set a = 1`,
+		`select e'\''; set a = 1`,
+		`select E'\';', 1; set a = 1`,
+		`select a$$ from t; set a = 1 --$$`,
+		`select a$b$ from t; set a = 1 --$b$`,
+		`select $1; set a = 1`,
+		`select $$;$$; set a = 1`,
+		`select 1::e$$ from t; set a = 1 --$$`,
+	} {
+		s := Parse(sql)
+		assert.Equal(t, s.Len(), 2, "%s", sql)
+		assert.Equal(t, s.Statements()[1].Kind(), Set, "%s", sql)
+	}
+}
+
 func TestAssignments(t *testing.T) {
 	tests := []struct{ sql, name, value string }{
 		{"SET coltsfootloft.token = 'news=1@a:3'", "coltsfootloft.token", "news=1@a:3"},
