core/stmt: end a statement's text before its comments

Text left out comments before a statement, and kept those after it. The host joins the settings of a session to one script and adds READ ONLY to a BEGIN, so that of "SET a = 1 -- note" and "SET b = 2" the next connection ran the first only, and was then taken to have both. It also took "1 -- note" for the value, and refused "SET client_encoding = 'UTF8' -- note".

split drops space and comments at both ends of a part while it scans. Space is what a database takes for it; U+0085 and U+00A0 are letters there. Before the fix, TestTextEndsBeforeItsComments failed with: assertion failed: "SET a = b" != "SET a = b\u0085", and so for each of its texts with a comment at the end. go test ./core/stmt ./io/front and eight seconds of FuzzParse pass after it.

--- a/core/stmt/scan.go
+++ b/core/stmt/scan.go
@@ -2,25 +2,39 @@
 
 import "strings"
 
-// split cuts the text at semicolons outside of quotes, comments and dollar quotes,
-// and drops parts that contain only space and comments.
+// space holds the bytes that separate tokens. Others, such as a no-break space, are letters for a
+// database.
+const space = " \t\n\r\f\v"
+
+// split cuts the text at semicolons outside of quotes, comments and dollar quotes. It drops space
+// and comments at both ends of the parts, and parts that contain nothing else.
 func split(sql string) []string {
 	var parts []string
-	start := 0
+	start, end := 0, 0 // of the present part, without space and comments
 	for i := 0; i < len(sql); {
-		if sql[i] == ';' {
-			parts = appendPart(parts, sql[start:i])
-			i++
-			start = i
-			continue
+		next := skipToken(sql, i)
+		switch {
+		case sql[i] == ';':
+			parts = appendPart(parts, sql[start:end])
+			start, end = next, next
+		case isSeparator(sql[i:]):
+			if start == end {
+				start, end = next, next
+			}
+		default:
+			end = next
 		}
-		i = skipToken(sql, i)
+		i = next
 	}
-	return appendPart(parts, sql[start:])
+	return appendPart(parts, sql[start:end])
+}
+
+// isSeparator reports whether sql, which begins with a token, begins with space or a comment.
+func isSeparator(sql string) bool {
+	return strings.IndexByte(space, sql[0]) >= 0 || strings.HasPrefix(sql, "--") || strings.HasPrefix(sql, "/*")
 }
 
 func appendPart(parts []string, part string) []string {
-	part = trim(part)
 	if part == "" {
 		return parts
 	}
@@ -120,10 +134,10 @@
 	return len(sql)
 }
 
-// trim drops space and comments from both ends of a statement.
+// trim drops space and comments from the beginning of a statement, and space from its end.
 func trim(sql string) string {
 	for {
-		sql = strings.TrimSpace(sql)
+		sql = strings.Trim(sql, space)
 		switch {
 		case strings.HasPrefix(sql, "--"):
 			sql = sql[skipLineComment(sql, 0):]
--- a/core/stmt/stmt_test.go
+++ b/core/stmt/stmt_test.go
@@ -89,6 +89,26 @@
 	}
 }
 
+// TestTextEndsBeforeItsComments guards against a statement that hides what the host appends to it in
+// a comment: the settings of a session are joined to one script, and READ ONLY is added to BEGIN.
+func TestTextEndsBeforeItsComments(t *testing.T) {
+	for sql, want := range map[string]string{
+		"SET a = 1 -- note":                   "SET a = 1",
+		"SET a = 1 -- note\n /* b */ -- c\r;": "SET a = 1",
+		"/* x */ BEGIN/* y /* z */ */":        "BEGIN",
+		"SET a = '--' -- '":                   "SET a = '--'",
+		"SET a /* b */ = /* c */ 1":           "SET a /* b */ = /* c */ 1",
+		"SELECT 1 - -1 - - 1":                 "SELECT 1 - -1 - - 1",
+		"SET a = b\u0085":                     "SET a = b\u0085",
+		"SET a = b\v\f":                       "SET a = b",
+	} {
+		s, ok := Parse(sql).Single()
+		assert.Assert(t, ok, sql)
+		assert.Equal(t, s.Text(), want)
+	}
+	assert.Equal(t, Parse("-- note\n; /* x */ ;;").Len(), 0)
+}
+
 func TestAssignments(t *testing.T) {
 	tests := []struct{ sql, name, value string }{
 		{"SET coltsfootloft.token = 'news=1@a:3'", "coltsfootloft.token", "news=1@a:3"},
