io/caller: keep a SET among several statements in its session

A simple query such as "SELECT 1; SET a = 1" left its setting on the pooled connection: the host took note of settings only if a query had a single statement, so that the connection was lent to the next session as if it had none, and the session itself lost the setting on its next connection. set_config was found in lower case only.

Each completed statement of a step is applied to the session's settings, and a connection on which a query of several statements with a SET has run is reset before its next use. Before the fix, TestSettingAmongSeveralStatementsStaysInItsSession failed with: assertion failed: 0 (int) != 1 (int): SELECT 1; SET a = 1: the second session runs with the first one's settings, and TestSettingAmongSeveralStatementsIsKept with "SET a = 1" and "SET b = 2" missing before "SELECT 2". go test ./io/front ./core/stmt passes after it.

--- a/core/stmt/kind.go
+++ b/core/stmt/kind.go
@@ -35,6 +35,9 @@
 	Unsupported
 )
 
+// changesSettings reports whether a statement of the kind changes settings of the session.
+func (k Kind) changesSettings() bool { return k == Set || k == Reset || k == Discard }
+
 // String returns the lower-case name of the kind.
 func (k Kind) String() string {
 	names := [...]string{
--- a/core/stmt/stmt.go
+++ b/core/stmt/stmt.go
@@ -43,10 +43,12 @@
 	parts := split(sql)
 	s := Script{
 		statements:        make([]Statement, 0, len(parts)),
-		mayChangeSettings: strings.Contains(sql, "set_config"),
+		mayChangeSettings: containsFold(sql, "set_config"),
 	}
 	for _, p := range parts {
-		s.statements = append(s.statements, classify(p))
+		t := classify(p)
+		s.statements = append(s.statements, t)
+		s.mayChangeSettings = s.mayChangeSettings || len(parts) > 1 && t.kind.changesSettings()
 	}
 	return s
 }
@@ -77,7 +79,8 @@
 }
 
 // MayChangeSettings reports whether the script may change settings of its connection in a way
-// that the kinds of its statements do not show: it contains set_config.
+// that the kind of a single statement does not show: it contains set_config, or a SET among
+// several statements, which share a transaction.
 func (s Script) MayChangeSettings() bool { return s.mayChangeSettings }
 
 // Has reports whether any statement is of the kind.
--- a/io/caller/receive.go
+++ b/io/caller/receive.go
@@ -51,6 +51,7 @@
 		return true, t.local(&x.session.out)
 	}
 	ok = true
+	x.completed = 0
 	for {
 		m, err := x.conn.Frontend().Receive()
 		if err != nil {
@@ -128,9 +129,10 @@
 	if x.commandTag == "ROLLBACK" {
 		x.rolledBack = true
 	}
-	if only, ok := t.script.Single(); ok {
-		x.session.settings = x.session.settings.apply(only)
+	if all := t.script.Statements(); x.completed < len(all) {
+		x.session.settings = x.session.settings.apply(all[x.completed])
 	}
+	x.completed++
 }
 
 // handleReady updates the state of the session and the connection after a step.
--- /dev/null
+++ b/io/front/script_test.go
@@ -0,0 +1,34 @@
+package front
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestSettingAmongSeveralStatementsStaysInItsSession guards against a SET in a simple query of
+// several statements that stays on the pooled connection: the next session would run with it.
+func TestSettingAmongSeveralStatementsStaysInItsSession(t *testing.T) {
+	for _, sql := range []string{
+		"SELECT 1; SET a = 1",
+		"SET a = 1; SET b = 2",
+		"SELECT SET_CONFIG('a', '1', false)",
+	} {
+		s := newTestServer(t)
+		s.runSession(query(sql))
+		s.awaitCleanup()
+		s.runSession(query("SELECT 2"))
+		s.awaitCleanup()
+		assert.Equal(t, s.upstream.resetCount(), 1, "%s: the second session runs with the first one's settings", sql)
+	}
+}
+
+// TestSettingAmongSeveralStatementsIsKept guards against a session that loses a setting that it made
+// in a simple query of several statements, when it is next served by a connection that was reset.
+func TestSettingAmongSeveralStatementsIsKept(t *testing.T) {
+	s := newTestServer(t)
+	s.runSession(query("SET a = 1; SELECT 1; SET b = 2"), query("SELECT 2"))
+	s.awaitCleanup()
+	assert.DeepEqual(t, s.upstream.statements(),
+		[]string{"SET a = 1", "SELECT 1", "SET b = 2", "SET a = 1", "SET b = 2", "SELECT 2"})
+}
--- a/io/front/upstream_test.go
+++ b/io/front/upstream_test.go
@@ -24,6 +24,8 @@
 	conns    map[*serverConn]bool
 	commits  int
 	executed []string
+	// resets is the number of times that a connection was reset.
+	resets int
 	// conflicts is the number of writes outside of a transaction to roll back with
 	// SQLSTATE 40001.
 	conflicts int
@@ -73,6 +75,12 @@
 	return append([]string(nil), u.executed...)
 }
 
+func (u *upstream) resetCount() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.resets
+}
+
 func (u *upstream) committed() int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -228,7 +236,9 @@
 		n := strconv.Itoa(sc.upstream.commits)
 		sc.row("primary", "1@x", "1@x", n, "1@x", n, "", "1")
 		return true
-	case "RESET ALL", "":
+	case "RESET ALL":
+		sc.upstream.resets++
+	case "":
 	default:
 		sc.upstream.executed = append(sc.upstream.executed, sql)
 	}
