io/caller: drop the settings of a batch that the database rolled back

A batch outside of a transaction is one implicit transaction: after an error the database takes back a SET before it. The host kept the setting for the session and took the connection to have it, so that the session's next statements ran without a setting that it was believed to have, or with one that was rolled back.

After an error in such a batch the session has the settings from before it, and a connection on which they had changed is reset.

--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -55,6 +55,8 @@
 	stale        bool
 	refusedWrite bool
 	rolledBack   bool
+	// failed is set once the database has returned an error for a step of the caller.
+	failed bool
 	// completed is how many statements of the present step have ended.
 	completed int
 	// abortCode is the SQLSTATE with which the database rolled back its transaction;
--- a/io/caller/idempotent.go
+++ b/io/caller/idempotent.go
@@ -58,6 +58,7 @@
 	if s.tx != txOpen {
 		s.tx = txIdle
 		s.beginSQL = ""
+		s.settings = x.before.settings
 		return x.runHidden("ROLLBACK")
 	}
 	s.endTransaction(false)
--- a/io/caller/receive.go
+++ b/io/caller/receive.go
@@ -1,6 +1,8 @@
 package caller
 
 import (
+	"slices"
+
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/pkg/errors"
 
@@ -148,10 +150,14 @@
 	if m.TxStatus == txIdle && s.tx != txIdle {
 		s.endTransaction(x.rolledBack)
 	}
+	isRolledBack := x.failed && x.before.tx == txIdle && m.TxStatus == txIdle && !slices.Equal(s.settings, x.before.settings)
+	if isRolledBack {
+		s.settings = x.before.settings
+	}
 	s.tx = m.TxStatus
 	s.beginSQL = ""
 	x.conn.SetSettings(s.connectionSettings())
-	if s.tx != txIdle || x.rolledBack || t.script.MayChangeSettings() {
+	if s.tx != txIdle || x.rolledBack || isRolledBack || t.script.MayChangeSettings() {
 		x.conn.SetSettings(unknownSettings)
 	}
 }
@@ -169,6 +175,7 @@
 	if e.Code == "0A000" || e.Code == "26000" {
 		x.conn.MarkBroken()
 	}
+	x.failed = true
 	x.refusedWrite = x.refusedWrite || e.Code == coltsfootloft.CodeReadOnly
 	if isRollback(e.Code) {
 		x.abortCode = e.Code
