io/pool: do not lend a connection with unread input

A database that answers a statement twice left the second answer on its pooled connection, and the next session that borrowed it read that as the answer to its own statement, and so on, each one behind. A connection that the database had closed while it was idle was lent, too; its statement then ended with an unknown outcome though nothing had run.

An answer that comes after the next statement was sent can't be told apart this way.

--- a/io/dial/dial_test.go
+++ b/io/dial/dial_test.go
@@ -25,3 +25,34 @@
 		c.Close()
 	}
 }
+
+// TestIsQuiet guards against a connection that is used for a request while something that it has not
+// read would be taken for the answer, or after its other end has closed it.
+func TestIsQuiet(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	conn, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	other, err := l.Accept()
+	assert.NilError(t, err)
+	assert.Assert(t, IsQuiet(conn))
+	_, err = other.Write([]byte("x"))
+	assert.NilError(t, err)
+	awaitNoise(t, conn)
+	_, err = conn.Read(make([]byte, 1))
+	assert.NilError(t, err)
+	assert.Assert(t, IsQuiet(conn))
+	assert.NilError(t, other.Close())
+	awaitNoise(t, conn)
+	assert.NilError(t, conn.Close())
+	assert.Assert(t, !IsQuiet(conn))
+}
+
+func awaitNoise(t *testing.T, conn net.Conn) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); IsQuiet(conn); time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "the connection stays quiet")
+	}
+}
--- a/io/pool/conn.go
+++ b/io/pool/conn.go
@@ -9,6 +9,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"coltsfootloft"
+	"coltsfootloft/io/dial"
 )
 
 // maxPrepared limits the named statements that stay prepared on one connection.
@@ -129,7 +130,11 @@
 	_ = c.conn.SetDeadline(pastDeadline)
 }
 
-// Release returns the connection to its pool, which closes it if it is broken.
+// isQuiet reports whether the connection is open and has nothing unread. What is unread answers none of
+// the next session's requests.
+func (c *Conn) isQuiet() bool { return c.frontend.ReadBufferLen() == 0 && dial.IsQuiet(c.conn) }
+
+// Release returns the connection to its pool, which closes it if it is broken or has unread input.
 func (c *Conn) Release() { c.pool.putBack(c) }
 
 // close closes the connection and waits until the upstream has closed its end, before
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -93,9 +93,7 @@
 	if p.closed {
 		return nil, nil, unavailable(p.Upstream.Name(), "is no longer in use")
 	}
-	if n := len(p.idle); n > 0 {
-		c := p.idle[n-1]
-		p.idle = p.idle[:n-1]
+	if c := p.takeIdle(); c != nil {
 		p.lend(c)
 		return c, nil, nil
 	}
@@ -188,7 +186,7 @@
 	if shouldClose {
 		p.toClose--
 	}
-	if c.broken.Load() || p.closed || shouldClose {
+	if p.closed || shouldClose || !p.isFit(c) {
 		p.open--
 		p.mu.Unlock()
 		go p.closeAndReplace(c)
