io/caller: refuse an answer that belongs to another step

Answers were matched to the steps of a batch by counting alone: any ParseComplete, BindComplete, CloseComplete, NoData or ReadyForQuery ended any step, and any other message was passed on. A second answer that came late was passed on as the answer to the next request, and its end ended the request's steps.

A message that can't answer the step breaks the connection, with an unknown outcome for the request and a log line. A second answer of the same form, such as one row for another, can't be told apart, because the protocol has no ids in answers.

--- a/io/caller/batch.go
+++ b/io/caller/batch.go
@@ -194,6 +194,30 @@
 	atFlush
 )
 
+// mayGet reports whether m may be a reply to a step that ends so. Errors and messages that belong to no
+// step always may.
+func (e ending) mayGet(m pgproto3.BackendMessage) bool {
+	switch m.(type) {
+	case *pgproto3.ParseComplete:
+		return e == atParse
+	case *pgproto3.BindComplete:
+		return e == atBind
+	case *pgproto3.CloseComplete:
+		return e == atClose
+	case *pgproto3.ParameterDescription, *pgproto3.NoData:
+		return e == atDescribe
+	case *pgproto3.RowDescription:
+		return e == atDescribe || e == atQuery
+	case *pgproto3.DataRow, *pgproto3.CommandComplete, *pgproto3.EmptyQueryResponse:
+		return e == atExecute || e == atQuery
+	case *pgproto3.PortalSuspended:
+		return e == atExecute
+	case *pgproto3.ReadyForQuery:
+		return e == atSync || e == atQuery
+	}
+	return true
+}
+
 // String returns the name of the reply.
 func (e ending) String() string {
 	names := [...]string{
--- a/io/caller/receive.go
+++ b/io/caller/receive.go
@@ -77,8 +77,14 @@
 	}
 }
 
-// handleReply processes one reply; done is true for the one that ends the step.
+// handleReply processes one reply; done is true for the one that ends the step. It fails if the reply
+// answers another step: the answers on the connection are out of step with the requests then.
 func (x *exchange) handleReply(t *step, m pgproto3.BackendMessage) (done bool, err error) {
+	if !t.ends.mayGet(m) {
+		err := errors.Errorf("%s answered with %T in place of %s", x.conn.Database(), m, t.ends)
+		x.session.Env.Log.Info("answers out of step", "upstream", x.conn.Database(), "reason", err.Error())
+		return true, err
+	}
 	switch m := m.(type) {
 	case *pgproto3.ReadyForQuery:
 		x.handleReady(t, m)
--- a/io/front/upstream_test.go
+++ b/io/front/upstream_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"bytes"
 	"net"
 	"strconv"
 	"strings"
@@ -24,6 +25,9 @@
 	conns    map[*serverConn]bool
 	commits  int
 	executed []string
+	// repeat is the number of the answer, from now on, that is sent again, before the answer to the
+	// next request; 0 if none is.
+	repeat int
 	// resets is the number of times that a connection was reset.
 	resets int
 	// conflicts is the number of writes outside of a transaction to roll back with
@@ -81,6 +85,13 @@
 	return u.resets
 }
 
+// repeatAnswer makes the database send the answer of that number, from now on, once more.
+func (u *upstream) repeatAnswer(number int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.repeat = number
+}
+
 func (u *upstream) committed() int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -90,6 +101,7 @@
 // serverConn is the server side of one connection.
 type serverConn struct {
 	upstream *upstream
+	conn     net.Conn
 	backend  *pgproto3.Backend
 	prepared map[string]string
 	portals  map[string]string
@@ -99,6 +111,35 @@
 	failed   bool
 	// lastCommit is the number of the last commit on the connection, 0 if none.
 	lastCommit int
+	// answer is what was sent since the last ReadyForQuery, and repeat an earlier answer that is
+	// yet to be sent again.
+	answer, repeat []byte
+}
+
+// Write sends a part of the answer to a request, after an earlier answer that is sent again.
+func (sc *serverConn) Write(b []byte) (int, error) {
+	sc.answer = append(sc.answer, b...)
+	if _, err := sc.conn.Write(append(sc.repeat, b...)); err != nil {
+		return 0, err
+	}
+	sc.repeat = nil
+	if _, ends := bytes.CutSuffix(b, []byte{'Z', 0, 0, 0, 5, sc.tx}); ends {
+		sc.endAnswer()
+	}
+	return len(b), nil
+}
+
+func (sc *serverConn) endAnswer() {
+	u := sc.upstream
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.repeat > 0 {
+		u.repeat--
+		if u.repeat == 0 {
+			sc.repeat = sc.answer
+		}
+	}
+	sc.answer = nil
 }
 
 func (sc *serverConn) inTx() bool { return sc.implicit || sc.tx != 'I' }
@@ -107,11 +148,12 @@
 	defer c.Close()
 	sc := &serverConn{
 		upstream: u,
-		backend:  pgproto3.NewBackend(c, c),
+		conn:     c,
 		prepared: make(map[string]string),
 		portals:  make(map[string]string),
 		tx:       'I',
 	}
+	sc.backend = pgproto3.NewBackend(c, sc)
 	if _, err := sc.backend.ReceiveStartupMessage(); err != nil {
 		return
 	}
