io/dbops: do not call on a connection with unread input

A database that answers a call twice left the second answer on the connection, and the next call took it for its own: readings were one call old from then on, such as one from before a fence for the answer to the fence.

A connection that has unread input or was closed is replaced before the call. Before the fix, TestReadingOfAnEarlierCallIsNotUsed failed with: assertion failed: 1 (uint64) != 2 (uint64): the version of the call's own answer. go test ./io/dbops -count=5 and go test ./io/watch ./io/elect pass after it.

--- a/io/dbops/dbops.go
+++ b/io/dbops/dbops.go
@@ -5,8 +5,8 @@
 // nowhere else. A [Database] has two connections as the platform's user: one to
 // read and change the state, one for the long poll of Await. A connection is
 // opened when it is first needed and again after a failure. A connection is
-// closed if a call on it was abandoned, so that a late answer is never taken
-// for the answer to another call.
+// closed if a call on it was abandoned or if it has unread input, so that a
+// late answer is never taken for the answer to another call.
 package dbops
 
 import (
@@ -151,6 +151,9 @@
 // error that the database itself returned and that leaves the connection
 // usable.
 func (d *Database) try(ctx context.Context, cs *connSlot, query func() string) (coltsfootloft.Reading, error) {
+	if cs.conn != nil && !isQuiet(cs.conn) {
+		cs.disconnect()
+	}
 	if cs.conn == nil {
 		c, err := d.connect(ctx)
 		if err != nil {
@@ -168,6 +171,12 @@
 	return parseReading(results)
 }
 
+// isQuiet reports whether a connection is open and has nothing unread, which would be taken for the
+// answer to the next call.
+func isQuiet(c *pgconn.PgConn) bool {
+	return c.Frontend().ReadBufferLen() == 0 && dial.IsQuiet(c.Conn())
+}
+
 func (cs *connSlot) disconnect() {
 	if cs.conn == nil {
 		return
