io/caller: do not put a database's error code into a metric unchecked

A refusal is counted under its SQLSTATE. That of a refused record of a request id is the one that the database sent, and a code with a quote or a line end made the metrics library panic, which ended the process and all its sessions.

A code that is not five digits or capital letters is counted as "other".

--- a/io/caller/metric.go
+++ b/io/caller/metric.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -43,7 +44,18 @@
 	if r.Outcome() == coltsfootloft.Unknown {
 		outcome = "unknown"
 	}
-	metrics.GetOrCreateCounter(`coltsfootloft_refusals_total{code="` + r.Code() + `",outcome="` + outcome + `"}`).Inc()
+	metrics.GetOrCreateCounter(`coltsfootloft_refusals_total{code="` + codeLabel(r.Code()) + `",outcome="` + outcome + `"}`).Inc()
+}
+
+// codeLabel returns the label for an SQLSTATE. A database may have chosen the code, which may then be of
+// another form.
+func codeLabel(code string) string {
+	const size = 5
+	isOdd := func(c rune) bool { return (c < '0' || c > '9') && (c < 'A' || c > 'Z') }
+	if len(code) != size || strings.ContainsFunc(code, isOdd) {
+		return "other"
+	}
+	return code
 }
 
 func (s *Session) observe(h *metrics.Histogram, since time.Time) {
--- a/io/front/upstream_test.go
+++ b/io/front/upstream_test.go
@@ -11,6 +11,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"gotest.tools/v3/assert"
 
+	"coltsfootloft/core/conf"
 	"coltsfootloft/io/dbops"
 )
 
@@ -25,6 +26,9 @@
 	conns    map[*serverConn]bool
 	commits  int
 	executed []string
+	// refuseRecord is the code with which the host's record of a request id is refused; empty if it
+	// is not.
+	refuseRecord string
 	// repeat is the number of the answer, from now on, that is sent again, before the answer to the
 	// next request; 0 if none is.
 	repeat int
@@ -285,6 +289,9 @@
 		sc.upstream.executed = append(sc.upstream.executed, sql)
 	}
 	switch {
+	case sc.upstream.refuseRecord != "" && strings.HasPrefix(sql, "INSERT INTO "+conf.DefaultRequestTable):
+		sc.fail(sc.upstream.refuseRecord)
+		return false
 	case sc.tx == 'E' && word != "ROLLBACK" && word != "COMMIT", strings.Contains(sql, "syntax"):
 		sc.fail("42601")
 		return false
