io/caller: refuse to change the syntax of strings

With standard_conforming_strings off, a backslash escapes the quote after it. The host splits statements and quotes its own strings as if it did not: a caller that turned the setting off could hide a SET from the host, which stayed on the pooled connection, and a request id could end its string in the host's INSERT. set_config could change client_encoding, too, which SET can't.

Such a SET, SET LOCAL, set_config or startup parameter is refused as one of client_encoding is.

--- a/io/caller/batch.go
+++ b/io/caller/batch.go
@@ -79,6 +79,8 @@
 			b.refuse(unsupported("a statement that needs a server session of its own"))
 		case setsEncoding(t):
 			b.refuse(coltsfootloft.Refuse("22023", "client_encoding must be UTF8"))
+		case setsStringSyntax(t):
+			b.refuse(CheckStringSyntax("off"))
 		case t.IsProxy() && (s.Len() > 1 || b.cost > 1):
 			b.refuse(unsupported("a setting of the proxy among several statements"))
 		}
@@ -95,14 +97,44 @@
 // setsEncoding reports whether the statement may set an encoding other than UTF8.
 // Statements are classified as UTF8 text.
 func setsEncoding(t stmt.Statement) bool {
-	switch t.Kind() {
-	case stmt.Set:
+	if t.Kind() == stmt.Set {
 		return (t.Name() == "client_encoding" || t.Name() == "names") && !IsUTF8(t.Value())
-	case stmt.SetLocal:
-		return strings.Contains(strings.ToLower(t.Text()), "client_encoding")
-	default:
-		return false
 	}
+	return maySet(t, "client_encoding")
+}
+
+// stringSyntaxSetting decides whether a backslash in a string escapes the byte after it. Statements are
+// split, and the host's own strings are quoted, as if it does not.
+const stringSyntaxSetting = "standard_conforming_strings"
+
+// setsStringSyntax reports whether the statement may turn stringSyntaxSetting off.
+func setsStringSyntax(t stmt.Statement) bool {
+	if t.Kind() == stmt.Set {
+		return t.Name() == stringSyntaxSetting && !isOn(t.Value())
+	}
+	return maySet(t, stringSyntaxSetting)
+}
+
+// maySet reports whether a statement other than a Set may set a setting to any value.
+func maySet(t stmt.Statement, name string) bool {
+	text := strings.ToLower(t.Text())
+	return strings.Contains(text, name) && (t.Kind() == stmt.SetLocal || strings.Contains(text, "set_config"))
+}
+
+// CheckStringSyntax refuses a value of standard_conforming_strings that is not on.
+func CheckStringSyntax(value string) error {
+	if isOn(value) {
+		return nil
+	}
+	return coltsfootloft.Refuse("22023", stringSyntaxSetting+" must be on")
+}
+
+func isOn(value string) bool {
+	switch strings.ToLower(strings.Trim(value, `'"`)) {
+	case "on", "true", "yes", "1", "default":
+		return true
+	}
+	return false
 }
 
 // IsUTF8 reports whether a value of client_encoding means UTF8.
--- a/io/front/startup.go
+++ b/io/front/startup.go
@@ -108,6 +108,8 @@
 		return coltsfootloft.Refuse(coltsfootloft.CodeUnsupported, "replication connections are not carried by this proxy")
 	case "client_encoding":
 		return checkEncoding(value)
+	case "standard_conforming_strings":
+		return caller.CheckStringSyntax(value)
 	case caller.TokenName:
 		t, err := token.Parse(value)
 		if err != nil {
