--- a/core/stmt/scan.go
+++ b/core/stmt/scan.go
@@ -2,43 +2,57 @@
 
 import "strings"
 
-// split cuts the text at semicolons outside of quotes, comments and dollar quotes,
-// and drops parts that contain only space and comments.
+// space holds the bytes that separate tokens. Others, such as a no-break space, are letters for a
+// database.
+const space = " \t\n\r\f\v"
+
+// split cuts the text at semicolons outside of quotes, comments and dollar quotes. It drops space
+// and comments at both ends of the parts, and parts that contain nothing else.
 func split(sql string) []string {
 	var parts []string
-	start := 0
+	start, end := 0, 0 // of the present part, without space and comments
 	for i := 0; i < len(sql); {
-		if sql[i] == ';' {
-			parts = appendPart(parts, sql[start:i])
-			i++
-			start = i
-			continue
+		next := skipToken(sql, i)
+		switch {
+		case sql[i] == ';':
+			parts = appendPart(parts, sql[start:end])
+			start, end = next, next
+		case isSeparator(sql[i:]):
+			if start == end {
+				start, end = next, next
+			}
+		default:
+			end = next
 		}
-		i = skipToken(sql, i)
+		i = next
 	}
-	return appendPart(parts, sql[start:])
+	return appendPart(parts, sql[start:end])
+}
+
+// isSeparator reports whether sql, which begins with a token, begins with space or a comment.
+func isSeparator(sql string) bool {
+	return strings.IndexByte(space, sql[0]) >= 0 || strings.HasPrefix(sql, "--") || strings.HasPrefix(sql, "/*")
 }
 
 func appendPart(parts []string, part string) []string {
-	part = trim(part)
 	if part == "" {
 		return parts
 	}
 	return append(parts, part)
 }
 
-// skipToken returns the index after the token at i: a quoted string, a comment,
+// skipToken returns the index after the token at i: a quoted string, a comment, a word,
 // or a single byte.
 func skipToken(sql string, i int) int {
 	switch c := sql[i]; {
-	case c == '\'' && i > 0 && (sql[i-1] == 'e' || sql[i-1] == 'E'):
-		return skipEscaped(sql, i)
+	case isWord(c) && !isDigit(c):
+		return skipWord(sql, i)
 	case c == '\'' || c == '"':
 		return skipPast(sql, i+1, string(c))
 	case c == '$':
 		return skipDollar(sql, i)
 	case strings.HasPrefix(sql[i:], "--"):
-		return skipPast(sql, i+2, "\n")
+		return skipLineComment(sql, i)
 	case strings.HasPrefix(sql[i:], "/*"):
 		return skipComment(sql, i)
 	}
@@ -53,6 +67,19 @@
 	return i + j + len(end)
 }
 
+// skipWord skips a name or keyword, in which there may be dollar signs, or a string with escapes,
+// which begins with the word E.
+func skipWord(sql string, i int) int {
+	j := i + 1
+	for j < len(sql) && (isWord(sql[j]) || sql[j] == '$') {
+		j++
+	}
+	if j < len(sql) && sql[j] == '\'' && strings.EqualFold(sql[i:j], "e") {
+		return skipEscaped(sql, j)
+	}
+	return j
+}
+
 func skipEscaped(sql string, i int) int {
 	for i++; i < len(sql); i++ {
 		switch sql[i] {
@@ -77,6 +104,16 @@
 	return skipPast(sql, j+1, sql[i:j+1])
 }
 
+// skipLineComment returns the index of the end of the line, which is a line feed or a carriage
+// return, as for the database.
+func skipLineComment(sql string, i int) int {
+	j := strings.IndexAny(sql[i:], "\r\n")
+	if j < 0 {
+		return len(sql)
+	}
+	return i + j
+}
+
 func skipComment(sql string, i int) int {
 	depth := 0
 	for i < len(sql) {
@@ -97,13 +134,13 @@
 	return len(sql)
 }
 
-// trim drops space and comments from both ends of a statement.
+// trim drops space and comments from the beginning of a statement, and space from its end.
 func trim(sql string) string {
 	for {
-		sql = strings.TrimSpace(sql)
+		sql = strings.Trim(sql, space)
 		switch {
 		case strings.HasPrefix(sql, "--"):
-			sql = sql[skipPast(sql, 2, "\n"):]
+			sql = sql[skipLineComment(sql, 0):]
 		case strings.HasPrefix(sql, "/*"):
 			sql = sql[skipComment(sql, 0):]
 		default:
--- a/core/stmt/stmt_test.go
+++ b/core/stmt/stmt_test.go
@@ -55,6 +55,60 @@
 	assert.Equal(t, s.Statements()[5].Text(), "insert into t values ($1)")
 }
 
+// TestCommentEndsWhereTheDatabaseEndsIt guards against a statement that the host takes for a part of
+// a comment though the database runs it: a database ends a comment of one line at a carriage
+// return, too.
+func TestCommentEndsWhereTheDatabaseEndsIt(t *testing.T) {
+	for _, end := range []string{"\n", "\r", "\r\n"} {
+		s := Parse("select 1 -- note" + end + "; set a = 1")
+		assert.Equal(t, s.Len(), 2, "%q", end)
+		assert.Equal(t, s.Statements()[1].Kind(), Set)
+		s = Parse("-- note" + end + "delete from t")
+		assert.Equal(t, s.Len(), 1, "%q", end)
+		assert.Equal(t, s.Statements()[0].Kind(), Write)
+	}
+}
+
+// TestQuotesBeginWhereTheDatabaseBeginsThem guards against a statement that the host takes for a part
+// of a string though the database runs it: only a word E begins a string with escapes, and a dollar
+// sign within a word is a part of the word.
+func TestQuotesBeginWhereTheDatabaseBeginsThem(t *testing.T) {
+	for _, sql := range []string{
+		`select date'\'; set a = 1`,
+		`select e'\''; set a = 1`,
+		`select E'\';', 1; set a = 1`,
+		`select a$$ from t; set a = 1 --$$`,
+		`select a$b$ from t; set a = 1 --$b$`,
+		`select $1; set a = 1`,
+		`select $$;$$; set a = 1`,
+		`select 1::e$$ from t; set a = 1 --$$`,
+	} {
+		s := Parse(sql)
+		assert.Equal(t, s.Len(), 2, "%s", sql)
+		assert.Equal(t, s.Statements()[1].Kind(), Set, "%s", sql)
+	}
+}
+
+// TestTextEndsBeforeItsComments guards against a statement that hides what the host appends to it in
+// a comment: the settings of a session are joined to one script, and READ ONLY is added to BEGIN.
+func TestTextEndsBeforeItsComments(t *testing.T) {
+	for sql, want := range map[string]string{
+		"SET a = 1 -- note":                   "SET a = 1",
+		"SET a = 1 -- note\n /* b */ -- c\r;": "SET a = 1",
+		"/* x */ BEGIN/* y /* z */ */":        "BEGIN",
+		"SET a = '--' -- '":                   "SET a = '--'",
+		"SET a /* b */ = /* c */ 1":           "SET a /* b */ = /* c */ 1",
+		"SELECT 1 - -1 - - 1":                 "SELECT 1 - -1 - - 1",
+		"SET a = b\u0085":                     "SET a = b\u0085",
+		"SET a = b\v\f":                       "SET a = b",
+	} {
+		s, ok := Parse(sql).Single()
+		assert.Assert(t, ok, sql)
+		assert.Equal(t, s.Text(), want)
+	}
+	assert.Equal(t, Parse("-- note\n; /* x */ ;;").Len(), 0)
+}
+
 func TestAssignments(t *testing.T) {
 	tests := []struct{ sql, name, value string }{
 		{"SET coltsfootloft.token = 'news=1@a:3'", "coltsfootloft.token", "news=1@a:3"},
--- a/io/caller/receive.go
+++ b/io/caller/receive.go
@@ -1,6 +1,8 @@
 package caller
 
 import (
+	"slices"
+
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/pkg/errors"
 
@@ -51,6 +53,7 @@
 		return true, t.local(&x.session.out)
 	}
 	ok = true
+	x.completed = 0
 	for {
 		m, err := x.conn.Frontend().Receive()
 		if err != nil {
@@ -74,8 +77,14 @@
 	}
 }
 
-// handleReply processes one reply; done is true for the one that ends the step.
+// handleReply processes one reply; done is true for the one that ends the step. It fails if the reply
+// answers another step: the answers on the connection are out of step with the requests then.
 func (x *exchange) handleReply(t *step, m pgproto3.BackendMessage) (done bool, err error) {
+	if !t.ends.mayGet(m) {
+		err := errors.Errorf("%s answered with %T in place of %s", x.conn.Database(), m, t.ends)
+		x.session.Env.Log.Info("answers out of step", "upstream", x.conn.Database(), "reason", err.Error())
+		return true, err
+	}
 	switch m := m.(type) {
 	case *pgproto3.ReadyForQuery:
 		x.handleReady(t, m)
@@ -128,9 +137,10 @@
 	if x.commandTag == "ROLLBACK" {
 		x.rolledBack = true
 	}
-	if only, ok := t.script.Single(); ok {
-		x.session.settings = x.session.settings.apply(only)
+	if all := t.script.Statements(); x.completed < len(all) {
+		x.session.settings = x.session.settings.apply(all[x.completed])
 	}
+	x.completed++
 }
 
 // handleReady updates the state of the session and the connection after a step.
@@ -146,10 +156,14 @@
 	if m.TxStatus == txIdle && s.tx != txIdle {
 		s.endTransaction(x.rolledBack)
 	}
+	isRolledBack := x.failed && x.before.tx == txIdle && m.TxStatus == txIdle && !slices.Equal(s.settings, x.before.settings)
+	if isRolledBack {
+		s.settings = x.before.settings
+	}
 	s.tx = m.TxStatus
 	s.beginSQL = ""
 	x.conn.SetSettings(s.connectionSettings())
-	if s.tx != txIdle || x.rolledBack || t.script.MayChangeSettings() {
+	if s.tx != txIdle || x.rolledBack || isRolledBack || t.script.MayChangeSettings() {
 		x.conn.SetSettings(unknownSettings)
 	}
 }
@@ -167,6 +181,7 @@
 	if e.Code == "0A000" || e.Code == "26000" {
 		x.conn.MarkBroken()
 	}
+	x.failed = true
 	x.refusedWrite = x.refusedWrite || e.Code == coltsfootloft.CodeReadOnly
 	if isRollback(e.Code) {
 		x.abortCode = e.Code
--- a/io/front/upstream_test.go
+++ b/io/front/upstream_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"bytes"
 	"net"
 	"strconv"
 	"strings"
@@ -10,6 +11,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"gotest.tools/v3/assert"
 
+	"coltsfootloft/core/conf"
 	"coltsfootloft/io/dbops"
 )
 
@@ -24,6 +26,14 @@
 	conns    map[*serverConn]bool
 	commits  int
 	executed []string
+	// refuseRecord is the code with which the host's record of a request id is refused; empty if it
+	// is not.
+	refuseRecord string
+	// repeat is the number of the answer, from now on, that is sent again, before the answer to the
+	// next request; 0 if none is.
+	repeat int
+	// resets is the number of times that a connection was reset.
+	resets int
 	// conflicts is the number of writes outside of a transaction to roll back with
 	// SQLSTATE 40001.
 	conflicts int
@@ -73,6 +83,19 @@
 	return append([]string(nil), u.executed...)
 }
 
+func (u *upstream) resetCount() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.resets
+}
+
+// repeatAnswer makes the database send the answer of that number, from now on, once more.
+func (u *upstream) repeatAnswer(number int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.repeat = number
+}
+
 func (u *upstream) committed() int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -82,6 +105,7 @@
 // serverConn is the server side of one connection.
 type serverConn struct {
 	upstream *upstream
+	conn     net.Conn
 	backend  *pgproto3.Backend
 	prepared map[string]string
 	portals  map[string]string
@@ -91,6 +115,35 @@
 	failed   bool
 	// lastCommit is the number of the last commit on the connection, 0 if none.
 	lastCommit int
+	// answer is what was sent since the last ReadyForQuery, and repeat an earlier answer that is
+	// yet to be sent again.
+	answer, repeat []byte
+}
+
+// Write sends a part of the answer to a request, after an earlier answer that is sent again.
+func (sc *serverConn) Write(b []byte) (int, error) {
+	sc.answer = append(sc.answer, b...)
+	if _, err := sc.conn.Write(append(sc.repeat, b...)); err != nil {
+		return 0, err
+	}
+	sc.repeat = nil
+	if _, ends := bytes.CutSuffix(b, []byte{'Z', 0, 0, 0, 5, sc.tx}); ends {
+		sc.endAnswer()
+	}
+	return len(b), nil
+}
+
+func (sc *serverConn) endAnswer() {
+	u := sc.upstream
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.repeat > 0 {
+		u.repeat--
+		if u.repeat == 0 {
+			sc.repeat = sc.answer
+		}
+	}
+	sc.answer = nil
 }
 
 func (sc *serverConn) inTx() bool { return sc.implicit || sc.tx != 'I' }
@@ -99,11 +152,12 @@
 	defer c.Close()
 	sc := &serverConn{
 		upstream: u,
-		backend:  pgproto3.NewBackend(c, c),
+		conn:     c,
 		prepared: make(map[string]string),
 		portals:  make(map[string]string),
 		tx:       'I',
 	}
+	sc.backend = pgproto3.NewBackend(c, sc)
 	if _, err := sc.backend.ReceiveStartupMessage(); err != nil {
 		return
 	}
@@ -228,11 +282,16 @@
 		n := strconv.Itoa(sc.upstream.commits)
 		sc.row("primary", "1@x", "1@x", n, "1@x", n, "", "1")
 		return true
-	case "RESET ALL", "":
+	case "RESET ALL":
+		sc.upstream.resets++
+	case "":
 	default:
 		sc.upstream.executed = append(sc.upstream.executed, sql)
 	}
 	switch {
+	case sc.upstream.refuseRecord != "" && strings.HasPrefix(sql, "INSERT INTO "+conf.DefaultRequestTable):
+		sc.fail(sc.upstream.refuseRecord)
+		return false
 	case sc.tx == 'E' && word != "ROLLBACK" && word != "COMMIT", strings.Contains(sql, "syntax"):
 		sc.fail("42601")
 		return false
