entry: close resting sessions while there is time to serve what arrives

Cause: after the open transactions were aborted, Drain waited a second for callers to fetch that answer and closed the sessions that still rested. With a grace period of 2.5 s or less the time to shut down ends before that second: they were closed as Drain returned, which waited for none of them.

Change: callers have half of what is left of the time to shut down, one second at most, as before with longer grace periods.

--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -192,8 +192,8 @@
 
 // Drain ends each session as soon as it is idle outside a transaction. Transactions that
 // are still open after txTime are aborted between two of their statements, and their callers
-// get an answer that says so. A statement that is being served is answered, unless ctx ends
-// first.
+// get an answer that says so, or find the session closed if they send nothing for a while. A
+// statement that is being served is answered, unless ctx ends first.
 func (s *Server) Drain(ctx context.Context, txTime time.Duration) {
 	s.mu.Lock()
 	s.draining.Store(true)
@@ -208,7 +208,7 @@
 		return
 	}
 	s.Log.Info("transactions aborted", "sessions", s.Sessions(), "aborted", s.abortAll())
-	if await(ctx, done, abortGrace) {
+	if await(ctx, done, abortTime(ctx)) {
 		return
 	}
 	s.Log.Info("resting sessions closed", "sessions", s.Sessions(), "closed", s.closeResting())
@@ -219,10 +219,20 @@
 	}
 }
 
-// abortGrace is how long callers have to receive the answer to an aborted
+// abortGrace is how long callers have at most to receive the answer to an aborted
 // transaction.
 const abortGrace = time.Second
 
+// abortTime returns how long callers have until ctx ends to receive the answer to an aborted
+// transaction. Half of the time is left for statements that arrive as their sessions are closed.
+func abortTime(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return abortGrace
+	}
+	return min(abortGrace, time.Until(deadline)/2)
+}
+
 // await reports whether done is closed before d has passed and before ctx ends.
 func await(ctx context.Context, done <-chan struct{}, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/io/entry/server_test.go
+++ b/io/entry/server_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"coltsfootloft"
+	"coltsfootloft/io/mirror"
 )
 
 // startingCaller has not sent its startup yet.
@@ -172,3 +174,48 @@
 	close(ended)
 	s.wg.Wait()
 }
+
+// restingCaller is inside a transaction. Its next statement arrives as the session is closed.
+type restingCaller struct {
+	coltsfootloft.Caller
+	conn     net.Conn
+	answered atomic.Int32
+}
+
+func (c *restingCaller) Next() (coltsfootloft.Statement, error) {
+	_, _ = c.conn.Read(make([]byte, 1))
+	time.Sleep(20 * time.Millisecond)
+	return coltsfootloft.NewStatement("a1", "COMMIT", coltsfootloft.VerbCommit, "", ""), nil
+}
+
+func (c *restingCaller) Answer(coltsfootloft.Reply) error {
+	c.answered.Add(1)
+	return nil
+}
+
+// TestSessionsThatRestAreClosedBeforeDrainEnds guards against a host with little time to shut down, which
+// closes the sessions of aborted transactions as it ends, so that a statement that arrives gets no answer.
+func TestSessionsThatRestAreClosedBeforeDrainEnds(t *testing.T) {
+	conn, peer := net.Pipe()
+	defer peer.Close()
+	caller := &restingCaller{conn: conn}
+	s := &Server{
+		Mirror: &mirror.Mirror{},
+		Log:    logr.Discard(),
+	}
+	s.prepare()
+	n := &session{
+		server: s,
+		conn:   conn,
+		caller: caller,
+		tx:     &transaction{failed: true},
+	}
+	s.sessions[n] = struct{}{}
+	s.wg.Go(n.serveStatements)
+	const left = 600 * time.Millisecond
+	ctx, cancel := context.WithTimeout(t.Context(), left)
+	defer cancel()
+	s.Drain(ctx, 0)
+	assert.Equal(t, caller.answered.Load(), int32(1))
+	assert.NilError(t, ctx.Err(), "drained at the last moment")
+}
