peer: a call on a link that the other side gives up uses another one

What callers saw: the first call on a link after the other side had found it idle, in the 5 s until that side closed it, failed as if the host were out of reach. A statement then went without the owner of its connection for a second, a statement of an open transaction was answered ABORTED, and the caller's own host, when it was stopped, waited for the other side to close the link.

Cause: a call whose stream could not be opened dropped the link from the list of links, although its connection was still open and calls of the other side might be running on it, and failed instead of opening another link. Nothing had been sent. Now the link finishes its calls like any other that was replaced, and the call goes on another link.

--- a/io/peer/call.go
+++ b/io/peer/call.go
@@ -30,20 +30,11 @@
 	if len(body) > l.MaxFrame {
 		return nil, errors.Wrapf(ErrTooLarge, "%s to %s: %d bytes", duty, host, len(body))
 	}
-	k, err := l.linkTo(ctx, host)
+	k, s, err := l.openStream(ctx, host, duty)
 	if err != nil {
 		return nil, err
 	}
-	if k.calls.Add(1) > int64(l.MaxCalls) {
-		k.calls.Add(-1)
-		return nil, errors.Wrapf(ErrBusy, "%s to %s", duty, host)
-	}
 	defer k.calls.Add(-1)
-	s, err := k.session.OpenStream()
-	if err != nil {
-		l.remove(k)
-		return nil, errors.Wrapf(ErrUnreachable, "%s to %s: %v", duty, host, err)
-	}
 	defer func() { _ = s.Close() }()
 	k.notifyCall()
 	answer, err := l.exchange(ctx, k, s, duty, body)
@@ -51,6 +42,32 @@
 	return answer, err
 }
 
+// openStream opens the stream of a call on the link to a host, and counts the call. If the other side
+// takes no more calls on that link, it uses another one.
+func (l *Links) openStream(ctx context.Context, host, duty string) (*link, *yamux.Stream, error) {
+	var err error
+	for range maxLinksOfHost {
+		var k *link
+		if k, err = l.linkTo(ctx, host); err != nil {
+			return nil, nil, err
+		}
+		if k.calls.Add(1) > int64(l.MaxCalls) {
+			k.calls.Add(-1)
+			return nil, nil, errors.Wrapf(ErrBusy, "%s to %s", duty, host)
+		}
+		var s *yamux.Stream
+		if s, err = k.session.OpenStream(); err == nil {
+			return k, s, nil
+		}
+		k.calls.Add(-1)
+		l.retire(k)
+		if !errors.Is(err, yamux.ErrRemoteGoAway) {
+			break
+		}
+	}
+	return nil, nil, errors.Wrapf(ErrUnreachable, "%s to %s: %v", duty, host, err)
+}
+
 // exchange sends one request on its stream and reads the answer.
 func (l *Links) exchange(ctx context.Context, k *link, s *yamux.Stream, duty string, body []byte) ([]byte, error) {
 	stop := context.AfterFunc(ctx, func() { _ = s.SetDeadline(time.Unix(1, 0)) })
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -172,6 +172,18 @@
 	return k.dialer < old.dialer
 }
 
+// retire makes a link get no new calls. It finishes the calls that it has, and is closed with the
+// others.
+func (l *Links) retire(k *link) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.links[k.host] != k {
+		return
+	}
+	delete(l.links, k.host)
+	l.retired[k] = struct{}{}
+}
+
 // remove drops a closed link.
 func (l *Links) remove(k *link) {
 	l.mu.Lock()
