ask: the counter of mismatched answers is exposed from the start

TestDocumentedMetricsAreExposed failed since docs/SETTINGS.md lists it: "expression is false ... coltsfootloft_database_answer_mismatches_total". It passes now.

--- a/io/ask/ask.go
+++ b/io/ask/ask.go
@@ -24,6 +24,9 @@
 	ErrSetup = errors.New("session values not set")
 )
 
+// noRequest takes the place of the kind of request for an answer that nobody asked for.
+const noRequest = "none"
+
 // unreadTimeout bounds the wait for the rest of an answer that nobody asked for.
 const unreadTimeout = 10 * time.Millisecond
 
@@ -136,7 +139,7 @@
 		return errors.Wrap(err, "receive")
 	}
 	c.GiveBack(a)
-	c.logMismatch("none", a)
+	c.logMismatch(noRequest, a)
 	return ErrUnread
 }
 
@@ -149,9 +152,16 @@
 	return errors.Wrapf(match.ErrMismatch, "%s at %s", r, c.Database)
 }
 
+// Expose makes the counter of mismatches appear before there is one.
+func Expose(m *metrics.Set) { mismatches(m, noRequest) }
+
+func mismatches(m *metrics.Set, request string) *metrics.Counter {
+	return m.GetOrCreateCounter(`coltsfootloft_database_answer_mismatches_total{request="` + request + `"}`)
+}
+
 // logMismatch logs and counts an answer that can't belong to the request that was outstanding.
 func (c *Conn) logMismatch(request string, a coltsfootloft.Reply) {
-	c.Metrics.GetOrCreateCounter(`coltsfootloft_database_answer_mismatches_total{request="` + request + `"}`).Inc()
+	mismatches(c.Metrics, request).Inc()
 	c.Log.Info("answer does not match the request", "database", c.Database, "request", request,
 		"session_state", c.sequence.State().String(), "reason", a.Reason.String(), "digest", a.Digest, "rows", len(a.Rows),
 		"state", a.State.String(), "position", a.Position.Offset(), "outstanding", c.sequence.Outstanding())
--- a/io/dbpool/pools.go
+++ b/io/dbpool/pools.go
@@ -22,6 +22,7 @@
 	"coltsfootloft"
 	"coltsfootloft/core/gate"
 	"coltsfootloft/core/pick"
+	"coltsfootloft/io/ask"
 )
 
 // Errors of Acquire. Nothing was sent to the database.
@@ -299,6 +300,7 @@
 // Run closes connections that have been idle for too long until ctx ends, and then all
 // idle ones.
 func (p *Pools) Run(ctx context.Context) {
+	ask.Expose(p.Metrics)
 	t := time.NewTicker(sweepEvery)
 	defer t.Stop()
 	for {
