--- a/core/match/match.go
+++ b/core/match/match.go
@@ -9,6 +9,9 @@
 // An answer that equals an earlier one of the connection, such as a second refusal, may be a
 // repetition together with the mark that followed that one. It needs more marks than the
 // earlier one had.
+//
+// Answers with a digest that are certainly repetitions are skipped, so that the statement
+// gets its own. All others end the use of the connection.
 package match
 
 import (
@@ -21,7 +24,7 @@
 
 const (
 	// historySize is how many of the latest answers of a connection are compared with.
-	historySize = 64
+	historySize = 512
 	// maxMarks is the number of marks behind one request from which a connection should be
 	// replaced instead of using more.
 	maxMarks = 12
@@ -34,6 +37,9 @@
 // all requests that are outstanding, and the latest answer, must not be used.
 var ErrMismatch = errors.New("answer does not match the request")
 
+// ErrRepeated is the error of Accept for an answer that is to be skipped.
+var ErrRepeated = errors.New("repeated answer")
+
 // Request is what was sent: a caller's statement or a command of the host.
 type Request struct {
 	verb      coltsfootloft.Verb
@@ -137,6 +143,12 @@
 	// setups and marks are how many answers to setup commands came since the latest answer in
 	// history, and how many to either kind.
 	setups, marks int
+	// statement is the request of the latest answer in history, and before the transaction state
+	// that it was sent in.
+	statement Request
+	before    coltsfootloft.TxState
+	// uncertain is set if the latest answer in history equals an earlier one.
+	uncertain bool
 }
 
 // answer is an earlier answer to a statement, and the greatest number of answers to marks and
@@ -165,26 +177,71 @@
 func (s *Sequence) State() coltsfootloft.TxState { return s.state }
 
 // Accept takes the next answer and returns the request that it belongs to. It fails with
-// ErrMismatch if it can't belong to it.
+// ErrRepeated if the answer is to be skipped, and with ErrMismatch if it can't belong to the request.
 func (s *Sequence) Accept(a coltsfootloft.Reply) (Request, error) {
 	if len(s.outstanding) == 0 {
+		if s.IsRepeated(a) {
+			return Request{}, ErrRepeated
+		}
 		return Request{}, ErrMismatch
 	}
 	r := s.outstanding[0]
-	s.outstanding = s.outstanding[1:]
 	if !r.allows(a, s.state) {
-		return r, ErrMismatch
+		return s.acceptOther(r, a)
 	}
-	s.state = a.State
-	if r.IsSetup() {
+	s.outstanding = s.outstanding[1:]
+	switch {
+	case r.IsSetup():
 		s.setups++
+		s.countMark()
+	case r.IsMark():
+		s.countMark()
+	default:
+		s.statement = r
+		s.before = s.state
 	}
-	if (r.IsSetup() || r.IsMark()) && len(s.history) > 0 {
+	s.state = a.State
+	return r, nil
+}
+
+// acceptOther handles an answer that can't belong to the next request.
+func (s *Sequence) acceptOther(r Request, a coltsfootloft.Reply) (Request, error) {
+	repeated := s.IsRepeated(a)
+	mayBeOwn := r.IsMark() && s.uncertain // of the statement before the mark
+	switch {
+	case repeated && !mayBeOwn:
+		return r, ErrRepeated
+	case mayBeOwn && s.marks == 0 && !repeated && !a.Failed() && hasDigest(a) && s.statement.allows(a, s.before):
+		// The answer before it was repeated, since a new digest is that of an outstanding statement.
+		s.state = a.State
+		return s.statement, nil
+	default:
+		return r, ErrMismatch
+	}
+}
+
+// IsRepeated reports whether an answer has a digest and equals an earlier one.
+func (s *Sequence) IsRepeated(a coltsfootloft.Reply) bool {
+	return !a.Failed() && hasDigest(a) && s.find(sumOf(a)) >= 0
+}
+
+// countMark counts an answer that looks like that to a mark.
+func (s *Sequence) countMark() {
+	if len(s.history) > 0 {
 		s.marks++
 		h := &s.history[s.latest]
 		h.marks = max(h.marks, s.marks)
 	}
-	return r, nil
+}
+
+// find returns the index in history of the answer with this hash, or -1.
+func (s *Sequence) find(sum uint64) int {
+	for i, h := range s.history {
+		if h.sum == sum {
+			return i
+		}
+	}
+	return -1
 }
 
 // MarksNeeded returns how many marks must be sent in addition to those that are outstanding, before
@@ -195,11 +252,11 @@
 	s.setups = 0
 	s.marks = 0
 	sum := sumOf(a)
-	for i, h := range s.history {
-		if h.sum == sum {
-			s.latest = i
-			return max(0, h.marks+1+setups-len(s.outstanding))
-		}
+	i := s.find(sum)
+	s.uncertain = i >= 0
+	if s.uncertain {
+		s.latest = i
+		return max(0, s.history[i].marks+1+setups-len(s.outstanding))
 	}
 	if len(s.history) < historySize {
 		s.history = append(s.history, answer{})
--- a/io/ask/ask.go
+++ b/io/ask/ask.go
@@ -106,6 +106,10 @@
 			return reply, 0, errors.Wrap(err, "receive")
 		}
 		r, err := c.sequence.Accept(a)
+		if errors.Is(err, match.ErrRepeated) {
+			c.skip(r.String(), a)
+			continue
+		}
 		if err != nil {
 			c.GiveBack(a)
 			return reply, 0, c.mismatch(r, a)
@@ -129,18 +133,28 @@
 }
 
 // CheckUnread fails if the connection is closed, or with ErrUnread if the database has sent something
-// that nobody asked for. The next request would get it as its answer.
+// that nobody asked for and that is no repetition. The next request would get it as its answer.
 func (c *Conn) CheckUnread() error {
-	if c.sequence.Outstanding() > 0 || c.Session.Idle() {
-		return nil
-	}
-	a, err := c.Session.Receive(time.Now().Add(unreadTimeout))
-	if err != nil {
-		return errors.Wrap(err, "receive")
+	for c.sequence.Outstanding() == 0 && !c.Session.Idle() {
+		a, err := c.Session.Receive(time.Now().Add(unreadTimeout))
+		if err != nil {
+			return errors.Wrap(err, "receive")
+		}
+		if !c.sequence.IsRepeated(a) {
+			c.GiveBack(a)
+			c.logMismatch(noRequest, a)
+			return ErrUnread
+		}
+		c.skip(noRequest, a)
 	}
+	return nil
+}
+
+// skip gives up an answer that was repeated.
+func (c *Conn) skip(request string, a coltsfootloft.Reply) {
 	c.GiveBack(a)
-	c.logMismatch(noRequest, a)
-	return ErrUnread
+	repeated(c.Metrics).Inc()
+	c.Log.V(1).Info("repeated answer skipped", "database", c.Database, "request", request, "digest", a.Digest)
 }
 
 // mismatch returns the error for an answer that can't belong to its request.
@@ -152,8 +166,15 @@
 	return errors.Wrapf(match.ErrMismatch, "%s at %s", r, c.Database)
 }
 
-// Expose makes the counter of mismatches appear before there is one.
-func Expose(m *metrics.Set) { mismatches(m, noRequest) }
+// Expose makes the counters appear before there is something to count.
+func Expose(m *metrics.Set) {
+	mismatches(m, noRequest)
+	repeated(m)
+}
+
+func repeated(m *metrics.Set) *metrics.Counter {
+	return m.GetOrCreateCounter("coltsfootloft_database_answers_repeated_total")
+}
 
 func mismatches(m *metrics.Set, request string) *metrics.Counter {
 	return m.GetOrCreateCounter(`coltsfootloft_database_answer_mismatches_total{request="` + request + `"}`)
--- a/io/dbpool/repeat_test.go
+++ b/io/dbpool/repeat_test.go
@@ -231,13 +231,13 @@
 	return p
 }
 
-// baseline plays a history without repeats and returns how many answers its first connection got.
-func baseline(t *testing.T, history func(p *play)) int {
+// baseline plays a history without repeats and returns the answers of its first connection.
+func baseline(t *testing.T, history func(p *play)) []string {
 	t.Helper()
 	p := runHistory(t, history, nil)
 	assert.DeepEqual(t, p.wrong, []string(nil))
 	assert.DeepEqual(t, p.refused, []string(nil))
-	return p.database.answered
+	return p.database.answers
 }
 
 // TestRepeatedAnswersReachNoOtherStatement guards against a database that answers twice, the second
@@ -249,7 +249,7 @@
 	for name, history := range histories {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			total := baseline(t, history)
+			total := len(baseline(t, history))
 			played, failed := 0, 0
 			for from := range total {
 				for count := 1; count <= maxRun; count++ {
@@ -281,7 +281,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			random := rand.New(rand.NewPCG(seed, uint64(len(name))))
-			total := baseline(t, history)
+			total := len(baseline(t, history))
 			failed := 0
 			for range runs {
 				var repeats []repeat
@@ -308,7 +308,7 @@
 	for name, history := range histories {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			for lost := 1; lost < baseline(t, history); lost++ {
+			for lost := 1; lost < len(baseline(t, history)); lost++ {
 				p := newPlay(t, nil, lost)
 				p.limit = 60 * time.Millisecond
 				history(p)
@@ -340,3 +340,55 @@
 	assert.DeepEqual(t, p.refused, []string(nil))
 	assert.Equal(t, p.database.opened, 1)
 }
+
+// TestRepeatedSuccessesCostNothing guards against connections that are closed, and writes that are in doubt,
+// for the sake of an answer that was certainly repeated: one with a digest, unless it comes in the
+// place of an answer that failed or between those to marks.
+func TestRepeatedSuccessesCostNothing(t *testing.T) {
+	t.Parallel()
+	history := histories["reads and writes"]
+	answers := baseline(t, history)
+	played := 0
+	for from, a := range answers {
+		if !strings.Contains(a, "DONE 7.") {
+			continue
+		}
+		for place := from + 1; place <= len(answers); place++ {
+			for _, early := range []bool{false, true} {
+				r := repeat{from, 1, place, early}
+				p := runHistory(t, history, []repeat{r})
+				assert.DeepEqual(t, p.wrong, []string(nil))
+				assert.DeepEqual(t, p.refused, []string(nil))
+				assert.Equal(t, p.database.opened, 1, "%+v", r)
+				played++
+			}
+		}
+	}
+	t.Logf("%d runs", played)
+}
+
+// TestSuccessAfterATimeoutReachesNoOtherStatement guards against a database that answers TIMEOUT, and
+// later once more with the success of that statement.
+func TestSuccessAfterATimeoutReachesNoOtherStatement(t *testing.T) {
+	t.Parallel()
+	history := histories["refusals"]
+	answers := baseline(t, history)
+	played := 0
+	for from, a := range answers {
+		for place := from + 1; place < len(answers) && strings.HasPrefix(a, "ERR TIMEOUT"); place++ {
+			for _, early := range []bool{false, true} {
+				r := repeat{from, 1, place, early}
+				p := newPlay(t, []repeat{r}, -1)
+				p.database.mu.Lock()
+				p.database.succeedsLate = true
+				p.database.mu.Unlock()
+				history(p)
+				p.end()
+				assert.DeepEqual(t, p.wrong, []string(nil))
+				assert.Assert(t, len(p.refused) > 0 || p.database.opened > 1, "%+v", r)
+				played++
+			}
+		}
+	}
+	assert.Assert(t, played > 0)
+}
--- a/io/dbpool/scripted_test.go
+++ b/io/dbpool/scripted_test.go
@@ -30,14 +30,16 @@
 
 	sessions sync.WaitGroup
 
-	mu       sync.Mutex
-	repeats  []repeat
-	lost     int // number of the answer of the first connection that is lost, or -1
-	runs     map[string]run
-	answered int // by the first connection
-	opened   int
-	position int
-	digests  int
+	mu      sync.Mutex
+	repeats []repeat
+	// succeedsLate makes the second answer to a statement that timed out a success.
+	succeedsLate bool
+	lost         int // number of the answer of the first connection that is lost, or -1
+	runs         map[string]run
+	answers      []string // of the first connection
+	opened       int
+	position     int
+	digests      int
 }
 
 func (s *scripted) accept() {
@@ -79,8 +81,8 @@
 		answer := n.answer(strings.TrimSuffix(line, "\r\n"))
 		if first {
 			answer = n.withRepeats(answer)
-			s.answered = len(n.sent)
-			if s.answered-1 == s.lost {
+			s.answers = n.sent
+			if len(n.sent)-1 == s.lost {
 				answer = ""
 			}
 		}
@@ -94,7 +96,11 @@
 // withRepeats returns an answer with the earlier ones that are sent before and after it.
 func (n *connection) withRepeats(answer string) string {
 	place := len(n.sent)
-	n.sent = append(n.sent, answer)
+	second := answer
+	if n.succeedsLate && strings.HasPrefix(answer, "ERR TIMEOUT") {
+		second = "DONE 7.late\r\n" + n.ready()
+	}
+	n.sent = append(n.sent, second)
 	before, after := "", ""
 	for _, r := range n.repeats {
 		again := ""
