--- a/core/match/match.go
+++ b/core/match/match.go
@@ -27,7 +27,10 @@
 	historySize = 512
 	// maxMarks is the number of marks behind one request from which a connection should be
 	// replaced instead of using more.
-	maxMarks = 12
+	maxMarks = 32
+	// furtherMarks is how many more marks follow an answer that equals an earlier one than
+	// followed that one. Some marks of other requests may have been repeated too.
+	furtherMarks = 3
 )
 
 // NoDigest is the digest of answers to requests that read and write nothing.
@@ -256,7 +259,7 @@
 	s.uncertain = i >= 0
 	if s.uncertain {
 		s.latest = i
-		return max(0, s.history[i].marks+1+setups-len(s.outstanding))
+		return max(0, s.history[i].marks+furtherMarks+setups-len(s.outstanding))
 	}
 	if len(s.history) < historySize {
 		s.history = append(s.history, answer{})
