--- a/io/ask/ask.go
+++ b/io/ask/ask.go
@@ -78,6 +78,7 @@
 	if err != nil || marks == 0 {
 		return reply, err
 	}
+	confirmed(c.Metrics).Inc()
 	c.queueMarks(marks)
 	err = c.Session.Flush(deadline)
 	if err == nil {
@@ -170,6 +171,11 @@
 func Expose(m *metrics.Set) {
 	mismatches(m, noRequest)
 	repeated(m)
+	confirmed(m)
+}
+
+func confirmed(m *metrics.Set) *metrics.Counter {
+	return m.GetOrCreateCounter("coltsfootloft_database_answers_confirmed_total")
 }
 
 func repeated(m *metrics.Set) *metrics.Counter {
