--- a/io/edge/fault_test.go
+++ b/io/edge/fault_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"strings"
 	"sync"
 	"testing"
@@ -256,7 +257,8 @@
 	open.must("COMMIT")
 	assert.NilError(t, <-h.ended)
 	h.ended <- nil
-	assert.Equal(t, idle.line(), "", "idle sessions are closed")
+	idle.arm()
+	assert.ErrorIs(t, idle.r.Await(), io.EOF, "idle sessions are closed")
 	c, _ := connect(t, f.hosts[0], "file", "key-arima")
 	assert.DeepEqual(t, c.must("READ held").rows, []string{"1"})
 	assert.DeepEqual(t, c.must("READ late").rows, []string{"1"})
--- a/io/edge/fleet_test.go
+++ b/io/edge/fleet_test.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"net"
@@ -18,6 +17,8 @@
 
 	"coltsfootloft/core/conf"
 	"coltsfootloft/io/boot"
+	"coltsfootloft/stand/caller"
+	"coltsfootloft/stand/crlf"
 	"coltsfootloft/stand/keyval"
 	"coltsfootloft/stand/linedb"
 	"coltsfootloft/stand/opset"
@@ -332,7 +333,7 @@
 type client struct {
 	t    *testing.T
 	conn net.Conn
-	r    *bufio.Reader
+	r    *crlf.Reader
 	n    int
 	name string
 }
@@ -356,30 +357,22 @@
 	c := &client{
 		t:    t,
 		conn: conn,
-		r:    bufio.NewReader(conn),
+		r:    crlf.New(conn),
 		name: fmt.Sprintf("%s-%d", strings.ReplaceAll(conn.LocalAddr().String(), ":", "-"), time.Now().UnixNano()),
 	}
 	fmt.Fprintf(conn, "START %s %s\r\n", database, key)
-	line := c.line()
-	word, rest, _ := strings.Cut(line, " ")
-	if word == "READY" {
+	code, err := caller.Greet(c.r, c.arm)
+	switch {
+	case err == nil && code == "":
 		return c, ""
-	}
-	if line == "" {
+	case err != nil:
 		return nil, "closed"
 	}
-	code, _, _ := strings.Cut(rest, " ")
 	return nil, code
 }
 
-func (c *client) line() string {
-	_ = c.conn.SetReadDeadline(time.Now().Add(5 * time.Second))
-	line, err := c.r.ReadString('\n')
-	if err != nil {
-		return ""
-	}
-	return strings.TrimRight(line, "\r\n")
-}
+// arm sets how long the next line is waited for.
+func (c *client) arm() { _ = c.conn.SetReadDeadline(time.Now().Add(5 * time.Second)) }
 
 // do sends a statement and reads its answer.
 func (c *client) do(text string) answer {
@@ -387,23 +380,16 @@
 	if _, err := fmt.Fprintf(c.conn, "QUERY %s-%d %s\r\n", c.name, c.n, text); err != nil {
 		return answer{lost: true}
 	}
-	var a answer
-	for {
-		word, rest, _ := strings.Cut(c.line(), " ")
-		switch word {
-		case "ROW":
-			a.rows = append(a.rows, rest)
-		case "DONE":
-			a.digest = rest
-		case "ERR":
-			a.code, _, _ = strings.Cut(rest, " ")
-		case "READY":
-			a.state = rest[:1]
-			return a
-		case "":
-			a.lost = true
-			return a
-		}
+	a, stray := caller.Receive(c.r, c.arm)
+	if stray != "" {
+		c.t.Errorf("%s-%d: %q is no part of an answer", c.name, c.n, stray)
+	}
+	return answer{
+		rows:   a.Rows,
+		digest: a.Digest,
+		code:   a.Code,
+		state:  a.State,
+		lost:   a.Lost || a.Silent,
 	}
 }
 
--- a/io/edge/history_test.go
+++ b/io/edge/history_test.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"bufio"
 	"flag"
 	"fmt"
 	"maps"
@@ -16,6 +15,7 @@
 
 	"coltsfootloft/stand/audit"
 	"coltsfootloft/stand/caller"
+	"coltsfootloft/stand/crlf"
 	"coltsfootloft/stand/opset"
 	"coltsfootloft/stand/relay"
 )
@@ -257,11 +257,11 @@
 	c := &client{
 		t:    h.t,
 		conn: conn,
-		r:    bufio.NewReader(conn),
+		r:    crlf.New(conn),
 		name: fmt.Sprintf("%s-%d", strings.ReplaceAll(conn.LocalAddr().String(), ":", "-"), time.Now().UnixNano()),
 	}
 	fmt.Fprintf(conn, "START %s %s\r\n", database, key)
-	if word, _, _ := strings.Cut(c.line(), " "); word != "READY" {
+	if code, err := caller.Greet(c.r, c.arm); err != nil || code != "" {
 		conn.Close()
 		return nil
 	}
--- a/io/edge/memory_test.go
+++ b/io/edge/memory_test.go
@@ -69,7 +69,7 @@
 		_ = c.conn.(*net.TCPConn).SetReadBuffer(4 << 10)
 		writeSome(c, "QUERY q-1 READ large\r\n")
 		_ = c.conn.SetReadDeadline(time.Now().Add(time.Second))
-		_, _ = c.r.Peek(1) // the answer has begun
+		_ = c.r.Await() // the answer has begun
 	})
 	assertAnswered(t, good)
 	leave()
@@ -214,7 +214,7 @@
 		case 0: // an answer that is not read, and a line that waits behind it
 			writeSome(c, "QUERY q-1 READ large\r\n")
 			_ = c.conn.SetReadDeadline(time.Now().Add(time.Second))
-			if b, _ := c.r.Peek(1); string(b) == "R" {
+			if err := c.r.Await(); err == nil && c.r.Rest()[0] == 'R' {
 				writeSomeFor(c, line, 10*time.Millisecond)
 			}
 		case 1:
--- a/io/edge/refuse_test.go
+++ b/io/edge/refuse_test.go
@@ -119,7 +119,7 @@
 	f.store.SetFaults(keyval.Faults{RefusedHosts: map[string]bool{"127.0.62.2": true}})
 	// The lease of the host lasts for at most 2 s.
 	assert.NilError(t, there.conn.SetReadDeadline(time.Now().Add(lease.TTL+500*time.Millisecond)))
-	_, err := there.r.ReadByte()
+	err := there.r.Await()
 	assert.Assert(t, errors.Is(err, io.EOF), "%v", err)
 	here.must("READ x")
 }
--- a/stand/caller/caller.go
+++ b/stand/caller/caller.go
@@ -3,7 +3,6 @@
 package caller
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"net"
@@ -14,6 +13,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"coltsfootloft/stand/crlf"
 )
 
 // Answer is the answer to a statement.
@@ -41,11 +42,11 @@
 // Session is one session of a caller.
 type Session struct {
 	conn  net.Conn
-	r     *bufio.Reader
+	r     *crlf.Reader
 	name  string
 	n     int
 	limit time.Duration
-	// stray is a line that came while no statement was under way.
+	// stray is what came while no statement was under way, or was no part of an answer.
 	stray string
 }
 
@@ -62,37 +63,22 @@
 	}
 	s = &Session{
 		conn:  conn,
-		r:     bufio.NewReader(conn),
+		r:     crlf.New(conn),
 		name:  strconv.Itoa(os.Getpid()) + "-" + strconv.FormatUint(sessions.Add(1), 10),
 		limit: limit,
 	}
 	_, _ = fmt.Fprintf(conn, "START %s %s\r\n", database, key)
-	word, rest, err := s.line()
-	if err == nil && word == "READY" {
+	code, err = Greet(s.r, func() { _ = conn.SetReadDeadline(time.Now().Add(limit)) })
+	if err == nil && code == "" {
 		return s, "", nil
 	}
 	conn.Close()
-	if err != nil {
-		return nil, "", errors.Wrap(err, "start of the session")
-	}
-	code, _, _ = strings.Cut(rest, " ")
-	return nil, code, nil
+	return nil, code, errors.Wrap(err, "start of the session")
 }
 
 // Last returns the id of the last statement.
 func (s *Session) Last() string { return s.name + "-" + strconv.Itoa(s.n) }
 
-// line reads one line.
-func (s *Session) line() (word, rest string, err error) {
-	_ = s.conn.SetReadDeadline(time.Now().Add(s.limit))
-	line, err := s.r.ReadString('\n')
-	if err != nil {
-		return "", "", errors.Wrap(err, "read")
-	}
-	word, rest, _ = strings.Cut(strings.TrimRight(line, "\r\n"), " ")
-	return word, rest, nil
-}
-
 // Do sends a statement and reads its answer.
 func (s *Session) Do(text string) Answer {
 	s.checkRest()
@@ -100,47 +86,26 @@
 	if _, err := fmt.Fprintf(s.conn, "QUERY %s %s\r\n", s.Last(), text); err != nil {
 		return Answer{Lost: true}
 	}
-	var a Answer
-	for {
-		word, rest, err := s.line()
-		if err != nil {
-			var timeout net.Error
-			a.Silent = errors.As(err, &timeout) && timeout.Timeout()
-			a.Lost = !a.Silent
-			return a
-		}
-		switch word {
-		case "ROW":
-			a.Rows = append(a.Rows, rest)
-		case "DONE":
-			a.Digest = rest
-		case "ERR":
-			a.Code, _, _ = strings.Cut(rest, " ")
-		case "READY":
-			a.State = rest[:1]
-			return a
-		default:
-			s.stray = word + " " + rest
-		}
+	a, stray := Receive(s.r, func() { _ = s.conn.SetReadDeadline(time.Now().Add(s.limit)) })
+	if s.stray == "" {
+		s.stray = stray
 	}
+	return a
 }
 
 // checkRest notes bytes that have come while no statement was under way. An error may
 // come then, before the session is closed.
 func (s *Session) checkRest() {
-	if s.r.Buffered() == 0 || s.stray != "" {
-		return
-	}
-	if b, _ := s.r.Peek(s.r.Buffered()); !strings.HasPrefix(string(b), "ERR ") {
-		s.stray = string(b)
+	if rest := s.r.Rest(); rest != "" && s.stray == "" && !strings.HasPrefix(rest, "ERR ") {
+		s.stray = rest
 	}
 }
 
 // Close ends the session. It returns what came while no statement was under way, other
-// than an error.
+// than an error, or was no part of an answer.
 func (s *Session) Close() (stray string) {
 	_ = s.conn.SetReadDeadline(time.Now().Add(time.Millisecond))
-	_, _ = s.r.Peek(1)
+	_ = s.r.Await()
 	s.checkRest()
 	s.conn.Close()
 	return s.stray
--- a/stand/linedb/group.go
+++ b/stand/linedb/group.go
@@ -57,6 +57,7 @@
 	databases  map[string]*Database
 	primary    string
 	runs       []Run
+	violations []Violation
 	maxFence   uint64
 	promotions []string
 	first      string      // the first primary
--- a/stand/linedb/session.go
+++ b/stand/linedb/session.go
@@ -1,11 +1,8 @@
 package linedb
 
 import (
-	"bufio"
 	"fmt"
-	"io"
 	"maps"
-	"net"
 	"slices"
 	"sort"
 	"strconv"
@@ -27,76 +24,6 @@
 	txRuns   []Run             // statements of the open transaction
 }
 
-func (b *Database) serve(conn net.Conn) {
-	r := bufio.NewReader(conn)
-	s, answer := b.open(r)
-	if _, err := io.WriteString(conn, answer); err != nil || s == nil {
-		return
-	}
-	for {
-		line, err := r.ReadString('\n')
-		if err != nil {
-			return
-		}
-		word, rest, _ := strings.Cut(strings.TrimRight(line, "\r\n"), " ")
-		if word != "QUERY" {
-			return
-		}
-		answer, lost := s.answer(rest)
-		if lost {
-			continue
-		}
-		if _, err := io.WriteString(conn, answer); err != nil {
-			return
-		}
-	}
-}
-
-// open reads the first line of a session and returns the session and the answer. The
-// session is nil if it is refused.
-func (b *Database) open(r *bufio.Reader) (*session, string) {
-	first, err := r.ReadString('\n')
-	if err != nil {
-		return nil, ""
-	}
-	f := strings.Fields(first)
-	g := b.group
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	switch {
-	case len(f) < 3 || f[0] != "START":
-		return nil, "ERR MALFORMED start\r\n"
-	case f[1] != g.Name || len(f) > 3 && f[3] != b.id:
-		return nil, "ERR MISROUTED " + b.id + "\r\n"
-	case g.MaxConns > 0 && len(b.conns) > g.MaxConns:
-		return nil, "ERR MAXCONN " + b.id + "\r\n"
-	}
-	s := &session{
-		database: b,
-		account:  f[2],
-		values:   make(map[string]string),
-		prepared: make(map[string]string),
-	}
-	return s, s.ready()
-}
-
-// answer runs a query. An answer that is lost must not be sent.
-func (s *session) answer(query string) (answer string, lost bool) {
-	id, text, _ := strings.Cut(query, " ")
-	b := s.database
-	if id != "-" {
-		b.callHook()
-	}
-	b.group.mu.Lock()
-	defer b.group.mu.Unlock()
-	answer, isData := s.statement(id, text)
-	lost = isData && b.answersToLose > 0
-	if lost {
-		b.answersToLose--
-	}
-	return answer + s.ready(), lost
-}
-
 func (b *Database) callHook() {
 	b.group.mu.Lock()
 	f := b.hook
