--- a/stand/linedb/group.go
+++ b/stand/linedb/group.go
@@ -5,10 +5,10 @@
 // them after [Group.Lag]. Each promotion starts a new term. A database serves
 // sessions with values, prepared statements and transactions, and limits its
 // connections. Tests can take databases down, stop their replication, and have them
-// lose answers or fail reads.
+// lose answers, send them twice, or fail statements: see [Faults].
 //
-// Databases record the statements that they run, so that tests can check what
-// reached each of them: see [Group.Runs].
+// Databases record the statements that they receive and run, so that tests can check what
+// reached each of them: see [Group.Runs], [Group.Received] and [Group.Violations].
 package linedb
 
 import (
@@ -33,6 +33,8 @@
 	// Text is the statement. For a prepared statement it holds the prepared text
 	// instead of the name.
 	Text string
+	// Shape is the kind and the text of a prepared statement.
+	Shape string
 	// Values are the session values at that time.
 	Values map[string]string
 	// At is when the statement ran.
@@ -57,6 +59,7 @@
 	databases  map[string]*Database
 	primary    string
 	runs       []Run
+	received   []Run
 	violations []Violation
 	maxFence   uint64
 	promotions []string
@@ -79,6 +82,7 @@
 	answersToLose int    // next data statements that are left unanswered
 	failReads     bool   // reads outside transactions fail after they ran
 	hook          func() // called before each data statement; may be nil
+	faults        faults
 	conns         map[net.Conn]struct{}
 }
 
@@ -139,6 +143,14 @@
 	return append([]Run(nil), g.runs...)
 }
 
+// Received returns the statements that came with the id of a caller, run or not, in order of
+// arrival. The text of one that names no prepared statement holds its name.
+func (g *Group) Received() []Run {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return append([]Run(nil), g.received...)
+}
+
 // SetDown takes a database down, or up again if down is false. A database that is
 // down closes its connections and accepts no new ones.
 func (g *Group) SetDown(id string, down bool) {
--- a/stand/linedb/serve.go
+++ b/stand/linedb/serve.go
@@ -5,28 +5,41 @@
 	"net"
 	"strings"
 	"sync"
+	"time"
 
 	"coltsfootloft/stand/crlf"
 )
 
-// wire is the sending side of a connection. Each answer is sent as a whole.
+// wire is the sending side of a connection.
 type wire struct {
 	mu   sync.Mutex
 	conn net.Conn
 }
 
-func (w *wire) send(answer string) error {
+// send sends an answer, as a whole, and later what follows it. Nothing is sent if it is empty.
+func (w *wire) send(a answer) error {
+	if a.text == "" {
+		return nil
+	}
+	if a.delay == 0 {
+		return w.write(a.text + a.late)
+	}
+	time.AfterFunc(a.delay, func() { _ = w.write(a.late) })
+	return w.write(a.text)
+}
+
+func (w *wire) write(text string) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	_, err := io.WriteString(w.conn, answer)
+	_, err := io.WriteString(w.conn, text)
 	return err
 }
 
 func (b *Database) serve(conn net.Conn) {
 	r := crlf.New(conn)
 	w := &wire{conn: conn}
-	s, answer := b.open(r)
-	if err := w.send(answer); err != nil || s == nil {
+	s, a := b.open(r)
+	if err := w.send(a); err != nil || s == nil {
 		return
 	}
 	for {
@@ -37,14 +50,10 @@
 		fields, ok := crlf.Split(line, 3)
 		if !ok || fields[0] != "QUERY" {
 			b.violation("%q is no request", line)
-			_ = w.send("ERR MALFORMED " + b.id + "\r\n")
+			_ = w.write("ERR MALFORMED " + b.id + "\r\n")
 			return
 		}
-		answer, lost := s.answer(fields[1], fields[2])
-		if lost {
-			continue
-		}
-		if err := w.send(answer); err != nil {
+		if err := w.send(s.answer(fields[1], fields[2])); err != nil {
 			return
 		}
 	}
@@ -52,24 +61,24 @@
 
 // open reads the first line of a session and returns the session and the answer. The
 // session is nil if it is refused.
-func (b *Database) open(r *crlf.Reader) (*session, string) {
+func (b *Database) open(r *crlf.Reader) (*session, answer) {
 	first, err := r.Line()
 	if err != nil {
-		return nil, ""
+		return nil, answer{}
 	}
 	f := strings.Split(first, " ")
 	if _, ok := crlf.Split(first, len(f)); !ok || f[0] != "START" || len(f) < 3 || len(f) > 4 {
 		b.violation("%q starts no session", first)
-		return nil, "ERR MALFORMED start\r\n"
+		return nil, answer{text: "ERR MALFORMED start\r\n"}
 	}
 	g := b.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch {
 	case f[1] != g.Name || len(f) > 3 && f[3] != b.id:
-		return nil, "ERR MISROUTED " + b.id + "\r\n"
+		return nil, answer{text: "ERR MISROUTED " + b.id + "\r\n"}
 	case g.MaxConns > 0 && len(b.conns) > g.MaxConns:
-		return nil, "ERR MAXCONN " + b.id + "\r\n"
+		return nil, answer{text: "ERR MAXCONN " + b.id + "\r\n"}
 	}
 	s := &session{
 		database: b,
@@ -77,21 +86,43 @@
 		values:   make(map[string]string),
 		prepared: make(map[string]string),
 	}
-	return s, s.ready()
+	return s, b.reply("START", s.ready(), "")
 }
 
-// answer runs a query. An answer that is lost must not be sent.
-func (s *session) answer(id, text string) (answer string, lost bool) {
+// answer runs a query and returns what to send.
+func (s *session) answer(id, text string) answer {
 	b := s.database
-	if id != "-" {
+	if id != noID {
 		b.callHook()
 	}
 	b.group.mu.Lock()
 	defer b.group.mu.Unlock()
-	answer, isData := s.statement(id, text)
-	lost = isData && b.answersToLose > 0
-	if lost {
+	q, fault := parse(id, text)
+	s.noteReceived(q)
+	if fault != "" {
+		b.noteViolation("%s of %q with id %s", fault, text, id)
+		return answer{text: s.fail("MALFORMED") + s.ready()}
+	}
+	sent, late := s.perform(q)
+	if q.id != noID && b.answersToLose > 0 {
 		b.answersToLose--
+		return answer{}
+	}
+	return b.reply(q.word, sent, late)
+}
+
+// noteReceived adds a statement of a caller to those that the group has received.
+func (s *session) noteReceived(q request) {
+	if q.id == noID {
+		return
 	}
-	return answer + s.ready(), lost
+	text, shape := s.resolve(q)
+	s.database.group.received = append(s.database.group.received, Run{
+		Database: s.database.id,
+		Account:  s.account,
+		ID:       q.id,
+		Text:     text,
+		Shape:    shape,
+		At:       time.Now(),
+	})
 }
--- a/stand/linedb/session.go
+++ b/stand/linedb/session.go
@@ -73,42 +73,73 @@
 
 const done = "DONE -\r\n"
 
-// statement runs one statement. Data statements are those that clients send, and the
-// control statements of a transaction; the others set up or query the session.
-func (s *session) statement(id, text string) (answer string, isData bool) {
-	if rest, ok := strings.CutPrefix(text, "AFTERLSN "); ok {
-		position, rest, _ := strings.Cut(rest, " ")
-		if !s.database.hasApplied(position) {
-			return s.fail("LAGGING"), true
+// perform runs a statement and returns the answer, and the one that follows if the first is a
+// time-out after which the statement went on.
+func (s *session) perform(q request) (sent, late string) {
+	inTx := s.inTx
+	code := ""
+	if _, shape := s.resolve(q); !s.failed && (q.word != "EXEC" || shape != "") {
+		code = s.database.faults.injected(q)
+	}
+	switch code {
+	case "":
+		return s.statement(q) + s.ready(), ""
+	case "TIMEOUT":
+		late = s.statement(q) + s.ready()
+		if strings.HasPrefix(late, "ERR ") {
+			return late, ""
 		}
-		text = rest
+	case "FAILED":
+		s.failRun(q)
+	}
+	if q.word == wordCommit && (code == "FAILED" || code == "TIMEOUT") || !inTx {
+		return "ERR " + code + " " + s.database.id + "\r\n" + s.ready(), late
 	}
-	word, rest, _ := strings.Cut(text, " ")
-	if s.failed && word != "ROLLBACK" && word != "COMMIT" && word != "STATUS" {
-		return "ERR MALFORMED transaction failed\r\n", false
+	return s.fail(code) + s.ready(), late
+}
+
+// failRun runs a statement without an effect.
+func (s *session) failRun(q request) {
+	text, shape := s.resolve(q)
+	s.record(q.id, text, shape, false)
+	if q.word == wordCommit {
+		s.endTx()
 	}
-	name, detail, _ := strings.Cut(rest, " ")
-	switch word {
+}
+
+// statement runs one statement.
+func (s *session) statement(q request) string {
+	if s.failed && q.word != wordRollback && q.word != wordCommit {
+		return "ERR MALFORMED transaction failed\r\n"
+	}
+	if q.after != "" && !s.database.hasApplied(q.after) {
+		return s.fail("LAGGING")
+	}
+	name, detail := q.fields[0], q.fields[1]
+	switch q.word {
 	case "SET":
 		s.values[name] = detail
-		return done, false
+		return done
 	case "PREPARE":
-		s.prepared[name] = detail
-		return done, false
+		s.prepared[name] = detail + " " + q.fields[2]
+		return done
+	case "DEALLOC":
+		delete(s.prepared, name)
+		return done
 	case "RESET":
 		s.values = make(map[string]string)
 		s.prepared = make(map[string]string)
-		return done, false
+		return done
 	case "STATUS":
-		return s.status(), false
+		return s.status()
 	case "DEMOTE":
 		if term, _ := strconv.ParseUint(name, 10, 64); term > s.database.term && s.database.role == rolePrimary {
 			s.database.role = roleReplica
 			s.database.follow()
 		}
-		return s.status(), false
+		return s.status()
 	}
-	return s.dataStatement(id, text), true
+	return s.dataStatement(q)
 }
 
 // hasApplied reports whether reads see the commit at a position.
@@ -126,51 +157,64 @@
 	return fmt.Sprintf("ROW %s %d %s 0 0 0 %d\r\n", b.role, b.term, b.position(len(b.log)), len(b.conns)) + done
 }
 
-func (s *session) dataStatement(id, text string) string {
-	word, rest, _ := strings.Cut(text, " ")
-	if word == "EXEC" {
-		name, arguments, _ := strings.Cut(rest, " ")
-		shape, ok := s.prepared[name]
-		if !ok {
-			return s.fail("NOSTMT")
-		}
-		kind, shape, _ := strings.Cut(shape, " ")
-		return s.execute(id, kind, arguments, "EXEC "+shape+" "+arguments)
+// resolve returns the text of a statement with the prepared text in place of the name, and the
+// shape of a prepared statement, which is empty if there is none of its name.
+func (s *session) resolve(q request) (text, shape string) {
+	if q.word != "EXEC" {
+		return q.text, ""
+	}
+	shape = s.prepared[q.fields[0]]
+	if shape == "" {
+		return q.text, ""
 	}
-	switch word {
+	_, prepared, _ := strings.Cut(shape, " ")
+	return "EXEC " + prepared + strings.TrimPrefix(q.text, "EXEC "+q.fields[0]), shape
+}
+
+func (s *session) dataStatement(q request) string {
+	switch q.word {
 	case "BEGIN":
-		if rest != "READ" && s.database.role != rolePrimary {
+		if q.fields[0] != "READ" && s.database.role != rolePrimary {
 			return s.fail("READONLY")
 		}
 		s.inTx = true
-		s.readOnly = rest == "READ"
+		s.readOnly = q.fields[0] == "READ"
 		s.writes = make(map[string]string)
 		s.visible = s.database.applied()
 		return done
-	case "COMMIT":
-		return s.commit(id, text)
-	case "ROLLBACK":
+	case wordCommit:
+		return s.commit(q.id, q.text)
+	case wordRollback:
 		s.endTx()
 		return done
+	case "EXEC":
+		if _, shape := s.resolve(q); shape == "" {
+			return s.fail("NOSTMT")
+		}
 	}
-	return s.execute(id, word, rest, text)
+	return s.execute(q)
 }
 
 // execute runs a read or a write.
-func (s *session) execute(id, kind, arguments, text string) string {
+func (s *session) execute(q request) string {
 	b := s.database
-	name, data, _ := strings.Cut(arguments, " ")
+	text, shape := s.resolve(q)
+	kind, name, data := q.word, q.fields[0], q.fields[1]
+	if kind == "EXEC" {
+		kind, _, _ = strings.Cut(shape, " ")
+		name, data = q.fields[1], q.fields[2]
+	}
 	if (kind == "WRITE" || s.inTx && !s.readOnly) && b.role != rolePrimary {
 		return s.fail("READONLY")
 	}
-	s.record(id, text, kind == "WRITE" && !s.inTx)
+	s.record(q.id, text, shape, kind == "WRITE" && !s.inTx)
 	if kind == "WRITE" {
 		if s.inTx {
 			s.writes[name] = data
-			return "DONE " + s.digest(id) + "\r\n"
+			return "DONE " + s.digest(q.id) + "\r\n"
 		}
 		b.append(map[string]string{name: data})
-		return "DONE " + s.digest(id) + "\r\n"
+		return "DONE " + s.digest(q.id) + "\r\n"
 	}
 	if b.failReads && !s.inTx {
 		return s.fail("FAILED")
@@ -186,7 +230,7 @@
 			break
 		}
 	}
-	return "ROW " + value + "\r\nDONE " + s.digest(id) + "\r\n"
+	return "ROW " + value + "\r\nDONE " + s.digest(q.id) + "\r\n"
 }
 
 func (s *session) commit(id, text string) string {
@@ -200,11 +244,11 @@
 		}
 		s.database.append(s.writes)
 		for _, r := range s.txRuns {
-			r.Committed = strings.Contains(r.Text, "WRITE")
+			r.Committed = strings.HasPrefix(r.Text, "WRITE ") || strings.HasPrefix(r.Shape, "WRITE ")
 			s.database.group.runs = append(s.database.group.runs, r)
 		}
 	}
-	s.record(id, text, len(s.writes) > 0)
+	s.record(id, text, "", len(s.writes) > 0)
 	return "DONE " + s.digest(id) + "\r\n"
 }
 
@@ -218,12 +262,13 @@
 func (s *session) digest(id string) string { return s.database.id + "." + id }
 
 // record adds a statement to the runs of the group.
-func (s *session) record(id, text string, committed bool) {
+func (s *session) record(id, text, shape string, committed bool) {
 	r := Run{
 		Database:  s.database.id,
 		Account:   s.account,
 		ID:        id,
 		Text:      text,
+		Shape:     shape,
 		Values:    maps.Clone(s.values),
 		At:        time.Now(),
 		Committed: committed,
