--- a/stand/caller/caller.go
+++ b/stand/caller/caller.go
@@ -36,7 +36,7 @@
 
 // Unknown reports whether the answer leaves open if the statement took effect.
 func (a Answer) Unknown() bool {
-	return a.Lost || a.Silent || a.Code == "INDOUBT"
+	return a.Lost || a.Silent || a.Code == "INDOUBT" || a.Code == "TIMEOUT"
 }
 
 // Session is one session of a caller.
--- a/stand/linedb/group.go
+++ b/stand/linedb/group.go
@@ -35,6 +35,8 @@
 	Text string
 	// Shape is the kind and the text of a prepared statement.
 	Shape string
+	// Rows are the rows that it gave.
+	Rows []string
 	// Values are the session values at that time.
 	Values map[string]string
 	// At is when the statement ran.
--- a/stand/linedb/session.go
+++ b/stand/linedb/session.go
@@ -230,6 +230,7 @@
 			break
 		}
 	}
+	b.group.runs[len(b.group.runs)-1].Rows = []string{value}
 	return "ROW " + value + "\r\nDONE " + s.digest(q.id) + "\r\n"
 }
 
