--- a/io/edge/history_test.go
+++ b/io/edge/history_test.go
@@ -3,19 +3,16 @@
 import (
 	"flag"
 	"fmt"
-	"maps"
 	"math/rand/v2"
-	"net"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"coltsfootloft/stand/audit"
-	"coltsfootloft/stand/caller"
-	"coltsfootloft/stand/crlf"
+	"coltsfootloft/stand/legal"
+	"coltsfootloft/stand/linedb"
 	"coltsfootloft/stand/opset"
 	"coltsfootloft/stand/relay"
 )
@@ -32,8 +29,8 @@
 	noGrace = 0.05
 	// moveLimit is how long a key may be used for the account that it was taken from.
 	moveLimit = 2 * time.Second
-	// answerSlack is how long after it was sent a statement that no database ran may be cut off by
-	// a stop of its host.
+	// answerSlack is how long after it was sent, or after the answer of the one sent before it, a
+	// statement that no database ran may be cut off by a stop of its host.
 	answerSlack = 200 * time.Millisecond
 	// doubtEnds is how long a statement whose outcome is not known may still take effect.
 	doubtEnds = 400 * time.Millisecond
@@ -59,7 +56,8 @@
 
 // TestRandomHistories plays random histories and checks what callers and databases have seen. Each has
 // links held up between one host and one database or the store, hosts stopped and started again
-// beside open transactions, a key that moves between accounts, and odd entries in the store.
+// beside open transactions, a key that moves between accounts, odd entries in the store, and databases that
+// answer twice or with errors. Callers use all bytes that the protocol allows.
 func TestRandomHistories(t *testing.T) {
 	t.Parallel()
 	for i := range uint64(*historyCount) {
@@ -110,7 +108,7 @@
 
 // play plays the history with one to three kinds of moves.
 func (h *history) play() {
-	moves := []func(){h.holdDatabase, h.holdStore, h.restartHost, h.restartHost, h.moveKey, h.writeOddEntry}
+	moves := []func(){h.holdDatabase, h.holdStore, h.restartHost, h.restartHost, h.moveKey, h.writeOddEntry, h.answerTwice, h.answerTwice, h.answerErrors}
 	h.random.Shuffle(len(moves), func(i, j int) { moves[i], moves[j] = moves[j], moves[i] })
 	moves = moves[:1+h.random.IntN(3)]
 	h.end = time.Now().Add(historyLength)
@@ -143,6 +141,33 @@
 	time.AfterFunc(d, func() { r.Hold(relay.Both, false) })
 }
 
+// answerTwice has a database answer twice for a while, the second time up to some hundred ms late.
+func (h *history) answerTwice() {
+	h.impairAnswers(linedb.Faults{
+		Seed:  h.random.Uint64(),
+		Twice: []float64{0.05, 0.3, 1}[h.random.IntN(3)],
+		Delay: time.Duration(h.random.IntN(400)) * time.Millisecond,
+	})
+}
+
+// answerErrors has a database answer statements with errors for a while, some of which have run.
+func (h *history) answerErrors() {
+	h.impairAnswers(linedb.Faults{
+		Seed:   h.random.Uint64(),
+		Errors: []float64{0.05, 0.3}[h.random.IntN(2)],
+		Codes:  []string{"BUSY", "FAILED", "TIMEOUT"}[:1+h.random.IntN(3)],
+		Delay:  time.Duration(h.random.IntN(400)) * time.Millisecond,
+	})
+}
+
+func (h *history) impairAnswers(f linedb.Faults) {
+	id := h.databases[h.random.IntN(len(h.databases))].ID()
+	h.t.Logf("%s %s answers with %+v", time.Now().Format("05.000"), id, f)
+	h.group.SetFaults(id, f)
+	time.Sleep(time.Duration(200+h.random.IntN(1200)) * time.Millisecond)
+	h.group.SetFaults(id, linedb.Faults{})
+}
+
 func hostIP(i int) string { return fmt.Sprintf("127.0.62.%d", i+1) }
 
 func (h *history) holdDatabase() {
@@ -222,6 +247,8 @@
 // call runs sessions until the history ends.
 func (h *history) call(worker int, random *rand.Rand) {
 	key := []string{"key-arima", "key-siparia", "key-roams"}[worker%3]
+	text := legal.Source{Random: random}
+	item := fmt.Sprintf("item-%d%s", worker, text.Name())
 	for n := 0; time.Now().Before(h.end); n++ {
 		i := random.IntN(3)
 		s := h.open(i, []string{"file", "minutes"}[random.IntN(2)], key)
@@ -229,195 +256,15 @@
 			time.Sleep(20 * time.Millisecond)
 			continue
 		}
-		s.item = fmt.Sprintf("item-%d", worker)
-		s.who = fmt.Sprintf("w%d-%d", worker, n)
-		s.run(random)
-		s.conn.Close()
-	}
-}
-
-// visitor is one session of a history.
-type visitor struct {
-	*client
-	history *history
-	host    int
-	key     string
-	item    string
-	who     string            // value of the session by which it can be told from others
-	values  map[string]string // of the session, as acknowledged
-	inTx    []string          // ids of the writes of the open transaction
-}
-
-// open starts a session; it returns nil if the host refuses it or is not there.
-func (h *history) open(i int, database, key string) *visitor {
-	conn, err := net.DialTimeout("tcp", h.host(i).settings.Listen, time.Second)
-	if err != nil {
-		return nil
-	}
-	c := &client{
-		t:    h.t,
-		conn: conn,
-		r:    crlf.New(conn),
-		name: fmt.Sprintf("%s-%d", strings.ReplaceAll(conn.LocalAddr().String(), ":", "-"), time.Now().UnixNano()),
-	}
-	fmt.Fprintf(conn, "START %s %s\r\n", database, key)
-	if code, err := caller.Greet(c.r, c.arm); err != nil || code != "" {
-		conn.Close()
-		return nil
-	}
-	return &visitor{
-		client:  c,
-		history: h,
-		host:    i,
-		key:     key,
-		values:  make(map[string]string),
-	}
-}
-
-// run sends statements until the session is lost, or for a while.
-func (s *visitor) run(random *rand.Rand) {
-	if !s.set("who", s.who) {
-		return
-	}
-	for range 3 + random.IntN(12) {
-		if time.Now().After(s.history.end) || !s.step(random) {
-			return
-		}
-		time.Sleep(time.Duration(random.IntN(20)) * time.Millisecond)
-	}
-}
-
-// set sets a value of the session, and reports whether that was acknowledged.
-func (s *visitor) set(name, value string) bool {
-	a := s.send("SET " + name + " " + value)
-	if a.lost || a.code != "" {
-		return false
-	}
-	s.values[name] = value
-	return true
-}
-
-// step sends a read, a write or a transaction, and reports whether the session goes on.
-func (s *visitor) step(random *rand.Rand) bool {
-	switch random.IntN(5) {
-	case 0, 1:
-		least := s.history.ackedValue(s.item)
-		a := s.send("READ " + s.item)
-		s.checkRead(a, least)
-		return !a.lost
-	case 2:
-		return s.write()
-	}
-	return s.transaction(random)
-}
-
-func (s *visitor) write() bool {
-	v := s.history.nextValue(s.item)
-	a := s.send(fmt.Sprintf("WRITE %s %d", s.item, v))
-	return s.settle(a, v)
-}
-
-// transaction sends a transaction, some of them for longer than a key may be used after it was taken.
-func (s *visitor) transaction(random *rand.Rand) bool {
-	pause := time.Duration(random.IntN(80)) * time.Millisecond
-	if random.IntN(2) == 0 {
-		pause *= 20
-	}
-	if a := s.send("BEGIN"); a.lost || a.code != "" {
-		return !a.lost
-	}
-	var v uint64
-	s.inTx = nil
-	for range 1 + random.IntN(5) {
-		v = s.history.nextValue(s.item)
-		a := s.send(fmt.Sprintf("WRITE %s %d", s.item, v))
-		if a.lost {
-			return false
+		s.item = item
+		s.random = random
+		s.text = text
+		if worker%4 == 0 {
+			s.Pieces = random
 		}
-		if a.code != "" {
-			return !s.send("ROLLBACK").lost
+		s.run(fmt.Sprintf("w%d-%d", worker, n))
+		if stray := s.Close(); stray != "" {
+			h.note("STRAY: host %d sent %q, which is no part of an answer", i+1, stray)
 		}
-		s.inTx = append(s.inTx, fmt.Sprintf("%s-%d", s.name, s.n))
-		time.Sleep(pause)
-	}
-	if random.IntN(3) == 0 && !s.set("mood", strconv.FormatUint(v, 10)) {
-		return false
-	}
-	a := s.send("COMMIT")
-	s.inTx = nil
-	return s.settle(a, v)
-}
-
-// settle notes what became of a write. If that is not known, it waits while the write may still take
-// effect, and reports that the session ends.
-func (s *visitor) settle(a answer, v uint64) bool {
-	switch {
-	case a.code == "" && !a.lost:
-		s.history.mu.Lock()
-		s.history.acked[s.item] = v
-		s.history.mu.Unlock()
-	case a.lost || a.code == "INDOUBT":
-		time.Sleep(doubtEnds)
-		return false
-	}
-	return true
-}
-
-// send sends a statement and records it with its answer.
-func (s *visitor) send(text string) answer {
-	sent := time.Now()
-	a := s.do(text)
-	at := audit.Attempt{
-		Answer: caller.Answer{
-			Rows:   a.rows,
-			Digest: a.digest,
-			Code:   a.code,
-			Lost:   a.lost,
-		},
-		ID:     fmt.Sprintf("%s-%d", s.name, s.n),
-		Text:   text,
-		Key:    s.key,
-		Host:   s.host,
-		Sent:   sent,
-		Ended:  time.Now(),
-		Values: maps.Clone(s.values),
-	}
-	if text == "COMMIT" {
-		at.Writes = s.inTx
-	}
-	s.history.mu.Lock()
-	defer s.history.mu.Unlock()
-	s.history.record.Attempts = append(s.history.record.Attempts, at)
-	return a
-}
-
-func (h *history) ackedValue(item string) uint64 {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.acked[item]
-}
-
-func (h *history) nextValue(item string) uint64 {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.sent[item]++
-	return h.sent[item]
-}
-
-// checkRead checks that a read of an item that only this caller writes is not older than what was
-// acknowledged to it, nor one that was not sent.
-func (s *visitor) checkRead(a answer, least uint64) {
-	if a.lost || a.code != "" {
-		return
-	}
-	h := s.history
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	v := uint64(0)
-	if len(a.rows) == 1 && a.rows[0] != "-" {
-		v, _ = strconv.ParseUint(a.rows[0], 10, 64)
-	}
-	if len(a.rows) != 1 || v < least || v > h.sent[s.item] {
-		h.problems = append(h.problems, fmt.Sprintf("STALE or MIXED: read %s of %s at host %d, at least %d acknowledged, %d sent", a.rows, s.item, s.host+1, least, h.sent[s.item]))
 	}
 }
--- a/io/edge/outcome_test.go
+++ b/io/edge/outcome_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -35,11 +36,19 @@
 			succeeded++
 		}
 		if a.Lost && h.isCut(a, ran[a.ID]) {
-			h.report("LOST: %q at host %d, sent %s, no answer after %s, ran %v", a.Text, a.Host+1, a.Sent.Format("05.000"), a.Ended.Sub(a.Sent), ran[a.ID])
+			h.report("LOST: %.80q at host %d, sent %s, no answer after %s, ran %v", a.Text, a.Host+1, a.Sent.Format("05.000"), a.Waited, ran[a.ID])
 		}
 	}
 	h.t.Logf("%d statements, %d succeeded, %d moves of the key, %d holds", len(h.record.Attempts), succeeded, h.moves, len(h.impaired))
 	assert.Assert(h.t, succeeded > 0)
+	if len(h.problems) > 0 {
+		rules := make(map[string]int)
+		for _, p := range h.problems {
+			rule, _, _ := strings.Cut(p, " ")
+			rules[strings.TrimSuffix(rule, ":")]++
+		}
+		h.t.Logf("%d problems: %v", len(h.problems), rules)
+	}
 	for _, p := range h.problems[:min(len(h.problems), 12)] {
 		h.t.Error(p)
 	}
@@ -64,7 +73,7 @@
 	}
 	for _, s := range h.stops[a.Host] {
 		if a.Ended.After(s.from) && a.Sent.Before(s.to) {
-			return ran || a.Ended.Sub(a.Sent) > answerSlack
+			return ran || a.Waited > answerSlack
 		}
 	}
 	return false
--- a/stand/caller/caller.go
+++ b/stand/caller/caller.go
@@ -1,10 +1,13 @@
 // Package caller is a caller that speaks the users' statement protocol, for tests. It
-// sends one statement at a time and tells whether exactly one answer came.
+// sends statements, one at a time or several at once, and tells whether each got exactly one
+// answer.
 package caller
 
 import (
 	"context"
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"strconv"
@@ -27,6 +30,9 @@
 	State string
 	// Lost tells that the connection ended before the answer was complete.
 	Lost bool
+	// Waited is how long the answer was waited for: since its statement was sent, or since the
+	// answer before it was complete.
+	Waited time.Duration
 	// Silent tells that no complete answer came in time on a connection that stayed open.
 	Silent bool
 }
@@ -41,6 +47,9 @@
 
 // Session is one session of a caller.
 type Session struct {
+	// Pieces, if not nil, has messages sent in pieces that end at random bytes.
+	Pieces *rand.Rand
+
 	conn  net.Conn
 	r     *crlf.Reader
 	name  string
@@ -80,17 +89,66 @@
 func (s *Session) Last() string { return s.name + "-" + strconv.Itoa(s.n) }
 
 // Do sends a statement and reads its answer.
-func (s *Session) Do(text string) Answer {
+func (s *Session) Do(text string) Answer { return s.Batch(text)[0] }
+
+// Batch sends statements at once and reads their answers in order.
+func (s *Session) Batch(texts ...string) []Answer {
 	s.checkRest()
-	s.n++
-	if _, err := fmt.Fprintf(s.conn, "QUERY %s %s\r\n", s.Last(), text); err != nil {
-		return Answer{Lost: true}
+	var b strings.Builder
+	for _, t := range texts {
+		s.n++
+		b.WriteString("QUERY " + s.Last() + " " + t + "\r\n")
+	}
+	answers := make([]Answer, len(texts))
+	if s.send(b.String()) != nil {
+		for i := range answers {
+			answers[i].Lost = true
+		}
+		return answers
 	}
-	a, stray := Receive(s.r, func() { _ = s.conn.SetReadDeadline(time.Now().Add(s.limit)) })
-	if s.stray == "" {
-		s.stray = stray
+	for i := range answers {
+		began := time.Now()
+		var stray string
+		answers[i], stray = Receive(s.r, func() { _ = s.conn.SetReadDeadline(time.Now().Add(s.limit)) })
+		answers[i].Waited = time.Since(began)
+		if s.stray == "" {
+			s.stray = stray
+		}
+		if answers[i].Lost || answers[i].Silent {
+			for j := i + 1; j < len(answers); j++ {
+				answers[j] = Answer{Lost: true}
+			}
+			break
+		}
+	}
+	return answers
+}
+
+// send writes messages, in pieces if that is asked for.
+func (s *Session) send(messages string) error {
+	const pause = time.Millisecond
+	for s.Pieces != nil && len(messages) > 1 && s.Pieces.IntN(3) > 0 {
+		n := 1 + s.Pieces.IntN(len(messages)-1)
+		if s.Pieces.IntN(3) == 0 {
+			n = len(messages) - 1 // between CR and LF
+		}
+		if _, err := io.WriteString(s.conn, messages[:n]); err != nil {
+			return err
+		}
+		messages = messages[n:]
+		time.Sleep(pause)
+	}
+	_, err := io.WriteString(s.conn, messages)
+	return err
+}
+
+// Recent returns the ids of the last n statements.
+func (s *Session) Recent(n int) []string {
+	ids := make([]string, n)
+	for i := range ids {
+		ids[i] = s.name + "-" + strconv.Itoa(s.n-n+1+i)
 	}
-	return a
+	return ids
 }
 
 // checkRest notes bytes that have come while no statement was under way. An error may
