--- a/cmd/soak/moves.go
+++ b/cmd/soak/moves.go
@@ -13,6 +13,7 @@
 
 	"coltsfootloft/stand/child"
 	"coltsfootloft/stand/keyval"
+	"coltsfootloft/stand/linedb"
 	"coltsfootloft/stand/opset"
 	"coltsfootloft/stand/relay"
 )
@@ -37,6 +38,8 @@
 		"settings": storm,
 		"keys":     moveKeys,
 		"database": impairDatabase,
+		"twice":    answerTwice,
+		"errors":   answerErrors,
 		"herd":     sendHerd,
 		"odd":      writeOddEntry,
 	}
@@ -318,6 +321,36 @@
 	rest(ctx, d)
 }
 
+// answerTwice has a database answer twice, the second time up to some hundred ms late.
+func answerTwice(ctx context.Context, s *soak, random *rand.Rand) {
+	s.impairAnswers(ctx, random, linedb.Faults{
+		Seed:  random.Uint64(),
+		Twice: []float64{0.05, 0.3, 1}[random.IntN(3)],
+		Delay: between(random, 0, 400*time.Millisecond),
+	})
+}
+
+// answerErrors has a database answer statements with errors, some of which have run.
+func answerErrors(ctx context.Context, s *soak, random *rand.Rand) {
+	s.impairAnswers(ctx, random, linedb.Faults{
+		Seed:   random.Uint64(),
+		Errors: []float64{0.05, 0.3}[random.IntN(2)],
+		Codes:  []string{"BUSY", "FAILED", "TIMEOUT"}[:1+random.IntN(3)],
+		Delay:  between(random, 0, 400*time.Millisecond),
+	})
+}
+
+func (s *soak) impairAnswers(ctx context.Context, random *rand.Rand, f linedb.Faults) {
+	g := s.groups[random.IntN(len(s.groups))]
+	id := g.ids[random.IntN(len(g.ids))]
+	if random.IntN(2) == 0 {
+		id = g.Primary()
+	}
+	g.SetFaults(id, f)
+	rest(ctx, between(random, 200*time.Millisecond, 4*time.Second))
+	g.SetFaults(id, linedb.Faults{})
+}
+
 // endFaults ends the faults that moves may have left.
 func (s *soak) endFaults() {
 	s.store.SetFaults(keyval.Faults{})
--- a/cmd/soak/play.go
+++ b/cmd/soak/play.go
@@ -18,6 +18,7 @@
 
 	"coltsfootloft/stand/audit"
 	"coltsfootloft/stand/caller"
+	"coltsfootloft/stand/legal"
 	"coltsfootloft/stand/linedb"
 )
 
@@ -47,6 +48,7 @@
 			number: i,
 			items:  make(map[*group]*item),
 		}
+		w.text = legal.Source{Random: w.random}
 		callers.Go(w.run)
 	}
 	s.injectFaults(ctx)
@@ -180,7 +182,7 @@
 		kind:    "primary",
 		key:     key,
 	}
-	return s.send("WRITE last-"+s.Last()+" 1").Succeeded() && s.send("READ last-"+s.Last()).Succeeded()
+	return s.send("WRITE last-" + s.Last() + " 1")[0].Succeeded() && s.send("READ last-" + s.Last())[0].Succeeded()
 }
 
 // check checks the record against what the databases have run and hold.
@@ -222,7 +224,7 @@
 		logs[g] = g.Log()
 		for w, n := range logs[g] {
 			if n > 1 && !strings.HasPrefix(w.Item, "last-") {
-				s.report("TWICE: %s %s is %d times in the log of %s", w.Item, w.Data, n, g.Name)
+				s.report("TWICE: %.80q %.80q is %d times in the log of %s", w.Item, w.Data, n, g.Name)
 			}
 		}
 	}
@@ -236,7 +238,7 @@
 			excused++ // its host was suspended or held up as the primary changed
 			continue
 		}
-		s.report("LOST WRITE: %s %s of %s, acknowledged by host %d (statement %s, sent %s), ran at %s, not in the log", w.item, w.value, w.group.Name,
+		s.report("LOST WRITE: %.80q %.80q of %s, acknowledged by host %d (statement %s, sent %s), ran at %s, not in the log", w.item, w.value, w.group.Name,
 			w.host, w.id, w.sent.Format("05.000"), r.Database)
 	}
 	s.printf("%d acknowledged writes, %d of them lost at a former primary by impaired hosts", len(s.acked), excused)
