--- a/io/edge/history_test.go
+++ b/io/edge/history_test.go
@@ -106,11 +106,20 @@
 	return h
 }
 
-// play plays the history with one to three kinds of moves.
-func (h *history) play() {
-	moves := []func(){h.holdDatabase, h.holdStore, h.restartHost, h.restartHost, h.moveKey, h.writeOddEntry, h.answerTwice, h.answerTwice, h.answerErrors}
+// chooseMoves returns one to three kinds of moves and the longest pause between them. In a third of the
+// histories, databases answer twice or with errors for most of the time.
+func (h *history) chooseMoves() (moves []func(), pause time.Duration) {
+	if h.random.IntN(3) == 0 {
+		return []func(){h.answerTwice, h.answerTwice, h.answerErrors}, 100 * time.Millisecond
+	}
+	moves = []func(){h.holdDatabase, h.holdStore, h.restartHost, h.restartHost, h.moveKey, h.writeOddEntry, h.answerTwice, h.answerTwice, h.answerErrors}
 	h.random.Shuffle(len(moves), func(i, j int) { moves[i], moves[j] = moves[j], moves[i] })
-	moves = moves[:1+h.random.IntN(3)]
+	return moves[:1+h.random.IntN(3)], 500 * time.Millisecond
+}
+
+// play plays the history.
+func (h *history) play() {
+	moves, pause := h.chooseMoves()
 	h.end = time.Now().Add(historyLength)
 	var callers sync.WaitGroup
 	for i := range callerCount {
@@ -119,7 +128,7 @@
 	}
 	for time.Now().Before(h.end) {
 		moves[h.random.IntN(len(moves))]()
-		time.Sleep(time.Duration(100+h.random.IntN(400)) * time.Millisecond)
+		time.Sleep(pause/5 + time.Duration(h.random.Int64N(int64(pause*4/5))))
 	}
 	callers.Wait()
 	h.check()
