--- a/stand/linedb/faults.go
+++ b/stand/linedb/faults.go
@@ -15,6 +15,9 @@
 	// at a random time up to Delay later, a quarter of them at once. Never comes one in
 	// the middle of another.
 	Twice float64
+	// Held, if not 0, keeps second answers back while so many statements of callers run on the
+	// connection. They are sent in random order before the answer to the next one.
+	Held int
 	// Only names the answers that may come twice, by the first word of their statement or
 	// by their code if they are errors; START is the start of a session. All if empty.
 	Only []string
@@ -92,9 +95,20 @@
 // answer is what a database sends in answer to a request.
 type answer struct {
 	text string
-	// late follows after delay; nothing if empty.
+	// late follows after delay, or is kept back if held is set; nothing if empty.
 	late  string
 	delay time.Duration
+	held  bool
+	// before holds the answers kept back that are sent before it.
+	before string
+}
+
+// release returns all answers of the connection that were kept back, in random order.
+func (f *faults) release(held *[]string) string {
+	list := *held
+	*held = nil
+	f.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return strings.Join(list, "")
 }
 
 // reply completes the answer to a statement. The caller holds the lock.
@@ -105,6 +119,7 @@
 	}
 	if late == "" && b.faults.repeats(word, text) {
 		a.late = text
+		a.held = b.faults.Held > 0
 	}
 	if a.late != "" {
 		a.delay = b.faults.delay()
--- a/stand/linedb/faults_test.go
+++ b/stand/linedb/faults_test.go
@@ -119,6 +119,36 @@
 	assert.Assert(t, late > 5 && late < 20, "%d of 20 late", late)
 }
 
+// TestSecondAnswersAreHeld guards against a stand-in that sends an answer that it should keep back, or never.
+func TestSecondAnswersAreHeld(t *testing.T) {
+	g, p := start(t, linedb.Faults{})
+	g.SetFaults("db-1", linedb.Faults{
+		Twice: 1,
+		Held:  1,
+		Only:  []string{"SET", "WRITE"},
+	})
+	p.send("QUERY - SET x y")
+	p.expect("DONE -", "READY I 1.0")
+	p.send("QUERY - STATUS")
+	p.expect("ROW primary 1 1.0 0 0 0 1", "DONE -", "READY I 1.0")
+	p.send("QUERY 1 WRITE a 1")
+	p.expect("DONE db-1.1", "READY I 1.1")
+	p.send("QUERY 2 READ a")
+	held := []string{"DONE -", "READY I 1.0", "DONE db-1.1", "READY I 1.1"}
+	var got []string
+	for range held {
+		line, err := p.r.Line()
+		assert.NilError(t, err)
+		got = append(got, line)
+	}
+	slices.Sort(held)
+	slices.Sort(got)
+	assert.DeepEqual(t, got, held)
+	p.expect("ROW 1", "DONE db-1.2", "READY I 1.1")
+	p.send("QUERY 3 READ a")
+	p.expect("ROW 1", "DONE db-1.3", "READY I 1.1")
+}
+
 // TestInjectedErrorsSayWhatRan guards against a stand-in whose errors tell something else than what it did.
 func TestInjectedErrorsSayWhatRan(t *testing.T) {
 	for code, effect := range map[string]struct{ runs, log int }{"BUSY": {0, 0}, "FAILED": {1, 0}, "TIMEOUT": {1, 1}} {
--- a/stand/linedb/serve.go
+++ b/stand/linedb/serve.go
@@ -21,6 +21,7 @@
 	if a.text == "" {
 		return nil
 	}
+	a.text = a.before + a.text
 	if a.delay == 0 {
 		return w.write(a.text + a.late)
 	}
@@ -86,7 +87,17 @@
 		values:   make(map[string]string),
 		prepared: make(map[string]string),
 	}
-	return s, b.reply("START", s.ready(), "")
+	return s, s.keep(b.reply("START", s.ready(), ""))
+}
+
+// keep keeps the second answer back if that is asked for.
+func (s *session) keep(a answer) answer {
+	if a.held {
+		s.held = append(s.held, a.late)
+		a.late = ""
+		a.delay = 0
+	}
+	return a
 }
 
 // answer runs a query and returns what to send.
@@ -108,7 +119,17 @@
 		b.answersToLose--
 		return answer{}
 	}
-	return b.reply(q.word, sent, late)
+	before := ""
+	if id != noID && len(s.held) > 0 {
+		s.heldFor++
+		if s.heldFor > b.faults.Held {
+			before = b.faults.release(&s.held)
+			s.heldFor = 0
+		}
+	}
+	a := s.keep(b.reply(q.word, sent, late))
+	a.before = before
+	return a
 }
 
 // noteReceived adds a statement of a caller to those that the group has received.
--- a/stand/linedb/session.go
+++ b/stand/linedb/session.go
@@ -22,6 +22,8 @@
 	writes   map[string]string // writes of the open transaction
 	visible  int               // number of commits that reads of the transaction see
 	txRuns   []Run             // statements of the open transaction
+	held     []string          // second answers that are kept back
+	heldFor  int               // number of statements while which they were
 }
 
 func (b *Database) callHook() {
