--- a/io/edge/fleet_test.go
+++ b/io/edge/fleet_test.go
@@ -1,12 +1,10 @@
 package edge
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -174,6 +172,9 @@
 	}
 	t.Cleanup(func() {
 		f.stopAll()
+		for _, v := range f.group.Violations() {
+			t.Errorf("UNASKED: %s", v.Text)
+		}
 		cancel()
 		<-done
 	})
@@ -327,91 +328,3 @@
 	r.Body.Close()
 	return r.StatusCode == http.StatusOK
 }
-
-// client is a caller that speaks the statement protocol.
-type client struct {
-	t    *testing.T
-	conn net.Conn
-	r    *bufio.Reader
-	n    int
-	name string
-}
-
-// answer is the answer to a statement.
-type answer struct {
-	rows   []string
-	digest string
-	code   string // empty for a success
-	state  string
-	lost   bool // the connection ended before the answer was complete
-}
-
-// connect starts a session and returns the code of a refusal, or "closed" if the connection
-// ended without an answer.
-func connect(t *testing.T, h *testHost, database, key string) (*client, string) {
-	t.Helper()
-	conn, err := net.DialTimeout("tcp", h.settings.Listen, time.Second)
-	assert.NilError(t, err)
-	t.Cleanup(func() { conn.Close() })
-	c := &client{
-		t:    t,
-		conn: conn,
-		r:    bufio.NewReader(conn),
-		name: fmt.Sprintf("%s-%d", strings.ReplaceAll(conn.LocalAddr().String(), ":", "-"), time.Now().UnixNano()),
-	}
-	fmt.Fprintf(conn, "START %s %s\r\n", database, key)
-	line := c.line()
-	word, rest, _ := strings.Cut(line, " ")
-	if word == "READY" {
-		return c, ""
-	}
-	if line == "" {
-		return nil, "closed"
-	}
-	code, _, _ := strings.Cut(rest, " ")
-	return nil, code
-}
-
-func (c *client) line() string {
-	_ = c.conn.SetReadDeadline(time.Now().Add(5 * time.Second))
-	line, err := c.r.ReadString('\n')
-	if err != nil {
-		return ""
-	}
-	return strings.TrimRight(line, "\r\n")
-}
-
-// do sends a statement and reads its answer.
-func (c *client) do(text string) answer {
-	c.n++
-	if _, err := fmt.Fprintf(c.conn, "QUERY %s-%d %s\r\n", c.name, c.n, text); err != nil {
-		return answer{lost: true}
-	}
-	var a answer
-	for {
-		word, rest, _ := strings.Cut(c.line(), " ")
-		switch word {
-		case "ROW":
-			a.rows = append(a.rows, rest)
-		case "DONE":
-			a.digest = rest
-		case "ERR":
-			a.code, _, _ = strings.Cut(rest, " ")
-		case "READY":
-			a.state = rest[:1]
-			return a
-		case "":
-			a.lost = true
-			return a
-		}
-	}
-}
-
-// must sends a statement and fails the test if it does not succeed.
-func (c *client) must(text string) answer {
-	c.t.Helper()
-	a := c.do(text)
-	assert.Equal(c.t, a.code, "", text)
-	assert.Assert(c.t, !a.lost, text)
-	return a
-}
