io/store: refuse an answer about another key

HTTP/1.1 matches answers to calls by their order on the connection. A second answer to a call that arrives after the next call was sent is taken by net/http for the answer to that one, and Read returned the value and version of whatever key the answer held, under the name that was asked for; List and Watch took the keys of another prefix.

A read whose answer holds a key that was not asked for fails with ErrStoreDown. Answers to writes hold nothing to compare. Before the fix, TestAnswerAboutAnotherKeyIsRefused failed with: assertion failed: error is nil, not "store unreachable". go test ./io/store ./io/feed ./io/change ./io/share passes after it.

--- a/io/store/consul.go
+++ b/io/store/consul.go
@@ -143,6 +143,8 @@
 	return hosts, index, nil
 }
 
+// get fails if the answer is about another key: HTTP matches answers to calls by their order, and
+// something on the way may answer a call twice.
 func (c *Consul) get(ctx context.Context, key string, q url.Values, wait time.Duration) ([]kvPair, uint64, error) {
 	r, err := c.read(ctx, "/v1/kv/"+escape(c.Prefix+key)+"?"+q.Encode(), wait)
 	if err != nil {
@@ -159,6 +161,13 @@
 	if err := json.Unmarshal(r.body, &pairs); err != nil {
 		return nil, 0, errors.Wrap(coltsfootloft.ErrStoreDown, err.Error())
 	}
+	asked := c.Prefix + key
+	for _, p := range pairs {
+		if p.Key == asked || q.Has("recurse") && strings.HasPrefix(p.Key, asked) {
+			continue
+		}
+		return nil, 0, errors.Wrapf(coltsfootloft.ErrStoreDown, "answer with the key %q, asked for %q", p.Key, asked)
+	}
 	return pairs, index, nil
 }
 
