io/mirror: tell keys of different kinds apart in a listing

A listing marks the databases that it lacks as removed, and drops the records of groups that it lacks. Keys were compared without their prefixes and kinds, so that a key of another writer with the id of a database as its name kept a database in use that was gone.

Keys are compared within their kind. Before the fix, TestKeyOfAnotherKindIsNoDatabase failed with: assertion failed: expression is false: m.View().Upstreams["i-1"].Removed. go test ./io/mirror passes after it.

--- a/io/mirror/apply_test.go
+++ b/io/mirror/apply_test.go
@@ -45,6 +45,32 @@
 	assert.DeepEqual(t, m.View().HostNames(), []string{"new", "next"})
 }
 
+// TestKeyOfAnotherKindIsNoDatabase guards against a database that is gone and stays in use, because another
+// writer's key has its id as a name.
+func TestKeyOfAnotherKindIsNoDatabase(t *testing.T) {
+	m := newMirror(t)
+	database := coltsfootloft.Event{
+		Kind:     coltsfootloft.EventUpstream,
+		Key:      "i-1",
+		StoreKey: "servers/i-1",
+		Revision: 7,
+		Announcement: coltsfootloft.Announcement{
+			Upstream: coltsfootloft.NewUpstream("i-1", "d1", "127.0.0.1:1"),
+			Group:    "g1",
+		},
+	}
+	m.replaceAll([]coltsfootloft.Event{database}, 7)
+	assert.Assert(t, !m.View().Upstreams["i-1"].Removed)
+	other := coltsfootloft.Event{
+		Kind:     coltsfootloft.EventOther,
+		Key:      "i-1",
+		StoreKey: "i-1",
+		Revision: 8,
+	}
+	m.replaceAll([]coltsfootloft.Event{other}, 9)
+	assert.Assert(t, m.View().Upstreams["i-1"].Removed)
+}
+
 func settingsOf(version, era, number uint64) coltsfootloft.Event {
 	r := coltsfootloft.RevisionAt(era, number)
 	return coltsfootloft.Event{
--- a/io/mirror/view.go
+++ b/io/mirror/view.go
@@ -318,20 +318,23 @@
 	}
 	v.Settled = Settled{}
 	v.Duties = make(map[string]Duty)
-	listed := make(map[string]bool)
+	listed := make(map[coltsfootloft.EventKind]map[string]bool) // keys of different kinds may be equal
 	for _, e := range events {
-		listed[e.Key] = true
+		if listed[e.Kind] == nil {
+			listed[e.Kind] = make(map[string]bool)
+		}
+		listed[e.Kind][e.Key] = true
 		if err := v.apply(now, e); err != nil {
 			problems = append(problems, err)
 		}
 	}
 	for name := range v.Groups {
-		if !listed[GroupKey(name)] {
+		if !listed[coltsfootloft.EventProxyKey][GroupKey(name)] {
 			delete(v.Groups, name)
 		}
 	}
 	for id, u := range v.Upstreams {
-		if !listed[id] && !u.Removed {
+		if !listed[coltsfootloft.EventUpstream][id] && !u.Removed {
 			u.Removed = true
 			if !u.Leaving {
 				u.Since = now
