--- /dev/null
+++ b/io/edge/ahead_test.go
@@ -0,0 +1,111 @@
+package edge
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// read reads one answer.
+func (c *client) read() answer {
+	var a answer
+	for {
+		word, rest, _ := strings.Cut(c.line(), " ")
+		switch word {
+		case "ROW":
+			a.rows = append(a.rows, rest)
+		case "DONE":
+			a.digest = rest
+		case "ERR":
+			a.code, _, _ = strings.Cut(rest, " ")
+		case "READY":
+			a.state = rest[:1]
+			return a
+		case "":
+			a.lost = true
+			return a
+		}
+	}
+}
+
+// answers reads the answers to statements that were sent with these ids. The digest of a database names
+// itself and the id; -, BEGIN and the like have none.
+func (c *client) answers(ids ...string) []answer {
+	c.t.Helper()
+	all := make([]answer, 0, len(ids))
+	for _, id := range ids {
+		a := c.read()
+		assert.Assert(c.t, !a.lost, id)
+		if a.code == "" && a.digest != "-" {
+			assert.Assert(c.t, strings.HasSuffix(a.digest, "."+id), "%s got the answer %q", id, a.digest)
+		}
+		all = append(all, a)
+	}
+	return all
+}
+
+// TestStatementsSentAheadGetTheirOwnAnswers guards against answers that are given to another statement of
+// the session: a caller sends statements before it has the answers to those before them, in pieces that
+// end anywhere.
+func TestStatementsSentAheadGetTheirOwnAnswers(t *testing.T) {
+	f := startFleet(t, 1, nil)
+	for _, size := range []int{1, 7, 64, 1 << 20} {
+		c, code := connect(t, f.hosts[0], "file", "key-arima")
+		assert.Equal(t, code, "")
+		texts := []string{
+			"WRITE page a", "READ page", "PREPARE s READ q", "EXEC s page", "BEGIN", "READ page", "WRITE page b", "COMMIT",
+			"STATUS", "READ page", "SET a b", "BEGIN READ", "READ page", "ROLLBACK", "DEALLOC s", "EXEC s page", "READ page",
+		}
+		var script strings.Builder
+		ids := make([]string, len(texts))
+		for i, text := range texts {
+			ids[i] = fmt.Sprintf("ahead-%d-%d", size, i)
+			fmt.Fprintf(&script, "QUERY %s %s\r\n", ids[i], text)
+		}
+		script.WriteString("BYE\r\n")
+		go func() {
+			for rest := script.String(); rest != ""; {
+				n := min(size, len(rest))
+				if _, err := io.WriteString(c.conn, rest[:n]); err != nil {
+					return
+				}
+				rest = rest[n:]
+			}
+		}()
+		all := c.answers(ids...)
+		for i, want := range map[int]string{8: "MALFORMED", 15: "NOSTMT"} {
+			assert.Equal(t, all[i].code, want, texts[i])
+			all[i].code = ""
+		}
+		for i, a := range all {
+			assert.Equal(t, a.code, "", texts[i])
+		}
+		assert.DeepEqual(t, all[1].rows, []string{"a"})
+		assert.DeepEqual(t, all[16].rows, []string{"b"})
+		_, err := c.r.ReadByte()
+		assert.Equal(t, err, io.EOF, "nothing follows the last answer")
+	}
+}
+
+// TestCallersSendNoCommandsOfTheHost guards against a caller that runs a command which only hosts may
+// send, or a statement under the id of the host's own.
+func TestCallersSendNoCommandsOfTheHost(t *testing.T) {
+	f := startFleet(t, 1, nil)
+	c, code := connect(t, f.hosts[0], "file", "key-arima")
+	assert.Equal(t, code, "")
+	c.must("WRITE page a")
+	for _, text := range []string{
+		"STATUS", "RESET", "DEMOTE 9", "PAUSE 9", "RESUME", "AFTERLSN 1.1 READ page", "AFTERLSN 9.9 BEGIN", "START g1 x", "QUERY 1 READ page",
+	} {
+		a := c.do(text)
+		assert.Equal(t, a.code, "MALFORMED", text)
+		assert.Equal(t, a.state, "I", text)
+	}
+	assert.DeepEqual(t, c.must("READ page").rows, []string{"a"})
+	fmt.Fprint(c.conn, "QUERY - READ page\r\n")
+	assert.Assert(t, strings.HasPrefix(c.line(), "ERR MALFORMED"))
+	assert.Equal(t, c.line(), "", "the session ends")
+}
--- a/io/edge/fleet_test.go
+++ b/io/edge/fleet_test.go
@@ -387,24 +387,7 @@
 	if _, err := fmt.Fprintf(c.conn, "QUERY %s-%d %s\r\n", c.name, c.n, text); err != nil {
 		return answer{lost: true}
 	}
-	var a answer
-	for {
-		word, rest, _ := strings.Cut(c.line(), " ")
-		switch word {
-		case "ROW":
-			a.rows = append(a.rows, rest)
-		case "DONE":
-			a.digest = rest
-		case "ERR":
-			a.code, _, _ = strings.Cut(rest, " ")
-		case "READY":
-			a.state = rest[:1]
-			return a
-		case "":
-			a.lost = true
-			return a
-		}
-	}
+	return c.read()
 }
 
 // must sends a statement and fails the test if it does not succeed.
