--- a/io/dial/dial_test.go
+++ b/io/dial/dial_test.go
@@ -50,6 +50,27 @@
 	assert.Assert(t, !IsQuiet(conn))
 }
 
+// TestIsQuietDoesNotWaitForAReader guards against a call that never ends, because another goroutine reads from
+// the connection, as the background reader of pgconn does.
+func TestIsQuietDoesNotWaitForAReader(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	conn, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	go func() { _, _ = conn.Read(make([]byte, 1)) }()
+	time.Sleep(20 * time.Millisecond) // lets the reader wait
+	quiet := make(chan bool, 1)
+	go func() { quiet <- IsQuiet(conn) }()
+	select {
+	case isQuiet := <-quiet:
+		assert.Assert(t, isQuiet)
+	case <-time.After(5 * time.Second):
+		t.Fatal("still waits")
+	}
+}
+
 func awaitNoise(t *testing.T, conn net.Conn) {
 	t.Helper()
 	for end := time.Now().Add(5 * time.Second); IsQuiet(conn); time.Sleep(time.Millisecond) {
--- a/io/dial/quiet.go
+++ b/io/dial/quiet.go
@@ -22,11 +22,11 @@
 		return false
 	}
 	isQuiet := false
-	err = raw.Read(func(fd uintptr) bool {
+	// Read would wait for a read of another goroutine to end.
+	err = raw.Control(func(fd uintptr) {
 		var one [1]byte
 		_, _, e := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		isQuiet = e == unix.EAGAIN
-		return true
 	})
 	return err == nil && isQuiet
 }
--- a/io/edge/client_test.go
+++ b/io/edge/client_test.go
@@ -64,6 +64,11 @@
 	if _, err := fmt.Fprintf(c.conn, "QUERY %s-%d %s\r\n", c.name, c.n, text); err != nil {
 		return answer{lost: true}
 	}
+	return c.read()
+}
+
+// read reads the answer to one statement.
+func (c *client) read() answer {
 	a, stray := caller.Receive(c.r, c.arm)
 	if stray != "" {
 		c.t.Errorf("%s-%d: %q is no part of an answer", c.name, c.n, stray)
