--- a/core/match/match.go
+++ b/core/match/match.go
@@ -10,8 +10,9 @@
 // repetition together with the mark that followed that one. It needs more marks than the
 // earlier one had.
 //
-// Answers with a digest that are certainly repetitions are skipped, so that the statement
-// gets its own. All others end the use of the connection.
+// An answer with a digest that equals an earlier one is a repetition, since a digest is that of
+// one run of one statement. It is skipped, so that the statement gets its own. All other
+// answers that don't match end the use of the connection.
 package match
 
 import (
@@ -182,14 +183,16 @@
 // Accept takes the next answer and returns the request that it belongs to. It fails with
 // ErrRepeated if the answer is to be skipped, and with ErrMismatch if it can't belong to the request.
 func (s *Sequence) Accept(a coltsfootloft.Reply) (Request, error) {
-	if len(s.outstanding) == 0 {
-		if s.IsRepeated(a) {
-			return Request{}, ErrRepeated
-		}
-		return Request{}, ErrMismatch
+	var r Request
+	if len(s.outstanding) > 0 {
+		r = s.outstanding[0]
 	}
-	r := s.outstanding[0]
-	if !r.allows(a, s.state) {
+	switch {
+	case s.IsRepeated(a):
+		return r, ErrRepeated
+	case len(s.outstanding) == 0:
+		return r, ErrMismatch
+	case !r.allows(a, s.state):
 		return s.acceptOther(r, a)
 	}
 	s.outstanding = s.outstanding[1:]
@@ -209,18 +212,13 @@
 
 // acceptOther handles an answer that can't belong to the next request.
 func (s *Sequence) acceptOther(r Request, a coltsfootloft.Reply) (Request, error) {
-	repeated := s.IsRepeated(a)
-	mayBeOwn := r.IsMark() && s.uncertain // of the statement before the mark
-	switch {
-	case repeated && !mayBeOwn:
-		return r, ErrRepeated
-	case mayBeOwn && s.marks == 0 && !repeated && !a.Failed() && hasDigest(a) && s.statement.allows(a, s.before):
+	mayBeOwn := r.IsMark() && s.uncertain && s.marks == 0 // of the statement before the mark
+	if mayBeOwn && !a.Failed() && hasDigest(a) && s.statement.allows(a, s.before) {
 		// The answer before it was repeated, since a new digest is that of an outstanding statement.
 		s.state = a.State
 		return s.statement, nil
-	default:
-		return r, ErrMismatch
 	}
+	return r, ErrMismatch
 }
 
 // IsRepeated reports whether an answer has a digest and equals an earlier one.
