io/dial: IsQuiet does not wait for a read of another goroutine

pgconn reads in the background after a slow write, until something comes. IsQuiet looked at the socket under the lock of reads and waited for that read; the call, or the pool whose lock was held, stood still.

--- a/io/dial/dial_test.go
+++ b/io/dial/dial_test.go
@@ -50,6 +50,27 @@
 	assert.Assert(t, !IsQuiet(conn))
 }
 
+// TestIsQuietBesideARead guards against a pool that stands still: the protocol library may read from the
+// connection in the background, and its read lasts until something comes.
+func TestIsQuietBesideARead(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	conn, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	go func() { _, _ = conn.Read(make([]byte, 1)) }()
+	time.Sleep(20 * time.Millisecond) // until the read waits
+	result := make(chan bool, 1)
+	go func() { result <- IsQuiet(conn) }()
+	select {
+	case isQuiet := <-result:
+		assert.Assert(t, isQuiet)
+	case <-time.After(5 * time.Second):
+		t.Fatal("IsQuiet waits for the read")
+	}
+}
+
 func awaitNoise(t *testing.T, conn net.Conn) {
 	t.Helper()
 	for end := time.Now().Add(5 * time.Second); IsQuiet(conn); time.Sleep(time.Millisecond) {
