io/ask: close connections whose requests were not sent

Cause: after a Flush that failed with ErrNotSent, the requests stayed outstanding, although nothing was sent, and only that kept the connection from being lent again with a state that the database lacks.

Change: such a connection has nothing outstanding and is not reusable, so that the pool closes it. The error of Exchange wraps ErrNotSent and is not ErrBusy.

--- a/io/ask/ask.go
+++ b/io/ask/ask.go
@@ -44,6 +44,8 @@
 	Metrics *metrics.Set
 
 	sequence match.Sequence
+	// unsent is set after requests were not sent, so that the database lacks what they would have set.
+	unsent bool
 }
 
 // Queue buffers a command of the host itself, with the marks that follow it.
@@ -69,9 +71,14 @@
 	}
 }
 
-// RoundTrip sends the buffered requests and returns the answer to the last one before the marks.
+// RoundTrip sends the buffered requests and returns the answer to the last one before the marks. It
+// fails with coltsfootloft.ErrNotSent if one of them can't be encoded.
 func (c *Conn) RoundTrip(deadline time.Time) (coltsfootloft.Reply, error) {
 	if err := c.Session.Flush(deadline); err != nil {
+		if errors.Is(err, coltsfootloft.ErrNotSent) {
+			c.sequence = match.Sequence{}
+			c.unsent = true
+		}
 		return coltsfootloft.Reply{}, errors.Wrap(err, "send")
 	}
 	reply, marks, err := c.receive(deadline)
@@ -197,10 +204,10 @@
 // Outstanding returns how many requests were sent whose answers have not been read.
 func (c *Conn) Outstanding() int { return c.sequence.Outstanding() }
 
-// IsReusable reports whether the connection may serve further requests: no answer is outstanding or
-// unread, and none was repeated too often.
+// IsReusable reports whether the connection may serve further requests: all requests were sent, no
+// answer is outstanding or unread, and none was repeated too often.
 func (c *Conn) IsReusable() bool {
-	return c.sequence.Outstanding() == 0 && !c.sequence.IsWorn() && c.CheckUnread() == nil
+	return !c.unsent && c.sequence.Outstanding() == 0 && !c.sequence.IsWorn() && c.CheckUnread() == nil
 }
 
 // Discard reads the late answers to all requests that are outstanding. It returns the transaction
--- a/io/dbpool/conn.go
+++ b/io/dbpool/conn.go
@@ -51,7 +51,8 @@
 // Exchange sends a statement and returns its answer, whose memory is given back by GiveBack
 // of the pools or by whoever uses it. After any error the connection must be closed; after a
 // time-out, DiscardReplies may be called first. The statement was not sent if the error is
-// ErrUnread, and may have run after any other.
+// ErrUnread, or wraps coltsfootloft.ErrNotSent because it can't be sent on any connection; it may
+// have run after any other.
 func (c *Conn) Exchange(r Request) (reply coltsfootloft.Reply, err error) {
 	if err := c.checkUnread(); err != nil {
 		return reply, err
