io/entry, io/relay: refuse statements that can't be sent as not run

Cause: a Flush that failed with ErrNotSent was taken for a missing answer. A write was answered INDOUBT, the database's connection counted as silent and the primary was reported, though nothing was sent. The owner told it to other hosts as "may have run", too.

Change: ErrTooLarge tells the size limit from other causes of ErrNotSent. Outside a transaction the statement is refused at once, with TOOBIG or MALFORMED; a transaction is aborted, and its end is told as not kept. The owner answers with OUTCOME_LOST, not_sent and the reason.

--- a/io/entry/choose.go
+++ b/io/entry/choose.go
@@ -143,12 +143,13 @@
 }
 
 // borrow takes a connection to a database. It returns nil if there is none or if the
-// host lost the right to use the primary while it waited.
-func (n *session) borrow(o *operation, d destination) *relay.Conn {
+// host lost the right to use the primary while it waited. It fails with
+// coltsfootloft.ErrNotSent if there can be none.
+func (n *session) borrow(o *operation, d destination) (*relay.Conn, error) {
 	s := n.server
 	left := o.waitLeft(s.Clock.Elapsed())
 	if left <= 0 {
-		return nil
+		return nil, nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
@@ -157,15 +158,18 @@
 		primary = &d.reader.Primary
 	}
 	conn, err := s.Relay.Borrow(ctx, d.reader.Target, n.account, o.route.Priority, primary)
+	if errors.Is(err, coltsfootloft.ErrNotSent) {
+		return nil, err
+	}
 	if err != nil {
 		n.noteNotSent(o, d, err)
-		return nil
+		return nil, nil
 	}
 	if d.reader.IsPrimary && !s.Groups.MaySend(o.route.Group, d.reader.Primary) {
 		conn.Release(true)
-		return nil
+		return nil, nil
 	}
-	return conn
+	return conn, nil
 }
 
 // noteNotSent handles a statement that was not sent because the database was down or
@@ -178,5 +182,14 @@
 }
 
 func wasNotSent(err error) bool {
-	return errors.Is(err, dbpool.ErrBusy) || errors.Is(err, dbpool.ErrDown)
+	return errors.Is(err, dbpool.ErrBusy) || errors.Is(err, dbpool.ErrDown) || errors.Is(err, coltsfootloft.ErrNotSent)
+}
+
+// refuseUnsent refuses a statement that can't be sent to any database.
+func (n *session) refuseUnsent(o *operation, st coltsfootloft.Statement, err error) coltsfootloft.Reply {
+	reason := coltsfootloft.ReasonMalformed
+	if errors.Is(err, coltsfootloft.ErrTooLarge) {
+		reason = coltsfootloft.ReasonTooLarge
+	}
+	return n.refuseOperation(o, st, reason, err.Error())
 }
--- a/io/entry/single.go
+++ b/io/entry/single.go
@@ -29,7 +29,10 @@
 			continue
 		}
 		tried[d.reader.Target.ID] = true
-		conn := n.borrow(o, d)
+		conn, err := n.borrow(o, d)
+		if err != nil {
+			return n.refuseUnsent(o, st, err)
+		}
 		if conn == nil {
 			if o.waitLeft(n.server.Clock.Elapsed()) <= 0 {
 				return n.refuseOperation(o, st, coltsfootloft.ReasonBusy, "no connection came free; come back in 50 ms")
@@ -68,6 +71,9 @@
 	if errors.Is(err, relay.ErrNoMemory) {
 		return n.refuseOperation(o, st, coltsfootloft.ReasonBusy, "no memory for the statement; come back in 500 ms"), true
 	}
+	if errors.Is(err, coltsfootloft.ErrNotSent) {
+		return n.refuseUnsent(o, st, err), true
+	}
 	if wasNotSent(err) {
 		n.noteNotSent(o, d, err)
 		return reply, false
--- a/io/entry/transaction.go
+++ b/io/entry/transaction.go
@@ -77,8 +77,12 @@
 		t.arrived = now
 	}
 	t.wall = time.Now()
-	if reason := n.ensureBegun(st); reason != coltsfootloft.ReasonNone {
+	reason, err := n.ensureBegun(st)
+	if reason != coltsfootloft.ReasonNone {
 		n.refund(&t.operation)
+		if err != nil {
+			return n.abort(st, err.Error())
+		}
 		return n.failTransaction(st, reason, "no database took the transaction; come back in 50 ms")
 	}
 	if t.dest.reader.IsPrimary && !n.server.Groups.MaySend(t.route.Group, t.dest.reader.Primary) {
@@ -125,11 +129,12 @@
 }
 
 // ensureBegun begins the transaction at a database, if that has not happened yet. It may
-// try several databases, because a transaction without statements changes nothing.
-func (n *session) ensureBegun(st coltsfootloft.Statement) coltsfootloft.Reason {
+// try several databases, because a transaction without statements changes nothing. The error is
+// set if it can't be sent to any, as coltsfootloft.ErrNotSent.
+func (n *session) ensureBegun(st coltsfootloft.Statement) (coltsfootloft.Reason, error) {
 	t := n.tx
 	if t.conn != nil {
-		return coltsfootloft.ReasonNone
+		return coltsfootloft.ReasonNone, nil
 	}
 	tried := make(map[string]bool)
 	last := coltsfootloft.ReasonBusy
@@ -137,25 +142,30 @@
 		d, ok := n.choose(&t.operation, !t.readOnly, tried)
 		if !ok {
 			if !n.awaitDatabase(&t.operation, tried) {
-				return last
+				return last, nil
 			}
 			continue
 		}
 		tried[d.reader.Target.ID] = true
-		conn := n.borrow(&t.operation, d)
+		conn, err := n.borrow(&t.operation, d)
+		if err != nil {
+			return coltsfootloft.ReasonAborted, err
+		}
 		if conn == nil {
 			if t.waitLeft(n.server.Clock.Elapsed()) <= 0 {
-				return last
+				return last, nil
 			}
 			continue
 		}
-		if reason := n.beginOn(conn, d, st); reason == coltsfootloft.ReasonNone {
-			return reason
-		} else if isDefinite(reason) {
+		reason, err := n.beginOn(conn, d, st)
+		if err != nil || reason == coltsfootloft.ReasonNone {
+			return reason, err
+		}
+		if isDefinite(reason) {
 			last = reason
 		}
 		if t.waitLeft(n.server.Clock.Elapsed()) <= 0 {
-			return last
+			return last, nil
 		}
 		if d.reader.IsPrimary {
 			n.pause(&t.operation)
@@ -174,8 +184,9 @@
 	}
 }
 
-// beginOn begins the transaction on a connection. It returns ReasonNone on success.
-func (n *session) beginOn(conn *relay.Conn, d destination, st coltsfootloft.Statement) coltsfootloft.Reason {
+// beginOn begins the transaction on a connection. It returns ReasonNone on success. It fails
+// with coltsfootloft.ErrNotSent if the transaction can't be sent to any database.
+func (n *session) beginOn(conn *relay.Conn, d destination, st coltsfootloft.Statement) (coltsfootloft.Reason, error) {
 	s := n.server
 	t := n.tx
 	sent := s.Clock.Elapsed()
@@ -186,15 +197,18 @@
 		After:     d.after,
 		Deadline:  final,
 	}, final, true)
+	if errors.Is(err, coltsfootloft.ErrNotSent) {
+		return coltsfootloft.ReasonAborted, err
+	}
 	if wasNotSent(err) {
 		n.noteNotSent(&t.operation, d, err)
-		return coltsfootloft.ReasonBusy
+		return coltsfootloft.ReasonBusy, nil
 	}
 	t.sent = true
 	t.tries++
 	if err == nil && !reply.Failed() && reply.State != coltsfootloft.TxOpen {
 		conn.Release(false)
-		return coltsfootloft.ReasonFailed
+		return coltsfootloft.ReasonFailed, nil
 	}
 	if err != nil || reply.Failed() {
 		reason := reply.Reason
@@ -209,13 +223,13 @@
 		if d.reader.IsPrimary && reason != coltsfootloft.ReasonBusy {
 			s.ReportUnreachable(t.route.Group, d.reader.Target.ID)
 		}
-		return reason
+		return reason, nil
 	}
 	if d.reader.IsPrimary && !s.Groups.MayAccept(t.route.Group, d.reader.Primary) {
 		conn.Release(false)
 		s.Log.Info("transaction not begun", "id", st.ID(), "upstream", d.reader.Target.ID, "primary", true,
 			"reason", "the primary may have been replaced meanwhile", "lease_left", s.Groups.Lease.Left().String(), "tries", t.tries)
-		return coltsfootloft.ReasonBusy
+		return coltsfootloft.ReasonBusy, nil
 	}
 	t.conn = conn
 	t.dest = d
@@ -223,7 +237,7 @@
 	if d.reader.IsPrimary {
 		s.Groups.Marks(t.route.Group).Add(d.reader.Primary.Epoch, sent, reply.Position)
 	}
-	return coltsfootloft.ReasonNone
+	return coltsfootloft.ReasonNone, nil
 }
 
 // commit commits the transaction.
@@ -241,7 +255,11 @@
 		t.arrived = s.Clock.Elapsed()
 	}
 	t.wall = time.Now()
-	if reason := n.ensureBegun(st); reason != coltsfootloft.ReasonNone {
+	reason, err := n.ensureBegun(st)
+	if err != nil {
+		return n.abortCommit(st, err.Error())
+	}
+	if reason != coltsfootloft.ReasonNone {
 		return n.abortCommit(st, "no database took the transaction")
 	}
 	if t.dest.reader.IsPrimary && !s.Groups.MaySend(t.route.Group, t.dest.reader.Primary) {
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -142,8 +142,9 @@
 func (n *Conn) Target() dbpool.Target { return n.target }
 
 // Exchange sends a statement and returns its answer, whose memory the caller gives back. The
-// errors dbpool.ErrBusy, dbpool.ErrDown and ErrTransactionEnded mean that it was not sent;
-// after any other error it may have run.
+// errors dbpool.ErrBusy, dbpool.ErrDown and ErrTransactionEnded mean that it was not sent, and
+// coltsfootloft.ErrNotSent that it can't be sent on any connection; after any other error it may
+// have run.
 // The request's deadline bounds the wait of the caller. The answer of the database is
 // still awaited until final, so that the database's work is not interrupted. keep is set
 // in a transaction, whose connection is kept after the statement.
@@ -155,7 +156,7 @@
 	if err == nil {
 		return reply, nil
 	}
-	if errors.Is(err, dbpool.ErrUnread) {
+	if errors.Is(err, dbpool.ErrUnread) || errors.Is(err, coltsfootloft.ErrNotSent) {
 		n.Release(false)
 		return reply, err
 	}
--- a/io/relay/remote.go
+++ b/io/relay/remote.go
@@ -80,7 +80,7 @@
 		return dbpool.ErrDown
 	case relaypb.Outcome_OUTCOME_LOST:
 		if a.GetNotSent() {
-			return ErrTransactionEnded
+			return notSentError(a)
 		}
 		return errors.Errorf("no answer of the database: %s", a.GetText())
 	case relaypb.Outcome_OUTCOME_ANSWERED:
@@ -90,6 +90,33 @@
 	}
 }
 
+// notSentError returns the error of Exchange for a statement that the owner did not send.
+func notSentError(a *relaypb.Response) error {
+	switch coltsfootloft.Reason(a.GetReason()) {
+	case coltsfootloft.ReasonTooLarge:
+		return errors.Wrap(coltsfootloft.ErrTooLarge, string(a.GetText()))
+	case coltsfootloft.ReasonMalformed:
+		return errors.Wrap(coltsfootloft.ErrNotSent, string(a.GetText()))
+	default:
+		return ErrTransactionEnded
+	}
+}
+
+// notSent returns the response to a statement that can't be sent on any connection. Its transaction
+// has ended. Earlier versions take the outcome of a statement outside a transaction as unknown.
+func notSent(err error) *relaypb.Response {
+	reason := coltsfootloft.ReasonMalformed
+	if errors.Is(err, coltsfootloft.ErrTooLarge) {
+		reason = coltsfootloft.ReasonTooLarge
+	}
+	return &relaypb.Response{
+		Outcome: relaypb.Outcome_OUTCOME_LOST,
+		Text:    []byte(err.Error()),
+		Reason:  uint32(reason),
+		NotSent: true,
+	}
+}
+
 // callError returns the error of Exchange for a call that the owner did not answer.
 func (n *Conn) callError(err error) error {
 	if isNotDelivered(err) {
--- a/io/relay/serve.go
+++ b/io/relay/serve.go
@@ -89,6 +89,9 @@
 	reply, err := conn.Exchange(q)
 	if err != nil {
 		r.Pools.Release(conn, false)
+		if errors.Is(err, coltsfootloft.ErrNotSent) {
+			return notSent(err), 0
+		}
 		if errors.Is(err, dbpool.ErrUnread) && x.GetHandle() == 0 {
 			return &relaypb.Response{Outcome: relaypb.Outcome_OUTCOME_BUSY}, 0
 		}
@@ -136,6 +139,9 @@
 	if errors.Is(err, dbpool.ErrDown) {
 		return nil, &relaypb.Response{Outcome: relaypb.Outcome_OUTCOME_DOWN}
 	}
+	if errors.Is(err, coltsfootloft.ErrNotSent) {
+		return nil, notSent(err)
+	}
 	if err != nil {
 		return nil, &relaypb.Response{Outcome: relaypb.Outcome_OUTCOME_BUSY}
 	}
--- a/statement.go
+++ b/statement.go
@@ -14,6 +14,9 @@
 // for example because a field holds the end of a line. Nothing of what was buffered was sent.
 var ErrNotSent = errors.New("not sent")
 
+// ErrTooLarge is the ErrNotSent of a message that exceeds the size limit.
+var ErrTooLarge = errors.Wrap(ErrNotSent, "too large")
+
 // Statement is one decoded statement of a caller. Its text is sent to the database
 // unchanged, except for the name of a prepared statement.
 type Statement struct {
