io/dbpool: keep a database in use when one account can't be named to it

Cause: any error of opening a connection, even ErrNotSent, which comes before the database is contacted, marked the database down and failed the waiters of all accounts.

Change: ErrNotSent fails the waiters of its own account, at once, with a log line that names the account and the reason. Connections for the others are opened as before.

Measured: TestAccountThatCannotBeNamedIsAlone failed before with "field 2 of START holds a blank: not sent: database unreachable" for the account and for the other one, and logged "database unreachable"; it passes 20 of 20 times.

--- a/io/dbpool/open.go
+++ b/io/dbpool/open.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -69,7 +70,7 @@
 	n.opening[account]--
 	if err != nil {
 		n.open--
-		p.dialFailed(n, t, err)
+		p.dialFailed(n, t, account, err)
 		return
 	}
 	p.count("opened")
@@ -94,8 +95,14 @@
 
 // dialFailed handles a connection that could not be opened. If the database has none
 // free, opening is retried later, since connections may become free; otherwise all
-// waiters get ErrDown.
-func (p *Pools) dialFailed(n *pool, t Target, err error) {
+// waiters get ErrDown. If the name of the account can't be sent, only its own waiters fail.
+func (p *Pools) dialFailed(n *pool, t Target, account string, err error) {
+	if errors.Is(err, coltsfootloft.ErrNotSent) {
+		p.Log.Info("connection not opened", "database", t.ID, "group", t.Group, "account", account, "reason", err.Error())
+		n.failWaiters(func(w *connWaiter) bool { return w.account == account }, err)
+		p.openForWaiters(n)
+		return
+	}
 	now := p.Clock.Elapsed()
 	reason, refused := p.RefusalReason(err)
 	p.count("refused")
@@ -113,8 +120,16 @@
 		n.isDown = true
 		p.Log.Info("database unreachable", "database", t.ID, "group", t.Group, "address", t.Address, "reason", err.Error())
 	}
-	for _, w := range n.waiters {
-		w.result <- connResult{err: errors.Wrap(ErrDown, err.Error())}
-	}
-	n.waiters = nil
+	n.failWaiters(func(*connWaiter) bool { return true }, errors.Wrap(ErrDown, err.Error()))
+}
+
+// failWaiters ends the wait of those that fails selects.
+func (n *pool) failWaiters(fails func(*connWaiter) bool, err error) {
+	n.waiters = slices.DeleteFunc(n.waiters, func(w *connWaiter) bool {
+		if !fails(w) {
+			return false
+		}
+		w.result <- connResult{err: err}
+		return true
+	})
 }
--- a/io/dbpool/pools.go
+++ b/io/dbpool/pools.go
@@ -120,7 +120,7 @@
 
 // Acquire lends a connection of the account for a statement with a priority, where 0 is
 // the most urgent. It waits for a permit and for a connection until ctx ends. The error
-// is ErrBusy or wraps ErrDown.
+// is ErrBusy or wraps ErrDown, or coltsfootloft.ErrNotSent if the database can't be told the account.
 func (p *Pools) Acquire(ctx context.Context, t Target, account string, priority int) (*Conn, error) {
 	if err := p.acquirePermit(ctx, t, account, priority); err != nil {
 		return nil, err
--- a/io/dbpool/unsent_test.go
+++ b/io/dbpool/unsent_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr/funcr"
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
@@ -41,3 +43,39 @@
 	l.Release(c, true)
 	assert.Equal(t, d.open(), 0)
 }
+
+// namedDatabase opens no session for an account whose name can't be encoded, and the others after delay.
+type namedDatabase struct{ *database }
+
+func (d namedDatabase) Open(ctx context.Context, address, group, account, id string) (coltsfootloft.Session, coltsfootloft.Position, error) {
+	if account == "Ana Maria" {
+		return nil, coltsfootloft.Position{}, errors.Wrap(coltsfootloft.ErrNotSent, "field 2 of START holds a blank")
+	}
+	time.Sleep(20 * time.Millisecond)
+	return d.database.Open(ctx, address, group, account, id)
+}
+
+// TestAccountThatCannotBeNamedIsAlone guards against a database that is out of use for all accounts because
+// the name of one can't be sent.
+func TestAccountThatCannotBeNamedIsAlone(t *testing.T) {
+	l, d := newTestPools()
+	l.Opener = namedDatabase{d}
+	l.Outstanding = func(Target) int { return 2 }
+	lines := 0
+	l.Log = funcr.New(func(_, args string) {
+		lines++
+		assert.Check(t, strings.Contains(args, "Ana Maria") && strings.Contains(args, "holds a blank"), args)
+	}, funcr.Options{})
+	served := make(chan error, 1)
+	go func() {
+		_, err := l.Acquire(timeoutContext(t, time.Second), target, "arima", 0)
+		served <- err
+	}()
+	time.Sleep(10 * time.Millisecond) // lets the other account wait for its connection
+	_, err := l.Acquire(timeoutContext(t, time.Second), target, "Ana Maria", 0)
+	assert.Check(t, errors.Is(err, coltsfootloft.ErrNotSent), "%v", err)
+	assert.NilError(t, <-served)
+	_, ok := l.Cost(target.ID, true, true)
+	assert.Assert(t, ok, "the database counts as down")
+	assert.Equal(t, lines, 1)
+}
