--- a/io/ask/ask.go
+++ b/io/ask/ask.go
@@ -78,17 +78,22 @@
 	if err != nil || marks == 0 {
 		return reply, err
 	}
+	if err := c.confirm(marks, deadline); err != nil {
+		c.GiveBack(reply)
+		return coltsfootloft.Reply{}, err
+	}
+	return reply, nil
+}
+
+// confirm sends further marks behind an answer that may be a repetition, and awaits theirs.
+func (c *Conn) confirm(marks int, deadline time.Time) error {
 	confirmed(c.Metrics).Inc()
 	c.queueMarks(marks)
-	err = c.Session.Flush(deadline)
+	err := c.Session.Flush(deadline)
 	if err == nil {
 		_, _, err = c.receive(deadline)
 	}
-	if err != nil {
-		c.GiveBack(reply)
-		return coltsfootloft.Reply{}, errors.Wrap(err, "repeated answer not confirmed")
-	}
-	return reply, nil
+	return errors.Wrap(err, "repeated answer not confirmed")
 }
 
 // receive reads all outstanding answers. It returns the one to the last request before the marks,
@@ -206,7 +211,10 @@
 // Discard reads the late answers to all requests that are outstanding. It returns the transaction
 // state of the session after them.
 func (c *Conn) Discard(deadline time.Time) (coltsfootloft.TxState, error) {
-	r, _, err := c.receive(deadline)
+	r, marks, err := c.receive(deadline)
 	c.GiveBack(r)
+	if err == nil && marks > 0 {
+		err = c.confirm(marks, deadline)
+	}
 	return c.sequence.State(), err
 }
--- /dev/null
+++ b/io/dbpool/discard_test.go
@@ -0,0 +1,85 @@
+package dbpool
+
+import (
+	"context"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"coltsfootloft"
+)
+
+// lateAgain is a database that sends the answers of the test: those in next once a request was sent.
+type lateAgain struct {
+	next, arrived []coltsfootloft.Reply
+	opened        int
+}
+
+func (d *lateAgain) Open(context.Context, string, string, string, string) (coltsfootloft.Session, coltsfootloft.Position, error) {
+	d.opened++
+	return &lateAgainSession{database: d}, coltsfootloft.Position{}, nil
+}
+
+type lateAgainSession struct {
+	coltsfootloft.Session
+	database *lateAgain
+}
+
+func (*lateAgainSession) Queue(coltsfootloft.Command)                                     {}
+func (*lateAgainSession) Forward(coltsfootloft.Statement, string, coltsfootloft.Position) {}
+func (*lateAgainSession) Close()                                                          {}
+func (s *lateAgainSession) Idle() bool                                                    { return len(s.database.arrived) == 0 }
+
+func (s *lateAgainSession) Flush(time.Time) error {
+	s.database.arrived = append(s.database.arrived, s.database.next...)
+	s.database.next = nil
+	return nil
+}
+
+func (s *lateAgainSession) Receive(time.Time) (coltsfootloft.Reply, error) {
+	if len(s.database.arrived) == 0 {
+		return coltsfootloft.Reply{}, os.ErrDeadlineExceeded
+	}
+	r := s.database.arrived[0]
+	s.database.arrived = s.database.arrived[1:]
+	return r, nil
+}
+
+// TestRepetitionsAreNotTheLateAnswers guards against an earlier answer that is repeated with its mark while
+// the late answers to a statement are read: the connection was used again, and the next statement got
+// the answer that came later still.
+func TestRepetitionsAreNotTheLateAnswers(t *testing.T) {
+	mark := coltsfootloft.Reply{Digest: "-"}
+	late := coltsfootloft.Reply{Digest: "7.late"}
+	for name, first := range map[string]coltsfootloft.Reply{
+		"success": {Digest: "7.first"},
+		"refusal": {Reason: coltsfootloft.ReasonBusy},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := &lateAgain{}
+			l, _ := newTestPools()
+			l.Opener = d
+			send := func(id string, answers ...coltsfootloft.Reply) (*Conn, coltsfootloft.Reply, error) {
+				c := acquire(t, l, 2)
+				d.next = answers
+				reply, err := c.Exchange(readWith(id, 0))
+				return c, reply, err
+			}
+			c, _, err := send("first", first, mark)
+			assert.NilError(t, err)
+			l.Release(c, true)
+			c, _, err = send("slow")
+			assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded))
+			d.arrived = []coltsfootloft.Reply{first, mark}
+			err = c.DiscardReplies(time.Time{})
+			l.Release(c, err == nil)
+			if d.opened == 1 && l.pool(target.ID).open == 1 {
+				_, reply, err := send("next", late, mark)
+				assert.Assert(t, err != nil, "the next statement got %q", reply.Digest)
+			}
+		})
+	}
+}
