--- a/core/match/match.go
+++ b/core/match/match.go
@@ -159,6 +159,8 @@
 type answer struct {
 	sum   uint64
 	marks int
+	// dropped is set if the sum is not that of what the database sent.
+	dropped bool
 }
 
 // sent is the part of an answer that is not text.
@@ -256,25 +258,49 @@
 	s.marks = 0
 	sum := sumOf(a)
 	i := s.find(sum)
-	s.uncertain = i >= 0
-	if s.uncertain {
+	earlier, ok := s.droppedMarks()
+	if i >= 0 {
+		earlier, ok = s.history[i].marks, true
 		s.latest = i
-		return max(0, s.history[i].marks+furtherMarks+setups-len(s.outstanding))
+	} else {
+		s.add(answer{
+			sum:     sum,
+			dropped: a.Reason == coltsfootloft.ReasonTooLarge,
+		})
 	}
+	s.uncertain = ok
+	if !ok {
+		return 0
+	}
+	return max(0, earlier+furtherMarks+setups-len(s.outstanding))
+}
+
+func (s *Sequence) add(h answer) {
 	if len(s.history) < historySize {
 		s.history = append(s.history, answer{})
 	}
 	s.latest = s.next
 	s.next = (s.next + 1) % historySize
-	s.history[s.latest] = answer{sum: sum}
-	return 0
+	s.history[s.latest] = h
+}
+
+// droppedMarks returns the greatest number of marks that came behind an answer whose rows were dropped. It
+// reports false if there was none. Any later answer may be its repetition.
+func (s *Sequence) droppedMarks() (marks int, ok bool) {
+	for _, h := range s.history {
+		if h.dropped {
+			marks = max(marks, h.marks)
+			ok = true
+		}
+	}
+	return marks, ok
 }
 
-// IsWorn reports whether an answer was repeated so often that a new connection is better than more
-// marks.
+// IsWorn reports whether an answer was repeated so often, or can be told from later ones so badly, that a
+// new connection is better than more marks.
 func (s *Sequence) IsWorn() bool {
 	for _, h := range s.history {
-		if h.marks >= maxMarks {
+		if h.marks >= maxMarks || h.dropped {
 			return true
 		}
 	}
--- a/io/dbpool/discard_test.go
+++ b/io/dbpool/discard_test.go
@@ -83,3 +83,54 @@
 		})
 	}
 }
+
+// TestDroppedAnswerIsNotTheNext guards against an answer that was dropped for lack of memory and then is
+// repeated with its mark, when there is memory again: the next statement got it.
+func TestDroppedAnswerIsNotTheNext(t *testing.T) {
+	for _, state := range []coltsfootloft.TxState{coltsfootloft.TxIdle, coltsfootloft.TxOpen} {
+		t.Run(state.String(), func(t *testing.T) {
+			d := &lateAgain{}
+			l, _ := newTestPools()
+			l.Opener = d
+			mark := coltsfootloft.Reply{
+				Digest: "-",
+				State:  state,
+			}
+			c := acquire(t, l, 2)
+			if state == coltsfootloft.TxOpen {
+				d.next = []coltsfootloft.Reply{mark, mark, mark}
+				_, err := c.Exchange(Request{Statement: coltsfootloft.NewStatement("begin", "BEGIN", coltsfootloft.VerbBegin, "", "")})
+				assert.NilError(t, err)
+			}
+			d.next = []coltsfootloft.Reply{
+				{
+					Reason: coltsfootloft.ReasonTooLarge,
+					State:  state,
+				},
+				mark,
+			}
+			_, err := c.Exchange(readWith("first", 0))
+			assert.NilError(t, err)
+			if state == coltsfootloft.TxIdle {
+				l.Release(c, true)
+				acquire(t, l, 2)
+				assert.Equal(t, d.opened, 2)
+				return
+			}
+			d.next = []coltsfootloft.Reply{
+				{
+					Digest: "7.first",
+					State:  state,
+				},
+				mark,
+				{
+					Digest: "7.next",
+					State:  state,
+				},
+				mark,
+			}
+			reply, err := c.Exchange(readWith("next", 0))
+			assert.Assert(t, err != nil, "the next statement got %q", reply.Digest)
+		})
+	}
+}
