io/relay: refuse answers of other hosts that no database gives to the statement

Cause: the host that asked the owner of a connection took any success for the answer. One without a digest reached the caller as "DONE -", and one with a transaction state that can't be changed that of the session.

Change: the answer must be one that package match allows to the statement, as on the host's own connections. Otherwise there is no answer: a write is in doubt, a transaction is aborted.

--- a/core/match/match.go
+++ b/core/match/match.go
@@ -94,9 +94,9 @@
 	return r.verb == coltsfootloft.VerbBegin || r.verb == coltsfootloft.VerbBeginRead
 }
 
-// allows reports whether a can be the answer to the request in a session whose transaction state
+// Allows reports whether a can be the answer to the request in a session whose transaction state
 // was before.
-func (r Request) allows(a coltsfootloft.Reply, before coltsfootloft.TxState) bool {
+func (r Request) Allows(a coltsfootloft.Reply, before coltsfootloft.TxState) bool {
 	switch {
 	case r.IsMark() || r.IsSetup():
 		return isMarkReply(a, before)
@@ -189,7 +189,7 @@
 		return Request{}, ErrMismatch
 	}
 	r := s.outstanding[0]
-	if !r.allows(a, s.state) {
+	if !r.Allows(a, s.state) {
 		return s.acceptOther(r, a)
 	}
 	s.outstanding = s.outstanding[1:]
@@ -214,7 +214,7 @@
 	switch {
 	case repeated && !mayBeOwn:
 		return r, ErrRepeated
-	case mayBeOwn && s.marks == 0 && !repeated && !a.Failed() && hasDigest(a) && s.statement.allows(a, s.before):
+	case mayBeOwn && s.marks == 0 && !repeated && !a.Failed() && hasDigest(a) && s.statement.Allows(a, s.before):
 		// The answer before it was repeated, since a new digest is that of an outstanding statement.
 		s.state = a.State
 		return s.statement, nil
--- a/io/relay/remote.go
+++ b/io/relay/remote.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"coltsfootloft"
+	"coltsfootloft/core/match"
 	"coltsfootloft/core/pick"
 	"coltsfootloft/io/dbpool"
 	"coltsfootloft/io/relay/relaypb"
@@ -53,11 +54,18 @@
 	if err := proto.Unmarshal(b, &a); err != nil {
 		return coltsfootloft.Reply{}, errors.Wrap(err, "answer of the keeper")
 	}
+	before := coltsfootloft.TxIdle
+	if n.handle != 0 {
+		before = coltsfootloft.TxOpen
+	}
 	n.handle = a.GetHandle()
 	if err := n.outcomeError(&a); err != nil {
 		return coltsfootloft.Reply{}, err
 	}
 	reply, err := decodeReply(&a)
+	if err == nil && !match.Statement(q.Statement.Verb()).Allows(reply, before) {
+		err = errors.Wrapf(match.ErrMismatch, "answer of the keeper to %s", q.Statement.Verb())
+	}
 	if err != nil {
 		return coltsfootloft.Reply{}, err
 	}
