io/entry: log answers that can't be encoded

Cause: a session that ended because its answer failed with ErrNotSent was logged as if the caller had left, at a level that is off by default.

Change: it is logged as "answer dropped" with the id of the statement, the account and the reason.

Measured: TestAnswerThatCannotBeSentIsLogged failed before with "0 (lines int) != 1 (c.lines int)", and passes now; a broken pipe gives no line, as before.

--- a/io/entry/session.go
+++ b/io/entry/session.go
@@ -69,7 +69,7 @@
 		err = n.caller.Answer(reply)
 		n.giveBack()
 		if err != nil {
-			n.server.Log.V(1).Info("reply not delivered to caller", "id", statement.ID(), "reason", err.Error())
+			n.logUndelivered(statement, err)
 			return
 		}
 		if last {
@@ -78,6 +78,15 @@
 	}
 }
 
+// logUndelivered logs an answer that the caller did not get. That a caller left is usual.
+func (n *session) logUndelivered(st coltsfootloft.Statement, err error) {
+	if errors.Is(err, coltsfootloft.ErrNotSent) {
+		n.server.Log.Info("answer dropped", "id", st.ID(), "database", n.startup.Database(), "account", n.account, "reason", err.Error())
+		return
+	}
+	n.server.Log.V(1).Info("reply not delivered to caller", "id", st.ID(), "reason", err.Error())
+}
+
 // handleReadError handles a caller's input that has ended or can't be parsed.
 func (n *session) handleReadError(err error) {
 	var refusal *coltsfootloft.RefusalError
