--- a/core/match/match.go
+++ b/core/match/match.go
@@ -95,9 +95,9 @@
 	return r.verb == coltsfootloft.VerbBegin || r.verb == coltsfootloft.VerbBeginRead
 }
 
-// allows reports whether a can be the answer to the request in a session whose transaction state
+// Allows reports whether a can be the answer to the request in a session whose transaction state
 // was before.
-func (r Request) allows(a coltsfootloft.Reply, before coltsfootloft.TxState) bool {
+func (r Request) Allows(a coltsfootloft.Reply, before coltsfootloft.TxState) bool {
 	switch {
 	case r.IsMark() || r.IsSetup():
 		return isMarkReply(a, before)
@@ -194,7 +194,7 @@
 		return r, ErrRepeated
 	case len(s.outstanding) == 0:
 		return r, ErrMismatch
-	case !r.allows(a, s.state):
+	case !r.Allows(a, s.state):
 		return s.acceptOther(r, a)
 	}
 	s.outstanding = s.outstanding[1:]
@@ -215,7 +215,7 @@
 // acceptOther handles an answer that can't belong to the next request.
 func (s *Sequence) acceptOther(r Request, a coltsfootloft.Reply) (Request, error) {
 	mayBeOwn := r.IsMark() && s.uncertain && s.marks == 0 // of the statement before the mark
-	if mayBeOwn && !a.Failed() && hasDigest(a) && s.statement.allows(a, s.before) {
+	if mayBeOwn && !a.Failed() && hasDigest(a) && s.statement.Allows(a, s.before) {
 		// The answer before it was repeated, since a new digest is that of an outstanding statement.
 		s.state = a.State
 		return s.statement, nil
