--- a/io/dbpool/conn.go
+++ b/io/dbpool/conn.go
@@ -11,9 +11,9 @@
 	"coltsfootloft/io/ask"
 )
 
-// ErrUnread is the error of Exchange and Command if the database has sent something that nobody
-// asked for. Nothing was sent to it.
-var ErrUnread = errors.Wrap(ErrBusy, ask.ErrUnread.Error())
+// ErrUnread is the error of Exchange and Command if the database has closed the connection, or has sent
+// something that nobody asked for. Nothing was sent to it.
+var ErrUnread = errors.Wrap(ErrBusy, "connection not usable")
 
 // Conn is a pooled connection, lent to one session at a time.
 type Conn struct {
@@ -114,13 +114,12 @@
 	return r, err
 }
 
-// checkUnread fails if the connection is closed, or with ErrUnread if it has unread input.
+// checkUnread fails with ErrUnread if the connection is closed or has unread input.
 func (c *Conn) checkUnread() error {
-	err := c.requests.CheckUnread()
-	if errors.Is(err, ask.ErrUnread) {
-		return ErrUnread
+	if err := c.requests.CheckUnread(); err != nil {
+		return errors.Wrap(ErrUnread, err.Error())
 	}
-	return err
+	return nil
 }
 
 // Outstanding returns how many requests were sent whose answers have not been read.
--- a/io/dbpool/discard_test.go
+++ b/io/dbpool/discard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"testing"
 	"time"
@@ -16,6 +17,8 @@
 type lateAgain struct {
 	next, arrived []coltsfootloft.Reply
 	opened        int
+	forwarded     int
+	ended         error // of the connections
 }
 
 func (d *lateAgain) Open(context.Context, string, string, string, string) (coltsfootloft.Session, coltsfootloft.Position, error) {
@@ -28,10 +31,16 @@
 	database *lateAgain
 }
 
-func (*lateAgainSession) Queue(coltsfootloft.Command)                                     {}
-func (*lateAgainSession) Forward(coltsfootloft.Statement, string, coltsfootloft.Position) {}
-func (*lateAgainSession) Close()                                                          {}
-func (s *lateAgainSession) Idle() bool                                                    { return len(s.database.arrived) == 0 }
+func (*lateAgainSession) Queue(coltsfootloft.Command) {}
+func (*lateAgainSession) Close()                      {}
+
+func (s *lateAgainSession) Idle() bool {
+	return len(s.database.arrived) == 0 && s.database.ended == nil
+}
+
+func (s *lateAgainSession) Forward(coltsfootloft.Statement, string, coltsfootloft.Position) {
+	s.database.forwarded++
+}
 
 func (s *lateAgainSession) Flush(time.Time) error {
 	s.database.arrived = append(s.database.arrived, s.database.next...)
@@ -40,6 +49,9 @@
 }
 
 func (s *lateAgainSession) Receive(time.Time) (coltsfootloft.Reply, error) {
+	if s.database.ended != nil {
+		return coltsfootloft.Reply{}, s.database.ended
+	}
 	if len(s.database.arrived) == 0 {
 		return coltsfootloft.Reply{}, os.ErrDeadlineExceeded
 	}
@@ -134,3 +146,22 @@
 		})
 	}
 }
+
+// TestNothingIsSentOnAnEndedConnection guards against a statement whose outcome is told as unknown, although
+// the connection was closed, or a part of an answer was unread, before it was sent.
+func TestNothingIsSentOnAnEndedConnection(t *testing.T) {
+	for _, err := range []error{io.EOF, errors.New("within an answer")} {
+		d := &lateAgain{}
+		l, _ := newTestPools()
+		l.Opener = d
+		c := acquire(t, l, 2)
+		d.ended = err
+		_, err := c.Exchange(readWith("first", 0))
+		assert.Assert(t, errors.Is(err, ErrUnread), "%v", err)
+		_, err = c.Command(coltsfootloft.Command{Kind: coltsfootloft.CommandRollback}, time.Time{})
+		assert.Assert(t, errors.Is(err, ErrUnread), "%v", err)
+		assert.Equal(t, d.forwarded, 0)
+		l.Release(c, true)
+		assert.Equal(t, l.pool(target.ID).open, 0)
+	}
+}
