--- a/io/dbpool/discard_test.go
+++ b/io/dbpool/discard_test.go
@@ -165,3 +165,25 @@
 		assert.Equal(t, l.pool(target.ID).open, 0)
 	}
 }
+
+// TestRefusalThatEndsInFailedState guards against a write that is told as in doubt, although the database refused it as
+// the protocol shows it: "ERR READONLY i-7f3a91c2", then "READY E 3.1209".
+func TestRefusalThatEndsInFailedState(t *testing.T) {
+	d := &lateAgain{}
+	l, _ := newTestPools()
+	l.Opener = d
+	c := acquire(t, l, 2)
+	d.next = []coltsfootloft.Reply{
+		{
+			Reason: coltsfootloft.ReasonReadOnly,
+			State:  coltsfootloft.TxFailed,
+		},
+		{
+			Reason: coltsfootloft.ReasonMalformed,
+			State:  coltsfootloft.TxFailed,
+		},
+	}
+	reply, err := c.Exchange(Request{Statement: coltsfootloft.NewStatement("first", "WRITE x y", coltsfootloft.VerbWrite, "x", "y")})
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Reason, coltsfootloft.ReasonReadOnly)
+}
