--- a/io/dbpool/discard_test.go
+++ b/io/dbpool/discard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"testing"
 	"time"
@@ -16,6 +17,8 @@
 type lateAgain struct {
 	next, arrived []coltsfootloft.Reply
 	opened        int
+	forwarded     int
+	ended         error // of the connections
 }
 
 func (d *lateAgain) Open(context.Context, string, string, string, string) (coltsfootloft.Session, coltsfootloft.Position, error) {
@@ -28,10 +31,16 @@
 	database *lateAgain
 }
 
-func (*lateAgainSession) Queue(coltsfootloft.Command)                                     {}
-func (*lateAgainSession) Forward(coltsfootloft.Statement, string, coltsfootloft.Position) {}
-func (*lateAgainSession) Close()                                                          {}
-func (s *lateAgainSession) Idle() bool                                                    { return len(s.database.arrived) == 0 }
+func (*lateAgainSession) Queue(coltsfootloft.Command) {}
+func (*lateAgainSession) Close()                      {}
+
+func (s *lateAgainSession) Idle() bool {
+	return len(s.database.arrived) == 0 && s.database.ended == nil
+}
+
+func (s *lateAgainSession) Forward(coltsfootloft.Statement, string, coltsfootloft.Position) {
+	s.database.forwarded++
+}
 
 func (s *lateAgainSession) Flush(time.Time) error {
 	s.database.arrived = append(s.database.arrived, s.database.next...)
@@ -40,6 +49,9 @@
 }
 
 func (s *lateAgainSession) Receive(time.Time) (coltsfootloft.Reply, error) {
+	if s.database.ended != nil {
+		return coltsfootloft.Reply{}, s.database.ended
+	}
 	if len(s.database.arrived) == 0 {
 		return coltsfootloft.Reply{}, os.ErrDeadlineExceeded
 	}
@@ -134,3 +146,44 @@
 		})
 	}
 }
+
+// TestNothingIsSentOnAnEndedConnection guards against a statement whose outcome is told as unknown, although
+// the connection was closed, or a part of an answer was unread, before it was sent.
+func TestNothingIsSentOnAnEndedConnection(t *testing.T) {
+	for _, err := range []error{io.EOF, errors.New("within an answer")} {
+		d := &lateAgain{}
+		l, _ := newTestPools()
+		l.Opener = d
+		c := acquire(t, l, 2)
+		d.ended = err
+		_, err := c.Exchange(readWith("first", 0))
+		assert.Assert(t, errors.Is(err, ErrUnread), "%v", err)
+		_, err = c.Command(coltsfootloft.Command{Kind: coltsfootloft.CommandRollback}, time.Time{})
+		assert.Assert(t, errors.Is(err, ErrUnread), "%v", err)
+		assert.Equal(t, d.forwarded, 0)
+		l.Release(c, true)
+		assert.Equal(t, l.pool(target.ID).open, 0)
+	}
+}
+
+// TestRefusalThatEndsInFailedState guards against a write that is told as in doubt, although the database refused it as
+// the protocol shows it: "ERR READONLY i-7f3a91c2", then "READY E 3.1209".
+func TestRefusalThatEndsInFailedState(t *testing.T) {
+	d := &lateAgain{}
+	l, _ := newTestPools()
+	l.Opener = d
+	c := acquire(t, l, 2)
+	d.next = []coltsfootloft.Reply{
+		{
+			Reason: coltsfootloft.ReasonReadOnly,
+			State:  coltsfootloft.TxFailed,
+		},
+		{
+			Reason: coltsfootloft.ReasonMalformed,
+			State:  coltsfootloft.TxFailed,
+		},
+	}
+	reply, err := c.Exchange(Request{Statement: coltsfootloft.NewStatement("first", "WRITE x y", coltsfootloft.VerbWrite, "x", "y")})
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Reason, coltsfootloft.ReasonReadOnly)
+}
