--- a/core/match/match.go
+++ b/core/match/match.go
@@ -102,7 +102,7 @@
 	case r.IsMark() || r.IsSetup():
 		return isMarkReply(a, before)
 	case a.Failed():
-		return before != coltsfootloft.TxIdle || a.State == coltsfootloft.TxIdle
+		return before != coltsfootloft.TxIdle || a.State == coltsfootloft.TxIdle || a.State == coltsfootloft.TxFailed && !r.isCommand
 	case r.isCommand:
 		return r.allowsCommandReply(a, before)
 	case r.begins():
--- a/io/entry/single.go
+++ b/io/entry/single.go
@@ -85,6 +85,7 @@
 		return n.handleNoAnswer(o, d, st, writes, err)
 	}
 	conn.Release(reply.State == coltsfootloft.TxIdle && reply.Reason != coltsfootloft.ReasonNoStatement)
+	reply.State = coltsfootloft.TxIdle // a connection that a refusal left in another state is closed
 	if reply.Failed() {
 		return n.handleRefusal(o, d, st, reply, writes)
 	}
