--- a/io/ask/ask.go
+++ b/io/ask/ask.go
@@ -44,6 +44,9 @@
 	Metrics *metrics.Set
 
 	sequence match.Sequence
+	// marksNeeded is how many more marks must be answered before the latest answer to a request
+	// may be used.
+	marksNeeded int
 }
 
 // Queue buffers a command of the host itself, with the marks that follow it.
@@ -74,11 +77,11 @@
 	if err := c.Session.Flush(deadline); err != nil {
 		return coltsfootloft.Reply{}, errors.Wrap(err, "send")
 	}
-	reply, marks, err := c.receive(deadline)
-	if err != nil || marks == 0 {
+	reply, err := c.receive(deadline)
+	if err != nil {
 		return reply, err
 	}
-	if err := c.confirm(marks, deadline); err != nil {
+	if err := c.confirm(deadline); err != nil {
 		c.GiveBack(reply)
 		return coltsfootloft.Reply{}, err
 	}
@@ -86,20 +89,24 @@
 }
 
 // confirm sends further marks behind an answer that may be a repetition, and awaits theirs.
-func (c *Conn) confirm(marks int, deadline time.Time) error {
+func (c *Conn) confirm(deadline time.Time) error {
+	if c.marksNeeded == 0 {
+		return nil
+	}
 	confirmed(c.Metrics).Inc()
-	c.queueMarks(marks)
+	c.queueMarks(c.marksNeeded)
+	c.marksNeeded = 0
 	err := c.Session.Flush(deadline)
 	if err == nil {
-		_, _, err = c.receive(deadline)
+		_, err = c.receive(deadline)
 	}
 	return errors.Wrap(err, "repeated answer not confirmed")
 }
 
-// receive reads all outstanding answers. It returns the one to the last request before the marks,
-// and how many more marks must be answered before it may be used. It fails if an answer
-// can't belong to its request, or if a command that prepares the connection failed.
-func (c *Conn) receive(deadline time.Time) (reply coltsfootloft.Reply, marks int, err error) {
+// receive reads all outstanding answers. It returns the one to the last request before the marks, and sets
+// marksNeeded. It fails if an answer can't belong to its request, or if a command that prepares the
+// connection failed.
+func (c *Conn) receive(deadline time.Time) (reply coltsfootloft.Reply, err error) {
 	defer func() {
 		if err != nil {
 			c.GiveBack(reply)
@@ -109,7 +116,7 @@
 	for c.sequence.Outstanding() > 0 {
 		a, err := c.Session.Receive(deadline)
 		if err != nil {
-			return reply, 0, errors.Wrap(err, "receive")
+			return reply, errors.Wrap(err, "receive")
 		}
 		r, err := c.sequence.Accept(a)
 		if errors.Is(err, match.ErrRepeated) {
@@ -118,7 +125,7 @@
 		}
 		if err != nil {
 			c.GiveBack(a)
-			return reply, 0, c.mismatch(r, a)
+			return reply, c.mismatch(r, a)
 		}
 		switch {
 		case r.IsMark():
@@ -132,10 +139,10 @@
 		default:
 			c.GiveBack(reply)
 			reply = a
-			marks = c.sequence.MarksNeeded(a)
+			c.marksNeeded = c.sequence.MarksNeeded(a)
 		}
 	}
-	return reply, marks, nil
+	return reply, nil
 }
 
 // CheckUnread fails if the connection is closed, or with ErrUnread if the database has sent something
@@ -211,10 +218,10 @@
 // Discard reads the late answers to all requests that are outstanding. It returns the transaction
 // state of the session after them.
 func (c *Conn) Discard(deadline time.Time) (coltsfootloft.TxState, error) {
-	r, marks, err := c.receive(deadline)
+	r, err := c.receive(deadline)
 	c.GiveBack(r)
-	if err == nil && marks > 0 {
-		err = c.confirm(marks, deadline)
+	if err == nil {
+		err = c.confirm(deadline)
 	}
 	return c.sequence.State(), err
 }
--- a/io/dbpool/discard_test.go
+++ b/io/dbpool/discard_test.go
@@ -96,6 +96,25 @@
 	}
 }
 
+// TestRepetitionInTimeIsNotTheLateAnswer guards against the same if the earlier answer is repeated before the deadline and
+// that to its mark after it.
+func TestRepetitionInTimeIsNotTheLateAnswer(t *testing.T) {
+	d := &lateAgain{}
+	l, _ := newTestPools()
+	l.Opener = d
+	c := acquire(t, l, 2)
+	mark := coltsfootloft.Reply{Digest: "-"}
+	first := coltsfootloft.Reply{Reason: coltsfootloft.ReasonBusy}
+	d.next = []coltsfootloft.Reply{first, mark}
+	_, err := c.Exchange(readWith("first", 0))
+	assert.NilError(t, err)
+	d.next = []coltsfootloft.Reply{first}
+	_, err = c.Exchange(readWith("slow", 0))
+	assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded))
+	d.arrived = []coltsfootloft.Reply{mark}
+	assert.Assert(t, c.DiscardReplies(time.Time{}) != nil, "the connection would be used again")
+}
+
 // TestDroppedAnswerIsNotTheNext guards against an answer that was dropped for lack of memory and then is
 // repeated with its mark, when there is memory again: the next statement got it.
 func TestDroppedAnswerIsNotTheNext(t *testing.T) {
