--- a/core/match/match.go
+++ b/core/match/match.go
@@ -102,7 +102,7 @@
 	case r.IsMark() || r.IsSetup():
 		return isMarkReply(a, before)
 	case a.Failed():
-		return before != coltsfootloft.TxIdle || a.State == coltsfootloft.TxIdle || a.State == coltsfootloft.TxFailed && !r.isCommand
+		return r.allowsRefusal(a, before)
 	case r.isCommand:
 		return r.allowsCommandReply(a, before)
 	case r.begins():
@@ -114,6 +114,15 @@
 	}
 }
 
+// allowsRefusal reports whether a can be the refusal of the request. That of a statement may leave a
+// failed state outside of transactions, too.
+func (r Request) allowsRefusal(a coltsfootloft.Reply, before coltsfootloft.TxState) bool {
+	if before != coltsfootloft.TxIdle || a.State == coltsfootloft.TxIdle {
+		return true
+	}
+	return !r.isCommand && a.State == coltsfootloft.TxFailed
+}
+
 // allowsCommandReply reports whether a can be the successful answer to a command.
 func (r Request) allowsCommandReply(a coltsfootloft.Reply, before coltsfootloft.TxState) bool {
 	if r.command == coltsfootloft.CommandRollback {
