--- a/io/dbpool/repeat_test.go
+++ b/io/dbpool/repeat_test.go
@@ -109,7 +109,7 @@
 }
 
 // TestUndisturbedConnectionsStayOpen guards against a connection that is closed although all answers are in
-// order, also if they equal earlier ones.
+// order.
 func TestUndisturbedConnectionsStayOpen(t *testing.T) {
 	p := newPlay(t, nil, -1)
 	for i := range 100 {
