--- a/io/dbpool/discard_test.go
+++ b/io/dbpool/discard_test.go
@@ -166,7 +166,7 @@
 	}
 }
 
-// TestNothingIsSentOnAnEndedConnection guards against a statement whose outcome is told as unknown, although
+// TestNothingIsSentOnAnEndedConnection guards against a statement whose outcome is reported as unknown, although
 // the connection was closed, or a part of an answer was unread, before it was sent.
 func TestNothingIsSentOnAnEndedConnection(t *testing.T) {
 	for _, err := range []error{io.EOF, errors.New("within an answer")} {
@@ -185,7 +185,7 @@
 	}
 }
 
-// TestRefusalThatEndsInFailedState guards against a write that is told as in doubt, although the database refused it as
+// TestRefusalThatEndsInFailedState guards against a write that is reported as in doubt, although the database refused it as
 // the protocol shows it: "ERR READONLY i-7f3a91c2", then "READY E 3.1209".
 func TestRefusalThatEndsInFailedState(t *testing.T) {
 	d := &lateAgain{}
--- a/io/edge/ended_test.go
+++ b/io/edge/ended_test.go
@@ -7,7 +7,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestCommitOnAnEndedConnectionIsAborted guards against a COMMIT whose outcome is told as unknown, although the database
+// TestCommitOnAnEndedConnectionIsAborted guards against a COMMIT whose outcome is reported as unknown, although the database
 // had closed the connection before it was sent.
 func TestCommitOnAnEndedConnectionIsAborted(t *testing.T) {
 	f := startFleet(t, 1, nil)
--- a/io/relay/foreign_test.go
+++ b/io/relay/foreign_test.go
@@ -102,7 +102,7 @@
 }
 
 // TestUnreadInputIsNotAnAnswer guards against an answer that nobody asked for and that the next statement
-// gets, and against its connection, which is never given back.
+// gets, and against its connection, which is never returned.
 func TestUnreadInputIsNotAnAnswer(t *testing.T) {
 	d := &answeringDatabase{}
 	r := newRelay(t)
