--- a/core/match/match.go
+++ b/core/match/match.go
@@ -2,7 +2,7 @@
 // to the requests that were sent on it.
 //
 // Answers carry no request id, and a database may send one twice. The answer to a request is
-// therefore believed only together with that to a mark, a request of the host itself that follows
+// therefore used only together with that to a mark, a request of the host itself that follows
 // it and whose answer is known in advance: if an answer was repeated or lost, the one that comes
 // in place of the mark's belongs to another request, and differs from it.
 //
@@ -303,8 +303,8 @@
 	return marks, ok
 }
 
-// IsWorn reports whether an answer was repeated so often, or can be told from later ones so badly, that a
-// new connection is better than more marks.
+// IsWorn reports whether the connection should be replaced: an answer needs too many marks, or was dropped,
+// so that a repetition of it would not be recognized.
 func (s *Sequence) IsWorn() bool {
 	for _, h := range s.history {
 		if h.marks >= maxMarks || h.dropped {
--- a/io/dbpool/discard_test.go
+++ b/io/dbpool/discard_test.go
@@ -185,7 +185,7 @@
 	}
 }
 
-// TestRefusalThatEndsInFailedState guards against a write that is reported as in doubt, although the database refused it as
+// TestRefusalThatEndsInFailedState guards against INDOUBT as the answer to a write that the database refused as
 // the protocol shows it: "ERR READONLY i-7f3a91c2", then "READY E 3.1209".
 func TestRefusalThatEndsInFailedState(t *testing.T) {
 	d := &lateAgain{}
--- a/stand/caller/caller.go
+++ b/stand/caller/caller.go
@@ -1,5 +1,5 @@
 // Package caller is a caller that speaks the users' statement protocol, for tests. It
-// sends statements, one at a time or several at once, and tells whether each got exactly one
+// sends statements, one at a time or several at once, and checks that each gets exactly one
 // answer.
 package caller
 
--- a/stand/linedb/judge.go
+++ b/stand/linedb/judge.go
@@ -50,7 +50,7 @@
 type form struct {
 	// least and most are the numbers of its fields after the word.
 	least, most int
-	// own tells that only the proxy itself sends it, and forwarded that only callers do.
+	// own is set if only the proxy itself sends it, and forwarded if only callers do.
 	own, forwarded bool
 }
 
