--- a/io/front/upstream_test.go
+++ b/io/front/upstream_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -120,16 +121,18 @@
 	answer, repeat []byte
 }
 
-// Write sends a part of the answer to a request, after an earlier answer that is sent again.
+// Write sends a part of the answer to a request, after an earlier answer that is sent again. Once the
+// host has the answer, a test may call repeatAnswer, so the answer is counted before it is sent.
 func (sc *serverConn) Write(b []byte) (int, error) {
 	sc.answer = append(sc.answer, b...)
-	if _, err := sc.conn.Write(append(sc.repeat, b...)); err != nil {
-		return 0, err
-	}
+	sent := slices.Concat(sc.repeat, b)
 	sc.repeat = nil
 	if _, ends := bytes.CutSuffix(b, []byte{'Z', 0, 0, 0, 5, sc.tx}); ends {
 		sc.endAnswer()
 	}
+	if _, err := sc.conn.Write(sent); err != nil {
+		return 0, err
+	}
 	return len(b), nil
 }
 
