--- a/io/certs/certs.go
+++ b/io/certs/certs.go
@@ -5,8 +5,9 @@
 // links between hosts in both directions. At the start of a handshake, at most once
 // per interval, it reads its files and reloads them if they have changed. If the new
 // files don't form a valid set, it keeps using the last valid ones and logs the error,
-// so certificate and key need not be replaced at the same instant. Open connections
-// keep the certificates with which they were established.
+// so certificate and key need not be replaced at the same instant. A file that ends within
+// a PEM block is not valid; one that ends between two blocks can't be told from a whole one.
+// Open connections keep the certificates with which they were established.
 package certs
 
 import (
@@ -14,8 +15,10 @@
 	"cmp"
 	"crypto/tls"
 	"crypto/x509"
+	"encoding/pem"
 	"net"
 	"os"
+	"strings"
 	"sync"
 	"time"
 
@@ -255,6 +258,9 @@
 func (c contents) parse() (material, error) {
 	m := material{loaded: true}
 	if c.certificate != nil {
+		if err := checkBlocks(c.certificate); err != nil {
+			return m, errors.Wrap(err, "tls certificate")
+		}
 		p, err := tls.X509KeyPair(c.certificate, c.key)
 		if err != nil {
 			return m, errors.Wrap(err, "tls certificate and key")
@@ -262,6 +268,9 @@
 		m.certificates = []tls.Certificate{p}
 	}
 	if c.authorities != nil {
+		if err := checkBlocks(c.authorities); err != nil {
+			return m, errors.Wrap(err, "tls authorities")
+		}
 		m.authorities = x509.NewCertPool()
 		if !m.authorities.AppendCertsFromPEM(c.authorities) {
 			return m, errors.New("tls authorities: no certificate in PEM")
@@ -270,6 +279,32 @@
 	return m, nil
 }
 
+// blockStart begins the first line of a PEM block.
+const blockStart = "-----BEGIN "
+
+// checkBlocks fails if a PEM block is not whole. The parsers of the standard library skip such blocks.
+func checkBlocks(data []byte) error {
+	whole := 0
+	for rest := data; ; whole++ {
+		var b *pem.Block
+		if b, rest = pem.Decode(rest); b == nil {
+			break
+		}
+	}
+	begun := 0
+	last := ""
+	for l := range strings.Lines(string(data)) {
+		if strings.HasPrefix(l, blockStart) {
+			begun++
+		}
+		last = l
+	}
+	if begun != whole || last != "" && strings.HasPrefix(blockStart, last) {
+		return errors.Errorf("%d of %d PEM blocks are whole", whole, max(begun, whole+1))
+	}
+	return nil
+}
+
 func (r *Reloader) now() time.Time {
 	if r.Clock == nil {
 		return time.Now()
--- a/io/certs/certs_test.go
+++ b/io/certs/certs_test.go
@@ -236,3 +236,54 @@
 	_, err := missing.Client("10.0.0.1:1")
 	assert.ErrorContains(t, err, "no such file")
 }
+
+// TestFilesWrittenInPartAreIgnored guards against a file that is read while it is being written: what it
+// holds so far parses, so that a host took part of the authorities or of a chain for all of it.
+func TestFilesWrittenInPartAreIgnored(t *testing.T) {
+	a, b := newAuthority(t), newAuthority(t)
+	dir := t.TempDir()
+	clock := clockwork.NewFakeClock()
+	r := &certs.Reloader{
+		Files:         a.issue(t, dir, "one", "10.0.0.1"),
+		AnyServerName: true,
+		Clock:         clock,
+	}
+	other := b.issue(t, t.TempDir(), "two", "10.0.0.2")
+	authorities := append(read(t, r.Files.Authorities()), read(t, other.Authorities())...)
+	one := len(read(t, r.Files.Authorities()))
+	assert.NilError(t, os.WriteFile(r.Files.Authorities(), authorities, 0o600))
+	assert.NilError(t, r.Check())
+	for n := one + 1; n < len(authorities)-1; n++ {
+		assert.NilError(t, os.WriteFile(r.Files.Authorities(), authorities[:n], 0o600))
+		assert.ErrorContains(t, r.Check(), "PEM block", "%d of %d bytes", n, len(authorities))
+	}
+	clock.Advance(certs.DefaultInterval)
+	server := &certs.Reloader{Files: conf.NewTLSFiles(other.Certificate(), other.Key(), "")}
+	_, err, serverErr := handshake(t, server.Server(), client(t, r, "10.0.0.2:1"))
+	assert.NilError(t, err)
+	assert.NilError(t, serverErr)
+
+	assert.NilError(t, os.WriteFile(r.Files.Authorities(), authorities, 0o600))
+	chain := append(read(t, r.Files.Certificate()), read(t, r.Files.Authorities())...)
+	assert.NilError(t, os.WriteFile(r.Files.Certificate(), chain[:len(chain)-40], 0o600))
+	assert.ErrorContains(t, r.Check(), "PEM block")
+	assert.NilError(t, os.WriteFile(r.Files.Certificate(), chain, 0o600))
+	assert.NilError(t, r.Check())
+}
+
+// TestTextAroundCertificatesIsAllowed guards against refusing the notes that bundles of authorities carry.
+func TestTextAroundCertificatesIsAllowed(t *testing.T) {
+	a := newAuthority(t)
+	files := a.issue(t, t.TempDir(), "one", "10.0.0.1")
+	bundle := "# authority\n- first\n" + string(read(t, files.Authorities())) + "\r\nend - of bundle"
+	assert.NilError(t, os.WriteFile(files.Authorities(), []byte(bundle), 0o600))
+	r := &certs.Reloader{Files: files}
+	assert.NilError(t, r.Check())
+}
+
+func read(t *testing.T, name string) []byte {
+	t.Helper()
+	b, err := os.ReadFile(name)
+	assert.NilError(t, err)
+	return b
+}
