--- a/core/elect/action.go
+++ b/core/elect/action.go
@@ -45,6 +45,24 @@
 	Err error
 }
 
+// errOtherAnswer is the error of an answer whose reading can't have been taken after its action.
+var errOtherAnswer = errors.New("the reading is not from after the operation")
+
+// check fails if the reading shows that the action has not taken effect: it is that of an earlier
+// operation, or another proposer has raised a higher term since.
+func (a Answer) check() error {
+	raised := a.Reading.Fence().Compare(a.Action.term)
+	switch {
+	case a.Action.kind == Read:
+		return nil
+	case raised > 0:
+		return errors.Wrap(coltsfootloft.ErrFenced, "fenced since")
+	case raised < 0, a.Action.kind == Promote && a.Reading.Role() != coltsfootloft.Primary:
+		return errOtherAnswer
+	}
+	return nil
+}
+
 // ActionKind is the kind of operation on a database.
 type ActionKind uint8
 
--- a/core/elect/campaign.go
+++ b/core/elect/campaign.go
@@ -121,6 +121,9 @@
 	if a.Action.phase != c.phase || a.Action.term != c.term {
 		return nil
 	}
+	if a.Err == nil {
+		a.Err = a.check()
+	}
 	switch c.phase {
 	case Survey:
 		return c.handleSurvey(a)
--- a/core/elect/elect_test.go
+++ b/core/elect/elect_test.go
@@ -238,3 +238,75 @@
 	assert.Equal(t, c.Phase(), Failed)
 	assert.Equal(t, c.Reason(), "too many databases have lost their state")
 }
+
+// started returns a campaign of three databases that has ended its survey and fences them.
+func started(t *testing.T) (*Campaign, []Action) {
+	t.Helper()
+	c := &Campaign{
+		Databases: []string{"a", "b", "c"},
+		Proposer:  "p",
+	}
+	var fences []Action
+	for _, a := range c.Start() {
+		fences = c.Answer(Answer{
+			Action:  a,
+			Reading: replica(coltsfootloft.NewTerm(1, "first"), 1),
+		})
+	}
+	assert.Equal(t, c.Phase(), Fencing)
+	return c, fences
+}
+
+// replica returns the reading of a replica that is fenced at a term and holds so many writes.
+func replica(fence coltsfootloft.Term, received uint64) coltsfootloft.Reading {
+	p := coltsfootloft.NewPosition(coltsfootloft.NewTerm(1, "first"), received)
+	return coltsfootloft.NewReading(coltsfootloft.Replica, fence, p, p)
+}
+
+// TestReadingFromBeforeTheFenceFencesNothing guards against an older answer of a database that is taken for
+// the answer to its fence: the election counts the database as fenced, with a position from before, and
+// promotes another one that lacks a write that was acknowledged since.
+func TestReadingFromBeforeTheFenceFencesNothing(t *testing.T) {
+	c, fences := started(t)
+	for i, a := range fences {
+		r := replica(c.Term(), 1)
+		if i > 0 {
+			r = replica(coltsfootloft.NewTerm(1, "first"), 1)
+		}
+		assert.Equal(t, len(c.Answer(Answer{
+			Action:  a,
+			Reading: r,
+		})), 0)
+	}
+	assert.Equal(t, len(c.Expire()), 0)
+	assert.Equal(t, c.Phase(), Failed)
+}
+
+// TestReadingFromBeforeThePromotionPromotesNothing guards against the same for a promotion: the other
+// databases are told to follow one that is no primary.
+func TestReadingFromBeforeThePromotionPromotesNothing(t *testing.T) {
+	for _, r := range []func(coltsfootloft.Term) coltsfootloft.Reading{
+		func(t coltsfootloft.Term) coltsfootloft.Reading { return replica(t, 1) },
+		func(coltsfootloft.Term) coltsfootloft.Reading {
+			first := coltsfootloft.NewTerm(1, "first")
+			p := coltsfootloft.NewPosition(first, 1)
+			return coltsfootloft.NewReading(coltsfootloft.Primary, first, p, p)
+		},
+	} {
+		c, fences := started(t)
+		var promote []Action
+		for _, a := range fences {
+			promote = c.Answer(Answer{
+				Action:  a,
+				Reading: replica(c.Term(), 1),
+			})
+		}
+		assert.Equal(t, c.Phase(), Promoting)
+		follow := c.Answer(Answer{
+			Action:  promote[0],
+			Reading: r(c.Term()),
+		})
+		assert.Equal(t, len(follow), 0)
+		assert.Equal(t, c.Phase(), Failed)
+	}
+}
