--- a/io/cmds/admin.go
+++ b/io/cmds/admin.go
@@ -31,10 +31,17 @@
 	f.StringVar(&a.admin, "admin", address, "`address` of a host's admin port; by default "+conf.EnvPrefix+"ADMIN")
 }
 
+// errOtherProgram is the error of a successful answer that no host gives.
+var errOtherProgram = errors.New("admin port: the answer is not that of a host")
+
 // status returns the status of the host.
 func (a *adminFlags) status(ctx context.Context) (admin.Status, error) {
 	var s admin.Status
-	return s, a.call(ctx, http.MethodGet, "/v1/status", &s)
+	err := a.call(ctx, http.MethodGet, "/v1/status", &s)
+	if err == nil && s.Host == "" {
+		err = errOtherProgram
+	}
+	return s, err
 }
 
 // call requests a path of the admin port and decodes the JSON response into to. It
--- a/io/cmds/cmds_test.go
+++ b/io/cmds/cmds_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"flag"
+	"io"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -251,6 +253,18 @@
 	b.expect(cmds.ExitDone, "coltsfootloft v0-test", "version")
 }
 
+// TestAnswerOfAnotherProgramIsNoSuccess guards against a command that reports success because whatever
+// listens at the address answered with 200 and some JSON.
+func TestAnswerOfAnotherProgramIsNoSuccess(t *testing.T) {
+	b := newBench(t)
+	h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"status": "ok"}`) }))
+	defer h.Close()
+	b.admin = h.URL
+	for _, c := range [][]string{{"drain"}, {"drain", "-upstream", "x"}, {"status"}, {"status", "-json"}} {
+		b.expect(cmds.ExitFailed, "not that of a host", c...)
+	}
+}
+
 func TestHelpIsUseful(t *testing.T) {
 	b := newBench(t)
 	for _, c := range [][]string{
--- a/io/cmds/drain.go
+++ b/io/cmds/drain.go
@@ -60,6 +60,9 @@
 	if err := d.call(ctx, http.MethodPost, path, &answer); err != nil {
 		return d.tools.fail(err)
 	}
+	if !answer.Draining {
+		return d.tools.fail(errOtherProgram)
+	}
 	d.tools.printf("%s is draining\n", target)
 	return ExitDone
 }
