--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -188,7 +188,12 @@
 
 // CloseIdle ends the sessions that are idle outside a transaction, so that their callers
 // reconnect to another host. It returns how many it ended.
-func (s *Server) CloseIdle() int { return s.forEach((*session).closeIdle) }
+func (s *Server) CloseIdle() int { return s.endWaits(false) }
+
+// endWaits ends the sessions that wait for a statement, with those inside transactions if inTx is set.
+func (s *Server) endWaits(inTx bool) int {
+	return s.forEach(func(n *session) bool { return n.endWait(inTx) })
+}
 
 // Drain ends each session as soon as it is idle outside a transaction. Transactions that
 // are still open after txTime are aborted between two of their statements, and their callers
@@ -257,7 +262,7 @@
 // returns how many were resting.
 func (s *Server) closeResting() int {
 	s.closing.Store(true)
-	return s.forEach((*session).closeResting)
+	return s.endWaits(true)
 }
 
 // forEach calls f for each session and returns for how many it reported true.
--- a/io/entry/session.go
+++ b/io/entry/session.go
@@ -156,23 +156,12 @@
 	_ = n.conn.SetReadDeadline(time.Unix(1, 0))
 }
 
-// closeIdle ends the session if it is idle outside a transaction, and reports whether it
-// did.
-func (n *session) closeIdle() bool {
+// endWait ends the session if it waits for a statement, and reports whether it did. A session inside a
+// transaction ends only if inTx is set.
+func (n *session) endWait(inTx bool) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.busy || n.inTx || n.interrupted {
-		return false
-	}
-	n.interrupt()
-	return true
-}
-
-// closeResting ends the session unless it serves a statement, and reports whether it did.
-func (n *session) closeResting() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.busy || n.interrupted {
+	if n.busy || n.inTx && !inTx || n.interrupted {
 		return false
 	}
 	n.interrupt()
