--- a/io/peer/call.go
+++ b/io/peer/call.go
@@ -56,7 +56,7 @@
 			return nil, nil, errors.Wrapf(ErrBusy, "%s to %s", duty, host)
 		}
 		var s *yamux.Stream
-		if s, err = k.session.OpenStream(); err == nil {
+		if s, err = k.open(); err == nil {
 			return k, s, nil
 		}
 		k.calls.Add(-1)
--- a/io/peer/doc.go
+++ b/io/peer/doc.go
@@ -7,7 +7,8 @@
 // host and carries calls in both directions. Both sides send a Hello first that names
 // both hosts, which detects an address that now belongs to another host. When both
 // sides dial at the same time, the link dialed by the host with the smaller name is
-// kept. A link that has had no call for [Links].IdleTimeout is closed.
+// kept. A link that has had no call for [Links].IdleTimeout is closed, once the other side has agreed to
+// open no more calls on it: it answers behind those that it has sent, which are handled.
 //
 // # Requests
 //
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -32,6 +33,10 @@
 	// goingAway is set when the other side is told to open no more calls; guarded
 	// by Links.mu.
 	goingAway bool
+	// isRetired is set when the other side has asked for no more calls; guarded by opening,
+	// which is held while a stream is opened.
+	isRetired bool
+	opening   sync.RWMutex
 
 	calls    atomic.Int64
 	serving  atomic.Int64
--- a/io/peer/links.go
+++ b/io/peer/links.go
@@ -209,8 +209,8 @@
 	}
 }
 
-// reapOnce tells the other side of each idle link to open no more calls, and closes
-// links that were told so in an earlier pass and have no call in flight.
+// reapOnce asks the other side of each idle link to open no more calls, and closes
+// links that were asked so in an earlier pass and have no call in flight.
 func (l *Links) reapOnce() {
 	now := l.Clock.Now()
 	var goAway, expired []*link
@@ -233,7 +233,9 @@
 	}
 	l.mu.Unlock()
 	for _, k := range goAway {
-		_ = k.session.GoAway()
+		k.calls.Add(1)
+		l.group.Add(1)
+		go l.giveUp(k)
 	}
 	for _, k := range expired {
 		_ = k.session.Close()
--- a/io/peer/serve.go
+++ b/io/peer/serve.go
@@ -109,6 +109,8 @@
 	switch {
 	case err != nil:
 		answer.Status = peerpb.Status_STATUS_BUSY
+	case request.GetDuty() == retireDuty:
+		l.serveRetire(k)
 	case h == nil:
 		answer.Status = peerpb.Status_STATUS_UNKNOWN_DUTY
 	default:
