--- a/core/match/match.go
+++ b/core/match/match.go
@@ -303,9 +303,9 @@
 	return marks, ok
 }
 
-// IsWorn reports whether the connection should be replaced: an answer needs too many marks, or was dropped,
+// ShouldReplace reports whether the connection should be replaced: an answer needs too many marks, or was dropped,
 // so that a repetition of it would not be recognized.
-func (s *Sequence) IsWorn() bool {
+func (s *Sequence) ShouldReplace() bool {
 	for _, h := range s.history {
 		if h.marks >= maxMarks || h.dropped {
 			return true
--- a/core/match/match_test.go
+++ b/core/match/match_test.go
@@ -100,7 +100,7 @@
 		assert.NilError(t, err)
 	}
 	answered := 0 // marks behind the latest refusal
-	for i := 0; !s.IsWorn(); i++ {
+	for i := 0; !s.ShouldReplace(); i++ {
 		assert.Assert(t, i <= maxMarks)
 		accept(Statement(coltsfootloft.VerbWrite), busy)
 		s.Sent(Command(coltsfootloft.CommandMark))
--- a/io/ask/ask.go
+++ b/io/ask/ask.go
@@ -219,7 +219,7 @@
 // IsReusable reports whether the connection may serve further requests: all requests were sent, no
 // answer is outstanding or unread, and none was repeated too often.
 func (c *Conn) IsReusable() bool {
-	return !c.unsent && c.sequence.Outstanding() == 0 && !c.sequence.IsWorn() && c.CheckUnread() == nil
+	return !c.unsent && c.sequence.Outstanding() == 0 && !c.sequence.ShouldReplace() && c.CheckUnread() == nil
 }
 
 // Discard reads the late answers to all requests that are outstanding. It returns the transaction
--- a/io/dbpool/pools.go
+++ b/io/dbpool/pools.go
@@ -254,8 +254,8 @@
 }
 
 // Release returns a connection to its pool. It is closed if healthy is false, if answers
-// are outstanding or unread, which its next user would take for its own, if its sequence
-// of answers is worn (package match), or if there is no memory to remember its values and prepared
+// are outstanding or unread, which its next user would take for its own, if it should be
+// replaced (package match), or if there is no memory to remember its values and prepared
 // statements.
 func (p *Pools) Release(c *Conn, healthy bool) {
 	healthy = healthy && c.requests.IsReusable()
