--- a/io/edge/ahead_test.go
+++ b/io/edge/ahead_test.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"io"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -90,3 +92,55 @@
 	_, err = c.r.Line()
 	assert.Equal(t, err, io.EOF, "the session ends")
 }
+
+// TestStatementsSentAheadAreRefusedAtTheEnd guards against a host that is stopped and closes a session without
+// an answer to the statements behind the one that it serves: it has read them, and their caller can't know
+// that they did not run.
+func TestStatementsSentAheadAreRefusedAtTheEnd(t *testing.T) {
+	const late = 20000 // no time limit ends the first statement
+	f := startFleet(t, 1, func(f *fleet) {
+		f.grace = 2
+		for i := range f.config.Routes {
+			f.config.Routes[i].TimeoutMs = late
+			f.config.Routes[i].TargetLatencyMs = late
+		}
+	})
+	h := f.hosts[0]
+	c, code := connect(t, h, "file", "key-arima")
+	assert.Equal(t, code, "")
+	c.must("WRITE page before")
+	begun, proceed := make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	for _, d := range f.databases {
+		f.group.SetHook(d.ID(), func() {
+			once.Do(func() {
+				close(begun)
+				<-proceed
+			})
+		})
+	}
+	texts := []string{"READ page", "WRITE page after", "SET a b", "BEGIN", "READ page", "COMMIT", "ROLLBACK"}
+	var script strings.Builder
+	ids := make([]string, len(texts))
+	for i, text := range texts {
+		ids[i] = fmt.Sprint("end-", i)
+		fmt.Fprintf(&script, "QUERY %s %s\r\n", ids[i], text)
+	}
+	script.WriteString("QUERY unfinished WRITE page")
+	_, err := io.WriteString(c.conn, script.String())
+	assert.NilError(t, err)
+	<-begun
+	h.stop()
+	time.Sleep(time.Duration(f.grace * (noticeShare + 0.2) * float64(time.Second)))
+	close(proceed)
+	all := c.answers(ids...)
+	assert.DeepEqual(t, all[0].rows, []string{"before"})
+	for i, a := range all[1:] {
+		assert.Equal(t, a.code, "BUSY", texts[i+1])
+		assert.Equal(t, a.state, "I", texts[i+1])
+	}
+	line, err := c.r.Line()
+	assert.Assert(t, err != nil, "%q", line)
+	assert.NilError(t, <-h.ended)
+	h.ended <- nil // for the end of the fleet
+}
--- a/io/entry/server_test.go
+++ b/io/entry/server_test.go
@@ -76,6 +76,8 @@
 	return coltsfootloft.NewStatement("a1", "JUGGLE", coltsfootloft.VerbUnknown, "", ""), nil
 }
 
+func (c *readyCaller) HasNext() bool { return false }
+
 func (c *readyCaller) Answer(coltsfootloft.Reply) error {
 	c.answered++
 	return nil
@@ -188,6 +190,8 @@
 	return coltsfootloft.NewStatement("a1", "COMMIT", coltsfootloft.VerbCommit, "", ""), nil
 }
 
+func (c *restingCaller) HasNext() bool { return false }
+
 func (c *restingCaller) Answer(coltsfootloft.Reply) error {
 	c.answered.Add(1)
 	return nil
--- a/io/entry/session.go
+++ b/io/entry/session.go
@@ -50,7 +50,8 @@
 	}
 }
 
-// serveStatements serves the caller's statements until the session ends.
+// serveStatements serves the caller's statements until the session ends. It refuses those that have
+// been read by then.
 func (n *session) serveStatements() {
 	for n.enterIdle() {
 		statement, err := n.caller.Next()
@@ -66,18 +67,63 @@
 		} else {
 			reply, last = n.serve(statement)
 		}
-		err = n.caller.Answer(reply)
-		n.giveBack()
-		if err != nil {
-			n.logUndelivered(statement, err)
+		if !n.answer(statement, reply) {
 			return
 		}
 		if last {
+			break
+		}
+	}
+	n.refuseRest()
+}
+
+// answer sends the answer to a statement, and reports whether it was sent.
+func (n *session) answer(st coltsfootloft.Statement, reply coltsfootloft.Reply) bool {
+	err := n.caller.Answer(reply)
+	n.giveBack()
+	if err != nil {
+		n.logUndelivered(st, err)
+	}
+	return err == nil
+}
+
+// refuseRest answers the statements that have been read and will not be served. None of them has run.
+func (n *session) refuseRest() {
+	for n.caller.HasNext() {
+		n.mu.Lock()
+		if n.tx != nil && !n.tx.failed {
+			n.abortTransaction(sessionEnds)
+		}
+		n.mu.Unlock()
+		st, err := n.caller.Next()
+		if err != nil && !errors.Is(err, coltsfootloft.ErrNoMemory) {
+			n.handleReadError(err)
+			return
+		}
+		if !n.answer(st, n.refuseUnserved(st)) {
 			return
 		}
 	}
 }
 
+// sessionEnds is the reason for which statements are refused that were sent ahead.
+const sessionEnds = "the session ends"
+
+// refuseUnserved returns the answer to a statement that is not served because the session ends.
+func (n *session) refuseUnserved(st coltsfootloft.Statement) coltsfootloft.Reply {
+	switch {
+	case n.tx == nil:
+		const text = sessionEnds + "; come back at once"
+		n.server.recordRefusal(st.Verb().String(), st.ID(), n, coltsfootloft.ReasonBusy, text)
+		return coltsfootloft.RefusedReply(coltsfootloft.ReasonBusy, text)
+	case st.Verb() == coltsfootloft.VerbCommit:
+		return n.commit(st)
+	case st.Verb() == coltsfootloft.VerbRollback:
+		return n.rollback()
+	}
+	return n.refuseFailed()
+}
+
 // logUndelivered logs an answer that the caller did not get. That a caller left is usual.
 func (n *session) logUndelivered(st coltsfootloft.Statement, err error) {
 	if errors.Is(err, coltsfootloft.ErrNotSent) {
--- a/statement.go
+++ b/statement.go
@@ -123,6 +123,8 @@
 	// fails with ErrNoMemory and returns a statement of which only the id is set. The
 	// session may go on then.
 	Next() (Statement, error)
+	// HasNext reports whether a whole message has been read, which Next returns without waiting.
+	HasNext() bool
 	// Answer writes the complete answer to a statement. It fails with ErrNotSent if the
 	// answer can't be encoded; the session must end then.
 	Answer(r Reply) error
