--- a/io/pool/unread_test.go
+++ b/io/pool/unread_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"coltsfootloft"
+	"coltsfootloft/io/dial"
 	"coltsfootloft/io/pool"
 )
 
@@ -23,9 +24,10 @@
 // repeatingServer answers each query with its text as a command tag, and more often than once.
 type repeatingServer struct {
 	listener net.Listener
-	// answers is how often it answers, and late how long it waits before an answer after the first.
+	// answers is how often it answers. The answers after the first wait until late is closed; nil
+	// means that they come at once.
 	answers int
-	late    time.Duration
+	late    chan struct{}
 }
 
 func (s *repeatingServer) serve() {
@@ -53,9 +55,9 @@
 			return
 		}
 		for i := range s.answers {
-			if i > 0 && s.late > 0 {
+			if i > 0 && s.late != nil {
 				_ = b.Flush()
-				time.Sleep(s.late)
+				<-s.late
 			}
 			b.Send(&pgproto3.CommandComplete{CommandTag: []byte(q.String)})
 			b.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
@@ -82,13 +84,21 @@
 	return tag
 }
 
+// awaitInput waits for unread input of a connection.
+func awaitInput(t *testing.T, c net.Conn) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); dial.IsQuiet(c); time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "no second answer")
+	}
+}
+
 // TestUnreadInputIsNotLent guards against an answer that is taken for that to the next statement on its
 // connection: a database that answers a statement twice, at once or late, leaves the second answer
 // unread, and the next session to borrow the connection would read it as its own.
 func TestUnreadInputIsNotLent(t *testing.T) {
-	for name, late := range map[string]time.Duration{
-		"at once": 0,
-		"late":    20 * time.Millisecond,
+	for name, late := range map[string]chan struct{}{
+		"at once": nil,
+		"late":    make(chan struct{}),
 	} {
 		t.Run(name, func(t *testing.T) {
 			l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -100,14 +110,25 @@
 				late:     late,
 			}
 			go s.serve()
+			conns := make(chan net.Conn, 2)
 			p := &pool.Pool{
 				Upstream: coltsfootloft.NewUpstream("a", "d1", l.Addr().String()),
-				Login:    pool.Login{User: "caroni"},
-				Shares:   noLimits{},
+				Login: pool.Login{
+					User: "caroni",
+					Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+						c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+						conns <- c
+						return c, err
+					},
+				},
+				Shares: noLimits{},
 			}
 			defer p.Close()
 			assert.Equal(t, ask(t, p, "first"), "first")
-			time.Sleep(3 * late)
+			if late != nil {
+				close(late)
+				awaitInput(t, <-conns)
+			}
 			assert.Equal(t, ask(t, p, "second"), "second")
 		})
 	}
