--- a/io/share/fakes_test.go
+++ b/io/share/fakes_test.go
@@ -45,6 +45,12 @@
 	s.down = down
 }
 
+func (s *fakeStore) setUncertain(probability float64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.uncertain = probability
+}
+
 func (s *fakeStore) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
--- a/io/share/fleet_test.go
+++ b/io/share/fleet_test.go
@@ -58,15 +58,14 @@
 }
 
 func newFleet(t *testing.T, limits Limits, seed uint64) *fleet {
-	random := rand.New(rand.NewPCG(seed, 1))
 	return &fleet{
 		t:           t,
-		store:       newFakeStore(random),
+		store:       newFakeStore(rand.New(rand.NewPCG(seed, 2))), // a generator has one lock
 		limits:      limits,
 		nodes:       map[string]*node{},
 		dead:        map[string]bool{},
 		diedAt:      map[string]time.Time{},
-		random:      random,
+		random:      rand.New(rand.NewPCG(seed, 1)),
 		cut:         map[string]bool{},
 		detectAfter: time.Second,
 		done:        make(chan struct{}),
@@ -170,6 +169,13 @@
 	f.bytes += size
 }
 
+// setLoss sets the share of messages that are lost.
+func (f *fleet) setLoss(share float64) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.loss = share
+}
+
 // cutDomain separates a failure domain from the others and from the store.
 func (f *fleet) cutDomain(domain string, cut bool) {
 	f.mutex.Lock()
--- a/io/share/rate_test.go
+++ b/io/share/rate_test.go
@@ -143,8 +143,8 @@
 	t.Parallel()
 	rates := []float64{40, 10, 5}
 	faults := func(f *fleet) {
-		f.loss = 0.02
-		f.store.uncertain = 0.1
+		f.setLoss(0.02)
+		f.store.setUncertain(0.1)
 		injectFaults(f)
 	}
 	_, excess := scenario(t, nil, rates, 3, 110*time.Second, faults)
--- a/io/share/rights_test.go
+++ b/io/share/rights_test.go
@@ -181,6 +181,21 @@
 	c.most = max(c.most, sum)
 }
 
+// sum returns the most connections seen, and what the pools have counted. Pools may still be opening
+// connections.
+func (c *counter) sum() (most, served, failed int, slowest time.Duration) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, p := range c.pools {
+		p.mutex.Lock()
+		served += p.served
+		failed += p.failed
+		slowest = max(slowest, p.slowest)
+		p.mutex.Unlock()
+	}
+	return c.most, served, failed, slowest
+}
+
 func (c *counter) addPool(n *node) *pool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -227,15 +242,11 @@
 			c.mutex.Lock()
 			p := c.pools[n]
 			c.mutex.Unlock()
-			all.Go(func() { p.use(time.Duration(5+random.IntN(20)) * time.Millisecond) })
+			hold := time.Duration(5+random.IntN(20)) * time.Millisecond
+			all.Go(func() { p.use(hold) })
 		}
 		all.Wait()
-		for _, p := range c.pools {
-			served += p.served
-			failed += p.failed
-			slowest = max(slowest, p.slowest)
-		}
-		most = c.most
+		most, served, failed, slowest = c.sum()
 		time.Sleep(3 * time.Second)
 		f.stop()
 	})
@@ -253,7 +264,7 @@
 		time.Sleep(5 * time.Second)
 		f.kill("d1h1")
 		f.node("d2h1").pause()
-		f.loss = 0.05
+		f.setLoss(0.05)
 		time.Sleep(15 * time.Second)
 		c.resume(f, "d2h1")
 		f.store.setDown(true)
@@ -314,8 +325,9 @@
 		small := callers("d2h2", 2)
 		all.Wait()
 		served = small.served
+		most, _, _, _ := c.sum()
 		t.Logf("keep %v: large host %d, small host %d transactions, slowest %v, most connections %d",
-			keep, large.served, small.served, small.slowest, c.most)
+			keep, large.served, small.served, small.slowest, most)
 		time.Sleep(3 * time.Second)
 		f.stop()
 	})
