--- a/io/dbops/cut_test.go
+++ b/io/dbops/cut_test.go
@@ -25,6 +25,8 @@
 	d := &dbops.Database{
 		Address:  r.Addr().String(),
 		Password: "secret",
+		// The test is not about the time that it takes to connect.
+		ConnectTimeout: 30 * time.Second,
 	}
 	const calls = 5
 	for range calls {
