--- a/io/entry/server_test.go
+++ b/io/entry/server_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -196,26 +197,28 @@
 // TestSessionsThatRestAreClosedBeforeDrainEnds guards against a host with little time to shut down, which
 // closes the sessions of aborted transactions as it ends, so that a statement that arrives gets no answer.
 func TestSessionsThatRestAreClosedBeforeDrainEnds(t *testing.T) {
-	conn, peer := net.Pipe()
-	defer peer.Close()
-	caller := &restingCaller{conn: conn}
-	s := &Server{
-		Mirror: &mirror.Mirror{},
-		Log:    logr.Discard(),
-	}
-	s.prepare()
-	n := &session{
-		server: s,
-		conn:   conn,
-		caller: caller,
-		tx:     &transaction{failed: true},
-	}
-	s.sessions[n] = struct{}{}
-	s.wg.Go(n.serveStatements)
-	const left = 600 * time.Millisecond
-	ctx, cancel := context.WithTimeout(t.Context(), left)
-	defer cancel()
-	s.Drain(ctx, 0)
-	assert.Equal(t, caller.answered.Load(), int32(1))
-	assert.NilError(t, ctx.Err(), "drained at the last moment")
+	synctest.Test(t, func(t *testing.T) {
+		conn, peer := net.Pipe()
+		defer peer.Close()
+		caller := &restingCaller{conn: conn}
+		s := &Server{
+			Mirror: &mirror.Mirror{},
+			Log:    logr.Discard(),
+		}
+		s.prepare()
+		n := &session{
+			server: s,
+			conn:   conn,
+			caller: caller,
+			tx:     &transaction{failed: true},
+		}
+		s.sessions[n] = struct{}{}
+		s.wg.Go(n.serveStatements)
+		const left = 600 * time.Millisecond
+		ctx, cancel := context.WithTimeout(t.Context(), left)
+		defer cancel()
+		s.Drain(ctx, 0)
+		assert.Equal(t, caller.answered.Load(), int32(1))
+		assert.NilError(t, ctx.Err(), "drained at the last moment")
+	})
 }
