--- a/io/edge/restart_test.go
+++ b/io/edge/restart_test.go
@@ -13,10 +13,22 @@
 	"coltsfootloft/io/peer"
 )
 
+// keepTransactions makes a fleet in which only the end of a host ends a transaction: not a statement that is
+// answered late, or a key that was not confirmed in time.
+func keepTransactions(f *fleet) {
+	const patienceMS = 4000
+	f.withdrawalLimit = 20 * time.Second
+	f.config.Limits["TxIdleMs"] = 20_000
+	for i := range f.config.Routes {
+		f.config.Routes[i].TimeoutMs = patienceMS
+		f.config.Routes[i].TargetLatencyMs = patienceMS
+	}
+}
+
 // TestHandlesEndWithTheRunThatGaveThemOut guards against a host that is started again and takes a
 // statement of a transaction of its earlier run for one of a transaction that another client began since.
 func TestHandlesEndWithTheRunThatGaveThemOut(t *testing.T) {
-	f := startFleet(t, 3, func(f *fleet) { f.config.Limits["TxIdleMs"] = 20_000 })
+	f := startFleet(t, 3, keepTransactions)
 	near := f.hosts[1]
 	owns := func() bool { return near.edge.relay.Owners.Of("db-1", "arima")[0] == "host-1" }
 	f.await("host-1 as the owner of the connections", 5*time.Second, owns)
@@ -54,7 +66,7 @@
 // TestCommitOfAnEndedTransactionIsAborted guards against a commit whose outcome is told as unknown, although
 // the owner of the transaction's connection was started again or is gone and nothing was sent.
 func TestCommitOfAnEndedTransactionIsAborted(t *testing.T) {
-	f := startFleet(t, 3, func(f *fleet) { f.config.Limits["TxIdleMs"] = 20_000 })
+	f := startFleet(t, 3, keepTransactions)
 	near := f.hosts[1]
 	owns := func() bool { return near.edge.relay.Owners.Of("db-1", "arima")[0] == "host-1" }
 	f.await("host-1 as the owner of the connections", 5*time.Second, owns)
