--- /dev/null
+++ b/io/edge/ownkeys_test.go
@@ -0,0 +1,178 @@
+package edge
+
+import (
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"coltsfootloft/stand/keyval"
+	"coltsfootloft/stand/opset"
+)
+
+const (
+	stewardKey = "coltsfootloft/duty/steward"
+	quotaKey   = "coltsfootloft/duty/quota-0"
+	settledKey = "coltsfootloft/settled-era"
+)
+
+// removal stands for a key that another writer removes, in place of a value.
+const removal = "removal"
+
+// oddValues returns odd values for any key, and those that have the shape of its values.
+func oddValues(shaped ...string) []string {
+	values := append([]string{removal, strings.Repeat("x", 100<<10)}, opset.OddValues...)
+	return append(values, shaped...)
+}
+
+// overwrite leaves a value under a key, or removes the key.
+func (f *fleet) overwrite(key, value string) {
+	if value == removal {
+		f.store.Remove(key)
+		return
+	}
+	f.store.Put(key, []byte(value))
+}
+
+// keyCase is a key of the product's own that another writer overwrites.
+type keyCase struct {
+	key string
+	// values are those that it leaves.
+	values []string
+	// isRepaired reports whether the key holds what its owner writes.
+	isRepaired func(keyval.Item) bool
+	// mayRefuse is set if writes may be refused, as not run, until the key is repaired.
+	mayRefuse bool
+}
+
+// repairLimit is how soon a key must be repaired, and a write be served. The key of the settled era is
+// looked at each second.
+const repairLimit = 1500 * time.Millisecond
+
+// checkOverwritten overwrites a key with each value. The hosts must serve beside it, the primary must
+// stay, and the key must be repaired. Afterwards the primary crashes right after the key was
+// overwritten again, and must be replaced.
+func (f *fleet) checkOverwritten(k keyCase) {
+	f.t.Helper()
+	for _, value := range k.values {
+		f.overwriteOnce(k, value)
+	}
+	f.overwrite(k.key, "{")
+	f.group.SetDown(f.group.Primary(), true)
+	f.await("a promotion beside an odd entry", 8*time.Second, func() bool { return len(f.group.Promotions()) > 0 })
+}
+
+// overwriteOnce overwrites a key and waits until it was repaired and a write was served after that.
+func (f *fleet) overwriteOnce(k keyCase, value string) {
+	f.t.Helper()
+	c, code := connect(f.t, f.hosts[0], "file", "key-arima")
+	assert.Equal(f.t, code, "")
+	defer c.conn.Close()
+	before, _ := f.store.Get(k.key)
+	f.overwrite(k.key, value)
+	written := time.Now()
+	var repaired, served time.Duration
+	refused := 0
+	for repaired == 0 || served < repaired {
+		a := c.do("WRITE page a")
+		now := time.Since(written)
+		switch {
+		case a.code == "" && !a.lost:
+			served = now
+		case k.mayRefuse && a.code == "BUSY":
+			refused++
+		default:
+			f.t.Fatalf("%.40q over %s: after %s a write got %+v", value, k.key, now, a)
+		}
+		if i, ok := f.store.Get(k.key); repaired == 0 && ok && i.Revision != before.Revision && k.isRepaired(i) {
+			repaired = now
+		}
+		if now > repairLimit {
+			i, _ := f.store.Get(k.key)
+			f.t.Fatalf("%.40q over %s: repaired after %s, last write served at %s of %s: %.80q", value, k.key, repaired, served, now, i.Value)
+		}
+		time.Sleep(time.Millisecond)
+	}
+	f.t.Logf("%.40q over %s: repaired after %s, %d writes refused", value, k.key, repaired, refused)
+	assert.Equal(f.t, len(f.group.Promotions()), 0)
+}
+
+// isHeldKey reports whether the key of a duty names a host and belongs to its lease.
+func (f *fleet) isHeldKey(i keyval.Item) bool {
+	host, ok := f.store.Get("coltsfootloft/host/" + string(i.Value))
+	return ok && i.Lease != 0 && i.Lease == host.Lease
+}
+
+// TestOverwrittenFailoverDutyIsRepaired guards against groups whose primaries are never replaced again,
+// after another writer has overwritten the key of the duty to replace them.
+func TestOverwrittenFailoverDutyIsRepaired(t *testing.T) {
+	f := startFleet(t, 3, nil)
+	f.awaitDutyHeld(1, time.Second)
+	f.checkOverwritten(keyCase{
+		key:        stewardKey,
+		values:     oddValues("host-9", "host-1", "host-2", "host-3"),
+		isRepaired: f.isHeldKey,
+	})
+}
+
+// TestOverwrittenQuotaDutyIsRepaired guards against rates of client accounts that nobody gives out any
+// more, after another writer has overwritten the key of the duty to do so.
+func TestOverwrittenQuotaDutyIsRepaired(t *testing.T) {
+	f := startFleet(t, 3, nil)
+	f.checkOverwritten(keyCase{
+		key:        quotaKey,
+		values:     oddValues("host-9", "host-1", "host-2", "host-3"),
+		isRepaired: f.isHeldKey,
+		mayRefuse:  true,
+	})
+}
+
+// TestOverwrittenSettledEraIsRepaired guards against an era of the store that is never settled again,
+// after another writer has overwritten or removed the key that says so.
+func TestOverwrittenSettledEraIsRepaired(t *testing.T) {
+	f := startFleet(t, 3, nil)
+	f.restore(f.store.Backup(), nil)
+	isRepaired := func(i keyval.Item) bool { return string(i.Value) == "2" }
+	f.await("a settled era", 8*time.Second, func() bool {
+		i, ok := f.store.Get(settledKey)
+		return ok && isRepaired(i)
+	})
+	f.checkOverwritten(keyCase{
+		key:        settledKey,
+		values:     oddValues("3", "1", "-2", "18446744073709551616"),
+		isRepaired: isRepaired,
+	})
+}
+
+// TestOverwrittenDutyHasOneHolder guards against two hosts that perform a duty at a time, and against none for
+// good, after another writer has overwritten or removed the key of a holder that sees nothing of the store
+// and renews its lease.
+func TestOverwrittenDutyHasOneHolder(t *testing.T) {
+	for _, value := range []string{removal, "{", "host-1", "host-2", "host-3"} {
+		f := startFleet(t, 3, nil)
+		f.awaitDutyHeld(1, time.Second)
+		holder := f.holderOf()
+		ip, _, err := net.SplitHostPort(holder.settings.Peer)
+		assert.NilError(t, err)
+		f.store.SetFaults(keyval.Faults{BlindHosts: map[string]bool{ip: true}})
+		f.changeSettings(nil) // answers the watch that waits
+		time.Sleep(300 * time.Millisecond)
+		f.overwrite(stewardKey, value)
+		written := time.Now()
+		f.await("another holder", 6*time.Second, func() bool {
+			holders := 0
+			for _, h := range f.hosts {
+				if _, ok := h.edge.failover.Duty.Holds(); ok {
+					holders++
+				}
+			}
+			assert.Assert(t, holders <= 1, "%q: %d hosts hold the duty after %s", value, holders, time.Since(written))
+			_, ok := holder.edge.failover.Duty.Holds()
+			return holders == 1 && !ok
+		})
+		t.Logf("%q: another holder after %s", value, time.Since(written))
+		f.store.SetFaults(keyval.Faults{})
+	}
+}
--- a/io/mirror/past.go
+++ b/io/mirror/past.go
@@ -53,8 +53,12 @@
 	for name, host := range v.Past.Duties {
 		past.Duties[name] = host
 	}
+	for name, f := range v.FormerHolders {
+		past.Duties[name] = f.Host
+	}
 	for name, d := range v.Duties {
 		past.Duties[name] = d.Host
 	}
+	v.FormerHolders = make(map[string]FormerHolder)
 	v.Past = past
 }
--- a/io/mirror/view.go
+++ b/io/mirror/view.go
@@ -85,14 +85,6 @@
 	return g.Era == 0 || g.Era == coltsfootloft.EraOf(g.Revision)
 }
 
-// Duty is the current holder of a duty.
-type Duty struct {
-	// Host is the name of the holder.
-	Host string
-	// Revision is the store's revision of the key's last change.
-	Revision uint64
-}
-
 // Settled is the latest era of the store in which no rights of an earlier one are left, and in
 // which the store holds the latest settings that hosts knew.
 type Settled struct {
@@ -123,6 +115,11 @@
 	Groups map[string]Group
 	// Duties are the duties that have a holder, by name.
 	Duties map[string]Duty
+	// OddDuties are the entries of other writers under the keys of duties, by name of the duty.
+	OddDuties map[string]OddDuty
+	// FormerHolders are the hosts whose key of a duty was overwritten or removed, by name of the
+	// duty, until a host holds it again.
+	FormerHolders map[string]FormerHolder
 	// Settled is the latest settled era.
 	Settled Settled
 	// Past is what the host knew of the store's earlier eras.
@@ -158,17 +155,21 @@
 	c.Displaced = maps.Clone(v.Displaced)
 	c.Groups = maps.Clone(v.Groups)
 	c.Duties = maps.Clone(v.Duties)
+	c.OddDuties = maps.Clone(v.OddDuties)
+	c.FormerHolders = maps.Clone(v.FormerHolders)
 	return &c
 }
 
 func emptyView() *View {
 	return &View{
-		Upstreams: make(map[string]Upstream),
-		Hosts:     make(map[string]Registration),
-		Odd:       make(map[string]OddEntry),
-		Displaced: make(map[string]Displaced),
-		Groups:    make(map[string]Group),
-		Duties:    make(map[string]Duty),
+		Upstreams:     make(map[string]Upstream),
+		Hosts:         make(map[string]Registration),
+		Odd:           make(map[string]OddEntry),
+		Displaced:     make(map[string]Displaced),
+		Groups:        make(map[string]Group),
+		Duties:        make(map[string]Duty),
+		OddDuties:     make(map[string]OddDuty),
+		FormerHolders: make(map[string]FormerHolder),
 	}
 }
 
@@ -254,12 +255,7 @@
 		return v.applySettled(e)
 	}
 	if name, ok := strings.CutPrefix(e.Key, dutyPrefix); ok {
-		return applyValue(v.Duties, name, e, func(b []byte) (Duty, error) {
-			return Duty{
-				Host:     string(b),
-				Revision: e.Revision,
-			}, nil
-		})
+		return v.applyDuty(now, name, e)
 	}
 	return nil
 }
@@ -317,7 +313,9 @@
 		v.keepPast()
 	}
 	v.Settled = Settled{}
+	duties, odd := v.Duties, v.OddDuties
 	v.Duties = make(map[string]Duty)
+	v.OddDuties = make(map[string]OddDuty)
 	listed := make(map[coltsfootloft.EventKind]map[string]bool) // keys of different kinds may be equal
 	for _, e := range events {
 		if listed[e.Kind] == nil {
@@ -328,6 +326,7 @@
 			problems = append(problems, err)
 		}
 	}
+	v.compareDuties(now, duties, odd)
 	for name := range v.Groups {
 		if !listed[coltsfootloft.EventProxyKey][GroupKey(name)] {
 			delete(v.Groups, name)
--- a/stand/keyval/server.go
+++ b/stand/keyval/server.go
@@ -16,8 +16,10 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -195,6 +197,14 @@
 	return i, ok
 }
 
+// Keys returns the keys that exist, sorted.
+func (s *Server) Keys() []string {
+	s.prepare()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.items))
+}
+
 // withFaults counts the calls and applies the faults that concern all of them.
 func (s *Server) withFaults(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
