--- a/core/leader/leader.go
+++ b/core/leader/leader.go
@@ -65,12 +65,19 @@
 	return b
 }
 
-// Decode parses the output of Encode.
+// maxFigure bounds the numbers of a record: JSON decoders represent all integers up to it.
+const maxFigure = 1 << 53
+
+// Decode parses the output of Encode. It fails if the value is no record that a host has written:
+// without an epoch or a primary, or with a number above maxFigure.
 func Decode(b []byte) (Record, error) {
 	var r Record
 	if err := json.Unmarshal(b, &r); err != nil {
 		return Record{}, errors.Wrap(err, "record of a group")
 	}
+	if r.Epoch == 0 || r.Primary == "" || max(r.Epoch, r.Term, r.Start, r.Era) > maxFigure {
+		return Record{}, errors.Errorf("record of a group with epoch %d, primary %q, term %d, start %d, era %d", r.Epoch, r.Primary, r.Term, r.Start, r.Era)
+	}
 	return r, nil
 }
 
--- a/io/edge/ownkeys_test.go
+++ b/io/edge/ownkeys_test.go
@@ -8,11 +8,13 @@
 
 	"gotest.tools/v3/assert"
 
+	"coltsfootloft/core/leader"
 	"coltsfootloft/stand/keyval"
 	"coltsfootloft/stand/opset"
 )
 
 const (
+	recordKey  = "coltsfootloft/group/notices"
 	stewardKey = "coltsfootloft/duty/steward"
 	quotaKey   = "coltsfootloft/duty/quota-0"
 	settledKey = "coltsfootloft/settled-era"
@@ -105,6 +107,36 @@
 	return ok && i.Lease != 0 && i.Lease == host.Lease
 }
 
+// TestOverwrittenRecordIsRepaired guards against a group that keeps its primary for ever, or gets another
+// one in an epoch that was used before, after another writer has overwritten or removed its record.
+func TestOverwrittenRecordIsRepaired(t *testing.T) {
+	f := startFleet(t, 3, nil)
+	epoch := uint64(0)
+	values := oddValues(
+		`{"epoch":18446744073709551615,"primary":"db-2"}`,
+		`{"epoch":7,"primary":""}`,
+		`{"epoch":0,"primary":"db-2"}`,
+		`{"epoch":7,"primary":"db-2","era":9}`,
+		`{"primary":"db-2","closing":true}`,
+	)
+	isRepaired := func(i keyval.Item) bool {
+		r, err := leader.Decode(i.Value)
+		if err != nil || !r.IsOpen() || r.Primary != f.group.Primary() {
+			return false
+		}
+		if r.Epoch < epoch {
+			t.Errorf("epoch %d after %d", r.Epoch, epoch)
+		}
+		epoch = r.Epoch
+		return true
+	}
+	f.checkOverwritten(keyCase{
+		key:        recordKey,
+		values:     values,
+		isRepaired: isRepaired,
+	})
+}
+
 // TestOverwrittenFailoverDutyIsRepaired guards against groups whose primaries are never replaced again,
 // after another writer has overwritten the key of the duty to replace them.
 func TestOverwrittenFailoverDutyIsRepaired(t *testing.T) {
--- a/io/failov/failov.go
+++ b/io/failov/failov.go
@@ -182,14 +182,15 @@
 	}()
 }
 
-// checkGroup checks a group once: it writes a record that is missing or of an earlier era of
-// the store, continues a change that was interrupted, and replaces a primary that leaves or
+// checkGroup checks a group once: it writes a record that is missing, was overwritten or is of an
+// earlier era of the store, continues a change that was interrupted, and replaces a primary that leaves or
 // is gone.
 func (c *Controller) checkGroup(ctx context.Context, name string) {
 	v := c.Mirror.View()
 	r, ok := v.Groups[name]
+	_, isOdd := v.OddRecords[name]
 	switch {
-	case !ok, !r.IsCurrent():
+	case !ok, !r.IsCurrent(), isOdd:
 		c.establishRecord(ctx, name)
 		return
 	case r.Closing:
--- a/io/failov/record.go
+++ b/io/failov/record.go
@@ -11,14 +11,17 @@
 
 // recalled holds the newest records of groups that hosts knew when an era of the store began.
 type recalled struct {
-	mu      sync.Mutex
-	era     uint64
-	records map[string]leader.Record // nil if they have not been collected
+	mu       sync.Mutex
+	era      uint64
+	revision uint64                   // of the view when they were collected
+	records  map[string]leader.Record // nil if they have not been collected
 }
 
-// establishRecord writes the record of a group in the present era of the store. It goes on
+// establishRecord writes the record of a group in the present era of the store, and in place of what another
+// writer has left or removed. It goes on
 // from the newest record that any host knows, unless a database leads the group in a later term:
-// then the promotion of that database was lost. Without a record, the leading database is named.
+// then the promotion of that database was lost. Its epoch stays if nothing but the entry in the store was
+// changed, so that no answers under way are refused. Without a record, the leading database is named.
 func (c *Controller) establishRecord(ctx context.Context, name string) {
 	r, version, ok := c.nextRecord(ctx, name)
 	if !ok || ctx.Err() != nil {
@@ -35,30 +38,41 @@
 // if nothing shows which database is the primary.
 func (c *Controller) nextRecord(ctx context.Context, name string) (r leader.Record, version uint64, ok bool) {
 	// The version is read first, so that a record which arrives meanwhile is not replaced unseen.
-	version = c.Mirror.View().Groups[name].Revision
-	r, known := c.newestRecord(ctx, name)
+	v := c.Mirror.View()
+	version = v.Groups[name].Revision
+	odd, isOdd := v.OddRecords[name]
+	if isOdd {
+		version = odd.Version
+	}
+	r, known := c.newestRecord(ctx, name, odd.Revision)
 	statuses := c.readStatuses(ctx, name)
 	primary, leads := leader.FindPrimary(statuses)
+	changed := !isOdd || r.Era != c.Mirror.Era()
 	switch {
 	case leads && (!known || !r.Closing && primary.Health.Term > r.Term):
 		r.Primary = primary.ID
 		r.Term = primary.Health.Term
 		r.Start = primary.Health.Received.Offset()
+		changed = true
 	case !known:
 		c.Log.Info("group without a primary", "group", name, "databases", len(statuses))
 		pause.For(ctx, checkPeriod)
 		return leader.Record{}, 0, false
 	}
-	r.Epoch++
+	if changed {
+		r.Epoch++
+	}
 	return r, version, true
 }
 
-// newestRecord returns the newest record of a group that this host knows or that was recalled.
-func (c *Controller) newestRecord(ctx context.Context, name string) (leader.Record, bool) {
+// newestRecord returns the newest record of a group that this host knows or that was recalled at a
+// revision of the store or later.
+func (c *Controller) newestRecord(ctx context.Context, name string, revision uint64) (leader.Record, bool) {
 	era := c.Mirror.Era()
 	c.recalled.mu.Lock()
 	defer c.recalled.mu.Unlock()
-	if c.recalled.records == nil || c.recalled.era != era {
+	if c.recalled.records == nil || c.recalled.era != era || c.recalled.revision < revision {
+		c.recalled.revision = c.Mirror.View().Revision
 		c.recalled.records = c.recall(ctx)
 		c.recalled.era = era
 	}
--- a/io/mirror/view.go
+++ b/io/mirror/view.go
@@ -10,7 +10,6 @@
 	"github.com/pkg/errors"
 
 	"coltsfootloft"
-	"coltsfootloft/core/leader"
 	"coltsfootloft/io/dbpool"
 )
 
@@ -69,22 +68,6 @@
 	}
 }
 
-// Group is the record of a database group as the store holds it.
-type Group struct {
-	leader.Record
-	// Revision is the store's revision of the record.
-	Revision uint64
-	// FirstSeen is when this host first saw the record in this revision, on the Mirror's
-	// clock.
-	FirstSeen time.Duration
-}
-
-// IsCurrent reports whether the record was written in the store's present era. The store may
-// have lost later records than one that came back with a backup.
-func (g Group) IsCurrent() bool {
-	return g.Era == 0 || g.Era == coltsfootloft.EraOf(g.Revision)
-}
-
 // Settled is the latest era of the store in which no rights of an earlier one are left, and in
 // which the store holds the latest settings that hosts knew.
 type Settled struct {
@@ -113,6 +96,9 @@
 	HostsVersion uint64
 	// Groups are the records by name of the group.
 	Groups map[string]Group
+	// OddRecords are the keys of groups that hold no record though they did, or hold what another
+	// writer left, by name of the group. The last good record, if any, stays in Groups.
+	OddRecords map[string]OddRecord
 	// Duties are the duties that have a holder, by name.
 	Duties map[string]Duty
 	// OddDuties are the entries of other writers under the keys of duties, by name of the duty.
@@ -154,6 +140,7 @@
 	c.Odd = maps.Clone(v.Odd)
 	c.Displaced = maps.Clone(v.Displaced)
 	c.Groups = maps.Clone(v.Groups)
+	c.OddRecords = maps.Clone(v.OddRecords)
 	c.Duties = maps.Clone(v.Duties)
 	c.OddDuties = maps.Clone(v.OddDuties)
 	c.FormerHolders = maps.Clone(v.FormerHolders)
@@ -167,6 +154,7 @@
 		Odd:           make(map[string]OddEntry),
 		Displaced:     make(map[string]Displaced),
 		Groups:        make(map[string]Group),
+		OddRecords:    make(map[string]OddRecord),
 		Duties:        make(map[string]Duty),
 		OddDuties:     make(map[string]OddDuty),
 		FormerHolders: make(map[string]FormerHolder),
@@ -236,20 +224,7 @@
 
 func (v *View) applyOwn(now time.Duration, e coltsfootloft.Event) error {
 	if name, ok := strings.CutPrefix(e.Key, groupPrefix); ok {
-		if g, known := v.Groups[name]; known {
-			if e.Revision <= g.Revision {
-				return nil
-			}
-			v.keepRecord(name, g.Record)
-		}
-		return applyValue(v.Groups, name, e, func(b []byte) (Group, error) {
-			r, err := leader.Decode(b)
-			return Group{
-				Record:    r,
-				Revision:  e.Revision,
-				FirstSeen: now,
-			}, err
-		})
+		return v.applyRecord(now, name, e)
 	}
 	if e.Key == SettledKey {
 		return v.applySettled(e)
@@ -279,32 +254,6 @@
 	return era <= coltsfootloft.FirstEra || v.Settled.Era == era
 }
 
-// keepRecord keeps a record that is about to be replaced, in case the new one is older.
-func (v *View) keepRecord(name string, r leader.Record) {
-	if !r.Supersedes(v.Past.Groups[name]) {
-		return
-	}
-	groups := maps.Clone(v.Past.Groups)
-	if groups == nil {
-		groups = make(map[string]leader.Record)
-	}
-	groups[name] = r
-	v.Past.Groups = groups
-}
-
-func applyValue[T any](m map[string]T, name string, e coltsfootloft.Event, decode func([]byte) (T, error)) error {
-	if e.Deleted {
-		delete(m, name)
-		return nil
-	}
-	t, err := decode(e.Value)
-	if err != nil {
-		return err
-	}
-	m[name] = t
-	return nil
-}
-
 // replace replaces the contents of the view with a listing; databases that it lacks are
 // marked as removed. If the listing is of a later era, what the view held is kept as its Past.
 func (v *View) replace(now time.Duration, events []coltsfootloft.Event, revision uint64) []error {
@@ -316,6 +265,7 @@
 	duties, odd := v.Duties, v.OddDuties
 	v.Duties = make(map[string]Duty)
 	v.OddDuties = make(map[string]OddDuty)
+	v.OddRecords = make(map[string]OddRecord)
 	listed := make(map[coltsfootloft.EventKind]map[string]bool) // keys of different kinds may be equal
 	for _, e := range events {
 		if listed[e.Kind] == nil {
@@ -327,11 +277,7 @@
 		}
 	}
 	v.compareDuties(now, duties, odd)
-	for name := range v.Groups {
-		if !listed[coltsfootloft.EventProxyKey][GroupKey(name)] {
-			delete(v.Groups, name)
-		}
-	}
+	problems = append(problems, v.compareRecords(listed[coltsfootloft.EventProxyKey], revision)...)
 	for id, u := range v.Upstreams {
 		if !listed[coltsfootloft.EventUpstream][id] && !u.Removed {
 			u.Removed = true
