--- a/cmd/soak/group.go
+++ b/cmd/soak/group.go
@@ -22,8 +22,15 @@
 	down  map[string]time.Time // since when a database is down
 	roles map[string]string    // as announced; none for one without an entry
 	seq   int
+	// written holds the store's revision of the entry of each database, and beats when it was
+	// last compared with the store's.
+	written map[string]uint64
+	beats   map[string]time.Time
 }
 
+// heartbeat is how often a database writes its entry, as on the users' platform.
+const heartbeat = 1200 * time.Millisecond
+
 const (
 	rolePrimary = "primary"
 	roleReplica = "replica"
@@ -37,9 +44,11 @@
 			MaxConns:    connections,
 			PromoteTime: promotion,
 		},
-		soak:  s,
-		down:  make(map[string]time.Time),
-		roles: make(map[string]string),
+		soak:    s,
+		down:    make(map[string]time.Time),
+		roles:   make(map[string]string),
+		written: make(map[string]uint64),
+		beats:   make(map[string]time.Time),
 	}
 	for i := range databases {
 		l, err := listen(ctx, fmt.Sprintf("%s.2.%d:0", s.net, number*databases+i+1))
@@ -104,13 +113,24 @@
 		if id == primary {
 			role = rolePrimary
 		}
-		if g.roles[id] == role {
+		if g.roles[id] == role && !g.isOverwritten(id) {
 			continue
 		}
 		g.roles[id] = role
 		g.seq++
-		g.soak.store.Put("servers/"+id, opset.Entry(g.Name, g.ways[i].Listener.Addr().String(), role, g.soak.domain(i), "ready", g.seq))
+		g.written[id] = g.soak.store.Put("servers/"+id, opset.Entry(g.Name, g.ways[i].Listener.Addr().String(), role, g.soak.domain(i), "ready", g.seq))
+	}
+}
+
+// isOverwritten reports, once in each heartbeat of a database, whether another writer has overwritten or
+// removed its entry; mu is held.
+func (g *group) isOverwritten(id string) bool {
+	if time.Since(g.beats[id]) < heartbeat {
+		return false
 	}
+	g.beats[id] = time.Now()
+	entry, _ := g.soak.store.Get("servers/" + id)
+	return entry.Revision != g.written[id]
 }
 
 // kill takes a database down for a time. It does nothing if one of the group is down.
--- a/cmd/soak/moves.go
+++ b/cmd/soak/moves.go
@@ -284,19 +284,19 @@
 	})
 }
 
-// writeOddEntry leaves an odd value in any folder of the store, or over the registration of a host, or
-// removes that.
+// writeOddEntry leaves an odd value in any folder of the store, or over a key that it holds, or removes such
+// a key.
 func writeOddEntry(_ context.Context, s *soak, random *rand.Rand) {
 	key := opset.Folders[random.IntN(len(opset.Folders))] + fmt.Sprintf("odd-%d", random.IntN(5))
-	registration := "coltsfootloft/host/" + s.anyHost(random).settings.Name
-	switch random.IntN(6) {
-	case 0:
-		s.store.Remove(registration)
-		return
-	case 1, 2:
-		key = registration
+	value := opset.OddValues[random.IntN(len(opset.OddValues))]
+	if keys := opset.ForeignKeys(s.store.Keys()); len(keys) > 0 && random.IntN(4) > 0 {
+		key = keys[random.IntN(len(keys))]
+		if random.IntN(4) == 0 {
+			s.store.Remove(key)
+			return
+		}
 	}
-	s.store.Put(key, []byte(opset.OddValues[random.IntN(len(opset.OddValues))]))
+	s.store.Put(key, []byte(value))
 }
 
 // impairDatabase takes a database down, half of the time the primary, has it slow, or has it lose answers.
--- a/io/edge/history_test.go
+++ b/io/edge/history_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -20,6 +21,7 @@
 var (
 	historySeed  = flag.Uint64("history-seed", 20261205, "seed of the first random history")
 	historyCount = flag.Int("history-count", 6, "number of random histories")
+	historyOdd   = flag.Bool("history-odd", false, "odd entries in the store in each random history")
 )
 
 const (
@@ -109,12 +111,16 @@
 // chooseMoves returns one to three kinds of moves and the longest pause between them. In a third of the
 // histories, databases answer twice or with errors for most of the time.
 func (h *history) chooseMoves() (moves []func(), pause time.Duration) {
-	if h.random.IntN(3) == 0 {
+	if h.random.IntN(3) == 0 && !*historyOdd {
 		return []func(){h.answerTwice, h.answerTwice, h.answerErrors}, 100 * time.Millisecond
 	}
 	moves = []func(){h.holdDatabase, h.holdStore, h.restartHost, h.restartHost, h.moveKey, h.writeOddEntry, h.answerTwice, h.answerTwice, h.answerErrors}
 	h.random.Shuffle(len(moves), func(i, j int) { moves[i], moves[j] = moves[j], moves[i] })
-	return moves[:1+h.random.IntN(3)], 500 * time.Millisecond
+	moves = moves[:1+h.random.IntN(3)]
+	if *historyOdd {
+		moves = append(moves, h.writeOddEntry)
+	}
+	return moves, 500 * time.Millisecond
 }
 
 // play plays the history.
@@ -239,18 +245,21 @@
 	})
 }
 
-// writeOddEntry leaves an odd value in any folder, or over the registration of a host, or removes that.
+// writeOddEntry leaves an odd value in any folder, or over a key that the store holds, or removes such a key.
 func (h *history) writeOddEntry() {
 	key := opset.Folders[h.random.IntN(len(opset.Folders))] + fmt.Sprintf("odd-%d", h.random.IntN(5))
-	registration := fmt.Sprintf("coltsfootloft/host/host-%d", 1+h.random.IntN(3))
-	switch h.random.IntN(6) {
-	case 0:
-		h.store.Remove(registration)
-		return
-	case 1, 2:
-		key = registration
+	value := opset.OddValues[h.random.IntN(len(opset.OddValues))]
+	if keys := opset.ForeignKeys(h.store.Keys()); h.random.IntN(4) > 0 {
+		key = keys[h.random.IntN(len(keys))]
+		if h.random.IntN(4) == 0 {
+			value = removal
+		}
+	}
+	h.t.Logf("%s %.40q over %s", time.Now().Format("05.000"), value, key)
+	h.overwrite(key, value)
+	if strings.HasPrefix(key, "servers/") {
+		time.AfterFunc(time.Duration(h.random.IntN(1000))*time.Millisecond, h.announceAll) // as databases do by themselves
 	}
-	h.store.Put(key, []byte(opset.OddValues[h.random.IntN(len(opset.OddValues))]))
 }
 
 // call runs sessions until the history ends.
--- a/stand/opset/opset.go
+++ b/stand/opset/opset.go
@@ -10,6 +10,18 @@
 // Folders are the folders of the store. The empty one stands for keys outside of all folders.
 var Folders = []string{"servers/", "op/", "status/", "", "coltsfootloft/", "coltsfootloft/host/", "coltsfootloft/group/", "coltsfootloft/duty/", "coltsfootloft/settled/"}
 
+// ForeignKeys returns those of the keys of a store that another writer may overwrite or remove: the
+// product's own and the entries of databases. The store accepts only valid settings.
+func ForeignKeys(keys []string) []string {
+	var chosen []string
+	for _, k := range keys {
+		if strings.HasPrefix(k, "servers/") || strings.HasPrefix(k, "coltsfootloft/") {
+			chosen = append(chosen, k)
+		}
+	}
+	return chosen
+}
+
 // OddValues are values that other writers may leave in any folder of the store.
 var OddValues = []string{
 	"", "null", "{", "[]", `"x"`, "1e300", "\x00\xff", strings.Repeat("[", 5000), `{"domain": 7}`,
