--- a/io/edge/ownkeys_test.go
+++ b/io/edge/ownkeys_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -208,3 +209,48 @@
 		f.store.SetFaults(keyval.Faults{})
 	}
 }
+
+// TestOverwrittenEntryOfThePrimaryIsHarmless guards against a primary that is replaced or gets no more work, and
+// against a database that is used no more, after another writer has overwritten or removed its entry: the
+// database writes it again with its next heartbeat.
+func TestOverwrittenEntryOfThePrimaryIsHarmless(t *testing.T) {
+	f := startFleet(t, 3, nil)
+	c, code := connect(t, f.hosts[0], "file", "key-arima")
+	assert.Equal(t, code, "")
+	for _, value := range oddValues(`{"Service":"other"}`) {
+		f.overwrite("servers/db-1", value)
+		for began := time.Now(); time.Since(began) < 500*time.Millisecond; time.Sleep(5 * time.Millisecond) {
+			if a := c.do("WRITE page a"); a.code != "" || a.lost {
+				t.Fatalf("%.40q over servers/db-1: after %s a write got %+v", value, time.Since(began), a)
+			}
+		}
+		f.announceAll()
+		f.await("the entry", time.Second, func() bool { return !f.hosts[0].edge.mirror.View().Upstreams["db-1"].Removed })
+	}
+	assert.Equal(t, len(f.group.Promotions()), 0)
+}
+
+// TestOverwrittenSettingsStayInForce guards against settings that are gone after another writer has overwritten
+// or removed them, which the platform's store refuses: the last good ones stay, and the next good ones are
+// in force at once.
+func TestOverwrittenSettingsStayInForce(t *testing.T) {
+	f := startFleet(t, 3, nil)
+	for i, value := range oddValues(`{"ConfigVersion":-1}`, `{"ConfigVersion":1e300}`) {
+		c, code := connect(t, f.hosts[0], "file", "key-arima")
+		assert.Equal(t, code, "")
+		f.overwrite(opset.SettingsKey, value)
+		lasts := 100 * time.Millisecond
+		if value == removal || value == "{" {
+			lasts = 2 * withdrawal
+		}
+		for began := time.Now(); time.Since(began) < lasts; time.Sleep(5 * time.Millisecond) {
+			if a := c.do("WRITE page a"); a.code != "" || a.lost {
+				t.Fatalf("%.40q over op/config: after %s a write got %+v", value, time.Since(began), a)
+			}
+		}
+		name := "route-" + strconv.Itoa(i)
+		f.changeSettings(func(c *config) { addRoute(c, name) })
+		f.awaitRoute(name)
+		c.conn.Close()
+	}
+}
