--- a/core/seat/decide.go
+++ b/core/seat/decide.go
@@ -57,6 +57,8 @@
 			steps = append(steps, t.relock(n, s))
 		case s.state == locked && t.shouldHandBack(now, s, assigned[n]):
 			steps = append(steps, Step{kind: Drain, seat: n})
+		case s.state == notHeld && s.session == t.session && !t.leaving:
+			steps = append(steps, t.retake(n, s))
 		case s.state == notHeld && t.shouldTake(now, n, s, assigned[n], alive):
 			steps = append(steps, t.take(n, s))
 		}
@@ -121,7 +123,7 @@
 		seat:         n,
 		session:      t.session,
 		takeoverWait: takeoverWait,
-		fresh:        s.version == 0 && !t.layout.Changed,
+		fresh:        !s.known && !t.layout.Changed,
 		tokens:       s.record.tokens,
 		changes: []coltsfootloft.Change{
 			coltsfootloft.Require(t.Prefix+"layout", t.layoutVersion),
@@ -131,6 +133,15 @@
 	}
 }
 
+// retake takes a seat again whose lock is this host's, but whose record was overwritten by another writer.
+func (t *Table) retake(n int, s *seat) Step {
+	step := t.take(n, s)
+	step.takeoverWait = max(step.takeoverWait, TakeoverWait)
+	step.fresh = false
+	step.tokens = nil
+	return step
+}
+
 func (t *Table) relock(n int, s *seat) Step {
 	return Step{
 		kind:    Relock,
@@ -180,11 +191,14 @@
 	return b
 }
 
-// decodeLayout reads a layout. An unreadable value gives the zero Layout, which
-// differs from every layout in the settings.
+// MaxSeats is the largest number of seats of a failure domain, as in the settings.
+const MaxSeats = 1024
+
+// decodeLayout reads a layout. An unreadable value, or one with more seats than MaxSeats, gives the
+// zero Layout, which differs from every layout in the settings.
 func decodeLayout(value []byte) Layout {
 	var l Layout
-	if json.Unmarshal(value, &l) != nil {
+	if json.Unmarshal(value, &l) != nil || l.Seats < 0 || l.Seats > MaxSeats {
 		return Layout{}
 	}
 	return l
--- a/core/seat/hold.go
+++ b/core/seat/hold.go
@@ -36,6 +36,7 @@
 	}
 	s.acquired = index
 	s.version = index
+	s.known = true
 	s.record = Record{
 		host:         t.Host,
 		run:          t.Run,
--- a/core/seat/record.go
+++ b/core/seat/record.go
@@ -64,11 +64,18 @@
 	return b
 }
 
-// decode reads a record. An unreadable one counts as left by an unknown holder, so
-// that the next one waits for the full TakeoverWait.
+// Bounds of the figures of a record: a wait is at most as long as a lease and a takeover, and the tokens of
+// an account are of the size of its burst.
+const (
+	maxWait   = LeaseTime + TakeoverWait
+	maxTokens = 1e12
+)
+
+// decode reads a record. One that is unreadable or has figures out of bounds counts as left by
+// an unknown holder, so that the next one waits for the full TakeoverWait.
 func decode(value []byte) Record {
 	var v recordValue
-	if err := json.Unmarshal(value, &v); err != nil {
+	if err := json.Unmarshal(value, &v); err != nil || !v.isInBounds() {
 		return Record{takeoverWait: TakeoverWait}
 	}
 	return Record{
@@ -80,6 +87,16 @@
 	}
 }
 
+func (v recordValue) isInBounds() bool {
+	for _, n := range v.Tokens {
+		if n < 0 || n > maxTokens {
+			return false
+		}
+	}
+	most := maxWait.Milliseconds()
+	return min(v.WaitMilliseconds, v.TakeoverWaitMilliseconds) >= 0 && max(v.WaitMilliseconds, v.TakeoverWaitMilliseconds) <= most
+}
+
 // roundUp returns d in milliseconds, rounded up.
 func roundUp(d time.Duration) int64 {
 	return (d + time.Millisecond - 1).Milliseconds()
--- a/core/seat/table.go
+++ b/core/seat/table.go
@@ -37,6 +37,8 @@
 	version         uint64
 	session         string
 	lockVersion     uint64
+	goneSince       time.Time // when the record was first not listed any more
+	known           bool      // the seat has been taken before
 	freeSince       time.Time
 	reassignedSince time.Time
 	keepUntil       time.Time
@@ -90,11 +92,13 @@
 }
 
 func (t *Table) observeSeat(now time.Time, s *seat, record, lock coltsfootloft.Entry) {
-	if record.Version() < s.version || (lock.Version() != 0 && lock.Version() < s.lockVersion) {
+	isGone := s.isGone(now, record)
+	if record.Version() < s.version && !isGone || (lock.Version() != 0 && lock.Version() < s.lockVersion) {
 		return
 	}
 	s.version = record.Version()
 	s.record = decode(record.Value())
+	s.known = s.known || s.version > 0
 	s.session = lock.Session()
 	s.lockVersion = lock.Version()
 	if s.state != notHeld && s.version != s.acquired {
@@ -111,6 +115,19 @@
 	}
 }
 
+// isGone reports whether the record was removed by another writer: it is missing for longer than a
+// listing from before it was written may be late. If it is only that, the next changes are refused.
+func (s *seat) isGone(now time.Time, record coltsfootloft.Entry) bool {
+	if record.Version() > 0 || s.version == 0 {
+		s.goneSince = time.Time{}
+		return false
+	}
+	if s.goneSince.IsZero() {
+		s.goneSince = now
+	}
+	return now.Sub(s.goneSince) >= TakeoverWait
+}
+
 // adopt marks a seat as held that this run has taken although the store's answer
 // was lost.
 func (t *Table) adopt(now time.Time, s *seat) {
