--- a/io/edge/ownkeys_test.go
+++ b/io/edge/ownkeys_test.go
@@ -254,3 +254,33 @@
 		c.conn.Close()
 	}
 }
+
+// TestOddEntriesAreRepairedByNewHosts guards against groups and duties that are stuck for good if all hosts were
+// down when another writer overwrote their keys, so that none knows what was there.
+func TestOddEntriesAreRepairedByNewHosts(t *testing.T) {
+	f := startFleet(t, 3, nil)
+	for _, value := range []string{"{", "{}", "host-1"} {
+		f.stopAll()
+		for _, key := range []string{recordKey, stewardKey, quotaKey, settledKey} {
+			f.overwrite(key, value)
+		}
+		started := time.Now()
+		for i, h := range f.hosts {
+			f.hosts[i] = f.startHost(h.settings)
+		}
+		f.await("service beside "+value, 8*time.Second, func() bool {
+			for _, h := range f.hosts {
+				if _, ok := h.edge.groups.Primary("notices"); !ok || !h.edge.isReady() {
+					return false
+				}
+			}
+			return true
+		})
+		t.Logf("%q: service after %s", value, time.Since(started))
+		c, code := connect(t, f.hosts[0], "file", "key-arima")
+		assert.Equal(t, code, "")
+		c.must("WRITE page a")
+	}
+	f.group.SetDown(f.group.Primary(), true)
+	f.await("a promotion", 8*time.Second, func() bool { return len(f.group.Promotions()) > 0 })
+}
