--- a/stand/keyval/change.go
+++ b/stand/keyval/change.go
@@ -49,6 +49,12 @@
 		w.WriteHeader(http.StatusForbidden)
 		return
 	}
+	if s.Rewrite != nil {
+		for i := range t.Writes {
+			w := &t.Writes[i]
+			w.Value = s.Rewrite(w.Key, w.Value)
+		}
+	}
 	s.mu.Lock()
 	f := s.faults
 	s.mu.Unlock()
--- a/stand/keyval/server.go
+++ b/stand/keyval/server.go
@@ -67,6 +67,9 @@
 	// token, and returns the HTTP status of the answer. Promotions are answered
 	// 400 if it is nil.
 	Promote func(group, database, holder string, fence uint64) int
+	// Rewrite returns the value that is kept when a transaction writes value under key. Values are
+	// kept as they are if it is nil.
+	Rewrite func(key string, value []byte) []byte
 
 	mu        sync.Mutex
 	faults    Faults
