--- a/io/peer/call.go
+++ b/io/peer/call.go
@@ -36,7 +36,7 @@
 	}
 	defer k.calls.Add(-1)
 	defer func() { _ = s.Close() }()
-	k.notifyCall()
+	k.notify()
 	answer, err := l.exchange(ctx, k, s, duty, body)
 	k.lastUsed.Store(l.Clock.Now().UnixNano())
 	return answer, err
@@ -87,18 +87,19 @@
 	}
 	l.counts.countSent(duty, len(b))
 	if _, err := s.Write(b); err != nil {
-		return nil, lostError(ctx, k.host, duty, err)
+		return nil, lostError(ctx, k, duty, err)
 	}
 	var answer peerpb.Answer
 	first, size, err := readHeader(s, &answer, maxHeader, l.MaxFrame)
 	if err != nil {
-		return nil, lostError(ctx, k.host, duty, err)
+		return nil, lostError(ctx, k, duty, err)
 	}
 	b, err = readBody(s, first, size, &l.answers)
 	l.answers.give(len(b))
 	if err != nil {
-		return nil, lostError(ctx, k.host, duty, err)
+		return nil, lostError(ctx, k, duty, err)
 	}
+	k.progress.Add(1)
 	if answer.GetId() != request.GetId() {
 		_ = k.session.Close()
 		return nil, errors.Wrapf(ErrNoAnswer, "%s to %s: answer to another request", duty, k.host)
@@ -125,12 +126,13 @@
 	}
 }
 
-// lostError returns the error of a request that was sent but not answered.
-func lostError(ctx context.Context, host, duty string, err error) error {
+// lostError returns the error of a request that was sent but not answered, and has the link probed.
+func lostError(ctx context.Context, k *link, duty string, err error) error {
+	k.doubt()
 	if ctx.Err() != nil {
-		return errors.Wrapf(ctx.Err(), "%s to %s", duty, host)
+		return errors.Wrapf(ctx.Err(), "%s to %s", duty, k.host)
 	}
-	return errors.Wrapf(ErrNoAnswer, "%s to %s: %v", duty, host, err)
+	return errors.Wrapf(ErrNoAnswer, "%s to %s: %v", duty, k.host, err)
 }
 
 func traceOf(ctx context.Context) []byte {
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// probeAfter is how long no call of a link may end, while calls wait, before the
-	// link is probed.
+	// probeAfter is how long no call of a link may be answered, while calls wait, before the
+	// link is probed. It is also probed that long after a call has ended without its answer.
 	probeAfter = 200 * time.Millisecond
 	// probeTimeout bounds a probe or a write.
 	probeTimeout = 600 * time.Millisecond
@@ -37,7 +37,12 @@
 	serving  atomic.Int64
 	streams  atomic.Int64 // opened by the other side and not closed by it
 	lastUsed atomic.Int64
-	wake     chan struct{}
+	// progress counts the calls that were answered and the requests that were served.
+	progress atomic.Int64
+	// inDoubt is set when a call has ended without its answer, and reset when the link is probed. The
+	// request may still be on its way.
+	inDoubt atomic.Bool
+	wake    chan struct{}
 }
 
 func sessionConfig() *yamux.Config {
@@ -79,22 +84,29 @@
 	return max(1, time.Duration(now.UnixNano()-k.lastUsed.Load()))
 }
 
-// notifyCall tells watch that a call has begun.
-func (k *link) notifyCall() {
+// doubt has the link probed after a call has ended without its answer.
+func (k *link) doubt() {
+	k.inDoubt.Store(true)
+	k.notify()
+}
+
+// notify tells watch that a call has begun, or ended without its answer.
+func (k *link) notify() {
 	select {
 	case k.wake <- struct{}{}:
 	default:
 	}
 }
 
-// watch probes the link while calls wait for answers, and closes it when the
-// other side does not answer a probe. It returns when the link is closed.
+// watch probes the link while calls wait for answers, and after calls that got none. It closes the
+// link when the other side does not answer a probe, and returns when the link is closed. Calls that
+// time out put off no probe: what is held up would reach the other side long after them.
 func (k *link) watch() {
 	t := time.NewTicker(probeAfter)
 	defer t.Stop()
 	last := int64(0)
 	for {
-		if k.calls.Load() == 0 {
+		if k.calls.Load() == 0 && !k.inDoubt.Load() {
 			select {
 			case <-k.wake:
 				t.Reset(probeAfter)
@@ -107,11 +119,10 @@
 		case <-k.session.CloseChan():
 			return
 		}
-		if u := k.lastUsed.Load(); u != last {
-			last = u
-			continue
-		}
-		if k.calls.Load() == 0 {
+		n := k.progress.Load()
+		isSilent := n == last && k.calls.Load() > 0
+		last = n
+		if !k.inDoubt.Swap(false) && !isSilent {
 			continue
 		}
 		if _, err := k.session.Ping(); err != nil {
--- a/io/peer/serve.go
+++ b/io/peer/serve.go
@@ -91,6 +91,7 @@
 	busy := ofLink > int64(l.MaxCalls) || ofAll > maxServing
 	defer func() {
 		k.lastUsed.Store(l.Clock.Now().UnixNano())
+		k.progress.Add(1)
 		k.serving.Add(-1)
 		l.serving.Add(-1)
 	}()
