--- a/cmd/soak/host.go
+++ b/cmd/soak/host.go
@@ -62,7 +62,11 @@
 	takenAddress int
 }
 
-func (s *soak) newHost(i int) (*host, error) {
+// maxLinked is how many hosts have a switch before them. With one before each of a hundred hosts, the links
+// between them would take most of this process.
+const maxLinked = 24
+
+func (s *soak) newHost(ctx context.Context, i int) (*host, error) {
 	h := &host{
 		soak:   s,
 		number: i,
@@ -89,6 +93,14 @@
 		DrainMS:      int(drain.Milliseconds()),
 		GraceS:       grace.Seconds(),
 	}
+	if i >= maxLinked {
+		return h, nil
+	}
+	l, err := listen(ctx, s.net+".1.3:0")
+	if err != nil {
+		return nil, err
+	}
+	s.links.Add(ctx, h.settings.Name, h.settings.Peer, l)
 	return h, nil
 }
 
--- a/cmd/soak/moves.go
+++ b/cmd/soak/moves.go
@@ -35,6 +35,7 @@
 		"port":     takePort,
 		"store":    impairStore,
 		"link":     impairLink,
+		"hostlink": impairHostLinks,
 		"settings": storm,
 		"keys":     moveKeys,
 		"database": impairDatabase,
--- a/cmd/soak/play.go
+++ b/cmd/soak/play.go
@@ -258,6 +258,7 @@
 	if n := len(s.latencies); n > 0 {
 		s.printf("latency of successes: p50 %s, p99 %s", s.latencies[n/2], s.latencies[n*99/100])
 	}
+	s.printf("%d KB on links between hosts that can be held up", s.links.Bytes()>>10)
 	s.printf("worst resident memory %d MB of %d MB", s.worstKB>>10, s.memoryMB)
 	if s.outcomes["done"] == 0 {
 		s.report("no statement succeeded")
--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"coltsfootloft/stand/audit"
+	"coltsfootloft/stand/hostlink"
 	"coltsfootloft/stand/keyval"
 	"coltsfootloft/stand/opset"
 	"coltsfootloft/stand/relay"
@@ -42,6 +43,7 @@
 	way    *relay.Switch // to the store
 	groups []*group
 	hosts  []*host
+	links  hostlink.Links // between the first hosts
 
 	mu        sync.Mutex
 	settings  opset.Settings
@@ -94,7 +96,7 @@
 	s.settings = s.firstSettings()
 	s.changeSettings(nil)
 	for i := range o.hosts {
-		h, err := s.newHost(i)
+		h, err := s.newHost(ctx, i)
 		if err != nil {
 			return nil, err
 		}
@@ -118,6 +120,7 @@
 	s.store = &keyval.Server{
 		Listener: l,
 		Promote:  s.promote,
+		Rewrite:  s.links.Rewrite,
 	}
 	go func() { _ = s.store.Run(ctx) }()
 	s.way, err = s.startSwitch(ctx, l.Addr().String())
