--- a/io/peer/retire.go
+++ b/io/peer/retire.go
@@ -24,7 +24,7 @@
 	ctx, cancel := context.WithTimeout(l.base, retireTimeout)
 	defer cancel()
 	if s, err := k.session.OpenStream(); err == nil {
-		k.notifyCall()
+		k.notify()
 		_, _ = l.exchange(ctx, k, s, retireDuty, nil) // hosts of earlier versions don't know the duty
 		_ = s.Close()
 	}
