--- a/io/peer/flood_test.go
+++ b/io/peer/flood_test.go
@@ -232,8 +232,7 @@
 			var err error
 			st, err = s.OpenStream()
 			assert.NilError(t, err)
-			_, err = st.Write(head)
-			assert.NilError(t, err)
+			_, _ = st.Write(head) // the host may close the link at once
 		}
 		_, _ = st.Write(make([]byte, 128<<10))
 		select {
