--- a/io/mirror/duties.go
+++ b/io/mirror/duties.go
@@ -58,7 +58,7 @@
 		return nil
 	}
 	if held {
-		v.keepFormerHolder(now, name, old.Host)
+		v.keepFormerHolder(now, name, old.Host, isOdd)
 	}
 	if !isOdd {
 		return nil
@@ -71,15 +71,15 @@
 }
 
 // keepFormerHolder keeps the holder of a duty whose key it does not hold any more, unless its lease
-// has ended.
-func (v *View) keepFormerHolder(now time.Duration, name, host string) {
+// has ended. One whose registration was overwritten ends its lease, and its key with it, itself.
+func (v *View) keepFormerHolder(now time.Duration, name, host string, isOdd bool) {
 	f := FormerHolder{
 		Host:      host,
 		Session:   v.Hosts[host].Lease,
 		FirstSeen: now,
 	}
 	for session, d := range v.Displaced {
-		if d.Host == host && f.Session == "" {
+		if isOdd && d.Host == host && f.Session == "" {
 			f.Session = session
 		}
 	}
@@ -92,7 +92,8 @@
 func (v *View) compareDuties(now time.Duration, duties map[string]Duty, odd map[string]OddDuty) {
 	for name, old := range duties {
 		if _, held := v.Duties[name]; !held {
-			v.keepFormerHolder(now, name, old.Host)
+			_, isOdd := v.OddDuties[name]
+			v.keepFormerHolder(now, name, old.Host, isOdd)
 		}
 	}
 	for name, o := range v.OddDuties {
