--- a/io/edge/history_test.go
+++ b/io/edge/history_test.go
@@ -137,9 +137,25 @@
 		time.Sleep(pause/5 + time.Duration(h.random.Int64N(int64(pause*4/5))))
 	}
 	callers.Wait()
+	h.awaitRepair()
 	h.check()
 }
 
+// awaitRepair waits until each host may use the primary, which then crashes and must be replaced.
+func (h *history) awaitRepair() {
+	h.t.Helper()
+	const limit = 8 * time.Second
+	for i := range 3 {
+		h.await(fmt.Sprintf("primary at host %d after the faults", i+1), limit, func() bool {
+			_, ok := h.host(i).edge.groups.Primary("notices")
+			return ok
+		})
+	}
+	before := len(h.group.Promotions())
+	h.group.SetDown(h.group.Primary(), true)
+	h.await("promotion after the faults", limit, func() bool { return len(h.group.Promotions()) > before })
+}
+
 func (h *history) host(i int) *testHost {
 	h.mu.Lock()
 	defer h.mu.Unlock()
