--- a/io/edge/fleet_test.go
+++ b/io/edge/fleet_test.go
@@ -16,6 +16,7 @@
 
 	"coltsfootloft/core/conf"
 	"coltsfootloft/io/boot"
+	"coltsfootloft/stand/hostlink"
 	"coltsfootloft/stand/keyval"
 	"coltsfootloft/stand/linedb"
 	"coltsfootloft/stand/opset"
@@ -35,6 +36,9 @@
 	// links holds the way from hosts to each database, by its id, and to the store, under "";
 	// without one, hosts reach it directly.
 	links map[string]*relay.Switch
+	// hasHostLinks puts a switch of hostLinks before each host; without it, hosts reach each other directly.
+	hasHostLinks bool
+	hostLinks    hostlink.Links
 	// withdrawalLimit is how soon a withdrawn key must stop working.
 	withdrawalLimit time.Duration
 	// grace is the time that hosts have to shut down, in seconds.
@@ -152,6 +156,7 @@
 		Promote: func(_, database, _ string, fence uint64) int {
 			return f.group.Promote(database, fence)
 		},
+		Rewrite: f.hostLinks.Rewrite,
 	}
 	done := make(chan struct{})
 	go func() {
@@ -201,7 +206,7 @@
 // addHost starts host n in domain n.
 func (f *fleet) addHost(n int) *testHost {
 	ip := fmt.Sprintf("127.0.62.%d", n)
-	h := f.startHost(conf.EntrySettings{
+	s := conf.EntrySettings{
 		Name:         fmt.Sprintf("host-%d", n),
 		Domain:       fmt.Sprintf("domain-%d", (n-1)%3+1),
 		Listen:       freeAddress(f.t, ip),
@@ -213,7 +218,11 @@
 		WithdrawalMS: int(f.withdrawalLimit.Milliseconds()),
 		DrainMS:      3000,
 		GraceS:       f.grace,
-	})
+	}
+	if f.hasHostLinks {
+		f.hostLinks.Add(f.t.Context(), s.Name, s.Peer, listen(f.t, "127.0.62.4"))
+	}
+	h := f.startHost(s)
 	f.hosts = append(f.hosts, h)
 	return h
 }
--- a/io/edge/history_test.go
+++ b/io/edge/history_test.go
@@ -34,6 +34,9 @@
 	answerSlack = 200 * time.Millisecond
 	// doubtEnds is how long a statement whose outcome is not known may still take effect.
 	doubtEnds = 400 * time.Millisecond
+	// lateLimit is how long after its answer a statement may run: a silent link to another host is probed
+	// within 0.4 s and reset 0.6 s later.
+	lateLimit = time.Second
 )
 
 // history is a random history: callers on three hosts, and faults and planned work beside them.
@@ -42,20 +45,21 @@
 	random *rand.Rand
 	end    time.Time
 
-	mu       sync.Mutex
-	record   audit.Record
-	impaired []span            // of holds of links
-	stops    [][]span          // of each host, from its signal to its end
-	moves    int               // of the key that moves
-	problems []string          // found while the history ran
-	acked    map[string]uint64 // value last acknowledged, by item
-	sent     map[string]uint64 // value last sent, by item
+	mu        sync.Mutex
+	record    audit.Record
+	impaired  []span            // of holds of links to databases and the store, and stops without grace
+	stops     [][]span          // of each host, from its signal to its end
+	moves     int               // of the key that moves
+	hostHolds int               // holds and cuts of links between hosts
+	problems  []string          // found while the history ran
+	acked     map[string]uint64 // value last acknowledged, by item
+	sent      map[string]uint64 // value last sent, by item
 }
 
 type span struct{ from, to time.Time }
 
 // TestRandomHistories plays random histories and checks what callers and databases have seen. Each has
-// links held up between one host and one database or the store, hosts stopped and started again
+// links held up between one host and one database, the store or another host, hosts stopped and started again
 // beside open transactions, a key that moves between accounts, odd entries in the store, and databases that
 // answer twice or with errors. Callers use all bytes that the protocol allows.
 func TestRandomHistories(t *testing.T) {
@@ -85,6 +89,7 @@
 			f.config.Routes[i].TargetLatencyMs = 150 // so that reads give up on a database early
 		}
 		f.addLinks(t.Context())
+		f.hasHostLinks = true
 	})
 	h.record = audit.Record{
 		Limit: moveLimit,
@@ -112,7 +117,10 @@
 	if h.random.IntN(3) == 0 {
 		return []func(){h.answerTwice, h.answerTwice, h.answerErrors}, 100 * time.Millisecond
 	}
-	moves = []func(){h.holdDatabase, h.holdStore, h.restartHost, h.restartHost, h.moveKey, h.writeOddEntry, h.answerTwice, h.answerTwice, h.answerErrors}
+	moves = []func(){
+		h.holdDatabase, h.holdStore, h.holdHost, h.holdHost, h.restartHost, h.restartHost, h.moveKey, h.writeOddEntry,
+		h.answerTwice, h.answerTwice, h.answerErrors,
+	}
 	h.random.Shuffle(len(moves), func(i, j int) { moves[i], moves[j] = moves[j], moves[i] })
 	return moves[:1+h.random.IntN(3)], 500 * time.Millisecond
 }
