Revert "edge, quota: a host does not take an old answer of the keeper for a sign of the store"

A quota keeper that alone is cut off from the store kept its idle sessions until its lease had ended for a while, since it no longer found its own last answer fresher than its silence. TestCutOffHostSendsItsSessionsElsewhere cuts off host-2, which is the keeper in some runs only. What was about stays open: at the start of an outage of the store the keeper, and hosts that have its last answer, take themselves for cut off and close their idle sessions. A keeper needs to hear from others whether they reach the store.

--- a/io/edge/ready.go
+++ b/io/edge/ready.go
@@ -91,19 +91,12 @@
 		return settingsTooOld
 	}
 	silence, keeperStoreAge := e.quota.First().KeeperSilence()
-	if isCutOff(e.storeAge(), silence, keeperStoreAge) {
+	if e.storeAge() > storeSilenceLimit && (silence > keeperSilenceLimit || keeperStoreAge < storeSilenceLimit) {
 		return cutOff
 	}
 	return ""
 }
 
-// isCutOff reports whether a host can't reach the store while another one can, or while it can't tell:
-// the store answered the host storeAge ago and the keeper keeperStoreAge ago, and the keeper answered
-// the host silence ago.
-func isCutOff(storeAge, silence, keeperStoreAge time.Duration) bool {
-	return storeAge > storeSilenceLimit && (silence > keeperSilenceLimit || keeperStoreAge < storeSilenceLimit)
-}
-
 // isReady reports whether the host takes callers.
 func (e *Edge) isReady() bool {
 	e.mu.Lock()
--- a/io/quota/quota.go
+++ b/io/quota/quota.go
@@ -78,17 +78,17 @@
 	// StoreAge returns how long ago the store last answered this host.
 	StoreAge func() time.Duration
 
-	mu            sync.Mutex
-	accounts      map[string]*account
-	changed       chan struct{}
-	urgent        chan struct{}
-	run           uint64 // random number of this process
-	reports       uint64 // sent so far
-	lastReport    time.Duration
-	keeperSilent  bool
-	keeperReached time.Duration // when the store last answered the keeper, as far as is known
-	lastAnswer    time.Duration // when the keeper last answered
-	once          sync.Once
+	mu             sync.Mutex
+	accounts       map[string]*account
+	changed        chan struct{}
+	urgent         chan struct{}
+	run            uint64 // random number of this process
+	reports        uint64 // sent so far
+	lastReport     time.Duration
+	keeperSilent   bool
+	keeperStoreAge time.Duration // StoreAge of the keeper at its last answer
+	lastAnswer     time.Duration // when the keeper last answered
+	once           sync.Once
 
 	allocator      grant.Allocator
 	allocatorMu    sync.Mutex
@@ -390,8 +390,7 @@
 		l.Log.Info("quota keeper answers again")
 	}
 	l.lastAnswer = now
-	// The age is in whole ms, and that of a time after the report was sent.
-	l.keeperReached = sent - time.Duration(g.GetStoreAgeMs()+1)*time.Millisecond
+	l.keeperStoreAge = time.Duration(g.GetStoreAgeMs()) * time.Millisecond
 	for _, x := range g.GetGrants() {
 		a := l.accounts[x.GetAccount()]
 		if a == nil {
@@ -428,11 +427,10 @@
 	}
 }
 
-// KeeperSilence returns how long ago the keeper last answered, and how long ago, at most, the
-// store last answered the keeper.
+// KeeperSilence returns how long ago the keeper last answered, and how long before that answer
+// the store had last answered the keeper.
 func (l *Limiter) KeeperSilence() (silent, storeAge time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := l.Clock.Elapsed()
-	return now - l.lastAnswer, now - l.keeperReached
+	return l.Clock.Elapsed() - l.lastAnswer, l.keeperStoreAge
 }
