--- a/io/edge/refuse_test.go
+++ b/io/edge/refuse_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -159,11 +160,31 @@
 // their idle sessions.
 func TestCutOffHostSendsItsSessionsElsewhere(t *testing.T) {
 	f := startFleet(t, 3, func(f *fleet) { f.withdrawalLimit = 5 * time.Second })
-	there, _ := connect(t, f.hosts[1], "file", "key-arima")
-	here, _ := connect(t, f.hosts[0], "file", "key-arima")
+	f.assertSendsSessionsAway(1)
+}
+
+// TestCutOffKeeperSendsItsSessionsElsewhere guards against the same if the host is the quota keeper, whose
+// answers tell the others whether it reaches the store: it has none but its own.
+func TestCutOffKeeperSendsItsSessionsElsewhere(t *testing.T) {
+	f := startFleet(t, 3, func(f *fleet) { f.withdrawalLimit = 5 * time.Second })
+	keeper := -1
+	f.await("a quota keeper", 5*time.Second, func() bool {
+		name, ok := f.hosts[0].edge.quota.First().Duty.Holder()
+		keeper = slices.IndexFunc(f.hosts, func(h *testHost) bool { return h.settings.Name == name })
+		return ok && keeper >= 0
+	})
+	f.assertSendsSessionsAway(keeper)
+}
+
+// assertSendsSessionsAway cuts host i off from the store.
+func (f *fleet) assertSendsSessionsAway(i int) {
+	t := f.t
+	t.Helper()
+	there, _ := connect(t, f.hosts[i], "file", "key-arima")
+	here, _ := connect(t, f.hosts[(i+1)%len(f.hosts)], "file", "key-arima")
 	there.must("READ x")
 	here.must("READ x")
-	f.store.SetFaults(keyval.Faults{RefusedHosts: map[string]bool{"127.0.62.2": true}})
+	f.store.SetFaults(keyval.Faults{RefusedHosts: map[string]bool{hostIP(i): true}})
 	// The lease of the host lasts for at most 2 s.
 	assert.NilError(t, there.conn.SetReadDeadline(time.Now().Add(lease.TTL+500*time.Millisecond)))
 	err := there.r.Await()
