--- a/io/edge/moves_test.go
+++ b/io/edge/moves_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"coltsfootloft/io/mirror"
 )
 
 // TestOwnWritesAreReadAfterTheRouteMovedBack guards against a session that remembers its last write of one
@@ -73,3 +75,26 @@
 		}
 	}
 }
+
+// TestOutdatedHostServesNoPublicRoute guards against a host that serves a route which the operators have
+// removed for as long as its watch is behind: the settings are not confirmed for routes without a key.
+func TestOutdatedHostServesNoPublicRoute(t *testing.T) {
+	f := startFleet(t, 3, nil)
+	f.changeSettings(func(c *config) { c.Routes[0].Public = true })
+	h := f.hosts[0]
+	f.await("a public route", 3*time.Second, func() bool {
+		return h.edge.mirror.View().Settings.Version == uint64(f.config.ConfigVersion)
+	})
+	c, code := connect(t, h, f.config.Routes[0].Host, "no-key")
+	assert.Equal(t, code, "")
+	c.must("READ page")
+	held := h.edge.mirror.View().Settings
+	h.edge.mirror.ObserveReport(mirror.Freshness{
+		SettingsRevision: held.Revision + 1,
+		SettingsVersion:  held.Version + 1,
+	})
+	c.must("READ page")
+	f.await("refusal", 3*time.Second, func() bool { return c.do("READ page").code == "BUSY" })
+	f.changeSettings(nil)
+	f.await("the later settings", 3*time.Second, func() bool { return c.do("READ page").code == "" })
+}
--- a/io/entry/session.go
+++ b/io/entry/session.go
@@ -262,6 +262,9 @@
 	account, known := c.Keys[n.startup.Key()]
 	n.account = account
 	if route.Public {
+		if s.Mirror.IsOutdated() {
+			return route, refuse(coltsfootloft.ReasonBusy, "settings too old; come back in 500 ms")
+		}
 		return route, nil
 	}
 	if !fresh {
--- a/io/mirror/apply_test.go
+++ b/io/mirror/apply_test.go
@@ -151,6 +151,41 @@
 	assert.Equal(t, f.SettingsAge, unconfirmedAge)
 }
 
+// TestSettingsAreOutdatedOnceLaterOnesAreKnown guards against a host that uses settings for as long as
+// its watch is behind, although it knows that the other hosts have later ones.
+func TestSettingsAreOutdatedOnceLaterOnesAreKnown(t *testing.T) {
+	clock := &manualClock{now: time.Hour}
+	m := newMirror(t)
+	m.Clock = clock
+	m.Store = eraStore{era: 1}
+	held, later := settingsOf(4, 1, 34), settingsOf(8, 1, 36)
+	m.replaceAll([]coltsfootloft.Event{held}, held.Revision)
+	report := func(e coltsfootloft.Event) {
+		m.ObserveReport(Freshness{
+			SettingsRevision: e.Revision,
+			SettingsVersion:  e.Settings.Version,
+			Revision:         e.Revision,
+		})
+	}
+	report(held)
+	clock.now += 2 * outdatedAfter
+	assert.Assert(t, !m.IsOutdated())
+	report(later)
+	clock.now += outdatedAfter
+	assert.Assert(t, !m.IsOutdated())
+	report(settingsOf(9, 1, 37)) // doesn't begin anew
+	clock.now += time.Millisecond
+	assert.Assert(t, m.IsOutdated())
+	m.applyAll([]coltsfootloft.Event{later}, later.Revision)
+	assert.Assert(t, m.IsOutdated())
+	last := settingsOf(9, 1, 37)
+	m.applyAll([]coltsfootloft.Event{last}, last.Revision)
+	assert.Assert(t, !m.IsOutdated())
+	report(held) // by a host that is behind itself
+	clock.now += 2 * outdatedAfter
+	assert.Assert(t, !m.IsOutdated())
+}
+
 // eraStore is a store that answers no calls; only its era is known.
 type eraStore struct {
 	coltsfootloft.EventStore
--- a/io/mirror/freshness.go
+++ b/io/mirror/freshness.go
@@ -13,6 +13,9 @@
 	// lagTolerance is how long this host may be behind a revision that another host has
 	// seen before it lists the store, as its own watch no longer delivers changes.
 	lagTolerance = 400 * time.Millisecond
+	// outdatedAfter is how long a host uses settings after it has learned of later ones, which
+	// are on their way to it. Operators expect a change to be in force within three times that.
+	outdatedAfter = time.Second
 )
 
 // Freshness is how current a host's copy of the store is. Hosts send theirs to the quota keeper
@@ -88,6 +91,9 @@
 }
 
 func (m *Mirror) noteNewestAtPeer(s *coltsfootloft.Settings) {
+	if held := m.View().Settings; held != nil && s.Version > held.Version {
+		m.behindSince.CompareAndSwap(0, int64(m.Clock.Elapsed()))
+	}
 	for {
 		known := m.newestAtPeer.Load()
 		if known != nil && !s.Supersedes(known) || m.newestAtPeer.CompareAndSwap(known, s) {
--- a/io/mirror/horizon.go
+++ b/io/mirror/horizon.go
@@ -45,6 +45,17 @@
 	return held != nil && !m.isBehindPeer(held) && m.horizon.Covers(m.Clock.Elapsed(), m.HorizonLimit)
 }
 
+// IsOutdated reports whether another host has been known for outdatedAfter to hold a later version
+// of the settings than that in force.
+func (m *Mirror) IsOutdated() bool {
+	since := m.behindSince.Load()
+	if since == 0 || m.Clock.Elapsed()-time.Duration(since) <= outdatedAfter {
+		return false
+	}
+	held := m.View().Settings
+	return held != nil && held.Version < m.LatestVersion()
+}
+
 // LatestVersion returns the highest version of the settings that this host or another one is
 // known to hold; 0 if none is.
 func (m *Mirror) LatestVersion() uint64 {
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -12,7 +12,8 @@
 //
 // The quota keeper, the host that holds the quota duty, confirms the settings more often.
 // Its answers to the other hosts carry its Freshness, which spares most of them their own
-// confirmations.
+// confirmations. Routes without a key need no confirmation, so that they are served while the
+// store is away; they end soon after a Freshness tells of later settings than those in force.
 //
 // If the store comes back from a backup, it loses changes that it had acknowledged, and a
 // new era begins. The mirror then lists the store again. Settings that are older than those
@@ -103,6 +104,8 @@
 	// newestAtPeer is the newest settings that another host holds, with its version and
 	// revision only.
 	newestAtPeer atomic.Pointer[coltsfootloft.Settings]
+	// behindSince is when this host learned of a later version than that in force, or 0.
+	behindSince atomic.Int64
 	// history is guarded by mu. retryDelay, compactedAt, noSourceSince, avoidUntil,
 	// candidates and candidatesVersion are used by the watch loop only.
 	history           history
@@ -259,6 +262,9 @@
 	v.Revision = max(v.Revision, revision)
 	v.expire(now)
 	m.view.Store(v)
+	if v.Settings != nil && v.Settings.Version >= m.LatestVersion() {
+		m.behindSince.Store(0)
+	}
 	close(m.changed)
 	m.changed = make(chan struct{})
 	for _, p := range problems {
