--- a/core/conf/domain.go
+++ b/core/conf/domain.go
@@ -1,6 +1,8 @@
 package conf
 
-const maxSeats = 1024
+import "coltsfootloft/core/seat"
+
+const maxSeats = seat.MaxSeats
 
 // Domain is a failure domain with its settings.
 type Domain struct {
--- a/core/elect/elect_test.go
+++ b/core/elect/elect_test.go
@@ -283,7 +283,7 @@
 }
 
 // TestReadingFromBeforeThePromotionPromotesNothing guards against the same for a promotion: the other
-// databases are told to follow one that is no primary.
+// databases are told to follow a database that is not the primary.
 func TestReadingFromBeforeThePromotionPromotesNothing(t *testing.T) {
 	for _, r := range []func(coltsfootloft.Term) coltsfootloft.Reading{
 		func(t coltsfootloft.Term) coltsfootloft.Reading { return replica(t, 1) },
--- a/io/duty/duty.go
+++ b/io/duty/duty.go
@@ -6,9 +6,9 @@
 // acquire a free duty in rendezvous order, each after a short delay that grows with its
 // rank, so that duties move rarely and hosts do not compete for them.
 //
-// Another writer may overwrite or remove the key of a duty. The holder has no rights from that view of
-// the store on and writes its key again. If it does not, it may not have noticed: another host takes the
-// key, ends the holder's lease in the store, and performs the duty a lease's duration after that.
+// Another writer may overwrite or remove the key of a duty. Once the holder sees that, it stops
+// performing the duty and writes its key again. If it does not, it may not have seen it: another host takes the
+// key, ends the holder's lease in the store, and performs the duty one lease duration later.
 //
 // When the store comes back from a backup, a duty may be free while its holder still acts.
 // It is acquired once that host has learned of the new era, or its lease has ended.
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -13,7 +13,7 @@
 // The quota keeper, the host that holds the quota duty, confirms the settings more often.
 // Its answers to the other hosts carry its Freshness, which spares most of them their own
 // confirmations. Routes without a key need no confirmation, so that they are served while the
-// store is away; they end soon after a Freshness tells of later settings than those in force.
+// store can't be reached. They are refused once a Freshness has shown for a while that other hosts have later settings.
 //
 // If the store comes back from a backup, it loses changes that it had acknowledged, and a
 // new era begins. The mirror then lists the store again. Settings that are older than those
--- a/io/mirror/records.go
+++ b/io/mirror/records.go
@@ -38,8 +38,8 @@
 // errRecordRemoved is logged if the record of a group is removed, which the program never does.
 var errRecordRemoved = errors.New("record of a group removed; the last good one stays in force")
 
-// applyRecord applies an event about the key of a group. What is no record leaves the last good one
-// in force: the next change of primary begins with a record that replaces the entry.
+// applyRecord applies an event about the key of a group. If the entry is not a record, the last good record
+// stays in force, and the host that changes primaries writes it again.
 func (v *View) applyRecord(now time.Duration, name string, e coltsfootloft.Event) error {
 	g, known := v.Groups[name]
 	if known && e.Revision <= g.Revision || e.Revision < v.OddRecords[name].Revision {
--- a/io/peer/call.go
+++ b/io/peer/call.go
@@ -128,7 +128,7 @@
 
 // lostError returns the error of a request that was sent but not answered, and has the link probed.
 func lostError(ctx context.Context, k *link, duty string, err error) error {
-	k.doubt()
+	k.requestProbe()
 	if ctx.Err() != nil {
 		return errors.Wrapf(ctx.Err(), "%s to %s", duty, k.host)
 	}
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -89,13 +89,13 @@
 	return max(1, time.Duration(now.UnixNano()-k.lastUsed.Load()))
 }
 
-// doubt has the link probed after a call has ended without its answer.
-func (k *link) doubt() {
+// requestProbe makes watch probe the link, because a call has ended without an answer.
+func (k *link) requestProbe() {
 	k.inDoubt.Store(true)
 	k.notify()
 }
 
-// notify tells watch that a call has begun, or ended without its answer.
+// notify wakes watch when a call begins or ends without an answer.
 func (k *link) notify() {
 	select {
 	case k.wake <- struct{}{}:
@@ -105,7 +105,7 @@
 
 // watch probes the link while calls wait for answers, and after calls that got none. It closes the
 // link when the other side does not answer a probe, and returns when the link is closed. Calls that
-// time out put off no probe: what is held up would reach the other side long after them.
+// time out don't postpone the probe: their requests could otherwise arrive much later.
 func (k *link) watch() {
 	t := time.NewTicker(probeAfter)
 	defer t.Stop()
--- a/stand/hostlink/hostlink_test.go
+++ b/stand/hostlink/hostlink_test.go
@@ -17,7 +17,7 @@
 type testHost struct {
 	name, ip string
 	net.Listener
-	registered string // the address that others are told
+	registered string // the address in its registration
 }
 
 func start(t *testing.T, k *hostlink.Links, name, ip string) *testHost {
