--- a/cmd/coltsfootloft/file.go
+++ b/cmd/coltsfootloft/file.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"reflect"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -90,5 +91,5 @@
 		log.Error(err, "settings file not reloaded; keeping the running settings")
 		return
 	}
-	log.Info("settings file read again", "changed", loaded != running)
+	log.Info("settings file read again", "changed", !reflect.DeepEqual(loaded, running))
 }
--- a/core/conf/entry.go
+++ b/core/conf/entry.go
@@ -43,6 +43,17 @@
 	DrainMS int `json:"drain_ms"`
 	// GraceS is the time between the stop signal and the end of the process, in s.
 	GraceS float64 `json:"grace_s"`
+	// EvacuateMS is the time within which nothing more may reach the databases of an evacuated
+	// failure domain, in ms; 0 if operators can't evacuate one.
+	EvacuateMS int `json:"evacuate_ms,omitempty"`
+	// ColdOverage and ColdSlack bound the requests that a cold database gets in a second: its
+	// group's rate times ColdOverage, plus ColdSlack.
+	ColdOverage float64 `json:"cold_overage,omitempty"`
+	ColdSlack   float64 `json:"cold_slack,omitempty"`
+	// Regions maps each failure domain to its region.
+	Regions map[string]string `json:"regions,omitempty"`
+	// Policies are the platform's words for the parts of its rules that are in force.
+	Policies []string `json:"policies,omitempty"`
 	// LogLevel is error, info or debug; info if empty.
 	LogLevel string `json:"log_level,omitempty"`
 }
@@ -94,6 +105,13 @@
 	if e.Cores < 0 || e.Speed < 0 {
 		return errors.Errorf("cores %v, speed %v: expected no negative numbers", e.Cores, e.Speed)
 	}
+	const minEvacuateMS = 1000
+	if e.EvacuateMS != 0 && e.EvacuateMS < minEvacuateMS {
+		return errors.Errorf("evacuate_ms %d: expected 0 or at least %d", e.EvacuateMS, minEvacuateMS)
+	}
+	if e.ColdOverage < 0 || e.ColdSlack < 0 {
+		return errors.Errorf("cold_overage %v, cold_slack %v: expected no negative numbers", e.ColdOverage, e.ColdSlack)
+	}
 	if e.WithdrawalMS < 1000 || e.DrainMS < 2000 || e.GraceS < 1 {
 		return errors.Errorf("withdrawal_ms %d, drain_ms %d, grace_s %v: expected at least 1000, 2000 and 1", e.WithdrawalMS, e.DrainMS, e.GraceS)
 	}
@@ -111,5 +129,11 @@
 // Drain is how long a database that is being removed may still get requests.
 func (e EntrySettings) Drain() time.Duration { return time.Duration(e.DrainMS) * time.Millisecond }
 
+// Evacuate is the time within which nothing more may reach the databases of an evacuated failure
+// domain; 0 if operators can't evacuate one.
+func (e EntrySettings) Evacuate() time.Duration {
+	return time.Duration(e.EvacuateMS) * time.Millisecond
+}
+
 // Grace is the time between the stop signal and the end of the process.
 func (e EntrySettings) Grace() time.Duration { return time.Duration(e.GraceS * float64(time.Second)) }
