--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"strings"
 	"time"
@@ -179,8 +181,23 @@
 	if c := s.Mirror.View().Settings; c != nil {
 		version = c.Version
 	}
-	s.Log.Info("refused", "id", id, "what", verb, "database", n.startup.Database(), "account", n.account, "reason", reason.String(),
-		"text", text, "settings", version, "settings_age", age.String(), "settings_known", known, "lease_left", s.Groups.Lease.Left().String())
+	fields := []any{"id", id, "what", verb, "database", n.startup.Database(), "account", n.account, "reason", reason.String(),
+		"text", text, "settings", version, "settings_age", age.String(), "settings_known", known, "lease_left", s.Groups.Lease.Left().String()}
+	if reason == coltsfootloft.ReasonNoKey {
+		fields = append(fields, "key", fingerprint(n.startup.Key()))
+	}
+	s.Log.Info("refused", fields...)
+}
+
+// fingerprintLength is the length of a fingerprint in hexadecimal digits: enough to tell the keys of
+// a deployment apart, and too few to find a key by trying.
+const fingerprintLength = 8
+
+// fingerprint returns the beginning of the SHA-256 of a key. It identifies the key in the log without
+// revealing it.
+func fingerprint(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])[:fingerprintLength]
 }
 
 func (s *Server) count(verb, outcome string) {
