--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -181,8 +181,10 @@
 	if c := s.Mirror.View().Settings; c != nil {
 		version = c.Version
 	}
-	fields := []any{"id", id, "what", verb, "database", n.startup.Database(), "account", n.account, "reason", reason.String(),
-		"text", text, "settings", version, "settings_age", age.String(), "settings_known", known, "lease_left", s.Groups.Lease.Left().String()}
+	fields := []any{
+		"id", id, "what", verb, "database", n.startup.Database(), "account", n.account, "reason", reason.String(),
+		"text", text, "settings", version, "settings_age", age.String(), "settings_known", known, "lease_left", s.Groups.Lease.Left().String(),
+	}
 	if reason == coltsfootloft.ReasonNoKey {
 		fields = append(fields, "key", fingerprint(n.startup.Key()))
 	}
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -36,9 +36,13 @@
 const (
 	// handshakeTimeout closes connections that do not start a session.
 	handshakeTimeout = 5 * time.Second
-	// settingsWait is how long the start of a session waits for the first settings.
-	// It is below the 2 s that a caller waits for its answer.
+	// settingsWait is how long the start of a session waits for the first settings, and for the
+	// first answer of the quota keeper. It is below the 2 s that a caller waits for its answer.
 	settingsWait = 1500 * time.Millisecond
+	// startPeriod is the time after the start of the host in which sessions wait for the quota
+	// keeper: after a loss of all hosts, a new keeper is found within its lease of 2 s. A keeper
+	// that is still missing later is lost, and waiting for it would only delay callers.
+	startPeriod = 3 * time.Second
 	// MaxSessions is the largest number of sessions of one host.
 	MaxSessions = 2500
 	// SessionSize is what a session takes, in bytes: a goroutine, two buffers, and
@@ -53,6 +57,8 @@
 	Admit(ctx context.Context, account string) bool
 	// IsNew reports whether the host has not had a rate for the account yet.
 	IsNew(account string) bool
+	// AwaitKeeper waits until the host can learn the account's rate, or until ctx ends.
+	AwaitKeeper(ctx context.Context, account string)
 	// Return gives back an operation that was not sent to any database.
 	Return(account string)
 }
@@ -88,6 +94,7 @@
 	ReportUnreachable func(group, database string)
 
 	listener net.Listener
+	started  time.Duration // on Clock
 	mu       sync.Mutex
 	sessions map[*session]struct{}
 	// draining is set when sessions end outside a transaction, aborting when transactions
@@ -156,6 +163,7 @@
 		defer s.mu.Unlock()
 		s.sessions = make(map[*session]struct{})
 		s.retries.clock = s.Clock
+		s.started = s.Clock.Elapsed()
 	})
 }
 
--- a/io/entry/server_test.go
+++ b/io/entry/server_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"coltsfootloft"
+	"coltsfootloft/io/boot"
 	"coltsfootloft/io/mirror"
 )
 
@@ -32,6 +33,7 @@
 func TestStartingSessionIsNotIdle(t *testing.T) {
 	ended := make(chan struct{})
 	s := &Server{
+		Clock: boot.Clock{},
 		Codec: func(net.Conn) coltsfootloft.Caller { return startingCaller{ended: ended} },
 		Log:   logr.Discard(),
 	}
@@ -52,6 +54,7 @@
 // another goroutine counts them; the race detector sees it.
 func TestSessionsAreCountedWhileRunBegins(t *testing.T) {
 	s := &Server{
+		Clock:  boot.Clock{},
 		Listen: "127.0.0.1:0",
 		Log:    logr.Discard(),
 	}
@@ -93,7 +96,10 @@
 		read:    make(chan struct{}),
 		proceed: make(chan struct{}),
 	}
-	s := &Server{Log: logr.Discard()}
+	s := &Server{
+		Clock: boot.Clock{},
+		Log:   logr.Discard(),
+	}
 	s.prepare()
 	n := &session{
 		server: s,
@@ -125,6 +131,7 @@
 	assert.NilError(t, listener.Close())
 	accepted := make(chan chan struct{})
 	s := &Server{
+		Clock:  boot.Clock{},
 		Listen: address,
 		Codec: func(net.Conn) coltsfootloft.Caller {
 			open := make(chan struct{})
@@ -163,6 +170,7 @@
 func TestSessionsAreLimited(t *testing.T) {
 	ended := make(chan struct{})
 	s := &Server{
+		Clock:        boot.Clock{},
 		Codec:        func(net.Conn) coltsfootloft.Caller { return startingCaller{ended: ended} },
 		Log:          logr.Discard(),
 		SessionLimit: 2,
@@ -206,6 +214,7 @@
 		defer peer.Close()
 		caller := &restingCaller{conn: conn}
 		s := &Server{
+			Clock:  boot.Clock{},
 			Mirror: &mirror.Mirror{},
 			Log:    logr.Discard(),
 		}
--- a/io/entry/session.go
+++ b/io/entry/session.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"io"
 	"net"
 	"sync"
@@ -252,7 +253,7 @@
 		return false
 	}
 	n.startup = g
-	n.awaitSettings()
+	n.awaitStart()
 	_, refusal := n.authorize()
 	if refusal != nil {
 		s.recordRefusal("start", "-", n, refusal.Reason, refusal.Text)
@@ -262,8 +263,23 @@
 	return n.caller.Accept() == nil
 }
 
-func (n *session) awaitSettings() {
-	deadline := time.After(settingsWait)
+// awaitStart waits, for settingsWait at most, until the host knows the operators' settings and,
+// soon after its start, until it can learn the rate of the session's account. Operations that come
+// earlier would be refused as over the rate.
+func (n *session) awaitStart() {
+	ctx, cancel := context.WithTimeout(context.Background(), settingsWait)
+	defer cancel()
+	n.awaitSettings(ctx)
+	s := n.server
+	if s.Clock.Elapsed()-s.started > startPeriod {
+		return
+	}
+	if c := s.Mirror.View().Settings; c != nil && c.Keys[n.startup.Key()] != "" {
+		s.Quota.AwaitKeeper(ctx, c.Keys[n.startup.Key()])
+	}
+}
+
+func (n *session) awaitSettings(ctx context.Context) {
 	for {
 		changed := n.server.Mirror.Changed()
 		if n.server.Mirror.View().Settings != nil {
@@ -271,7 +287,7 @@
 		}
 		select {
 		case <-changed:
-		case <-deadline:
+		case <-ctx.Done():
 			return
 		}
 	}
--- a/io/entry/unsent_test.go
+++ b/io/entry/unsent_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"coltsfootloft"
+	"coltsfootloft/io/boot"
 )
 
 // refusingCaller sends statements whose answers fail.
@@ -36,7 +37,10 @@
 		conn, peer := net.Pipe()
 		defer peer.Close()
 		lines := 0
-		s := &Server{Log: funcr.New(func(_, _ string) { lines++ }, funcr.Options{})}
+		s := &Server{
+			Clock: boot.Clock{},
+			Log:   funcr.New(func(_, _ string) { lines++ }, funcr.Options{}),
+		}
 		s.prepare()
 		n := &session{
 			server: s,
--- a/io/quota/keeper_test.go
+++ b/io/quota/keeper_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -11,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"coltsfootloft"
+	"coltsfootloft/io/boot"
 	"coltsfootloft/io/duty"
 	"coltsfootloft/io/lease"
 	"coltsfootloft/io/mirror"
@@ -172,3 +174,30 @@
 	report("a", 7, 3, 0)
 	assert.Equal(t, report("b", 8, 2, 100), limit-again, "the rest is in use at the new process of a")
 }
+
+// TestAwaitKeeperEndsWithFirstAnswer guards against a host that has just started and refuses operations
+// as over their rate before any keeper has answered it, and against one that waits for a keeper again later.
+func TestAwaitKeeperEndsWithFirstAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &Limiter{
+			Mirror: &mirror.Mirror{Clock: boot.Clock{}},
+			Clock:  &fixedClock{now: time.Hour},
+			Log:    logr.Discard(),
+		}
+		l.lazyInit()
+		ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
+		defer cancel()
+		l.AwaitKeeper(ctx)
+		assert.ErrorIs(t, ctx.Err(), context.DeadlineExceeded)
+		const answerAfter = 200 * time.Millisecond
+		go func() {
+			time.Sleep(answerAfter)
+			l.applyGrants(time.Hour, &quotapb.Grants{Keeper: true})
+		}()
+		for _, expected := range []time.Duration{answerAfter, 0} {
+			started := time.Now()
+			l.AwaitKeeper(t.Context())
+			assert.Equal(t, time.Since(started), expected)
+		}
+	})
+}
--- a/io/quota/quota.go
+++ b/io/quota/quota.go
@@ -169,6 +169,21 @@
 	return a == nil || !a.granted
 }
 
+// AwaitKeeper waits until the keeper has answered this host for the first time, or until ctx ends.
+func (l *Limiter) AwaitKeeper(ctx context.Context) {
+	l.lazyInit()
+	for ctx.Err() == nil {
+		l.mu.Lock()
+		changed := l.changed
+		answered := l.lastAnswer > 0
+		l.mu.Unlock()
+		if answered {
+			return
+		}
+		pause.Until(ctx, changed, maxBucketWait)
+	}
+}
+
 // Return gives back an operation that was admitted but not sent to any database.
 func (l *Limiter) Return(name string) {
 	l.mu.Lock()
--- a/io/quota/shards.go
+++ b/io/quota/shards.go
@@ -48,6 +48,12 @@
 // IsNew reports whether the host has not received a grant for the account yet.
 func (s *Shards) IsNew(account string) bool { return s.forAccount(account).IsNew(account) }
 
+// AwaitKeeper waits until the keeper of the account's rate has answered this host for the first time,
+// or until ctx ends.
+func (s *Shards) AwaitKeeper(ctx context.Context, account string) {
+	s.forAccount(account).AwaitKeeper(ctx)
+}
+
 // First returns the shard that is always in use. The host compares its own connection to
 // the store with that of this shard's keeper.
 func (s *Shards) First() *Limiter { return s.Limiters[0] }
