--- a/core/leader/leader.go
+++ b/core/leader/leader.go
@@ -98,6 +98,8 @@
 	Leaving bool
 	// Gone databases are not candidates, and nothing is expected from them any more.
 	Gone bool
+	// Evacuated databases are no candidates. They still receive commits.
+	Evacuated bool
 	// SameDomain is set for databases in the failure domain of the old primary. They
 	// are chosen last, because the fault that hit the primary may hit them too.
 	SameDomain bool
@@ -129,11 +131,13 @@
 // If commits are acknowledged only once sync replicas have received them, none may be
 // lost. A replica that leaves is chosen then if it has received more than the others, and
 // none is chosen while so many replicas are silent that they alone may have a commit,
-// unless the best one has all that the old primary has.
+// unless the best one has all that the old primary has. An evacuated replica that has received
+// more than the best one counts as silent.
 func (r Record) Successor(all []Status, sync int) (Status, bool) {
 	var best, old Status
 	found := false
 	silent := 0
+	var evacuated []Status
 	for _, s := range all {
 		switch {
 		case s.ID == r.Primary:
@@ -141,18 +145,32 @@
 		case s.Gone:
 		case !s.Answered:
 			silent++
+		case s.Evacuated:
+			evacuated = append(evacuated, s)
 		case s.Leaving && sync == 0:
 		case !found || r.isBetter(s, best):
 			best = s
 			found = true
 		}
 	}
+	silent += best.countAhead(evacuated)
 	if found && sync > 0 && silent >= sync {
 		found = old.Answered && best.hasAllOf(old)
 	}
 	return best, found
 }
 
+// countAhead returns how many of the others have received what s has not.
+func (s Status) countAhead(others []Status) int {
+	count := 0
+	for _, t := range others {
+		if !s.hasAllOf(t) {
+			count++
+		}
+	}
+	return count
+}
+
 // hasAllOf reports whether s has received all that t has.
 func (s Status) hasAllOf(t Status) bool { return s.Health.Received.Compare(t.Health.Received) >= 0 }
 
--- a/io/dbpool/conn.go
+++ b/io/dbpool/conn.go
@@ -115,8 +115,12 @@
 	return r, err
 }
 
-// checkUnread fails with ErrUnread if the connection is closed or has unread input.
+// checkUnread fails with ErrUnread if the connection is closed or has unread input, and with
+// ErrClosed if nothing may be sent to the database.
 func (c *Conn) checkUnread() error {
+	if c.pools.isClosed(c.target) {
+		return ErrClosed
+	}
 	if err := c.requests.CheckUnread(); err != nil {
 		return errors.Wrap(ErrUnread, err.Error())
 	}
--- a/io/dbpool/open.go
+++ b/io/dbpool/open.go
@@ -13,6 +13,7 @@
 
 // openForWaiters opens connections for waiters that have none being opened for them.
 func (p *Pools) openForWaiters(n *pool) {
+	n.failWaiters(func(w *connWaiter) bool { return p.isClosed(w.target) }, ErrClosed)
 	now := p.Clock.Elapsed()
 	if now < n.exhaustedUntil {
 		p.retryLater(n, n.exhaustedUntil-now)
@@ -28,6 +29,7 @@
 			return
 		}
 		n.open++
+		n.target = w.target
 		n.opening[w.account]++
 		go p.dial(n, w.target, w.account)
 	}
@@ -63,11 +65,23 @@
 
 func (p *Pools) dial(n *pool, t Target, account string) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
-	session, _, err := p.Opener.Open(ctx, t.Address, t.Group, account, t.ID)
+	var session coltsfootloft.Session
+	err := ErrClosed
+	if !p.isClosed(t) {
+		session, _, err = p.Opener.Open(ctx, t.Address, t.Group, account, t.ID)
+	}
 	cancel()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n.opening[account]--
+	if p.isClosed(t) {
+		n.open--
+		if err == nil {
+			session.Close()
+		}
+		n.failWaiters(func(w *connWaiter) bool { return p.isClosed(w.target) }, ErrClosed)
+		return
+	}
 	if err != nil {
 		n.open--
 		p.dialFailed(n, t, account, err)
--- a/io/dbpool/pools.go
+++ b/io/dbpool/pools.go
@@ -31,6 +31,9 @@
 	ErrBusy = errors.New("no connection came free")
 	// ErrDown means that the database can't be reached.
 	ErrDown = errors.New("database unreachable")
+	// ErrClosed means that nothing may be sent to the database, as its domain is evacuated. It
+	// is also an error of Exchange and Command.
+	ErrClosed = errors.Wrap(ErrUnread, "domain of the database is evacuated")
 )
 
 const (
@@ -70,6 +73,8 @@
 	// Limit returns the maximum number of connections of this host to a database,
 	// Outstanding the maximum number of outstanding statements.
 	Limit, Outstanding func(t Target) int
+	// IsClosed reports whether nothing may be sent to a database. Nil closes none.
+	IsClosed func(t Target) bool
 	// Log receives a line when a database becomes unreachable or reachable again.
 	Log logr.Logger
 	// Metrics receives the counters and histograms.
@@ -85,7 +90,8 @@
 // pool holds the connections to one database.
 type pool struct {
 	id             string
-	open           int // connections, including those being opened
+	target         Target // of the latest connection
+	open           int    // connections, including those being opened
 	opening        map[string]int
 	idle           []*Conn // ordered by idle time, longest first
 	waiters        []*connWaiter
@@ -116,12 +122,17 @@
 	ID, Address, Group string
 	// Slots is how many statements the database runs at a time, or 0 if unknown.
 	Slots int
+	// Domain is the failure domain of the database.
+	Domain string
 }
 
 // Acquire lends a connection of the account for a statement with a priority, where 0 is
 // the most urgent. It waits for a permit and for a connection until ctx ends. The error
 // is ErrBusy or wraps ErrDown, or coltsfootloft.ErrNotSent if the database can't be told the account.
 func (p *Pools) Acquire(ctx context.Context, t Target, account string, priority int) (*Conn, error) {
+	if p.isClosed(t) {
+		return nil, ErrClosed
+	}
 	if err := p.acquirePermit(ctx, t, account, priority); err != nil {
 		return nil, err
 	}
@@ -258,7 +269,7 @@
 // replaced (package match), or if there is no memory to remember its values and prepared
 // statements.
 func (p *Pools) Release(c *Conn, healthy bool) {
-	healthy = healthy && c.requests.IsReusable()
+	healthy = healthy && c.requests.IsReusable() && !p.isClosed(c.target)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := p.pool(c.target.ID)
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -4,7 +4,9 @@
 package edge
 
 import (
+	"maps"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -21,6 +23,7 @@
 	"coltsfootloft/io/dial"
 	"coltsfootloft/io/duty"
 	"coltsfootloft/io/entry"
+	"coltsfootloft/io/evac"
 	"coltsfootloft/io/failov"
 	"coltsfootloft/io/groups"
 	"coltsfootloft/io/lease"
@@ -65,6 +68,7 @@
 	peers    *peer.Links
 	quota    *quota.Shards
 	failover *failov.Controller
+	evac     *evac.Guard
 	server   *entry.Server
 	messages *memory.Budget // lines of callers and answers of databases
 	values   *memory.Budget // session values and prepared statements
@@ -160,8 +164,18 @@
 		Decode:          platform.Decode,
 		IsLease:         platform.IsLease,
 		RecentlyReached: func() bool { return e.storeAge() < storeSilenceLimit },
+		EvacuateBound:   e.settings.Evacuate(),
+		Domains:         slices.Sorted(maps.Keys(e.settings.Regions)),
 	}
 	e.mirror.Register()
+	e.evac = &evac.Guard{
+		Mirror:           e.mirror,
+		Clock:            e.clock,
+		EndTransactions:  e.endClosedTransactions,
+		CloseConnections: e.closeConnections,
+		Log:              e.log.WithName("evac"),
+		Metrics:          e.metrics,
+	}
 	e.metrics.NewGauge("coltsfootloft_store_era", func() float64 { return float64(client.Era()) })
 	e.lease = &lease.Lease{
 		Store:   client,
@@ -202,6 +216,7 @@
 		Metrics:       e.metrics,
 		Memory:        e.messages,
 		StateMemory:   e.values,
+		IsClosed:      e.evac.IsClosed,
 	}
 	e.groups = &groups.Groups{
 		Mirror: e.mirror,
@@ -210,6 +225,8 @@
 		Clock:  e.clock,
 		Domain: e.settings.Domain,
 		Drain:  e.settings.Drain(),
+
+		Metrics: e.metrics,
 	}
 	e.relay = &relay.Relay{
 		Self:           e.settings.Name,
@@ -263,6 +280,7 @@
 			Dial:          opener.Dial,
 			RefusalReason: refusalReason,
 			Parse:         platform.ParseHealth,
+			IsClosed:      e.evac.IsClosed,
 			Log:           e.log.WithName("steward"),
 			Metrics:       e.metrics,
 		},
@@ -273,6 +291,21 @@
 	e.failover.Register()
 }
 
+// endClosedTransactions ends the transactions at databases to which nothing may be sent.
+func (e *Edge) endClosedTransactions() {
+	sessions := e.server.AbortClosed(e.evac.IsClosed)
+	if others := e.relay.EndClosed(); sessions+others > 0 {
+		e.log.Info("transactions ended by an evacuation", "sessions", sessions, "other_hosts", others)
+	}
+}
+
+// closeConnections closes the connections to databases to which nothing may be sent, and returns
+// how many are in use.
+func (e *Edge) closeConnections() (inUse int) {
+	e.failover.Prober.CloseClosed()
+	return e.pools.CloseClosed()
+}
+
 // buildQuotaShard creates this host's part of one shard of the client accounts.
 func (e *Edge) buildQuotaShard(i int, client *platform.Client) *quota.Limiter {
 	q := &quota.Limiter{
--- a/io/edge/run.go
+++ b/io/edge/run.go
@@ -34,6 +34,7 @@
 	run(e.mirror.Run)
 	run(e.lease.Run)
 	run(e.pools.Run)
+	run(e.evac.Run)
 	run(e.failover.Run)
 	run(e.failover.Duty.Run)
 	for i := range e.quota.Limiters {
--- a/io/entry/choose.go
+++ b/io/entry/choose.go
@@ -179,6 +179,9 @@
 		n.server.ReportUnreachable(o.route.Group, d.reader.Target.ID)
 		n.pause(o)
 	}
+	if errors.Is(err, dbpool.ErrClosed) && d.reader.IsPrimary {
+		n.pause(o) // the owner of the connection knows of an evacuation that this host does not know of yet
+	}
 }
 
 func wasNotSent(err error) bool {
--- a/io/entry/single.go
+++ b/io/entry/single.go
@@ -23,6 +23,9 @@
 	for {
 		d, ok := n.choose(o, writes, tried)
 		if !ok {
+			if n.isCutOff(o, writes, tried) {
+				return n.refuseOperation(o, st, coltsfootloft.ReasonBusy, evacuatedText)
+			}
 			if !n.awaitDatabase(o, tried) {
 				return n.refuseOperation(o, st, coltsfootloft.ReasonBusy, "no database can serve it; come back in 100 ms")
 			}
--- a/io/entry/transaction.go
+++ b/io/entry/transaction.go
@@ -95,6 +95,7 @@
 		if t.dest.reader.IsPrimary && !wasNotSent(err) {
 			n.server.ReportUnreachable(t.route.Group, t.dest.reader.Target.ID)
 		}
+		n.noteClosed(err)
 		return n.abort(st, err.Error())
 	}
 	if reply.Failed() {
@@ -141,6 +142,9 @@
 	for {
 		d, ok := n.choose(&t.operation, !t.readOnly, tried)
 		if !ok {
+			if n.isCutOff(&t.operation, !t.readOnly, tried) {
+				return last, nil
+			}
 			if !n.awaitDatabase(&t.operation, tried) {
 				return last, nil
 			}
@@ -280,6 +284,7 @@
 		if err != nil {
 			t.closeConn()
 			if wasNotSent(err) {
+				n.noteClosed(err)
 				return n.answerAborted(st, "commit not sent: "+err.Error())
 			}
 			if t.dest.reader.IsPrimary {
--- a/io/failov/change.go
+++ b/io/failov/change.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"coltsfootloft"
+	"coltsfootloft/core/evac"
 	"coltsfootloft/core/leader"
 	"coltsfootloft/io/mirror"
 	"coltsfootloft/io/pause"
@@ -48,13 +49,15 @@
 	var wg sync.WaitGroup
 	now := c.Clock.Elapsed()
 	for i, u := range members {
+		state := v.Evacuations.State(u.Upstream.Domain(), now)
 		statuses[i] = leader.Status{
 			ID:         u.Upstream.Name(),
 			Leaving:    u.Leaving || u.Removed,
 			Gone:       u.Removed && now-u.Since > removedGrace,
+			Evacuated:  state != evac.None,
 			SameDomain: u.Upstream.Domain() == primary.Domain(),
 		}
-		if slices.Contains(unreachable, statuses[i].ID) {
+		if slices.Contains(unreachable, statuses[i].ID) || state == evac.Closed {
 			continue
 		}
 		wg.Add(1)
@@ -96,12 +99,15 @@
 	g := c.Mirror.View().Groups[name]
 	c.Log.Info("change of primary begins", "group", name, "primary", g.Primary, "epoch", g.Epoch, "why", cause, "closing", g.Closing)
 	var unreachable []string
-	if cause == lostPrimary {
+	if cause == lostPrimary || cause == closedPrimary {
 		unreachable = []string{g.Primary}
 	}
-	if cause == leavingPrimary {
-		if err := c.awaitSuccessor(ctx, name, g); err != nil {
+	if cause == leavingPrimary || cause == evacuatedPrimary {
+		if err := c.awaitSuccessor(ctx, name, g, cause == evacuatedPrimary); err != nil {
 			c.Log.Info("change of primary put off", "group", name, "why", cause, "reason", err.Error())
+			if cause == evacuatedPrimary {
+				c.notePartial(name, err.Error())
+			}
 			pause.For(ctx, 4*pollPeriod)
 			return
 		}
@@ -109,6 +115,9 @@
 	primary, err := c.replacePrimary(ctx, name, g, unreachable)
 	took := c.Clock.Elapsed() - started
 	if err != nil {
+		if cause == evacuatedPrimary {
+			c.notePartial(name, err.Error())
+		}
 		c.Log.Info("change of primary not done", "group", name, "why", cause, "reason", err.Error(), "took_ms", took.Milliseconds())
 		c.Metrics.GetOrCreateCounter(`coltsfootloft_primary_changes_total{outcome="failed"}`).Inc()
 		pause.For(ctx, 4*pollPeriod)
@@ -237,9 +246,10 @@
 
 // awaitSuccessor waits until a replica that stays has received all that the primary had
 // at first, so that a primary which leaves is not given up for one that would lose commits
-// or that leaves as well. A group without synchronous replicas does not wait.
-func (c *Controller) awaitSuccessor(ctx context.Context, name string, g mirror.Group) error {
-	if c.syncReplicas(name) == 0 || g.Closing {
+// or that leaves as well. A group without synchronous replicas waits only if the primary's domain is
+// evacuated, as the primary then works until a replica can take over without a loss.
+func (c *Controller) awaitSuccessor(ctx context.Context, name string, g mirror.Group, evacuated bool) error {
+	if c.syncReplicas(name) == 0 && !evacuated || g.Closing {
 		return nil
 	}
 	primary, known := c.Mirror.View().Upstreams[g.Primary]
--- a/io/failov/failov.go
+++ b/io/failov/failov.go
@@ -27,6 +27,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"coltsfootloft"
+	"coltsfootloft/core/evac"
 	"coltsfootloft/io/dbpool"
 	"coltsfootloft/io/duty"
 	"coltsfootloft/io/failov/stewardpb"
@@ -73,6 +74,8 @@
 const (
 	lostPrimary    = "the primary is lost"
 	leavingPrimary = "the primary is leaving"
+	// evacuatedPrimary is the cause for replacing a primary whose failure domain is evacuated.
+	evacuatedPrimary = "the primary's domain is evacuated"
 )
 
 // Controller replaces primaries while this host holds the duty, and answers the holder
@@ -119,6 +122,7 @@
 	reported       bool // a host has reported it unreachable
 	lastVote       time.Duration
 	lastChange     time.Duration // 0 if not yet
+	partial        uint64        // revision of the evacuation that can't be carried out in full, or 0
 }
 
 // Register sets the handler for requests of other hosts. It is called before Run.
@@ -199,6 +203,10 @@
 	}
 	u, known := v.Upstreams[r.Primary]
 	now := c.Clock.Elapsed()
+	if known && v.Evacuations.State(u.Upstream.Domain(), now) != evac.None {
+		c.checkEvacuated(ctx, name, u)
+		return
+	}
 	switch {
 	case !known:
 		c.changePrimary(ctx, name, "the primary is not announced")
--- a/io/failov/serve.go
+++ b/io/failov/serve.go
@@ -7,7 +7,9 @@
 	"google.golang.org/protobuf/proto"
 
 	"coltsfootloft"
+	"coltsfootloft/core/evac"
 	"coltsfootloft/io/failov/stewardpb"
+	"coltsfootloft/io/probe"
 )
 
 // handle answers the requests of other hosts.
@@ -24,7 +26,11 @@
 		}
 		answer.Yes = true
 	case r.GetReach() != nil:
-		answer.Yes = c.reaches(ctx, r.GetReach().GetDatabase())
+		id := r.GetReach().GetDatabase()
+		answer.Yes = c.reaches(ctx, id)
+		if u, ok := c.Mirror.View().Upstreams[id]; ok && c.evacuationState(u) == evac.Closed {
+			return nil, probe.ErrClosed // this host has not asked, and does not count
+		}
 	case r.GetMissing() != nil:
 		c.notePrimaryReport(r.GetMissing())
 		answer.Yes = true
--- a/io/groups/groups.go
+++ b/io/groups/groups.go
@@ -15,7 +15,10 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"coltsfootloft"
+	"coltsfootloft/core/evac"
 	"coltsfootloft/core/marks"
 	"coltsfootloft/io/dbpool"
 	"coltsfootloft/io/lease"
@@ -50,6 +53,8 @@
 	Domain string
 	// Drain is how long a leaving database may still get work.
 	Drain time.Duration
+	// Metrics receives the counter of statements that go elsewhere because of an evacuation.
+	Metrics *metrics.Set
 
 	mu    sync.Mutex
 	marks map[string]*marks.Marks
@@ -74,7 +79,7 @@
 		return Primary{}, false
 	}
 	u, ok := v.Upstreams[r.Primary]
-	if !ok || u.Group != group || g.isDrained(u) {
+	if !ok || u.Group != group || g.isDrained(u) || g.evacuation(v, u) == evac.Closed {
 		return Primary{}, false
 	}
 	return Primary{
@@ -119,12 +124,15 @@
 }
 
 // Readers returns the databases that may serve a read, in the order of increasing cost.
-// Databases that could not be reached recently come last.
+// Databases that could not be reached recently come last, after them those of evacuated domains, and
+// of domains whose evacuation has just ended, which return with a growing share of the reads.
 func (g *Groups) Readers(group string) []Reader {
 	type ranked struct {
 		reader Reader
 		cost   float64
 		up     bool
+		state  evac.State
+		last   bool
 	}
 	primary, hasPrimary := g.Primary(group)
 	v := g.Mirror.View()
@@ -144,16 +152,25 @@
 			reader: r,
 			cost:   cost,
 			up:     up,
+			state:  g.evacuation(v, u),
+			last:   g.isLast(v, u),
 		})
 	}
-	slices.SortFunc(candidates, func(a, b ranked) int {
+	byCost := func(a, b ranked) int {
 		if a.up != b.up {
-			if a.up {
-				return -1
-			}
-			return 1
+			return first(a.up)
 		}
 		return cmp.Compare(a.cost, b.cost)
+	}
+	if len(candidates) > 0 && slices.MinFunc(candidates, byCost).last {
+		g.countElsewhere()
+	}
+	candidates = slices.DeleteFunc(candidates, func(r ranked) bool { return r.state == evac.Closed })
+	slices.SortFunc(candidates, func(a, b ranked) int {
+		if a.last != b.last {
+			return first(b.last)
+		}
+		return byCost(a, b)
 	})
 	readers := make([]Reader, len(candidates))
 	for i, r := range candidates {
@@ -162,6 +179,14 @@
 	return readers
 }
 
+// first returns the result of a comparison in which a comes first if isFirst is set.
+func first(isFirst bool) int {
+	if isFirst {
+		return -1
+	}
+	return 1
+}
+
 // Epoch is the epoch of the group's record; 0 if there is none.
 func (g *Groups) Epoch(group string) uint64 { return g.Mirror.View().Groups[group].Epoch }
 
--- a/io/mirror/confirm.go
+++ b/io/mirror/confirm.go
@@ -37,6 +37,9 @@
 	if !ok {
 		return 0
 	}
+	if other, ok := m.evacuationAge(m.Clock.Elapsed()); ok {
+		age = max(age, other)
+	}
 	if m.IsKeeper() {
 		return keeperConfirmPeriod - age
 	}
@@ -62,15 +65,18 @@
 	if c == nil {
 		return false
 	}
+	conditions := m.evacuationConditions(m.View())
 	sent := m.Clock.Elapsed()
-	current, newer, err := m.Store.Confirm(ctx, c.Revision)
+	now, err := m.Store.Confirm(ctx, c.Revision, conditions)
 	m.reached.Store(err == nil)
 	if err != nil {
 		age, _ := m.horizon.Age(m.Clock.Elapsed())
 		m.Log.Info("store not answering", "call", "confirm", "reason", err.Error(), "horizon_age", age.String())
 		return false
 	}
-	if current {
+	m.noteConfirmation(sent, conditions, now)
+	newer := now.Settings
+	if now.Current {
 		newer.Settings = c
 		newer.Revision = c.Revision
 	} else {
--- a/io/mirror/freshness.go
+++ b/io/mirror/freshness.go
@@ -33,6 +33,10 @@
 	// Revision is the newest revision of the store that the answering host has seen, or
 	// the first of an era of which it has no listing yet.
 	Revision uint64
+	// Domains is what the host knows of evacuated failure domains, and EvacuationAge how long
+	// before the answer it knew all of it; unconfirmedAge or more if it never did.
+	Domains       []DomainState
+	EvacuationAge time.Duration
 }
 
 // Freshness returns how current this host's own copy is, for an answer to another host.
@@ -41,6 +45,11 @@
 	f := Freshness{
 		Revision:    max(v.Revision, coltsfootloft.RevisionAt(m.Era(), 0)),
 		SettingsAge: unconfirmedAge,
+		Domains:     m.domainStates(v),
+	}
+	f.EvacuationAge = unconfirmedAge
+	if age, ok := m.evacuationAge(m.Clock.Elapsed()); ok {
+		f.EvacuationAge = age
 	}
 	if v.Settings == nil {
 		return f
@@ -64,7 +73,7 @@
 // advances the horizon only if this host's settings are at least as new.
 func (m *Mirror) ObservePeer(f Freshness) {
 	v := m.View()
-	m.ObserveReport(f)
+	m.observeReport(f.Sent, f)
 	if f.SettingsVersion > 0 && f.SettingsRevision > 0 && f.SettingsAge < unconfirmedAge {
 		m.advanceHorizon(f.Sent-f.SettingsAge, coltsfootloft.Event{Settings: f.settings()})
 	}
@@ -75,7 +84,10 @@
 
 // ObserveReport uses the Freshness that another host has sent of its own accord. Without Sent, it
 // shows what the store lost when it was restored, but confirms nothing.
-func (m *Mirror) ObserveReport(f Freshness) {
+func (m *Mirror) ObserveReport(f Freshness) { m.observeReport(0, f) }
+
+func (m *Mirror) observeReport(sent time.Duration, f Freshness) {
+	m.observeEvacuations(sent, f)
 	m.ObserveEra(coltsfootloft.EraOf(f.Revision))
 	if f.SettingsVersion > 0 && f.SettingsRevision > 0 {
 		m.noteNewestAtPeer(f.settings())
--- a/io/mirror/hosts.go
+++ b/io/mirror/hosts.go
@@ -59,6 +59,9 @@
 	if name, ok := hostOf(e); ok {
 		return m.applyHost(v, now, name, e, v.hostsBefore())
 	}
+	if e.Kind == coltsfootloft.EventEvacuation {
+		return m.applyEvacuation(v, now, e)
+	}
 	return v.apply(now, e)
 }
 
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -32,6 +32,7 @@
 	"github.com/pkg/errors"
 
 	"coltsfootloft"
+	"coltsfootloft/core/evac"
 	"coltsfootloft/core/horiz"
 )
 
@@ -98,6 +99,11 @@
 	// IsKeeper reports whether this host is the quota keeper, on whose confirmations other
 	// hosts rely.
 	IsKeeper func() bool
+	// EvacuateBound is the time within which nothing more may reach the databases of an
+	// evacuated failure domain; 0 if domains can't be evacuated.
+	EvacuateBound time.Duration
+	// Domains are the failure domains that the process settings name, besides Domain.
+	Domains []string
 
 	horizon horiz.Horizon
 	era     eraState
@@ -106,6 +112,10 @@
 	newestAtPeer atomic.Pointer[coltsfootloft.Settings]
 	// behindSince is when this host learned of a later version than that in force, or 0.
 	behindSince atomic.Int64
+	// absence is when domains were last known not to be evacuated, and evacuationsKnown when
+	// this host last knew which ones are. Both are guarded by mu.
+	absence          evac.Absence
+	evacuationsKnown time.Duration
 	// history is guarded by mu. retryDelay, compactedAt, noSourceSince, avoidUntil,
 	// candidates and candidatesVersion are used by the watch loop only.
 	history           history
@@ -187,6 +197,7 @@
 // applyListing applies the answer to a listing of the store.
 func (m *Mirror) applyListing(sent time.Duration, events []coltsfootloft.Event, revision uint64) {
 	m.ObserveEra(coltsfootloft.EraOf(revision))
+	m.noteListing(sent, events)
 	m.replaceAll(events, revision)
 	for _, e := range events {
 		if e.Kind == coltsfootloft.EventSettings {
@@ -212,7 +223,9 @@
 	m.once.Do(func() {
 		m.changed = make(chan struct{})
 		m.wake = make(chan struct{}, 1)
-		m.view.Store(emptyView())
+		v := emptyView()
+		v.Evacuations.Bound = m.EvacuateBound
+		m.view.Store(v)
 		m.avoidUntil = make(map[string]time.Duration)
 		m.history.items = make(map[string]coltsfootloft.Event)
 	})
@@ -246,7 +259,8 @@
 		before := v.hostsBefore()
 		problems := v.replace(now, events, revision)
 		problems = append(problems, m.replaceHosts(v, now, events, before)...)
-		m.history.replace(events, revision, v.Settings)
+		problems = append(problems, m.replaceEvacuations(v, now, events, revision)...)
+		m.history.replace(events, revision, v)
 		return problems
 	})
 }
@@ -261,6 +275,7 @@
 	problems := change(v, now)
 	v.Revision = max(v.Revision, revision)
 	v.expire(now)
+	m.history.dropEnded(before, v)
 	m.view.Store(v)
 	if v.Settings != nil && v.Settings.Version >= m.LatestVersion() {
 		m.behindSince.Store(0)
@@ -283,6 +298,7 @@
 }
 
 func (m *Mirror) logChanges(before, after *View) {
+	m.logEvacuations(before, after)
 	if after.Settings != nil && (before.Settings == nil || before.Settings.Revision != after.Settings.Revision) {
 		m.Log.Info("settings in force", "version", after.Settings.Version, "revision", after.Settings.Revision,
 			"routes", len(after.Settings.Routes), "accounts", len(after.Settings.Accounts), "keys", len(after.Settings.Keys))
--- a/io/mirror/view.go
+++ b/io/mirror/view.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"coltsfootloft"
+	"coltsfootloft/core/evac"
 	"coltsfootloft/io/dbpool"
 )
 
@@ -65,6 +66,7 @@
 		Address: u.Upstream.Address(),
 		Group:   u.Group,
 		Slots:   u.Slots,
+		Domain:  u.Upstream.Domain(),
 	}
 }
 
@@ -110,6 +112,8 @@
 	Settled Settled
 	// Past is what the host knew of the store's earlier eras.
 	Past Past
+	// Evacuations are the evacuated failure domains.
+	Evacuations evac.Table
 }
 
 // HostNames returns the names of the registered hosts, sorted.
@@ -144,6 +148,7 @@
 	c.Duties = maps.Clone(v.Duties)
 	c.OddDuties = maps.Clone(v.OddDuties)
 	c.FormerHolders = maps.Clone(v.FormerHolders)
+	c.Evacuations = v.Evacuations.Clone()
 	return &c
 }
 
@@ -171,7 +176,7 @@
 		return v.applyUpstream(now, e)
 	case coltsfootloft.EventProxyKey:
 		return v.applyOwn(now, e)
-	case coltsfootloft.EventOther:
+	case coltsfootloft.EventOther, coltsfootloft.EventEvacuation: // for evacuations, see Mirror.applyEvacuation
 	}
 	return nil
 }
--- a/io/probe/probe.go
+++ b/io/probe/probe.go
@@ -24,6 +24,9 @@
 // at which a watched primary is queried.
 const idleTimeout = 2 * time.Second
 
+// ErrClosed is returned if nothing may be sent to the database, as its domain is evacuated.
+var ErrClosed = errors.New("domain of the database is evacuated")
+
 // ErrOverloaded is returned if the database is reachable but has no capacity to answer.
 var ErrOverloaded = errors.New("database has no room to answer")
 
@@ -37,6 +40,8 @@
 	// RefusalReason returns the reason if err is a database's refusal of a session; ok is
 	// false for other errors.
 	RefusalReason func(err error) (coltsfootloft.Reason, bool)
+	// IsClosed reports whether nothing may be sent to a database. Nil closes none.
+	IsClosed func(t dbpool.Target) bool
 	// Parse decodes the answer to a command.
 	Parse func(coltsfootloft.Reply) (coltsfootloft.Health, error)
 	// Log receives a line for each answer that can't belong to its command, Metrics counts them.
@@ -77,6 +82,9 @@
 // a database that is slow or out of capacity: its kernel accepts the connection and
 // keeps it open, or the database answers at once that it has no capacity.
 func (p *Prober) CanConnect(ctx context.Context, t dbpool.Target) bool {
+	if p.Closed(t) {
+		return false
+	}
 	c, err := p.Dial(ctx, "tcp", t.Address)
 	if err != nil {
 		return false
@@ -89,11 +97,35 @@
 	return n > 0 || errors.Is(err, os.ErrDeadlineExceeded)
 }
 
+// Closed reports whether nothing may be sent to a database.
+func (p *Prober) Closed(t dbpool.Target) bool { return p.IsClosed != nil && p.IsClosed(t) }
+
+// CloseClosed closes the connections to databases to which nothing may be sent.
+func (p *Prober) CloseClosed() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.conns {
+		if !c.mu.TryLock() {
+			continue // in use; the next call closes it
+		}
+		if c.requests != nil && p.Closed(c.target) {
+			c.close()
+		}
+		c.mu.Unlock()
+	}
+}
+
 func (p *Prober) send(ctx context.Context, t dbpool.Target, command coltsfootloft.Command) (coltsfootloft.Health, error) {
 	c := p.conn(t)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	fresh := false
+	if p.Closed(t) {
+		if c.requests != nil {
+			c.close()
+		}
+		return coltsfootloft.Health{}, ErrClosed
+	}
 	if c.requests != nil && (c.target != t || !c.requests.IsReusable()) {
 		c.close()
 	}
@@ -107,6 +139,10 @@
 	if !ok {
 		panic("probe without a deadline")
 	}
+	if p.Closed(t) { // since the connection began to open
+		c.close()
+		return coltsfootloft.Health{}, ErrClosed
+	}
 	c.requests.Queue(command)
 	reply, err := c.requests.RoundTrip(deadline)
 	if err != nil {
--- a/io/quota/keeper.go
+++ b/io/quota/keeper.go
@@ -24,6 +24,7 @@
 		SettingsRevision: coltsfootloft.RevisionAt(r.GetSettingsEra(), r.GetSettingsRevision()),
 		SettingsVersion:  r.GetSettingsVersion(),
 		Revision:         coltsfootloft.RevisionAt(r.GetStoreEra(), 0),
+		Domains:          decodeEvacuations(r.GetEvacuations()),
 	})
 	answer := &quotapb.Grants{StoreAgeMs: l.StoreAge().Milliseconds()}
 	if _, ok := l.Duty.Holds(); ok {
@@ -36,6 +37,10 @@
 		answer.SettingsAgeMs = fresh.SettingsAge.Milliseconds() + 1
 		answer.StoreRevision = coltsfootloft.NumberOf(fresh.Revision)
 		answer.StoreEra = coltsfootloft.EraOf(fresh.Revision)
+		answer.Evacuations = encodeEvacuations(fresh.Domains, true)
+		if len(fresh.Domains) > 0 {
+			answer.EvacuationsAgeMs = fresh.EvacuationAge.Milliseconds() + 2
+		}
 	}
 	b, err := proto.Marshal(answer)
 	return b, errors.Wrap(err, "grants")
--- a/io/quota/quota.go
+++ b/io/quota/quota.go
@@ -305,6 +305,7 @@
 	r.SettingsEra = coltsfootloft.EraOf(fresh.SettingsRevision)
 	r.SettingsRevision = coltsfootloft.NumberOf(fresh.SettingsRevision)
 	r.SettingsVersion = fresh.SettingsVersion
+	r.Evacuations = encodeEvacuations(fresh.Domains, false)
 	keeper, ok := l.Duty.Holder()
 	if !ok {
 		l.noteKeeperSilent("no host holds the quota duty")
@@ -381,6 +382,8 @@
 		SettingsVersion:  g.GetSettingsVersion(),
 		SettingsAge:      time.Duration(g.GetSettingsAgeMs()) * time.Millisecond,
 		Revision:         coltsfootloft.RevisionAt(g.GetStoreEra(), g.GetStoreRevision()),
+		Domains:          decodeEvacuations(g.GetEvacuations()),
+		EvacuationAge:    ageOf(g.GetEvacuationsAgeMs()),
 	})
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -89,6 +89,9 @@
 // primary is nil unless the database is used as primary. If another host owns the
 // connection, it is taken with the first statement. Errors are those of Pools.Acquire.
 func (r *Relay) Borrow(ctx context.Context, t dbpool.Target, account string, priority int, primary *groups.Primary) (*Conn, error) {
+	if r.isClosed(t) {
+		return nil, dbpool.ErrClosed
+	}
 	n := &Conn{
 		relay:    r,
 		target:   t,
@@ -150,6 +153,9 @@
 // in a transaction, whose connection is kept after the statement.
 func (n *Conn) Exchange(q dbpool.Request, final time.Time, keep bool) (coltsfootloft.Reply, error) {
 	if n.conn == nil {
+		if n.relay.isClosed(n.target) {
+			return coltsfootloft.Reply{}, dbpool.ErrClosed
+		}
 		return n.exchangeRemote(q, final, keep)
 	}
 	reply, err := n.conn.Exchange(q)
@@ -195,7 +201,7 @@
 		return
 	}
 	if n.handle != 0 {
-		n.relay.endRemote(n.owner, n.handle)
+		n.relay.endRemote(n.owner, n.handle, n.relay.isClosed(n.target))
 		n.handle = 0
 	}
 }
--- a/io/relay/remote.go
+++ b/io/relay/remote.go
@@ -79,6 +79,9 @@
 func (n *Conn) outcomeError(a *relaypb.Response) error {
 	switch a.GetOutcome() {
 	case relaypb.Outcome_OUTCOME_BUSY:
+		if a.GetEvacuated() {
+			return dbpool.ErrClosed
+		}
 		if a.GetLeaving() {
 			n.relay.avoid(n.owner, errLeaving)
 		}
@@ -200,9 +203,13 @@
 	}, nil
 }
 
-// endRemote asks an owner to roll back a transaction, without waiting for the answer.
-func (r *Relay) endRemote(owner string, handle uint64) {
-	b, err := proto.Marshal(&relaypb.Request{Drop: &relaypb.Drop{Handle: handle}})
+// endRemote asks an owner to roll back a transaction, without waiting for the answer. The owner sends
+// no ROLLBACK to a closed database, and closes the connection instead.
+func (r *Relay) endRemote(owner string, handle uint64, closed bool) {
+	b, err := proto.Marshal(&relaypb.Request{Drop: &relaypb.Drop{
+		Handle: handle,
+		Close:  closed,
+	}})
 	if err != nil {
 		panic(err) // a message without strings always encodes
 	}
--- a/io/relay/serve.go
+++ b/io/relay/serve.go
@@ -48,7 +48,11 @@
 		defer r.give(taken)
 	case q.GetDrop() != nil:
 		if h := r.take(q.GetDrop().GetHandle(), from); h != nil {
-			r.rollback(h.conn)
+			if q.GetDrop().GetClose() {
+				r.Pools.Release(h.conn, false)
+			} else {
+				r.rollback(h.conn)
+			}
 		}
 	}
 	b, err := proto.Marshal(a)
@@ -93,7 +97,10 @@
 			return notSent(err), 0
 		}
 		if errors.Is(err, dbpool.ErrUnread) && x.GetHandle() == 0 {
-			return &relaypb.Response{Outcome: relaypb.Outcome_OUTCOME_BUSY}, 0
+			return &relaypb.Response{
+				Outcome:   relaypb.Outcome_OUTCOME_BUSY,
+				Evacuated: errors.Is(err, dbpool.ErrClosed),
+			}, 0
 		}
 		return &relaypb.Response{
 			Outcome: relaypb.Outcome_OUTCOME_LOST,
@@ -143,7 +150,10 @@
 		return nil, notSent(err)
 	}
 	if err != nil {
-		return nil, &relaypb.Response{Outcome: relaypb.Outcome_OUTCOME_BUSY}
+		return nil, &relaypb.Response{
+			Outcome:   relaypb.Outcome_OUTCOME_BUSY,
+			Evacuated: errors.Is(err, dbpool.ErrClosed),
+		}
 	}
 	if x.GetEpoch() != 0 && !r.isPrimary(t, x.GetEpoch()) {
 		r.Pools.Release(conn, true)
--- a/platform.go
+++ b/platform.go
@@ -64,8 +64,20 @@
 	// have the revision since it came back from a backup.
 	Events(ctx context.Context, after uint64, wait time.Duration) ([]Event, uint64, error)
 	// Confirm reports whether the operators' settings still have this revision, in its
-	// era. If not, it returns the current settings in now.
-	Confirm(ctx context.Context, revision uint64) (current bool, now Event, err error)
+	// era, and the keys of evacuated failure domains theirs, where 0 is for a domain that
+	// is not evacuated. It returns what differs.
+	Confirm(ctx context.Context, revision uint64, evacuations map[string]uint64) (Confirmation, error)
+}
+
+// Confirmation is the store's answer to [EventStore.Confirm].
+type Confirmation struct {
+	// Current is set if the settings have the revision.
+	Current bool
+	// Settings is the current settings unless Current is set.
+	Settings Event
+	// Evacuations holds the present key of each domain that the store has named in its answer,
+	// Deleted if there is none. It is nil if all have their revisions.
+	Evacuations []Event
 }
 
 // Promoter orders the platform to make a database the primary of its group. A call
--- a/settings.go
+++ b/settings.go
@@ -96,7 +96,7 @@
 	// Kind is the kind of key that changed.
 	Kind EventKind
 	// Key is the key without its prefix for EventProxyKey, the id of the database for
-	// EventUpstream, and StoreKey otherwise.
+	// EventUpstream, the failure domain for EventEvacuation, and StoreKey otherwise.
 	Key string
 	// Revision is the store's revision of the change.
 	Revision uint64
@@ -153,11 +153,13 @@
 	EventUpstream
 	// EventOther: a key that the proxy does not use.
 	EventOther
+	// EventEvacuation: operators evacuate a failure domain while the key exists.
+	EventEvacuation
 )
 
 // String returns the kind in lower case.
 func (k EventKind) String() string {
-	names := [...]string{"own", "catalog", "upstream", "other"}
+	names := [...]string{"own", "catalog", "upstream", "other", "evacuation"}
 	if int(k) < len(names) {
 		return names[k]
 	}
--- a/stand/keyval/server.go
+++ b/stand/keyval/server.go
@@ -45,6 +45,8 @@
 	ApplyDelay time.Duration
 	// StallWatches leaves watches unanswered, whatever changes.
 	StallWatches bool
+	// Delay is how long each call waits before it is handled.
+	Delay time.Duration
 }
 
 // Item is one version of a key, as it is encoded in answers.
@@ -217,6 +219,7 @@
 		s.calls[path]++
 		era := s.era
 		s.mu.Unlock()
+		time.Sleep(f.Delay)
 		host, _, _ := net.SplitHostPort(r.RemoteAddr)
 		switch {
 		case f.NoAnswers, f.BlindHosts[host] && (path == "kv-watch" || path == "kv-range"):
--- a/stand/linedb/group.go
+++ b/stand/linedb/group.go
@@ -67,6 +67,7 @@
 	promotions []string
 	first      string      // the first primary
 	history    []promotion // changes of the primary after it, in order
+	late       []Violation
 }
 
 // Database is one database of a group.
@@ -86,6 +87,7 @@
 	hook          func() // called before each data statement; may be nil
 	faults        faults
 	conns         map[net.Conn]struct{}
+	closedFrom    time.Time // nothing may arrive from then on; zero if anything may
 }
 
 // commit is one committed write or transaction.
@@ -275,6 +277,7 @@
 		}
 		b.group.mu.Lock()
 		down := b.down
+		b.noteArrival("connection", "")
 		if !down {
 			b.conns[conn] = struct{}{}
 		}
--- a/stand/linedb/serve.go
+++ b/stand/linedb/serve.go
@@ -48,6 +48,7 @@
 		if err != nil || line == "BYE" {
 			return
 		}
+		b.arrived(line)
 		fields, ok := crlf.Split(line, 3)
 		if !ok || fields[0] != "QUERY" {
 			b.violation("%q is no request", line)
@@ -75,6 +76,7 @@
 	g := b.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	b.noteArrival("session", first)
 	switch {
 	case f[1] != g.Name || len(f) > 3 && f[3] != b.id:
 		return nil, answer{text: "ERR MISROUTED " + b.id + "\r\n"}
--- a/stand/opset/opset.go
+++ b/stand/opset/opset.go
@@ -7,6 +7,9 @@
 // SettingsKey is the store's key of the operators' settings.
 const SettingsKey = "op/config"
 
+// EvacuationKey returns the store's key that evacuates a failure domain.
+func EvacuationKey(domain string) string { return "op/evacuate/" + domain }
+
 // Folders are the folders of the store. The empty one stands for keys outside of all folders.
 var Folders = []string{"servers/", "op/", "status/", "", "coltsfootloft/", "coltsfootloft/host/", "coltsfootloft/group/", "coltsfootloft/duty/", "coltsfootloft/settled/"}
 
