--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -16,6 +16,7 @@
 	"coltsfootloft"
 	"coltsfootloft/core/conf"
 	"coltsfootloft/core/memory"
+	"coltsfootloft/core/reach"
 	"coltsfootloft/io/boot"
 	"coltsfootloft/io/dbpool"
 	"coltsfootloft/io/dial"
@@ -76,6 +77,7 @@
 	ready         bool
 	unreadyReason string
 	readyFrom     time.Duration
+	judge         reach.Judge
 }
 
 // Build creates a host. It serves nothing until Run.
--- a/io/edge/ready.go
+++ b/io/edge/ready.go
@@ -23,8 +23,10 @@
 	storeSilenceLimit = 1200 * time.Millisecond
 	// keeperSilenceLimit is how long the quota keeper, the holder of the quota duty,
 	// may be silent before the host can no longer tell whether other hosts reach the
-	// store.
+	// store. A keeper whose lease has ended still answers; after lostKeeperLimit without
+	// a keeper the host can't tell either. That is one lease and a second to choose a keeper.
 	keeperSilenceLimit = 1500 * time.Millisecond
+	lostKeeperLimit    = 3 * time.Second
 	// headerTimeout bounds reading the header of a balancer's request.
 	headerTimeout = 2 * time.Second
 	// responseTimeout bounds writing an answer, of which the metrics are the longest.
@@ -41,6 +43,9 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
+			if e.storeAge() > storeSilenceLimit {
+				e.quota.First().Inquire(ctx)
+			}
 			e.checkReadiness()
 		}
 	}
@@ -90,13 +95,36 @@
 	if !e.mirror.IsConfirmed() {
 		return settingsTooOld
 	}
-	silence, keeperStoreAge := e.quota.First().KeeperSilence()
-	if e.storeAge() > storeSilenceLimit && (silence > keeperSilenceLimit || keeperStoreAge < storeSilenceLimit) {
+	if e.isCutOff() {
 		return cutOff
 	}
 	return ""
 }
 
+// isCutOff reports whether the store answers other hosts but not this one, or whether the host
+// can't tell: it hears of no keeper, or of one to which most hosts do not report.
+func (e *Edge) isCutOff() bool {
+	hosts := len(e.mirror.View().Hosts)
+	if e.storeAge() <= storeSilenceLimit || hosts <= 1 {
+		return false
+	}
+	n := e.quota.First().StoreNews()
+	if n.Silence > keeperSilenceLimit || n.KeeperSilence > lostKeeperLimit || n.Heard > 0 && 2*n.Heard < hosts {
+		return true
+	}
+	first, last, ok := e.lease.Unanswered()
+	if !ok {
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	alone := e.judge.IsAlone(first, last, n.Reached)
+	if !alone && e.judge.Suspects() {
+		e.lease.RenewNow()
+	}
+	return alone
+}
+
 // isReady reports whether the host takes callers.
 func (e *Edge) isReady() bool {
 	e.mu.Lock()
--- a/io/lease/lease.go
+++ b/io/lease/lease.go
@@ -66,6 +66,8 @@
 	session  string
 	revision uint64 // of the registration
 	expires  time.Duration
+	calls    calls
+	again    chan struct{} // wakes awaitRenewal
 }
 
 // Valid reports whether the host holds its lease now.
@@ -123,8 +125,9 @@
 // register opens a lease and writes the host's registration under it. If the registration
 // of the host's previous run still exists, it ends that first.
 func (l *Lease) register(ctx context.Context) error {
-	sent := l.Clock.Elapsed()
+	sent := l.noteSent()
 	session, err := l.Store.OpenSession(ctx, l.Host, TTL)
+	l.noteAnswer(err == nil)
 	if err != nil {
 		return err
 	}
@@ -199,8 +202,9 @@
 			l.endDisplaced()
 			return
 		}
-		sent := l.Clock.Elapsed()
+		sent := l.noteSent()
 		err := l.Store.RenewSession(ctx, l.ID())
+		l.noteAnswer(err == nil || errors.Is(err, coltsfootloft.ErrNoSession))
 		switch {
 		case err == nil:
 			l.extend(sent)
@@ -233,6 +237,8 @@
 			return false
 		case <-timer.C:
 			return true
+		case <-l.wake():
+			return true
 		case <-restored:
 		case <-changed:
 		}
--- a/io/quota/keeper.go
+++ b/io/quota/keeper.go
@@ -25,7 +25,7 @@
 		SettingsVersion:  r.GetSettingsVersion(),
 		Revision:         coltsfootloft.RevisionAt(r.GetStoreEra(), 0),
 	})
-	answer := &quotapb.Grants{StoreAgeMs: l.StoreAge().Milliseconds()}
+	answer := l.observeReporter(from, &r)
 	if _, ok := l.Duty.Holds(); ok {
 		answer.Keeper = true
 		answer.Grants = l.grants(from, &r)
@@ -41,6 +41,21 @@
 	return b, errors.Wrap(err, "grants")
 }
 
+// observeReporter records the report of a host as news of the store, and returns the answer that
+// carries such news.
+func (l *Limiter) observeReporter(from string, r *quotapb.Report) *quotapb.Grants {
+	l.allocatorMu.Lock()
+	defer l.allocatorMu.Unlock()
+	now := l.Clock.Elapsed()
+	if from != l.Duty.Self {
+		l.reporters.observe(now, from, r, l.Mirror.View())
+	}
+	return &quotapb.Grants{
+		StoreAgeMs: l.fleetStoreAge(now).Milliseconds(),
+		Heard:      uint32(l.reporters.count(now)) + 1,
+	}
+}
+
 // maxAmount is the greatest rate, depth or number of operations that is taken from another host.
 const maxAmount = 1e12
 
--- a/io/quota/quota.go
+++ b/io/quota/quota.go
@@ -78,21 +78,23 @@
 	// StoreAge returns how long ago the store last answered this host.
 	StoreAge func() time.Duration
 
-	mu             sync.Mutex
-	accounts       map[string]*account
-	changed        chan struct{}
-	urgent         chan struct{}
-	run            uint64 // random number of this process
-	reports        uint64 // sent so far
-	lastReport     time.Duration
-	keeperSilent   bool
-	keeperStoreAge time.Duration // StoreAge of the keeper at its last answer
-	lastAnswer     time.Duration // when the keeper last answered
-	once           sync.Once
+	mu           sync.Mutex
+	accounts     map[string]*account
+	changed      chan struct{}
+	urgent       chan struct{}
+	run          uint64 // random number of this process
+	reports      uint64 // sent so far
+	lastReport   time.Duration
+	keeperSilent bool
+	lastAnswer   time.Duration // when the keeper last answered
+	heardAt      time.Duration // when the host named as the keeper last answered
+	news         StoreNews
+	once         sync.Once
 
 	allocator      grant.Allocator
 	allocatorMu    sync.Mutex
 	allocatorSince time.Duration
+	reporters      reports // guarded by allocatorMu
 }
 
 // account is the state of one client account on this host.
@@ -301,6 +303,9 @@
 	l.reports++
 	r.Run = l.run
 	r.Number = l.reports
+	if l.StoreAge != nil {
+		r.StoreAgeMs = proto.Int64(l.StoreAge().Milliseconds())
+	}
 	r.StoreEra = coltsfootloft.EraOf(fresh.Revision)
 	r.SettingsEra = coltsfootloft.EraOf(fresh.SettingsRevision)
 	r.SettingsRevision = coltsfootloft.NumberOf(fresh.SettingsRevision)
@@ -322,6 +327,11 @@
 	if err == nil {
 		err = proto.Unmarshal(b, &g)
 	}
+	if err == nil {
+		l.mu.Lock()
+		l.observeNews(sent, &g)
+		l.mu.Unlock()
+	}
 	if err == nil && !g.GetKeeper() {
 		err = errors.Errorf("%s is not the quota keeper", keeper)
 	}
@@ -390,7 +400,6 @@
 		l.Log.Info("quota keeper answers again")
 	}
 	l.lastAnswer = now
-	l.keeperStoreAge = time.Duration(g.GetStoreAgeMs()) * time.Millisecond
 	for _, x := range g.GetGrants() {
 		a := l.accounts[x.GetAccount()]
 		if a == nil {
@@ -426,11 +435,3 @@
 		l.Log.Info("quota keeper does not answer", "reason", reason)
 	}
 }
-
-// KeeperSilence returns how long ago the keeper last answered, and how long before that answer
-// the store had last answered the keeper.
-func (l *Limiter) KeeperSilence() (silent, storeAge time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.Clock.Elapsed() - l.lastAnswer, l.keeperStoreAge
-}
