--- a/core/fair/fair.go
+++ b/core/fair/fair.go
@@ -4,6 +4,7 @@
 // have waiters, and each visit serves as many items as the weight of the account.
 // An account with a thousand waiters therefore delays the single waiter of
 // another account by at most one visit of each account, not by a thousand items.
+// An item may have a rank, which orders the items of its account in place of arrival.
 // Queues are bounded per account and in total; if a bound is reached, Push fails
 // instead of blocking.
 package fair
@@ -31,6 +32,7 @@
 // Ticket identifies an item in a Queue.
 type Ticket[T any] struct {
 	item     T
+	rank     int64
 	queue    *accountQueue[T]
 	previous *Ticket[T]
 	next     *Ticket[T]
@@ -57,6 +59,12 @@
 // reports false, and queues nothing, if the queue of the account or the whole
 // Queue is full.
 func (q *Queue[T]) Push(account string, weight int, item T) (*Ticket[T], bool) {
+	return q.PushRanked(account, weight, 0, item)
+}
+
+// PushRanked is like Push, but the item is served before the items of its account that
+// have a higher rank.
+func (q *Queue[T]) PushRanked(account string, weight int, rank int64, item T) (*Ticket[T], bool) {
 	if q.length >= orDefault(q.Total, DefaultTotal) {
 		return nil, false
 	}
@@ -67,9 +75,10 @@
 	n.weight = max(weight, 1)
 	t := &Ticket[T]{
 		item:  item,
+		rank:  rank,
 		queue: n,
 	}
-	n.append(t)
+	n.insert(t)
 	q.length++
 	return t, true
 }
@@ -114,6 +123,25 @@
 	return n.length
 }
 
+// Ahead returns how many items are served before one of an account with a rank that is
+// pushed now, if no other follows and all weights are 1: the account's own items of the
+// same rank or a lower one, and as many visits of each other account, as far as it has items.
+func (q *Queue[T]) Ahead(account string, rank int64) int {
+	own := 0
+	if n, ok := q.accounts[account]; ok {
+		for t := n.head; t != nil && t.rank <= rank; t = t.next {
+			own++
+		}
+	}
+	ahead := own
+	for name, n := range q.accounts {
+		if name != account {
+			ahead += min(n.length, own+1)
+		}
+	}
+	return ahead
+}
+
 func (q *Queue[T]) queueOf(account string) *accountQueue[T] {
 	if n, ok := q.accounts[account]; ok {
 		return n
@@ -163,14 +191,23 @@
 	}
 }
 
-func (n *accountQueue[T]) append(t *Ticket[T]) {
+// insert adds an item after all that have the same rank or a lower one.
+func (n *accountQueue[T]) insert(t *Ticket[T]) {
 	t.previous = n.tail
-	if n.tail == nil {
+	for t.previous != nil && t.previous.rank > t.rank {
+		t.next = t.previous
+		t.previous = t.previous.previous
+	}
+	if t.previous == nil {
 		n.head = t
 	} else {
-		n.tail.next = t
+		t.previous.next = t
+	}
+	if t.next == nil {
+		n.tail = t
+	} else {
+		t.next.previous = t
 	}
-	n.tail = t
 	n.length++
 }
 
--- a/core/fair/fair_test.go
+++ b/core/fair/fair_test.go
@@ -97,6 +97,32 @@
 	})
 }
 
+// TestLeastRankIsFirstWithinItsAccount guards against an item that can wait long being served
+// before one of its account that can't, and against a rank that helps against other accounts.
+func TestLeastRankIsFirstWithinItsAccount(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var q Queue[int64]
+		for range rapid.IntRange(1, 60).Draw(t, "items") {
+			rank := rapid.Int64Range(0, 9).Draw(t, "rank")
+			q.PushRanked(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "account"), 1, rank, rank)
+		}
+		rank := rapid.Int64Range(0, 9).Draw(t, "rank of the last")
+		ahead := q.Ahead("a", rank)
+		last, _ := q.PushRanked("a", 1, rank, rank)
+		before := map[string]int64{}
+		for i := 0; q.Len() > 0; i++ {
+			item, account, _ := q.Pop()
+			assert.Assert(t, item >= before[account], "%s: rank %d after %d", account, item, before[account])
+			before[account] = item
+			if last.queue == nil {
+				// Where a round stands decides over one visit of each account.
+				assert.Assert(t, i <= ahead && i >= ahead-2, "%d before it, expected %d", i, ahead)
+				return
+			}
+		}
+	})
+}
+
 func BenchmarkPushPop(b *testing.B) {
 	var q Queue[int]
 	b.ReportAllocs()
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -7,14 +7,22 @@
 // of an overloaded database. Statements therefore wait on the host, where they
 // can be reordered and cancelled at no cost: by priority, and within one priority
 // in turn by client account.
+//
+// A gate also estimates how long a statement would wait, from the statements ahead of it
+// and the time for which statements have their permits. A statement that could not begin
+// in time is better refused at once.
 package gate
 
-import "coltsfootloft/core/fair"
+import (
+	"time"
+
+	"coltsfootloft/core/fair"
+)
 
 const (
-	// levels is the number of distinct priorities; lower ones share the last
+	// Levels is the number of distinct priorities; lower ones share the last
 	// level.
-	levels = 4
+	Levels = 4
 	// reverseEvery is how often the lowest level that has waiters is served
 	// first, so that higher levels cannot starve it: one time in four.
 	reverseEvery = 4
@@ -30,11 +38,15 @@
 	// allowed.
 	Limit int
 
-	queues    [levels]fair.Queue[T]
+	queues    [Levels]fair.Queue[T]
 	running   int
 	reduction int // by how much refusals have lowered Limit
 	accepted  int // answers since the last refusal or rise of the limit
 	served    int
+
+	service time.Duration         // mean time for which a statement has its permit
+	above   [Levels]float64       // recent share of the queue's turns taken by more urgent levels
+	returns [Levels]time.Duration // when the last statement refused at each level is to return
 }
 
 // Ticket identifies a queued item.
@@ -60,7 +72,7 @@
 // Enqueue queues an item by the priority of its statement, 0 for the most urgent. It
 // reports false if the queue is full.
 func (g *Gate[T]) Enqueue(priority int, account string, item T) (Ticket[T], bool) {
-	level := min(max(priority, 0), levels-1)
+	level := levelOf(priority)
 	t, ok := g.queues[level].Push(account, 1, item)
 	return Ticket[T]{
 		level:  level,
@@ -68,6 +80,20 @@
 	}, ok
 }
 
+// EnqueueUntil is like Enqueue for an item that waits until a given time at most. Among the
+// items of its account and level, the one with the least time left is served first. All
+// items of a gate are queued by the same one of the two methods.
+func (g *Gate[T]) EnqueueUntil(priority int, account string, until time.Duration, item T) (Ticket[T], bool) {
+	level := levelOf(priority)
+	t, ok := g.queues[level].PushRanked(account, 1, int64(until), item)
+	return Ticket[T]{
+		level:  level,
+		ticket: t,
+	}, ok
+}
+
+func levelOf(priority int) int { return min(max(priority, 0), Levels-1) }
+
 // Cancel removes a queued item. It reports false if Dequeue has already returned the
 // item.
 func (g *Gate[T]) Cancel(t Ticket[T]) bool { return g.queues[t.level].Remove(t.ticket) }
@@ -95,13 +121,14 @@
 		return item, false
 	}
 	g.served++
-	for i := range levels {
+	for i := range Levels {
 		level := i
 		if g.served%reverseEvery == 0 {
-			level = levels - 1 - i
+			level = Levels - 1 - i
 		}
 		if item, _, ok = g.queues[level].Pop(); ok {
 			g.running++
+			g.countTurn(level)
 			return item, true
 		}
 	}
--- a/io/dbpool/conn.go
+++ b/io/dbpool/conn.go
@@ -28,6 +28,8 @@
 	// hasPermit is set while the connection holds a permit of the database's gate.
 	// Like the other fields it belongs to whoever has the connection.
 	hasPermit bool
+	// permitSince is when it took the permit.
+	permitSince time.Duration
 }
 
 // Target returns the database of the connection.
@@ -84,7 +86,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := p.pool(c.target.ID)
-	RecordReply(&n.candidate, p.Clock.Elapsed(), started, reply)
+	now := p.Clock.Elapsed()
+	RecordReply(&n.candidate, now, started, reply)
+	if c.hasPermit && reply.Reason != coltsfootloft.ReasonBusy {
+		n.gate.Observe(now - c.permitSince)
+	}
 	p.releasePermit(n, c, reply.Reason == coltsfootloft.ReasonBusy)
 }
 
--- a/io/dbpool/permit.go
+++ b/io/dbpool/permit.go
@@ -2,10 +2,27 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"coltsfootloft/core/gate"
 )
 
+// WaitError is the error of Acquire for a statement that is not expected to begin in the time
+// that it may wait. It is an ErrBusy: nothing was sent to the database.
+type WaitError struct {
+	// Retry is how much later the statement should return.
+	Retry time.Duration
+}
+
+// Error describes the refusal.
+func (e *WaitError) Error() string { return "no turn at the database in time" }
+
+// Unwrap returns ErrBusy.
+func (e *WaitError) Unwrap() error { return ErrBusy }
+
 // permitWaiter is a statement that waits for a permit; granted is closed when it has one.
 type permitWaiter struct{ granted chan struct{} }
 
@@ -26,10 +43,10 @@
 		return nil
 	}
 	w := &permitWaiter{granted: make(chan struct{})}
-	ticket, ok := n.gate.Enqueue(priority, account, w)
+	ticket, err := p.enqueue(ctx, n, account, priority, w)
 	p.mu.Unlock()
-	if !ok {
-		return ErrBusy
+	if err != nil {
+		return err
 	}
 	select {
 	case <-w.granted:
@@ -44,6 +61,33 @@
 	return nil
 }
 
+// enqueue queues a statement at the gate, or refuses it if the queue is full or if its turn
+// would come too late.
+func (p *Pools) enqueue(ctx context.Context, n *pool, account string, priority int, w *permitWaiter) (gate.Ticket[*permitWaiter], error) {
+	deadline, bounded := ctx.Deadline()
+	if !p.EstimateWaits || !bounded {
+		ticket, ok := n.gate.Enqueue(priority, account, w)
+		return ticket, busyUnless(ok)
+	}
+	now := p.Clock.Elapsed()
+	left := time.Until(deadline)
+	wait := n.gate.Wait(priority, account, now+left)
+	p.Metrics.GetOrCreateHistogram("coltsfootloft_turn_wait_expected_seconds").Update(wait.Seconds())
+	if wait > left {
+		p.Metrics.GetOrCreateCounter("coltsfootloft_turns_refused_total").Inc()
+		return gate.Ticket[*permitWaiter]{}, &WaitError{Retry: n.gate.RetryAfter(now, priority, wait, left, rand.Float64())}
+	}
+	ticket, ok := n.gate.EnqueueUntil(priority, account, now+left, w)
+	return ticket, busyUnless(ok)
+}
+
+func busyUnless(ok bool) error {
+	if ok {
+		return nil
+	}
+	return ErrBusy
+}
+
 // waitHistogram records how long statements wait for a permit, in seconds.
 func (p *Pools) waitHistogram() *metrics.Histogram {
 	return p.Metrics.GetOrCreateHistogram("coltsfootloft_turn_wait_seconds")
@@ -56,6 +100,7 @@
 	defer p.mu.Unlock()
 	if !c.hasPermit {
 		c.hasPermit = true
+		c.permitSince = p.Clock.Elapsed()
 		p.pool(c.target.ID).gate.ForceAcquire()
 	}
 }
--- a/io/dbpool/pools.go
+++ b/io/dbpool/pools.go
@@ -70,6 +70,8 @@
 	// Limit returns the maximum number of connections of this host to a database,
 	// Outstanding the maximum number of outstanding statements.
 	Limit, Outstanding func(t Target) int
+	// EstimateWaits makes the pools refuse statements whose turn would come too late.
+	EstimateWaits bool
 	// Log receives a line when a database becomes unreachable or reachable again.
 	Log logr.Logger
 	// Metrics receives the counters and histograms.
@@ -120,11 +122,12 @@
 
 // Acquire lends a connection of the account for a statement with a priority, where 0 is
 // the most urgent. It waits for a permit and for a connection until ctx ends. The error
-// is ErrBusy or wraps ErrDown, or coltsfootloft.ErrNotSent if the database can't be told the account.
+// is ErrBusy or a WaitError, or wraps ErrDown, or coltsfootloft.ErrNotSent if the database can't be told the account.
 func (p *Pools) Acquire(ctx context.Context, t Target, account string, priority int) (*Conn, error) {
 	if err := p.acquirePermit(ctx, t, account, priority); err != nil {
 		return nil, err
 	}
+	since := p.Clock.Elapsed()
 	c, err := p.connection(ctx, t, account)
 	if err != nil {
 		p.mu.Lock()
@@ -133,6 +136,7 @@
 		return nil, err
 	}
 	c.hasPermit = true
+	c.permitSince = since
 	return c, nil
 }
 
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -121,6 +121,7 @@
 		Memory:            e.messages,
 		ValueMemory:       e.values,
 		SessionLimit:      sessionLimit(s.MemoryMB),
+		JitterRetries:     platform.RulesPressure(s.Policies),
 		Clock:             e.clock,
 		Log:               log.WithName("entry"),
 		Metrics:           e.metrics,
@@ -202,6 +203,7 @@
 		Metrics:       e.metrics,
 		Memory:        e.messages,
 		StateMemory:   e.values,
+		EstimateWaits: platform.RulesPressure(e.settings.Policies),
 	}
 	e.groups = &groups.Groups{
 		Mirror: e.mirror,
--- a/io/edge/fleet_test.go
+++ b/io/edge/fleet_test.go
@@ -43,7 +43,9 @@
 	withdrawalLimit time.Duration
 	// grace is the time that hosts have to shut down, in seconds.
 	grace float64
-	mu    sync.Mutex
+	// policies are the platform's rules that are in force.
+	policies []string
+	mu       sync.Mutex
 }
 
 // testHost is one host of a fleet.
@@ -218,6 +220,7 @@
 		WithdrawalMS: int(f.withdrawalLimit.Milliseconds()),
 		DrainMS:      3000,
 		GraceS:       f.grace,
+		Policies:     f.policies,
 	}
 	if f.hasHostLinks {
 		f.hostLinks.Add(f.t.Context(), s.Name, s.Peer, listen(f.t, "127.0.62.4"))
--- a/io/entry/choose.go
+++ b/io/entry/choose.go
@@ -118,6 +118,7 @@
 		wait = o.shareLeft(now, noDatabaseShare)
 	}
 	clear(tried)
+	o.useless = 0
 	return n.pauseFor(wait)
 }
 
@@ -175,6 +176,10 @@
 // noteNotSent handles a statement that was not sent because the database was down or
 // had no connection free.
 func (n *session) noteNotSent(o *operation, d destination, err error) {
+	var refused *dbpool.WaitError
+	if errors.As(err, &refused) {
+		o.noteUseless(refused.Retry)
+	}
 	if errors.Is(err, dbpool.ErrDown) && d.reader.IsPrimary {
 		n.server.ReportUnreachable(o.route.Group, d.reader.Target.ID)
 		n.pause(o)
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -111,6 +111,10 @@
 	wall    time.Time     // when it, or the current statement of a transaction, arrived
 	sent    bool          // whether a database may have received it
 	tries   int
+	// useless counts the databases, since the first was tried again, at which its turn would
+	// come too late; retry is the least time after which one of them expects it again.
+	useless int
+	retry   time.Duration
 }
 
 // admit checks the key, the route and the account's rate for a new operation. It
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -79,6 +79,8 @@
 	Memory, ValueMemory coltsfootloft.Memory
 	// SessionLimit is the maximum number of sessions, MaxSessions if 0.
 	SessionLimit int
+	// JitterRetries spreads the times after which refused callers are asked to return.
+	JitterRetries bool
 	// Log receives refusals, retries, unknown outcomes and a sample of the successes.
 	Log logr.Logger
 	// Metrics receives the counters and histograms.
--- a/io/entry/single.go
+++ b/io/entry/single.go
@@ -21,10 +21,13 @@
 func (n *session) serveSingle(o *operation, st coltsfootloft.Statement, shape *prep.Shape, writes bool) coltsfootloft.Reply {
 	tried := make(map[string]bool)
 	for {
+		if n.isHopeless(o, writes) {
+			return n.refuseUseless(o, st)
+		}
 		d, ok := n.choose(o, writes, tried)
 		if !ok {
 			if !n.awaitDatabase(o, tried) {
-				return n.refuseOperation(o, st, coltsfootloft.ReasonBusy, "no database can serve it; come back in 100 ms")
+				return n.refuseOperation(o, st, coltsfootloft.ReasonBusy, "no database can serve it"+n.comeBack(noDatabaseRetry))
 			}
 			continue
 		}
@@ -35,7 +38,7 @@
 		}
 		if conn == nil {
 			if o.waitLeft(n.server.Clock.Elapsed()) <= 0 {
-				return n.refuseOperation(o, st, coltsfootloft.ReasonBusy, "no connection came free; come back in 50 ms")
+				return n.refuseOperation(o, st, coltsfootloft.ReasonBusy, "no connection came free"+n.comeBack(noConnectionRetry))
 			}
 			continue
 		}
@@ -45,7 +48,7 @@
 			return reply
 		}
 		if o.waitLeft(n.server.Clock.Elapsed()) <= 0 {
-			return n.refuseOperation(o, st, coltsfootloft.ReasonBusy, "no connection came free; come back in 50 ms")
+			return n.refuseOperation(o, st, coltsfootloft.ReasonBusy, "no connection came free"+n.comeBack(noConnectionRetry))
 		}
 	}
 }
--- a/io/entry/transaction.go
+++ b/io/entry/transaction.go
@@ -83,7 +83,11 @@
 		if err != nil {
 			return n.abort(st, err.Error())
 		}
-		return n.failTransaction(st, reason, "no database took the transaction; come back in 50 ms")
+		text := n.comeBack(noConnectionRetry)
+		if n.isHopeless(&t.operation, !t.readOnly) {
+			text = n.comeBackUseless(&t.operation)
+		}
+		return n.failTransaction(st, reason, "no database took the transaction"+text)
 	}
 	if t.dest.reader.IsPrimary && !n.server.Groups.MaySend(t.route.Group, t.dest.reader.Primary) {
 		return n.abort(st, n.primaryLostReason())
@@ -139,6 +143,9 @@
 	tried := make(map[string]bool)
 	last := coltsfootloft.ReasonBusy
 	for {
+		if n.isHopeless(&t.operation, !t.readOnly) && !n.commitWaits(t, st, tried) {
+			return last, nil
+		}
 		d, ok := n.choose(&t.operation, !t.readOnly, tried)
 		if !ok {
 			if !n.awaitDatabase(&t.operation, tried) {
@@ -173,6 +180,13 @@
 	}
 }
 
+// commitWaits waits for another try to begin a transaction whose COMMIT is its first statement,
+// since a COMMIT is not refused for its wait alone. It reports false for other statements, and
+// once the COMMIT has waited long enough.
+func (n *session) commitWaits(t *transaction, st coltsfootloft.Statement, tried map[string]bool) bool {
+	return st.Verb() == coltsfootloft.VerbCommit && n.awaitDatabase(&t.operation, tried)
+}
+
 // isDefinite reports whether a database's refusal means that nothing ran, so that it may
 // be passed on as it is.
 func isDefinite(r coltsfootloft.Reason) bool {
--- a/io/relay/remote.go
+++ b/io/relay/remote.go
@@ -82,6 +82,9 @@
 		if a.GetLeaving() {
 			n.relay.avoid(n.owner, errLeaving)
 		}
+		if a.GetRetryMs() > 0 && n.relay.Pools.EstimateWaits {
+			return &dbpool.WaitError{Retry: span(a.GetRetryMs())}
+		}
 		return dbpool.ErrBusy
 	case relaypb.Outcome_OUTCOME_DOWN:
 		n.relay.Pools.Observe(n.target.ID, func(c *pick.Candidate, now time.Duration) { c.Down(now) })
--- a/io/relay/serve.go
+++ b/io/relay/serve.go
@@ -143,7 +143,7 @@
 		return nil, notSent(err)
 	}
 	if err != nil {
-		return nil, &relaypb.Response{Outcome: relaypb.Outcome_OUTCOME_BUSY}
+		return nil, busy(err)
 	}
 	if x.GetEpoch() != 0 && !r.isPrimary(t, x.GetEpoch()) {
 		r.Pools.Release(conn, true)
@@ -152,6 +152,16 @@
 	return conn, nil
 }
 
+// busy returns the response to a statement for which there is no connection in time.
+func busy(err error) *relaypb.Response {
+	a := &relaypb.Response{Outcome: relaypb.Outcome_OUTCOME_BUSY}
+	var refused *dbpool.WaitError
+	if errors.As(err, &refused) {
+		a.RetryMs = max(refused.Retry.Milliseconds(), 1)
+	}
+	return a
+}
+
 func (r *Relay) isPrimary(t dbpool.Target, epoch uint64) bool {
 	primary, ok := r.Groups.Primary(t.Group)
 	return ok && primary.Epoch == epoch && primary.Target.ID == t.ID
