--- a/io/dbpool/pools.go
+++ b/io/dbpool/pools.go
@@ -75,6 +75,8 @@
 	Limit, Outstanding func(t Target) int
 	// IsClosed reports whether nothing may be sent to a database. Nil closes none.
 	IsClosed func(t Target) bool
+	// EstimateWaits makes the pools refuse statements whose turn would come too late.
+	EstimateWaits bool
 	// Log receives a line when a database becomes unreachable or reachable again.
 	Log logr.Logger
 	// Metrics receives the counters and histograms.
@@ -128,7 +130,7 @@
 
 // Acquire lends a connection of the account for a statement with a priority, where 0 is
 // the most urgent. It waits for a permit and for a connection until ctx ends. The error
-// is ErrBusy or wraps ErrDown, or coltsfootloft.ErrNotSent if the database can't be told the account.
+// is ErrBusy or a WaitError, or wraps ErrDown, or coltsfootloft.ErrNotSent if the database can't be told the account.
 func (p *Pools) Acquire(ctx context.Context, t Target, account string, priority int) (*Conn, error) {
 	if p.isClosed(t) {
 		return nil, ErrClosed
@@ -136,6 +138,7 @@
 	if err := p.acquirePermit(ctx, t, account, priority); err != nil {
 		return nil, err
 	}
+	since := p.Clock.Elapsed()
 	c, err := p.connection(ctx, t, account)
 	if err != nil {
 		p.mu.Lock()
@@ -144,6 +147,7 @@
 		return nil, err
 	}
 	c.hasPermit = true
+	c.permitSince = since
 	return c, nil
 }
 
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -127,6 +127,7 @@
 		Memory:            e.messages,
 		ValueMemory:       e.values,
 		SessionLimit:      sessionLimit(s.MemoryMB),
+		JitterRetries:     platform.RulesPressure(s.Policies),
 		Clock:             e.clock,
 		Log:               log.WithName("entry"),
 		Metrics:           e.metrics,
@@ -219,6 +220,7 @@
 		Memory:        e.messages,
 		StateMemory:   e.values,
 		IsClosed:      e.evac.IsClosed,
+		EstimateWaits: platform.RulesPressure(e.settings.Policies),
 	}
 	e.groups = &groups.Groups{
 		Mirror: e.mirror,
--- a/io/edge/fleet_test.go
+++ b/io/edge/fleet_test.go
@@ -45,6 +45,8 @@
 	grace float64
 	// evacuate is the time within which an evacuation must be in effect; 0 if there is none.
 	evacuate time.Duration
+	// policies are the platform's rules that are in force.
+	policies []string
 	mu       sync.Mutex
 }
 
@@ -221,6 +223,7 @@
 		DrainMS:      3000,
 		GraceS:       f.grace,
 		EvacuateMS:   int(f.evacuate.Milliseconds()),
+		Policies:     f.policies,
 	}
 	if f.hasHostLinks {
 		f.hostLinks.Add(f.t.Context(), s.Name, s.Peer, listen(f.t, "127.0.62.4"))
--- a/io/entry/single.go
+++ b/io/entry/single.go
@@ -21,13 +21,16 @@
 func (n *session) serveSingle(o *operation, st coltsfootloft.Statement, shape *prep.Shape, writes bool) coltsfootloft.Reply {
 	tried := make(map[string]bool)
 	for {
+		if n.isHopeless(o, writes) {
+			return n.refuseUseless(o, st)
+		}
 		d, ok := n.choose(o, writes, tried)
 		if !ok {
 			if n.isCutOff(o, writes, tried) {
 				return n.refuseOperation(o, st, coltsfootloft.ReasonBusy, evacuatedText)
 			}
 			if !n.awaitDatabase(o, tried) {
-				return n.refuseOperation(o, st, coltsfootloft.ReasonBusy, "no database can serve it; come back in 100 ms")
+				return n.refuseOperation(o, st, coltsfootloft.ReasonBusy, "no database can serve it"+n.comeBack(noDatabaseRetry))
 			}
 			continue
 		}
@@ -38,7 +41,7 @@
 		}
 		if conn == nil {
 			if o.waitLeft(n.server.Clock.Elapsed()) <= 0 {
-				return n.refuseOperation(o, st, coltsfootloft.ReasonBusy, "no connection came free; come back in 50 ms")
+				return n.refuseOperation(o, st, coltsfootloft.ReasonBusy, "no connection came free"+n.comeBack(noConnectionRetry))
 			}
 			continue
 		}
@@ -48,7 +51,7 @@
 			return reply
 		}
 		if o.waitLeft(n.server.Clock.Elapsed()) <= 0 {
-			return n.refuseOperation(o, st, coltsfootloft.ReasonBusy, "no connection came free; come back in 50 ms")
+			return n.refuseOperation(o, st, coltsfootloft.ReasonBusy, "no connection came free"+n.comeBack(noConnectionRetry))
 		}
 	}
 }
