--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -125,6 +125,7 @@
 		Log:               log.WithName("entry"),
 		Metrics:           e.metrics,
 		ReportUnreachable: e.failover.ReportUnreachable,
+		ReadPosition:      e.failover.ReadPosition,
 	}
 	return e
 }
@@ -210,6 +211,8 @@
 		Clock:  e.clock,
 		Domain: e.settings.Domain,
 		Drain:  e.settings.Drain(),
+
+		Regions: e.settings.Regions,
 	}
 	e.relay = &relay.Relay{
 		Self:           e.settings.Name,
--- a/io/edge/fleet_test.go
+++ b/io/edge/fleet_test.go
@@ -43,7 +43,9 @@
 	withdrawalLimit time.Duration
 	// grace is the time that hosts have to shut down, in seconds.
 	grace float64
-	mu    sync.Mutex
+	// change, if not nil, changes the process settings of each host.
+	change func(*conf.EntrySettings)
+	mu     sync.Mutex
 }
 
 // testHost is one host of a fleet.
@@ -219,6 +221,9 @@
 		DrainMS:      3000,
 		GraceS:       f.grace,
 	}
+	if f.change != nil {
+		f.change(&s)
+	}
 	if f.hasHostLinks {
 		f.hostLinks.Add(f.t.Context(), s.Name, s.Peer, listen(f.t, "127.0.62.4"))
 	}
--- a/io/entry/choose.go
+++ b/io/entry/choose.go
@@ -54,7 +54,7 @@
 // choosePrimary returns the primary of the route's group, if the host may use it.
 func (n *session) choosePrimary(o *operation) (destination, bool) {
 	primary, ok := n.server.Groups.Primary(o.route.Group)
-	if !ok {
+	if !ok || !n.server.Groups.Allows(o.homes, primary.Target.ID) {
 		return destination{}, false
 	}
 	return destination{reader: groups.Reader{
@@ -80,8 +80,14 @@
 		return n.choosePrimary(o)
 	}
 	after, fresh := n.requiredPosition(o)
+	if !fresh && n.refreshMarks(o) {
+		after, fresh = n.requiredPosition(o)
+	}
 	for _, r := range n.server.Groups.Readers(o.route.Group) {
-		if tried[r.Target.ID] || !r.IsPrimary && (!fresh || n.server.Groups.Pools.LacksPosition(r.Target.ID, after)) {
+		if tried[r.Target.ID] || !n.server.Groups.Allows(o.homes, r.Target.ID) {
+			continue
+		}
+		if !r.IsPrimary && (!fresh || n.server.Groups.Pools.LacksPosition(r.Target.ID, after)) {
 			continue
 		}
 		d := destination{reader: r}
@@ -157,7 +163,7 @@
 	if d.reader.IsPrimary {
 		primary = &d.reader.Primary
 	}
-	conn, err := s.Relay.Borrow(ctx, d.reader.Target, n.account, o.route.Priority, primary)
+	conn, err := s.Relay.Borrow(ctx, d.reader.Target, n.account, o.route.Priority, primary, o.homes)
 	if errors.Is(err, coltsfootloft.ErrNotSent) {
 		return nil, err
 	}
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"coltsfootloft"
+	"coltsfootloft/core/homes"
 	"coltsfootloft/core/prep"
 )
 
@@ -111,6 +112,7 @@
 	wall    time.Time     // when it, or the current statement of a transaction, arrived
 	sent    bool          // whether a database may have received it
 	tries   int
+	homes   homes.Homes // where it may run
 }
 
 // admit checks the key, the route and the account's rate for a new operation. It
@@ -126,6 +128,7 @@
 		return o, refusal
 	}
 	o.route = route
+	o.homes = n.server.Groups.Homes(route, n.account)
 	n.server.retries.AddRequest(n.account)
 	if n.account == "" {
 		return o, nil
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -25,8 +25,10 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
+	"golang.org/x/sync/singleflight"
 
 	"coltsfootloft"
+	"coltsfootloft/io/dbpool"
 	"coltsfootloft/io/groups"
 	"coltsfootloft/io/mirror"
 	"coltsfootloft/io/port"
@@ -86,6 +88,8 @@
 	// ReportUnreachable is called when a primary could not be reached, did not answer or
 	// refused a write.
 	ReportUnreachable func(group, database string)
+	// ReadPosition asks a primary for its position, without a statement of a caller.
+	ReadPosition func(ctx context.Context, t dbpool.Target) (coltsfootloft.Position, error)
 
 	listener net.Listener
 	mu       sync.Mutex
@@ -98,6 +102,8 @@
 	wg      sync.WaitGroup
 	served  atomic.Uint64
 	retries retryBudgets
+	// positions has one request for the position of each group's primary at a time.
+	positions singleflight.Group
 }
 
 // Bind listens on the address, and waits until ctx ends while the address is taken.
--- a/io/entry/single.go
+++ b/io/entry/single.go
@@ -22,6 +22,9 @@
 	tried := make(map[string]bool)
 	for {
 		d, ok := n.choose(o, writes, tried)
+		if !ok && n.isOutsideRegions(o, writes) {
+			return n.refuseOperation(o, st, coltsfootloft.ReasonBusy, outsideRegions)
+		}
 		if !ok {
 			if !n.awaitDatabase(o, tried) {
 				return n.refuseOperation(o, st, coltsfootloft.ReasonBusy, "no database can serve it; come back in 100 ms")
--- a/io/entry/transaction.go
+++ b/io/entry/transaction.go
@@ -68,7 +68,7 @@
 // serveInTransaction runs a read or a write in the open transaction.
 func (n *session) serveInTransaction(st coltsfootloft.Statement, shape *prep.Shape) coltsfootloft.Reply {
 	if !n.mayContinue() {
-		return n.abort(st, "key withdrawn or settings too old")
+		return n.abort(st, "key withdrawn, region not allowed any more, or settings too old")
 	}
 	t := n.tx
 	now := n.server.Clock.Elapsed()
@@ -108,10 +108,10 @@
 }
 
 // mayContinue reports whether the session's key is still valid, and still that of the account
-// for which the open transaction runs.
+// for which the open transaction runs, and whether that still allows the region of its database.
 func (n *session) mayContinue() bool {
-	_, refusal := n.authorize()
-	return refusal == nil && n.account == n.tx.account
+	route, refusal := n.authorize()
+	return refusal == nil && n.account == n.tx.account && n.mayStay(n.tx, route)
 }
 
 // request returns the request for a statement of a transaction. It sets the session's values
@@ -130,7 +130,7 @@
 
 // ensureBegun begins the transaction at a database, if that has not happened yet. It may
 // try several databases, because a transaction without statements changes nothing. The error is
-// set if it can't be sent to any, as coltsfootloft.ErrNotSent.
+// set if it can't be sent to any, as coltsfootloft.ErrNotSent or errOutsideRegions.
 func (n *session) ensureBegun(st coltsfootloft.Statement) (coltsfootloft.Reason, error) {
 	t := n.tx
 	if t.conn != nil {
@@ -140,6 +140,9 @@
 	last := coltsfootloft.ReasonBusy
 	for {
 		d, ok := n.choose(&t.operation, !t.readOnly, tried)
+		if !ok && n.isOutsideRegions(&t.operation, !t.readOnly) {
+			return last, errOutsideRegions
+		}
 		if !ok {
 			if !n.awaitDatabase(&t.operation, tried) {
 				return last, nil
@@ -249,7 +252,7 @@
 		return coltsfootloft.RefusedReply(coltsfootloft.ReasonAborted, "transaction failed before")
 	}
 	if !n.mayContinue() {
-		return n.abortCommit(st, "key withdrawn or settings too old")
+		return n.abortCommit(st, "key withdrawn, region not allowed any more, or settings too old")
 	}
 	if t.conn == nil {
 		t.arrived = s.Clock.Elapsed()
--- a/io/failov/failov.go
+++ b/io/failov/failov.go
@@ -270,6 +270,15 @@
 	return c.Prober.Status(ctx, t)
 }
 
+// ReadPosition asks a primary for the position of its newest record. The context must have a deadline.
+func (c *Controller) ReadPosition(ctx context.Context, t dbpool.Target) (coltsfootloft.Position, error) {
+	h, err := c.status(ctx, t)
+	if err == nil && h.Role != coltsfootloft.Primary {
+		err = errors.New("the database calls itself a replica")
+	}
+	return h.Received, err
+}
+
 // ReportUnreachable reports to the holder that this host can't reach a primary. It does not
 // block.
 func (c *Controller) ReportUnreachable(group, database string) {
--- a/io/groups/groups.go
+++ b/io/groups/groups.go
@@ -50,6 +50,8 @@
 	Domain string
 	// Drain is how long a leaving database may still get work.
 	Drain time.Duration
+	// Regions is the region of each failure domain.
+	Regions map[string]string
 
 	mu    sync.Mutex
 	marks map[string]*marks.Marks
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -286,6 +286,9 @@
 	if after.Settings != nil && (before.Settings == nil || before.Settings.Revision != after.Settings.Revision) {
 		m.Log.Info("settings in force", "version", after.Settings.Version, "revision", after.Settings.Revision,
 			"routes", len(after.Settings.Routes), "accounts", len(after.Settings.Accounts), "keys", len(after.Settings.Keys))
+		for _, p := range after.Settings.Problems {
+			m.Log.Info("unusable value in the settings", "version", after.Settings.Version, "value", p)
+		}
 	}
 	for id, u := range after.Upstreams {
 		old, known := before.Upstreams[id]
--- a/io/relay/foreign_test.go
+++ b/io/relay/foreign_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"coltsfootloft"
+	"coltsfootloft/core/homes"
 	"coltsfootloft/io/dbpool"
 	"coltsfootloft/io/relay/relaypb"
 )
@@ -113,7 +114,7 @@
 	read := foreign("a1", "READ x", coltsfootloft.VerbRead)
 
 	d.stray.Store(true)
-	n, err := r.Borrow(ctx, dbpool.Target{ID: "db-1"}, "arima", 0, nil)
+	n, err := r.Borrow(ctx, dbpool.Target{ID: "db-1"}, "arima", 0, nil, homes.Homes{})
 	assert.NilError(t, err)
 	q, ok := r.request(read, time.Now())
 	assert.Assert(t, ok)
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -21,6 +21,7 @@
 	"github.com/pkg/errors"
 
 	"coltsfootloft"
+	"coltsfootloft/core/homes"
 	"coltsfootloft/core/pick"
 	"coltsfootloft/io/dbpool"
 	"coltsfootloft/io/dial"
@@ -87,8 +88,9 @@
 
 // Borrow lends a connection for statements with a priority, where 0 is the most urgent.
 // primary is nil unless the database is used as primary. If another host owns the
-// connection, it is taken with the first statement. Errors are those of Pools.Acquire.
-func (r *Relay) Borrow(ctx context.Context, t dbpool.Target, account string, priority int, primary *groups.Primary) (*Conn, error) {
+// connection, it is taken with the first statement. Owners that h excludes are not used. Errors are
+// those of Pools.Acquire.
+func (r *Relay) Borrow(ctx context.Context, t dbpool.Target, account string, priority int, primary *groups.Primary, h homes.Homes) (*Conn, error) {
 	n := &Conn{
 		relay:    r,
 		target:   t,
@@ -96,7 +98,7 @@
 		priority: priority,
 		primary:  primary,
 	}
-	if owner, ok := r.remoteOwner(t.ID, account); ok {
+	if owner, ok := r.remoteOwner(t.ID, account, h); ok {
 		n.owner = owner
 		deadline, _ := ctx.Deadline()
 		n.wait = time.Until(deadline)
@@ -112,11 +114,11 @@
 
 // remoteOwner returns the host to which a statement should be forwarded. It reports false
 // if the statement should use a connection of this host.
-func (r *Relay) remoteOwner(database, account string) (string, bool) {
+func (r *Relay) remoteOwner(database, account string, allowed homes.Homes) (string, bool) {
 	const maxRemote = 2 // owners that are tried before this host itself
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for i, h := range r.Owners.Of(database, account) {
+	for i, h := range r.owners(database, account, allowed) {
 		if h == r.Self || i >= maxRemote {
 			return "", false
 		}
--- a/settings.go
+++ b/settings.go
@@ -25,6 +25,21 @@
 	// IdleTransaction is how long a transaction may be idle before the host may
 	// end it.
 	IdleTransaction time.Duration
+	// AccountRegions maps accounts to the regions in which their statements may run. Accounts
+	// without an entry are not restricted.
+	AccountRegions map[string][]string
+	// ColdStarts maps the groups whose databases are limited while they are cold to that limit.
+	ColdStarts map[string]ColdStart
+	// Problems are the values that could not be used, in words.
+	Problems []string
+}
+
+// ColdStart is how the databases of a group behave after their start.
+type ColdStart struct {
+	// Duration is how long a database is cold.
+	Duration time.Duration
+	// Rate is how many requests a cold database should get in a second.
+	Rate float64
 }
 
 // Supersedes reports whether s replaces t. Within an era of the store, that is so if s was
@@ -70,6 +85,9 @@
 	Priority int
 	// Public routes need no API key.
 	Public bool
+	// AllowedRegions are the regions in which statements of the route may run; everywhere if
+	// there are none.
+	AllowedRegions []string
 }
 
 // Announcement is the entry that a database publishes about itself in the
@@ -89,6 +107,8 @@
 	// Started is when the database process started, in Unix milliseconds, and
 	// identifies that run; 0 if the entry doesn't state it.
 	Started int64
+	// ColdFor is how much longer the database expects to be cold.
+	ColdFor time.Duration
 }
 
 // Event is one decoded change in the platform's store.
--- a/stand/opset/opset.go
+++ b/stand/opset/opset.go
@@ -46,6 +46,7 @@
 	TimeoutMs, TargetLatencyMs     int
 	MaxStalenessMs, Priority       int
 	Public                         bool
+	AllowedRegions                 any `json:",omitempty"`
 }
 
 // Service is one database group.
@@ -53,6 +54,8 @@
 	Name         string
 	MaxConns     int
 	SyncReplicas int
+	ColdStartS   any `json:",omitempty"`
+	ColdPerS     any `json:",omitempty"`
 }
 
 // Tenant is one client account.
@@ -61,6 +64,8 @@
 	ApiKeys  []string //nolint:revive // the platform's name
 	RatePerS float64
 	Burst    float64
+
+	AllowedRegions any `json:",omitempty"`
 }
 
 // Entry returns the entry of a database.
