--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -91,6 +91,7 @@
 
 		droppedLines: func() uint64 { return 0 },
 	}
+	e.metrics.GetOrCreateCounter(entry.RegionRefusals)
 	e.metrics.NewGauge(logs.DroppedMetric, func() float64 { return float64(e.droppedLines()) })
 	open := dial.From(s.Peer, 0)
 	e.buildMemory()
--- a/io/entry/regions.go
+++ b/io/entry/regions.go
@@ -17,6 +17,9 @@
 // outsideRegions is the text of refusals of statements that no database in an allowed region can serve.
 const outsideRegions = "no database in the allowed regions can serve it; come back in 1000 ms"
 
+// RegionRefusals is the metric of statements that no database in an allowed region could serve.
+const RegionRefusals = "coltsfootloft_region_refusals_total"
+
 // errOutsideRegions is the error of a transaction that no database in an allowed region can serve.
 var errOutsideRegions = errors.New(outsideRegions)
 
@@ -27,7 +30,7 @@
 	if !n.server.Groups.AllowsNone(o.homes, o.route.Group, onlyPrimary) {
 		return false
 	}
-	n.server.Metrics.GetOrCreateCounter("coltsfootloft_region_refusals_total").Inc()
+	n.server.Metrics.GetOrCreateCounter(RegionRefusals).Inc()
 	return true
 }
 
