--- a/core/grant/allocator.go
+++ b/core/grant/allocator.go
@@ -250,7 +250,12 @@
 	others := a.sumOthers(now, host)
 	others.held.rate += limit.Rate() * rateShare * unreported
 	others.held.depth += limit.Burst() * hostBurstShare * unreported
-	h.granted = a.bucketOf(host, others)
+	if limit.IsLentOnly() {
+		others.held = part{}
+		h.previous = part{}
+	} else {
+		h.granted = a.bucketOf(host, others)
+	}
 	h.until = max(h.until, now+Validity)
 	g := Line{
 		Account: l.Account,
@@ -368,7 +373,9 @@
 	if a.rate == 0 {
 		a.pool = bucket.New(0, a.burst, bucket.At(now))
 		a.pool.Resize(bucket.At(now), 0, limit.Burst())
-		a.pool.Credit(bucket.At(now), initialShare*min(limit.Rate(), limit.Burst()))
+		if !limit.IsLentOnly() {
+			a.pool.Credit(bucket.At(now), initialShare*min(limit.Rate(), limit.Burst()))
+		}
 	}
 	a.rate = limit.Rate()
 	a.burst = limit.Burst()
--- a/core/leader/leader.go
+++ b/core/leader/leader.go
@@ -17,6 +17,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -101,6 +102,8 @@
 	// SameDomain is set for databases in the failure domain of the old primary. They
 	// are chosen last, because the fault that hit the primary may hit them too.
 	SameDomain bool
+	// Cold databases are slow. They are chosen only if no warm one has received as much.
+	Cold bool
 }
 
 // FindPrimary returns the database that reports itself as primary with the highest
@@ -153,6 +156,13 @@
 	return best, found
 }
 
+// HasWarmer reports whether s is cold and a warm replica, which stays, may still catch up with it.
+func (r Record) HasWarmer(all []Status, s Status) bool {
+	return s.Cold && slices.ContainsFunc(all, func(o Status) bool {
+		return o.ID != r.Primary && o.Answered && !o.Cold && !o.Gone && !o.Leaving && !r.hasDiverged(o)
+	})
+}
+
 // hasAllOf reports whether s has received all that t has.
 func (s Status) hasAllOf(t Status) bool { return s.Health.Received.Compare(t.Health.Received) >= 0 }
 
@@ -174,6 +184,9 @@
 	if a.Leaving != b.Leaving {
 		return b.Leaving
 	}
+	if a.Cold != b.Cold {
+		return b.Cold
+	}
 	if a.SameDomain != b.SameDomain {
 		return b.SameDomain
 	}
--- a/io/dbpool/conn.go
+++ b/io/dbpool/conn.go
@@ -46,14 +46,22 @@
 	After coltsfootloft.Position
 	// Deadline bounds the wait for the answer.
 	Deadline time.Time
+	// ChargeWait is how long the statement may wait until a cold database may be sent it.
+	ChargeWait time.Duration
+	// MaySend reports whether the statement may still be sent after that wait. It always may if
+	// it is nil.
+	MaySend func() bool
 }
 
 // Exchange sends a statement and returns its answer, whose memory is given back by GiveBack
 // of the pools or by whoever uses it. After any error the connection must be closed; after a
-// time-out, DiscardReplies may be called first. The statement was not sent if the error is
-// ErrUnread, or wraps coltsfootloft.ErrNotSent because it can't be sent on any connection; it may
+// time-out, DiscardReplies may be called first, and after ErrCold the connection is as before. The
+// statement was not sent if the error is ErrCold or ErrUnread, or wraps coltsfootloft.ErrNotSent because it can't be sent on any connection; it may
 // have run after any other.
 func (c *Conn) Exchange(r Request) (reply coltsfootloft.Reply, err error) {
+	if !c.charge(1, r) {
+		return reply, ErrCold
+	}
 	if err := c.checkUnread(); err != nil {
 		return reply, err
 	}
@@ -62,6 +70,9 @@
 	if r.Expected != nil {
 		commands, name = c.state.Align(r.Expected, r.Shape)
 	}
+	if len(commands) > 0 && !c.charge(len(commands), r) {
+		return reply, errors.Wrap(ErrUnread, "database is cold, and the connection lacks session values")
+	}
 	for _, k := range commands {
 		c.requests.Queue(k)
 	}
@@ -78,6 +89,14 @@
 	return reply, nil
 }
 
+// charge charges n requests, and reports whether they may be sent.
+func (c *Conn) charge(n int, r Request) bool {
+	if c.pools.Charge == nil {
+		return true
+	}
+	return c.pools.Charge(c.target.ID, n, r.ChargeWait) && (r.MaySend == nil || r.MaySend())
+}
+
 // recordReply updates the statistics of the database and returns the permit.
 func (c *Conn) recordReply(started time.Duration, reply coltsfootloft.Reply) {
 	p := c.pools
@@ -106,6 +125,9 @@
 
 // Command sends a command of the host itself and returns its answer.
 func (c *Conn) Command(k coltsfootloft.Command, deadline time.Time) (coltsfootloft.Reply, error) {
+	if !c.charge(1, Request{}) {
+		return coltsfootloft.Reply{}, ErrCold
+	}
 	if err := c.checkUnread(); err != nil {
 		return coltsfootloft.Reply{}, err
 	}
--- a/io/dbpool/pools.go
+++ b/io/dbpool/pools.go
@@ -29,6 +29,9 @@
 var (
 	// ErrBusy means that no permit or no connection became free in time.
 	ErrBusy = errors.New("no connection came free")
+	// ErrCold is the ErrBusy of a cold database that gets no more requests now. Only Exchange
+	// returns it; the connection stays usable.
+	ErrCold = errors.Wrap(ErrBusy, "database is cold")
 	// ErrDown means that the database can't be reached.
 	ErrDown = errors.New("database unreachable")
 )
@@ -70,6 +73,9 @@
 	// Limit returns the maximum number of connections of this host to a database,
 	// Outstanding the maximum number of outstanding statements.
 	Limit, Outstanding func(t Target) int
+	// Charge charges n requests to a database, for which it waits a while, and reports whether
+	// they may be sent. No database is limited if it is nil.
+	Charge func(database string, n int, wait time.Duration) bool
 	// Log receives a line when a database becomes unreachable or reachable again.
 	Log logr.Logger
 	// Metrics receives the counters and histograms.
--- a/io/edge/client_test.go
+++ b/io/edge/client_test.go
@@ -37,6 +37,12 @@
 	t.Helper()
 	conn, err := net.DialTimeout("tcp", h.settings.Listen, time.Second)
 	assert.NilError(t, err)
+	return start(t, conn, database, key)
+}
+
+// start starts a session on a connection, like connect.
+func start(t *testing.T, conn net.Conn, database, key string) (*client, string) {
+	t.Helper()
 	t.Cleanup(func() { conn.Close() })
 	c := &client{
 		t:    t,
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -30,6 +30,7 @@
 	"coltsfootloft/io/probe"
 	"coltsfootloft/io/quota"
 	"coltsfootloft/io/relay"
+	"coltsfootloft/io/warmup"
 	"coltsfootloft/platform"
 )
 
@@ -64,6 +65,7 @@
 	relay    *relay.Relay
 	peers    *peer.Links
 	quota    *quota.Shards
+	cold     *warmup.Limiter
 	failover *failov.Controller
 	server   *entry.Server
 	messages *memory.Budget // lines of callers and answers of databases
@@ -190,6 +192,14 @@
 }
 
 func (e *Edge) buildDatabases(opener *platform.Dialer) {
+	e.cold = &warmup.Limiter{
+		Mirror:  e.mirror,
+		Clock:   e.clock,
+		Overage: e.settings.ColdOverage,
+		Slack:   e.settings.ColdSlack,
+		Metrics: e.metrics,
+	}
+	e.cold.Expose()
 	owners := &relay.Owners{
 		Self:   e.settings.Name,
 		Mirror: e.mirror,
@@ -200,6 +210,7 @@
 		Clock:         e.clock,
 		Limit:         owners.Limit,
 		Outstanding:   owners.Outstanding,
+		Charge:        e.cold.Admit,
 		Log:           e.log.WithName("lanes"),
 		Metrics:       e.metrics,
 		Memory:        e.messages,
@@ -214,6 +225,7 @@
 		Drain:  e.settings.Drain(),
 
 		Regions: e.settings.Regions,
+		Cold:    e.cold,
 	}
 	e.relay = &relay.Relay{
 		Self:           e.settings.Name,
@@ -221,6 +233,7 @@
 		Owners:         owners,
 		Pools:          e.pools,
 		Groups:         e.groups,
+		Cold:           e.cold,
 		Clock:          e.clock,
 		HoldTimeout:    e.holdTimeout,
 		Log:            e.log.WithName("relay"),
@@ -254,6 +267,8 @@
 	for i := range maxQuotaShards {
 		e.quota.Limiters = append(e.quota.Limiters, e.buildQuotaShard(i, client))
 	}
+	e.cold.Quota = e.quota.First()
+	e.quota.First().Internal = e.cold.Account
 	e.failover = &failov.Controller{
 		Self:     e.settings.Name,
 		Peers:    e.peers,
@@ -267,9 +282,11 @@
 			Dial:          opener.Dial,
 			RefusalReason: refusalReason,
 			Parse:         platform.ParseHealth,
+			Admit:         e.cold.AdmitStatus,
 			Log:           e.log.WithName("steward"),
 			Metrics:       e.metrics,
 		},
+		IsCold:  e.cold.IsCold,
 		Clock:   e.clock,
 		Log:     e.log.WithName("steward"),
 		Metrics: e.metrics,
--- a/io/failov/change.go
+++ b/io/failov/change.go
@@ -53,6 +53,7 @@
 			Leaving:    u.Leaving || u.Removed,
 			Gone:       u.Removed && now-u.Since > removedGrace,
 			SameDomain: u.Upstream.Domain() == primary.Domain(),
+			Cold:       c.IsCold != nil && c.IsCold(u.Upstream.Name()),
 		}
 		if slices.Contains(unreachable, statuses[i].ID) {
 			continue
@@ -252,11 +253,15 @@
 	}
 	deadline := c.Clock.Elapsed() + catchUpTimeout
 	for {
-		candidate, ok := g.Successor(c.readStatuses(ctx, name), 0)
-		if ok && candidate.Health.Received.Compare(h.Received) >= 0 {
+		statuses := c.readStatuses(ctx, name)
+		candidate, ok := g.Successor(statuses, 0)
+		if ok && candidate.Health.Received.Compare(h.Received) >= 0 && !g.HasWarmer(statuses, candidate) {
 			return nil
 		}
 		if ctx.Err() != nil || c.Clock.Elapsed() > deadline {
+			if ok && candidate.Health.Received.Compare(h.Received) >= 0 {
+				return nil // it is cold, and no warm one has caught up
+			}
 			return errors.Errorf("no replica that stays has what the primary has, received %d of %d", candidate.Health.Received.Offset(), h.Received.Offset())
 		}
 		pause.For(ctx, pollPeriod)
@@ -282,7 +287,7 @@
 	for {
 		statuses := c.readStatuses(ctx, name)
 		candidate, ok := r.Successor(statuses, 0)
-		if ok && candidate.Health.Received.Compare(last.Received) >= 0 {
+		if ok && candidate.Health.Received.Compare(last.Received) >= 0 && !r.HasWarmer(statuses, candidate) {
 			return statuses
 		}
 		if ctx.Err() != nil || c.Clock.Elapsed() > deadline {
--- a/io/failov/failov.go
+++ b/io/failov/failov.go
@@ -94,6 +94,8 @@
 	Promoter coltsfootloft.Promoter
 	// Prober reads the status of databases and demotes them.
 	Prober *probe.Prober
+	// IsCold reports whether a database is cold; none is if it is nil.
+	IsCold func(database string) bool
 	// Clock is monotonic and includes the time in which the host is suspended.
 	Clock coltsfootloft.Clock
 	// Log receives a line for each step of a change.
--- a/io/groups/groups.go
+++ b/io/groups/groups.go
@@ -20,6 +20,7 @@
 	"coltsfootloft/io/dbpool"
 	"coltsfootloft/io/lease"
 	"coltsfootloft/io/mirror"
+	"coltsfootloft/io/warmup"
 )
 
 const (
@@ -52,6 +53,8 @@
 	Drain time.Duration
 	// Regions is the region of each failure domain.
 	Regions map[string]string
+	// Cold limits the requests to cold databases; nil if none are limited.
+	Cold *warmup.Limiter
 
 	mu    sync.Mutex
 	marks map[string]*marks.Marks
@@ -142,6 +145,7 @@
 			continue
 		}
 		cost, up := g.Pools.Cost(id, u.Upstream.Domain() == g.Domain, r.IsPrimary)
+		cost = g.coldCost(id, cost, r.IsPrimary)
 		candidates = append(candidates, ranked{
 			reader: r,
 			cost:   cost,
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -292,9 +292,10 @@
 	}
 	for id, u := range after.Upstreams {
 		old, known := before.Upstreams[id]
-		if !known || old.Removed != u.Removed || old.Leaving != u.Leaving || old.Role != u.Role || old.Started != u.Started {
+		if !known || old.Removed != u.Removed || old.Leaving != u.Leaving || old.Role != u.Role || old.Started != u.Started ||
+			(old.ColdFor > 0) != (u.ColdFor > 0) {
 			m.Log.Info("database", "database", id, "group", u.Group, "domain", u.Upstream.Domain(), "address", u.Upstream.Address(),
-				"role", u.Role.String(), "leaving", u.Leaving, "gone", u.Removed, "born", u.Started, "revision", u.Revision)
+				"role", u.Role.String(), "leaving", u.Leaving, "gone", u.Removed, "born", u.Started, "cold_for", u.ColdFor.String(), "revision", u.Revision)
 		}
 	}
 	for name, g := range after.Groups {
--- a/io/probe/probe.go
+++ b/io/probe/probe.go
@@ -39,6 +39,9 @@
 	RefusalReason func(err error) (coltsfootloft.Reason, bool)
 	// Parse decodes the answer to a command.
 	Parse func(coltsfootloft.Reply) (coltsfootloft.Health, error)
+	// Admit charges a request to a database, for which it waits at most wait, and reports whether
+	// it may be sent. No database is limited if it is nil.
+	Admit func(database string, wait time.Duration) bool
 	// Log receives a line for each answer that can't belong to its command, Metrics counts them.
 	Log     logr.Logger
 	Metrics *metrics.Set
@@ -56,18 +59,30 @@
 
 // Status queries the state of a database. The context must have a deadline.
 func (p *Prober) Status(ctx context.Context, t dbpool.Target) (coltsfootloft.Health, error) {
+	if p.Admit != nil && !p.Admit(t.ID, 0) {
+		return coltsfootloft.Health{}, errors.Wrap(ErrOverloaded, "cold")
+	}
 	return p.send(ctx, t, coltsfootloft.Command{Kind: coltsfootloft.CommandStatus})
 }
 
 // Demote turns a primary of a lower term into a replica and returns its state. The
 // context must have a deadline.
 func (p *Prober) Demote(ctx context.Context, t dbpool.Target, term uint64) (coltsfootloft.Health, error) {
+	if p.Admit != nil && !p.Admit(t.ID, untilHalf(ctx)) {
+		return coltsfootloft.Health{}, errors.Wrap(ErrOverloaded, "cold")
+	}
 	return p.send(ctx, t, coltsfootloft.Command{
 		Kind: coltsfootloft.CommandDemote,
 		Term: term,
 	})
 }
 
+// untilHalf returns half of the time until the deadline of ctx.
+func untilHalf(ctx context.Context) time.Duration {
+	deadline, _ := ctx.Deadline()
+	return time.Until(deadline) / 2
+}
+
 // openCheck is how long a new connection must stay open for the database to count as
 // reachable. If the other end accepts a connection and closes it at once, the close
 // arrives within this time, because both ends are on the same network.
--- a/io/quota/keeper.go
+++ b/io/quota/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/pkg/errors"
@@ -53,6 +54,25 @@
 	return f
 }
 
+// limits returns the limits of the operators' accounts and of the internal accounts in a report.
+func (l *Limiter) limits(accounts map[string]coltsfootloft.Account, lines []grant.Line) map[string]coltsfootloft.Account {
+	if l.Internal == nil {
+		return accounts
+	}
+	all := accounts
+	for _, n := range lines {
+		limit, ok := l.Internal(n.Account)
+		if !ok {
+			continue
+		}
+		if len(all) == len(accounts) {
+			all = maps.Clone(accounts)
+		}
+		all[n.Account] = limit
+	}
+	return all
+}
+
 func (l *Limiter) grants(from string, r *quotapb.Report) []*quotapb.Grant {
 	l.allocatorMu.Lock()
 	defer l.allocatorMu.Unlock()
@@ -83,7 +103,7 @@
 	if r.GetSome() {
 		report = l.allocator.ReportSome
 	}
-	granted := report(l.Clock.Elapsed(), from, lines, v.HostNames(), v.Settings.Accounts)
+	granted := report(l.Clock.Elapsed(), from, lines, v.HostNames(), l.limits(v.Settings.Accounts, lines))
 	grants := make([]*quotapb.Grant, 0, len(granted))
 	for _, x := range granted {
 		grants = append(grants, &quotapb.Grant{
--- a/io/quota/quota.go
+++ b/io/quota/quota.go
@@ -77,6 +77,8 @@
 	Log logr.Logger
 	// StoreAge returns how long ago the store last answered this host.
 	StoreAge func() time.Duration
+	// Internal returns the limit of an account that is not the operators'; there are none if nil.
+	Internal func(account string) (coltsfootloft.Account, bool)
 
 	mu             sync.Mutex
 	accounts       map[string]*account
@@ -131,6 +133,17 @@
 // Admit takes one operation out of the account's rate, and reports whether it could. It
 // waits for the rate until ctx ends.
 func (l *Limiter) Admit(ctx context.Context, name string) bool {
+	if l.Borrow(ctx, name) {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.logRefusal(name, l.account(name))
+	return false
+}
+
+// Borrow is like Admit for an account whose refusals are usual and not logged.
+func (l *Limiter) Borrow(ctx context.Context, name string) bool {
 	l.mu.Lock()
 	a := l.account(name)
 	a.operations++
@@ -154,7 +167,6 @@
 		}
 		if !ok {
 			a.waiting--
-			l.logRefusal(name, a)
 			l.mu.Unlock()
 			return false
 		}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -27,6 +27,7 @@
 	"coltsfootloft/io/dial"
 	"coltsfootloft/io/groups"
 	"coltsfootloft/io/peer"
+	"coltsfootloft/io/warmup"
 )
 
 const (
@@ -52,6 +53,8 @@
 	Groups *groups.Groups
 	// Clock is a monotonic clock that keeps running while the host is suspended.
 	Clock coltsfootloft.Clock
+	// Cold limits the requests to cold databases; nil if none are limited.
+	Cold *warmup.Limiter
 	// HoldTimeout returns how long a connection that is held for another host's
 	// transaction may be idle.
 	HoldTimeout func() time.Duration
@@ -154,10 +157,14 @@
 	if n.conn == nil {
 		return n.exchangeRemote(q, final, keep)
 	}
-	reply, err := n.conn.Exchange(q)
+	reply, err := n.conn.Exchange(n.patient(q, keep))
 	if err == nil {
 		return reply, nil
 	}
+	if errors.Is(err, dbpool.ErrCold) {
+		n.Release(!isInTransaction(q.Statement, keep))
+		return reply, err
+	}
 	if errors.Is(err, dbpool.ErrUnread) || errors.Is(err, coltsfootloft.ErrNotSent) {
 		n.Release(false)
 		return reply, err
--- a/io/relay/serve.go
+++ b/io/relay/serve.go
@@ -86,7 +86,11 @@
 	if failed != nil {
 		return failed, 0
 	}
-	reply, err := conn.Exchange(q)
+	reply, err := conn.Exchange(r.patientFor(q, x, conn.Target()))
+	if errors.Is(err, dbpool.ErrCold) && x.GetHandle() == 0 {
+		r.Pools.Release(conn, true)
+		return &relaypb.Response{Outcome: relaypb.Outcome_OUTCOME_BUSY}, 0
+	}
 	if err != nil {
 		r.Pools.Release(conn, false)
 		if errors.Is(err, coltsfootloft.ErrNotSent) {
@@ -98,7 +102,7 @@
 		return &relaypb.Response{
 			Outcome: relaypb.Outcome_OUTCOME_LOST,
 			Text:    []byte(err.Error()),
-			NotSent: errors.Is(err, dbpool.ErrUnread),
+			NotSent: errors.Is(err, dbpool.ErrUnread) || errors.Is(err, dbpool.ErrCold),
 		}, 0
 	}
 	reply, taken = r.takeCopies(reply)
--- a/stand/linedb/group.go
+++ b/stand/linedb/group.go
@@ -56,12 +56,15 @@
 	MaxConns int
 	// PromoteTime is the duration of a promotion.
 	PromoteTime time.Duration
+	// CountRequests makes databases record all requests that they receive, for [Group.Requests].
+	CountRequests bool
 
 	mu         sync.Mutex
 	databases  map[string]*Database
 	primary    string
 	runs       []Run
 	received   []Run
+	requests   map[string][]Request
 	violations []Violation
 	maxFence   uint64
 	promotions []string
@@ -153,6 +156,22 @@
 	return append([]Run(nil), g.received...)
 }
 
+// Request is one request that a database received, of a caller or of a host itself.
+type Request struct {
+	// Word is its first word.
+	Word string
+	// At is when it arrived.
+	At time.Time
+}
+
+// Requests returns what a database has received since CountRequests was set, in order, without the
+// requests by which hosts check that answers are complete.
+func (g *Group) Requests(id string) []Request {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return append([]Request(nil), g.requests[id]...)
+}
+
 // SetDown takes a database down, or up again if down is false. A database that is
 // down closes its connections and accepts no new ones.
 func (g *Group) SetDown(id string, down bool) {
--- a/stand/linedb/serve.go
+++ b/stand/linedb/serve.go
@@ -110,6 +110,7 @@
 	defer b.group.mu.Unlock()
 	q, fault := parse(id, text)
 	s.noteReceived(q)
+	s.noteRequest(q)
 	if fault != "" {
 		b.noteViolation("%s of %q with id %s", fault, text, id)
 		return answer{text: s.fail("MALFORMED") + s.ready()}
@@ -132,6 +133,21 @@
 	return a
 }
 
+// noteRequest records a request if that is asked for.
+func (s *session) noteRequest(q request) {
+	g := s.database.group
+	if !g.CountRequests || q.word == "PREPARE" && q.fields[0] == "mark" {
+		return
+	}
+	if g.requests == nil {
+		g.requests = make(map[string][]Request)
+	}
+	g.requests[s.database.id] = append(g.requests[s.database.id], Request{
+		Word: q.word,
+		At:   time.Now(),
+	})
+}
+
 // noteReceived adds a statement of a caller to those that the group has received.
 func (s *session) noteReceived(q request) {
 	if q.id == noID {
--- a/topology.go
+++ b/topology.go
@@ -64,6 +64,8 @@
 	name  string
 	rate  float64
 	burst float64
+	// lentOnly is set if hosts may only borrow operations.
+	lentOnly bool
 }
 
 // NewAccount returns an account that may run rate statements per second, and burst
@@ -76,6 +78,16 @@
 	}
 }
 
+// AsLentOnly returns a copy of a whose operations are lent one by one: no host gets a rate of its
+// own, and no change of the allocator adds any.
+func (a Account) AsLentOnly() Account {
+	a.lentOnly = true
+	return a
+}
+
+// IsLentOnly reports whether hosts may only borrow operations.
+func (a Account) IsLentOnly() bool { return a.lentOnly }
+
 // Name is unique in the fleet. Settings of the PostgreSQL front form it as
 // team/account.
 func (a Account) Name() string { return a.name }
