--- a/io/dbpool/pools.go
+++ b/io/dbpool/pools.go
@@ -29,6 +29,9 @@
 var (
 	// ErrBusy means that no permit or no connection became free in time.
 	ErrBusy = errors.New("no connection came free")
+	// ErrCold is the ErrBusy of a cold database that gets no more requests now. Only Exchange
+	// returns it; the connection stays usable.
+	ErrCold = errors.Wrap(ErrBusy, "database is cold")
 	// ErrDown means that the database can't be reached.
 	ErrDown = errors.New("database unreachable")
 	// ErrClosed means that nothing may be sent to the database, as its domain is evacuated. It
@@ -77,6 +80,9 @@
 	IsClosed func(t Target) bool
 	// EstimateWaits makes the pools refuse statements whose turn would come too late.
 	EstimateWaits bool
+	// Charge charges n requests to a database, for which it waits a while, and reports whether
+	// they may be sent. No database is limited if it is nil.
+	Charge func(database string, n int, wait time.Duration) bool
 	// Log receives a line when a database becomes unreachable or reachable again.
 	Log logr.Logger
 	// Metrics receives the counters and histograms.
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -34,6 +34,7 @@
 	"coltsfootloft/io/probe"
 	"coltsfootloft/io/quota"
 	"coltsfootloft/io/relay"
+	"coltsfootloft/io/warmup"
 	"coltsfootloft/platform"
 )
 
@@ -68,6 +69,7 @@
 	relay    *relay.Relay
 	peers    *peer.Links
 	quota    *quota.Shards
+	cold     *warmup.Limiter
 	failover *failov.Controller
 	evac     *evac.Guard
 	server   *entry.Server
@@ -97,6 +99,7 @@
 
 		droppedLines: func() uint64 { return 0 },
 	}
+	e.metrics.GetOrCreateCounter(entry.RegionRefusals)
 	e.metrics.NewGauge(logs.DroppedMetric, func() float64 { return float64(e.droppedLines()) })
 	open := dial.From(s.Peer, 0)
 	e.buildMemory()
@@ -132,6 +135,7 @@
 		Log:               log.WithName("entry"),
 		Metrics:           e.metrics,
 		ReportUnreachable: e.failover.ReportUnreachable,
+		ReadPosition:      e.failover.ReadPosition,
 	}
 	return e
 }
@@ -205,6 +209,14 @@
 }
 
 func (e *Edge) buildDatabases(opener *platform.Dialer) {
+	e.cold = &warmup.Limiter{
+		Mirror:  e.mirror,
+		Clock:   e.clock,
+		Overage: e.settings.ColdOverage,
+		Slack:   e.settings.ColdSlack,
+		Metrics: e.metrics,
+	}
+	e.cold.Expose()
 	owners := &relay.Owners{
 		Self:   e.settings.Name,
 		Mirror: e.mirror,
@@ -215,6 +227,7 @@
 		Clock:         e.clock,
 		Limit:         owners.Limit,
 		Outstanding:   owners.Outstanding,
+		Charge:        e.cold.Admit,
 		Log:           e.log.WithName("lanes"),
 		Metrics:       e.metrics,
 		Memory:        e.messages,
@@ -231,6 +244,8 @@
 		Drain:  e.settings.Drain(),
 
 		Metrics: e.metrics,
+		Regions: e.settings.Regions,
+		Cold:    e.cold,
 	}
 	e.relay = &relay.Relay{
 		Self:           e.settings.Name,
@@ -238,6 +253,7 @@
 		Owners:         owners,
 		Pools:          e.pools,
 		Groups:         e.groups,
+		Cold:           e.cold,
 		Clock:          e.clock,
 		HoldTimeout:    e.holdTimeout,
 		Log:            e.log.WithName("relay"),
@@ -271,6 +287,8 @@
 	for i := range maxQuotaShards {
 		e.quota.Limiters = append(e.quota.Limiters, e.buildQuotaShard(i, client))
 	}
+	e.cold.Quota = e.quota.First()
+	e.quota.First().Internal = e.cold.Account
 	e.failover = &failov.Controller{
 		Self:     e.settings.Name,
 		Peers:    e.peers,
@@ -285,9 +303,11 @@
 			RefusalReason: refusalReason,
 			Parse:         platform.ParseHealth,
 			IsClosed:      e.evac.IsClosed,
+			Admit:         e.cold.AdmitStatus,
 			Log:           e.log.WithName("steward"),
 			Metrics:       e.metrics,
 		},
+		IsCold:  e.cold.IsCold,
 		Clock:   e.clock,
 		Log:     e.log.WithName("steward"),
 		Metrics: e.metrics,
--- a/io/edge/fleet_test.go
+++ b/io/edge/fleet_test.go
@@ -47,7 +47,9 @@
 	evacuate time.Duration
 	// policies are the platform's rules that are in force.
 	policies []string
-	mu       sync.Mutex
+	// change, if not nil, changes the process settings of each host.
+	change func(*conf.EntrySettings)
+	mu     sync.Mutex
 }
 
 // testHost is one host of a fleet.
@@ -225,6 +227,9 @@
 		EvacuateMS:   int(f.evacuate.Milliseconds()),
 		Policies:     f.policies,
 	}
+	if f.change != nil {
+		f.change(&s)
+	}
 	if f.hasHostLinks {
 		f.hostLinks.Add(f.t.Context(), s.Name, s.Peer, listen(f.t, "127.0.62.4"))
 	}
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"coltsfootloft"
+	"coltsfootloft/core/homes"
 	"coltsfootloft/core/prep"
 )
 
@@ -117,6 +118,7 @@
 	// come too late; retry is the least time after which one of them expects it again.
 	useless int
 	retry   time.Duration
+	homes   homes.Homes // where it may run
 }
 
 // admit checks the key, the route and the account's rate for a new operation. It
@@ -132,6 +134,7 @@
 		return o, refusal
 	}
 	o.route = route
+	o.homes = n.server.Groups.Homes(route, n.account)
 	n.server.retries.AddRequest(n.account)
 	if n.account == "" {
 		return o, nil
--- a/io/entry/single.go
+++ b/io/entry/single.go
@@ -25,6 +25,9 @@
 			return n.refuseUseless(o, st)
 		}
 		d, ok := n.choose(o, writes, tried)
+		if !ok && n.isOutsideRegions(o, writes) {
+			return n.refuseOperation(o, st, coltsfootloft.ReasonBusy, outsideRegions)
+		}
 		if !ok {
 			if n.isCutOff(o, writes, tried) {
 				return n.refuseOperation(o, st, coltsfootloft.ReasonBusy, evacuatedText)
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -302,12 +302,16 @@
 	if after.Settings != nil && (before.Settings == nil || before.Settings.Revision != after.Settings.Revision) {
 		m.Log.Info("settings in force", "version", after.Settings.Version, "revision", after.Settings.Revision,
 			"routes", len(after.Settings.Routes), "accounts", len(after.Settings.Accounts), "keys", len(after.Settings.Keys))
+		for _, p := range after.Settings.Problems {
+			m.Log.Info("unusable value in the settings", "version", after.Settings.Version, "value", p)
+		}
 	}
 	for id, u := range after.Upstreams {
 		old, known := before.Upstreams[id]
-		if !known || old.Removed != u.Removed || old.Leaving != u.Leaving || old.Role != u.Role || old.Started != u.Started {
+		if !known || old.Removed != u.Removed || old.Leaving != u.Leaving || old.Role != u.Role || old.Started != u.Started ||
+			(old.ColdFor > 0) != (u.ColdFor > 0) {
 			m.Log.Info("database", "database", id, "group", u.Group, "domain", u.Upstream.Domain(), "address", u.Upstream.Address(),
-				"role", u.Role.String(), "leaving", u.Leaving, "gone", u.Removed, "born", u.Started, "revision", u.Revision)
+				"role", u.Role.String(), "leaving", u.Leaving, "gone", u.Removed, "born", u.Started, "cold_for", u.ColdFor.String(), "revision", u.Revision)
 		}
 	}
 	for name, g := range after.Groups {
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -21,11 +21,13 @@
 	"github.com/pkg/errors"
 
 	"coltsfootloft"
+	"coltsfootloft/core/homes"
 	"coltsfootloft/core/pick"
 	"coltsfootloft/io/dbpool"
 	"coltsfootloft/io/dial"
 	"coltsfootloft/io/groups"
 	"coltsfootloft/io/peer"
+	"coltsfootloft/io/warmup"
 )
 
 const (
@@ -51,6 +53,8 @@
 	Groups *groups.Groups
 	// Clock is a monotonic clock that keeps running while the host is suspended.
 	Clock coltsfootloft.Clock
+	// Cold limits the requests to cold databases; nil if none are limited.
+	Cold *warmup.Limiter
 	// HoldTimeout returns how long a connection that is held for another host's
 	// transaction may be idle.
 	HoldTimeout func() time.Duration
@@ -87,8 +91,9 @@
 
 // Borrow lends a connection for statements with a priority, where 0 is the most urgent.
 // primary is nil unless the database is used as primary. If another host owns the
-// connection, it is taken with the first statement. Errors are those of Pools.Acquire.
-func (r *Relay) Borrow(ctx context.Context, t dbpool.Target, account string, priority int, primary *groups.Primary) (*Conn, error) {
+// connection, it is taken with the first statement. Owners that h excludes are not used. Errors are
+// those of Pools.Acquire.
+func (r *Relay) Borrow(ctx context.Context, t dbpool.Target, account string, priority int, primary *groups.Primary, h homes.Homes) (*Conn, error) {
 	if r.isClosed(t) {
 		return nil, dbpool.ErrClosed
 	}
@@ -99,7 +104,7 @@
 		priority: priority,
 		primary:  primary,
 	}
-	if owner, ok := r.remoteOwner(t.ID, account); ok {
+	if owner, ok := r.remoteOwner(t.ID, account, h); ok {
 		n.owner = owner
 		deadline, _ := ctx.Deadline()
 		n.wait = time.Until(deadline)
@@ -115,11 +120,11 @@
 
 // remoteOwner returns the host to which a statement should be forwarded. It reports false
 // if the statement should use a connection of this host.
-func (r *Relay) remoteOwner(database, account string) (string, bool) {
+func (r *Relay) remoteOwner(database, account string, allowed homes.Homes) (string, bool) {
 	const maxRemote = 2 // owners that are tried before this host itself
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for i, h := range r.Owners.Of(database, account) {
+	for i, h := range r.owners(database, account, allowed) {
 		if h == r.Self || i >= maxRemote {
 			return "", false
 		}
@@ -158,10 +163,14 @@
 		}
 		return n.exchangeRemote(q, final, keep)
 	}
-	reply, err := n.conn.Exchange(q)
+	reply, err := n.conn.Exchange(n.patient(q, keep))
 	if err == nil {
 		return reply, nil
 	}
+	if errors.Is(err, dbpool.ErrCold) {
+		n.Release(!isInTransaction(q.Statement, keep))
+		return reply, err
+	}
 	if errors.Is(err, dbpool.ErrUnread) || errors.Is(err, coltsfootloft.ErrNotSent) {
 		n.Release(false)
 		return reply, err
--- a/stand/opset/opset.go
+++ b/stand/opset/opset.go
@@ -49,6 +49,7 @@
 	TimeoutMs, TargetLatencyMs     int
 	MaxStalenessMs, Priority       int
 	Public                         bool
+	AllowedRegions                 any `json:",omitempty"`
 }
 
 // Service is one database group.
@@ -56,6 +57,8 @@
 	Name         string
 	MaxConns     int
 	SyncReplicas int
+	ColdStartS   any `json:",omitempty"`
+	ColdPerS     any `json:",omitempty"`
 }
 
 // Tenant is one client account.
@@ -64,6 +67,8 @@
 	ApiKeys  []string //nolint:revive // the platform's name
 	RatePerS float64
 	Burst    float64
+
+	AllowedRegions any `json:",omitempty"`
 }
 
 // Entry returns the entry of a database.
