--- a/io/groups/groups.go
+++ b/io/groups/groups.go
@@ -124,8 +124,8 @@
 }
 
 // Readers returns the databases that may serve a read, in the order of increasing cost.
-// Databases that could not be reached recently come last, after them those of evacuated domains, and
-// of domains whose evacuation has just ended, which return with a growing share of the reads.
+// Databases that could not be reached recently come last, and before them those of evacuated domains,
+// and of domains whose evacuation has just ended, which return with a growing share of the reads.
 func (g *Groups) Readers(group string) []Reader {
 	type ranked struct {
 		reader Reader
@@ -156,21 +156,13 @@
 			last:   g.isLast(v, u),
 		})
 	}
-	byCost := func(a, b ranked) int {
-		if a.up != b.up {
-			return first(a.up)
-		}
-		return cmp.Compare(a.cost, b.cost)
-	}
+	byCost := func(a, b ranked) int { return cmp.Or(first(a.up, b.up), cmp.Compare(a.cost, b.cost)) }
 	if len(candidates) > 0 && slices.MinFunc(candidates, byCost).last {
 		g.countElsewhere()
 	}
 	candidates = slices.DeleteFunc(candidates, func(r ranked) bool { return r.state == evac.Closed })
 	slices.SortFunc(candidates, func(a, b ranked) int {
-		if a.last != b.last {
-			return first(b.last)
-		}
-		return byCost(a, b)
+		return cmp.Or(first(a.up, b.up), first(b.last, a.last), cmp.Compare(a.cost, b.cost))
 	})
 	readers := make([]Reader, len(candidates))
 	for i, r := range candidates {
@@ -179,9 +171,12 @@
 	return readers
 }
 
-// first returns the result of a comparison in which a comes first if isFirst is set.
-func first(isFirst bool) int {
-	if isFirst {
+// first returns the result of a comparison in which what is set comes first.
+func first(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
 		return -1
 	}
 	return 1
--- a/io/mirror/evacuations.go
+++ b/io/mirror/evacuations.go
@@ -49,6 +49,14 @@
 	return nil
 }
 
+// applyStale uses a change that a later listing has overtaken: the evacuation in it is in force if the
+// listing shows something that can't be read in place of it.
+func (m *Mirror) applyStale(v *View, e coltsfootloft.Event) {
+	if e.Kind == coltsfootloft.EventEvacuation && !e.Deleted && e.Err == nil && v.Evacuations.IsUnreadable(e.Key) {
+		m.beginEvacuation(v, e.Key, e.Revision)
+	}
+}
+
 // beginEvacuation notes an evacuation. One of an earlier era of the store than the view was
 // acknowledged before the era began, so what this host has listed since does not count.
 func (m *Mirror) beginEvacuation(v *View, domain string, revision uint64) {
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -237,6 +237,7 @@
 		var applied []coltsfootloft.Event
 		for _, e := range events {
 			if e.Revision <= v.Revision {
+				m.applyStale(v, e)
 				continue // a later listing includes it
 			}
 			if err := m.apply(v, now, e); err != nil {
@@ -254,6 +255,9 @@
 func (m *Mirror) replaceAll(events []coltsfootloft.Event, revision uint64) {
 	m.update(revision, func(v *View, now time.Duration) []error {
 		if revision < v.Revision {
+			for _, e := range events {
+				m.applyStale(v, e)
+			}
 			return nil
 		}
 		before := v.hostsBefore()
