--- a/io/failov/change.go
+++ b/io/failov/change.go
@@ -39,6 +39,9 @@
 // errNotHolder ends a change on a host that no longer holds the duty.
 var errNotHolder = errors.New("duty lost")
 
+// errNoSuccessor ends a change that has not begun, as no database can take over.
+var errNoSuccessor = errors.New("no database can take over")
+
 // readStatuses asks all databases of a group for their status, except the unreachable
 // ones.
 func (c *Controller) readStatuses(ctx context.Context, name string, unreachable ...string) []leader.Status {
@@ -115,7 +118,7 @@
 	primary, err := c.replacePrimary(ctx, name, g, unreachable)
 	took := c.Clock.Elapsed() - started
 	if err != nil {
-		if cause == evacuatedPrimary {
+		if cause == evacuatedPrimary && errors.Is(err, errNoSuccessor) {
 			c.notePartial(name, err.Error())
 		}
 		c.Log.Info("change of primary not done", "group", name, "why", cause, "reason", err.Error(), "took_ms", took.Milliseconds())
@@ -135,7 +138,7 @@
 	version := g.Revision
 	if !r.Closing {
 		if _, ok := r.Successor(c.readStatuses(ctx, name, unreachable...), c.syncReplicas(name)); !ok {
-			return "", errors.New("no database can take over")
+			return "", errNoSuccessor
 		}
 		r.Closing = true
 		v, err := c.writeRecord(ctx, name, r, version)
