--- a/io/edge/evacuated_test.go
+++ b/io/edge/evacuated_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -106,8 +107,8 @@
 	assert.Equal(t, len(f.group.Promotions()), 0)
 }
 
-// TestTransactionEndsWithEvacuation guards against a COMMIT or ROLLBACK that reaches a closed database,
-// and a transaction that stays open there.
+// TestTransactionEndsWithEvacuation guards against a COMMIT, a ROLLBACK or a read of a transaction that
+// reaches a closed database, and a transaction that stays open there.
 func TestTransactionEndsWithEvacuation(t *testing.T) {
 	f := startEvacuating(t, 3, func(f *fleet) { f.config.Limits["TxIdleMs"] = 20000 })
 	var open []*client
@@ -117,10 +118,20 @@
 		c.must("WRITE held-" + h.settings.Name + " 1")
 		open = append(open, c)
 	}
+	var readers sync.WaitGroup
+	for i := range 6 {
+		c, _ := connect(t, f.hosts[i%3], "board", "key-arima")
+		readers.Go(func() {
+			c.do("BEGIN READ")
+			for c.do("READ held").code == "" {
+			}
+		})
+	}
 	for n := range 3 {
 		f.evacuateDomain(n + 1)
 	}
 	time.Sleep(evacuateBound + 100*time.Millisecond)
+	readers.Wait()
 	assert.Equal(t, open[0].do("COMMIT").code, "ABORTED")
 	assert.Equal(t, open[1].do("WRITE more 1").code, "ABORTED")
 	open[2].do("ROLLBACK")
--- a/io/entry/transaction.go
+++ b/io/entry/transaction.go
@@ -346,8 +346,13 @@
 	return n.answerAborted(st, text)
 }
 
-// primaryLostReason explains why the host may no longer use a primary.
+// primaryLostReason explains why the host may no longer use a primary. It counts a transaction that an
+// evacuation ends.
 func (n *session) primaryLostReason() string {
+	if n.server.Groups.IsCutOff(n.tx.route.Group) {
+		n.countAborted()
+		return evacuatedTxCause
+	}
 	if !n.server.Groups.Lease.Valid() {
 		return "the host has lost its lease"
 	}
