--- a/io/edge/evacuated_test.go
+++ b/io/edge/evacuated_test.go
@@ -50,6 +50,7 @@
 			}
 			time.Sleep(evacuateBound + 500*time.Millisecond)
 			f.checkLate()
+			assert.Equal(t, f.group.Connections("db-1"), 0)
 			f.store.SetFaults(keyval.Faults{})
 			before := len(f.group.Runs())
 			f.cancelEvacuation(1)
--- a/stand/linedb/closed.go
+++ b/stand/linedb/closed.go
@@ -16,6 +16,13 @@
 // Reopen declares that anything may arrive at a database again.
 func (g *Group) Reopen(id string) { g.Close(id, time.Time{}) }
 
+// Connections returns how many connections to a database are open.
+func (g *Group) Connections(id string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.databases[id].conns)
+}
+
 // Late returns what has arrived at databases while nothing might: connections, sessions and requests.
 func (g *Group) Late() []Violation {
 	g.mu.Lock()
