--- a/io/relay/closed_test.go
+++ b/io/relay/closed_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"coltsfootloft"
+	"coltsfootloft/core/homes"
 	"coltsfootloft/io/dbpool"
 	"coltsfootloft/io/relay/relaypb"
 )
@@ -27,7 +28,7 @@
 	r.Pools.IsClosed = func(dbpool.Target) bool { return closed.Load() }
 	q, ok := r.request(foreign("a1", "READ x", coltsfootloft.VerbRead), time.Now().Add(10*time.Second))
 	assert.Assert(t, ok)
-	own, err := r.Borrow(t.Context(), dbpool.Target{ID: "db-1"}, "arima", 0, nil)
+	own, err := r.Borrow(t.Context(), dbpool.Target{ID: "db-1"}, "arima", 0, nil, homes.Homes{})
 	assert.NilError(t, err)
 	var held []uint64
 	for range 3 {
@@ -40,7 +41,7 @@
 
 	_, err = own.Exchange(q, q.Deadline, false)
 	assert.Assert(t, errors.Is(err, dbpool.ErrClosed) && errors.Is(err, dbpool.ErrBusy), "%v", err)
-	_, err = r.Borrow(t.Context(), dbpool.Target{ID: "db-1"}, "arima", 0, nil)
+	_, err = r.Borrow(t.Context(), dbpool.Target{ID: "db-1"}, "arima", 0, nil, homes.Homes{})
 	assert.Assert(t, errors.Is(err, dbpool.ErrClosed), "%v", err)
 	a, _ := r.exchange("other", foreign("a2", "READ x", coltsfootloft.VerbRead))
 	assert.Equal(t, a.GetOutcome(), relaypb.Outcome_OUTCOME_BUSY)
