--- a/cmd/soak/host.go
+++ b/cmd/soak/host.go
@@ -92,6 +92,7 @@
 		WithdrawalMS: int(withdrawal.Milliseconds()),
 		DrainMS:      int(drain.Milliseconds()),
 		GraceS:       grace.Seconds(),
+		EvacuateMS:   int(evacuation.Milliseconds()),
 	}
 	if i >= maxLinked {
 		return h, nil
--- a/cmd/soak/moves.go
+++ b/cmd/soak/moves.go
@@ -43,6 +43,7 @@
 		"errors":   answerErrors,
 		"herd":     sendHerd,
 		"odd":      writeOddEntry,
+		"evacuate": evacuate,
 	}
 }
 
@@ -197,12 +198,19 @@
 			f.RefusedHosts[h.ip] = random.IntN(3) == 0
 		}
 	case 4:
-		s.slowStore(ctx, d, between(random, 20*time.Millisecond, 300*time.Millisecond))
+		delay := between(random, 20*time.Millisecond, 300*time.Millisecond)
+		if delay > maxContactDelay {
+			s.noteAway(d)
+		}
+		s.slowStore(ctx, d, delay)
 		return
 	default:
 		s.store.Compact()
 		return
 	}
+	if f.Down || f.NoAnswers || f.RefusedHosts != nil {
+		s.noteAway(d)
+	}
 	s.store.SetFaults(f)
 	rest(ctx, d)
 	s.store.SetFaults(keyval.Faults{})
--- a/cmd/soak/play.go
+++ b/cmd/soak/play.go
@@ -64,6 +64,7 @@
 		return errors.Wrap(ctx.Err(), "interrupted")
 	}
 	s.check()
+	s.checkEvacuations()
 	return s.summarise()
 }
 
@@ -123,6 +124,12 @@
 	for last := time.Now(); ctx.Err() == nil; last = time.Now() {
 		time.Sleep(interval)
 		if d := time.Since(last); d > still {
+			s.mu.Lock()
+			s.away = append(s.away, span{
+				from: last,
+				to:   time.Now(),
+			})
+			s.mu.Unlock()
 			s.printf("NOTE the soak itself stood still for %s", d.Round(time.Millisecond))
 		}
 	}
--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -23,6 +23,7 @@
 	withdrawal  = 5 * time.Second
 	drain       = 7 * time.Second
 	grace       = 6 * time.Second
+	evacuation  = 5 * time.Second // until nothing more reaches an evacuated domain
 	recovery    = 12 * time.Second
 	promotion   = 600 * time.Millisecond
 	lag         = 60 * time.Millisecond // of replicas
@@ -50,6 +51,8 @@
 	record    audit.Record
 	acked     []write
 	impaired  []span
+	away      []span          // in which the store answered no host, or this process stood still
+	evacuated map[string]bool // domains that a move evacuates
 	problems  []audit.Problem
 	ends      map[string]int
 	outcomes  map[string]int
@@ -76,14 +79,16 @@
 
 func newSoak(ctx context.Context, o options, folder string) (*soak, error) {
 	s := &soak{
-		options:  o,
-		folder:   folder,
-		net:      fmt.Sprintf("127.%d", 64+os.Getpid()%128), // so that several runs have room
-		random:   rand.New(rand.NewPCG(o.seed, 0)),
-		begun:    time.Now(),
-		record:   audit.Record{Limit: withdrawal},
-		ends:     make(map[string]int),
-		outcomes: make(map[string]int),
+		options: o,
+		folder:  folder,
+		net:     fmt.Sprintf("127.%d", 64+os.Getpid()%128), // so that several runs have room
+		random:  rand.New(rand.NewPCG(o.seed, 0)),
+		begun:   time.Now(),
+		record:  audit.Record{Limit: withdrawal},
+		ends:    make(map[string]int),
+
+		evacuated: make(map[string]bool),
+		outcomes:  make(map[string]int),
 	}
 	if err := s.startStore(ctx); err != nil {
 		return nil, err
--- a/stand/linedb/group.go
+++ b/stand/linedb/group.go
@@ -67,7 +67,7 @@
 	promotions []string
 	first      string      // the first primary
 	history    []promotion // changes of the primary after it, in order
-	late       []Violation
+	late       []Arrival
 }
 
 // Database is one database of a group.
@@ -277,7 +277,7 @@
 		}
 		b.group.mu.Lock()
 		down := b.down
-		b.noteArrival("connection", "")
+		b.noteArrival(conn, "connection", "")
 		if !down {
 			b.conns[conn] = struct{}{}
 		}
--- a/stand/linedb/serve.go
+++ b/stand/linedb/serve.go
@@ -39,7 +39,7 @@
 func (b *Database) serve(conn net.Conn) {
 	r := crlf.New(conn)
 	w := &wire{conn: conn}
-	s, a := b.open(r)
+	s, a := b.open(conn, r)
 	if err := w.send(a); err != nil || s == nil {
 		return
 	}
@@ -48,7 +48,7 @@
 		if err != nil || line == "BYE" {
 			return
 		}
-		b.arrived(line)
+		b.arrived(conn, line)
 		fields, ok := crlf.Split(line, 3)
 		if !ok || fields[0] != "QUERY" {
 			b.violation("%q is no request", line)
@@ -63,11 +63,12 @@
 
 // open reads the first line of a session and returns the session and the answer. The
 // session is nil if it is refused.
-func (b *Database) open(r *crlf.Reader) (*session, answer) {
+func (b *Database) open(conn net.Conn, r *crlf.Reader) (*session, answer) {
 	first, err := r.Line()
 	if err != nil {
 		return nil, answer{}
 	}
+	b.arrived(conn, first)
 	f := strings.Split(first, " ")
 	if _, ok := crlf.Split(first, len(f)); !ok || f[0] != "START" || len(f) < 3 || len(f) > 4 {
 		b.violation("%q starts no session", first)
@@ -76,7 +77,6 @@
 	g := b.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	b.noteArrival("session", first)
 	switch {
 	case f[1] != g.Name || len(f) > 3 && f[3] != b.id:
 		return nil, answer{text: "ERR MISROUTED " + b.id + "\r\n"}
