--- a/io/evac/evac.go
+++ b/io/evac/evac.go
@@ -53,19 +53,27 @@
 // Run takes the host off closed databases until ctx ends. It returns at once if domains can't be
 // evacuated.
 func (g *Guard) Run(ctx context.Context) {
+	g.expose()
 	if !g.Mirror.View().Evacuations.Enabled() {
 		return
 	}
 	g.done = make(map[string]uint64)
-	g.Metrics.NewGauge("coltsfootloft_evacuated_domains", func() float64 {
-		return float64(len(g.Mirror.EvacuatedDomains()))
-	})
 	for ctx.Err() == nil {
 		changed := g.Mirror.Changed()
 		pause.Until(ctx, changed, g.enforce())
 	}
 }
 
+// expose shows the metrics of evacuations from the start.
+func (g *Guard) expose() {
+	g.Metrics.NewGauge("coltsfootloft_evacuated_domains", func() float64 {
+		return float64(len(g.Mirror.EvacuatedDomains()))
+	})
+	for _, name := range []string{"evacuation_elsewhere", "evacuation_refused", "evacuation_aborted", "evacuations_partial"} {
+		g.Metrics.GetOrCreateCounter("coltsfootloft_" + name + "_total")
+	}
+}
+
 // enforce takes the host off closed databases, and returns when that is to be done again.
 func (g *Guard) enforce() time.Duration {
 	t := &g.Mirror.View().Evacuations
