--- a/io/mirror/evacuations.go
+++ b/io/mirror/evacuations.go
@@ -115,8 +115,16 @@
 }
 
 // knownDomains returns the failure domains that databases, hosts or the process settings name,
-// sorted.
+// sorted. They are listed once for each published view, since each report to a quota keeper and
+// each answer to one needs them.
 func (m *Mirror) knownDomains(v *View) []string {
+	if v.domains != nil {
+		return v.domains
+	}
+	return m.listDomains(v)
+}
+
+func (m *Mirror) listDomains(v *View) []string {
 	domains := append([]string{m.Domain}, m.Domains...)
 	for _, u := range v.Upstreams {
 		domains = append(domains, u.Upstream.Domain())
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -279,6 +279,9 @@
 	problems := change(v, now)
 	v.Revision = max(v.Revision, revision)
 	v.expire(now)
+	if m.EvacuateBound > 0 {
+		v.domains = m.listDomains(v)
+	}
 	m.history.dropEnded(before, v)
 	m.view.Store(v)
 	if v.Settings != nil && v.Settings.Version >= m.LatestVersion() {
--- a/io/mirror/view.go
+++ b/io/mirror/view.go
@@ -112,6 +112,10 @@
 	Settled Settled
 	// Past is what the host knew of the store's earlier eras.
 	Past Past
+
+	// domains are the failure domains that the view and the process settings name, sorted; nil
+	// until the view is published, or if domains can't be evacuated.
+	domains []string
 	// Evacuations are the evacuated failure domains.
 	Evacuations evac.Table
 }
@@ -149,6 +153,7 @@
 	c.OddDuties = maps.Clone(v.OddDuties)
 	c.FormerHolders = maps.Clone(v.FormerHolders)
 	c.Evacuations = v.Evacuations.Clone()
+	c.domains = nil
 	return &c
 }
 
