--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -3,7 +3,8 @@
 // Each database has an expected cost in milliseconds, derived from what this host
 // has observed: its usual latency, its outstanding statements and its recent
 // refusals. A database in another failure domain also costs the round trip and
-// the traffic between domains. The database with the lowest cost is tried first.
+// the traffic between domains. Where the load of a database is known, the expected time until
+// its answer takes the place of what the host has observed. The database with the lowest cost is tried first.
 package pick
 
 import (
@@ -17,6 +18,9 @@
 	// remoteCost is the cost of another failure domain, in ms: a round trip of
 	// about 2 ms between the users' sites, doubled for the price of the traffic.
 	remoteCost = 5.0
+	// TrafficCost is the cost of the traffic between domains, in ms, where the round trip is
+	// measured.
+	TrafficCost = 5.0
 	// primaryCost keeps reads away from a primary, which also serves the writes,
 	// in ms: about half the usual work of a read.
 	primaryCost = 8.0
@@ -137,6 +141,23 @@
 	if !sameDomain {
 		cost += remoteCost
 	}
+	return cost + c.penalties(now, primary)
+}
+
+// LoadedCost returns the expected cost of a read, in ms, at a database whose load is known: the
+// expected time until the answer, which includes the way there, and the cost of the traffic
+// between domains. sameDomain and primary are as in Cost.
+func (c *Candidate) LoadedCost(now, expected time.Duration, sameDomain, primary bool) float64 {
+	cost := float64(expected) / float64(time.Millisecond)
+	if !sameDomain {
+		cost += TrafficCost
+	}
+	return cost + c.penalties(now, primary)
+}
+
+// penalties returns what a database costs for what it did before, and for being the primary, in ms.
+func (c *Candidate) penalties(now time.Duration, primary bool) float64 {
+	cost := 0.0
 	if primary {
 		cost += primaryCost
 	}
--- a/core/pick/pick_test.go
+++ b/core/pick/pick_test.go
@@ -77,3 +77,19 @@
 	later := now + 10*time.Second
 	assert.Assert(t, c.Cost(later, true, false) < healthy.Cost(later, true, false)+1)
 }
+
+// TestLoadTakesThePlaceOfObservations guards against a database that is chosen by what this host alone has
+// outstanding there although its load is known, and against a load that hides failures.
+func TestLoadTakesThePlaceOfObservations(t *testing.T) {
+	const now = time.Minute
+	const expected = 40 * time.Millisecond
+	var c Candidate
+	for range 9 {
+		c.Start()
+	}
+	assert.Equal(t, c.LoadedCost(now, expected, true, false), 40.0)
+	assert.Equal(t, c.LoadedCost(now, expected, false, false), 40+TrafficCost)
+	assert.Equal(t, c.LoadedCost(now, expected, true, true), 40+primaryCost)
+	c.Busy(now)
+	assert.Equal(t, c.LoadedCost(now, expected, true, false), 40+busyCost)
+}
--- a/io/dbpool/conn.go
+++ b/io/dbpool/conn.go
@@ -30,11 +30,17 @@
 	hasPermit bool
 	// permitSince is when it took the permit.
 	permitSince time.Duration
+	// foreign is set if it is lent to a host of another failure domain.
+	foreign bool
 }
 
 // Target returns the database of the connection.
 func (c *Conn) Target() Target { return c.target }
 
+// LendAbroad records that the connection is lent to a host of another failure domain, until it
+// is released.
+func (c *Conn) LendAbroad() { c.foreign = true }
+
 // Request is one statement and the conditions under which it runs.
 type Request struct {
 	// Statement is the caller's statement.
@@ -90,6 +96,10 @@
 	RecordReply(&n.candidate, now, started, reply)
 	if c.hasPermit && reply.Reason != coltsfootloft.ReasonBusy {
 		n.gate.Observe(now - c.permitSince)
+		if p.SlotShare != nil {
+			n.meter.Slots, _ = p.SlotShare(c.target)
+		}
+		n.meter.Answered(now, now-c.permitSince, c.foreign, n.gate.Waiting())
 	}
 	p.releasePermit(n, c, reply.Reason == coltsfootloft.ReasonBusy)
 }
--- a/io/dbpool/pools.go
+++ b/io/dbpool/pools.go
@@ -21,6 +21,7 @@
 
 	"coltsfootloft"
 	"coltsfootloft/core/gate"
+	"coltsfootloft/core/meter"
 	"coltsfootloft/core/pick"
 	"coltsfootloft/io/ask"
 )
@@ -72,6 +73,9 @@
 	Limit, Outstanding func(t Target) int
 	// EstimateWaits makes the pools refuse statements whose turn would come too late.
 	EstimateWaits bool
+	// SlotShare returns the part of a database's slots that falls to each host that owns
+	// connections, and how many do. It is nil if loads are not measured.
+	SlotShare func(t Target) (slots float64, owners int)
 	// Log receives a line when a database becomes unreachable or reachable again.
 	Log logr.Logger
 	// Metrics receives the counters and histograms.
@@ -93,6 +97,7 @@
 	waiters        []*connWaiter
 	candidate      pick.Candidate
 	gate           gate.Gate[*permitWaiter]
+	meter          meter.Meter
 	isDown         bool
 	exhaustedUntil time.Duration
 	exhaustedFor   time.Duration
@@ -137,6 +142,7 @@
 	}
 	c.hasPermit = true
 	c.permitSince = since
+	c.foreign = false
 	return c, nil
 }
 
@@ -344,6 +350,15 @@
 	return c.Cost(now, local, primary), !c.IsDown(now)
 }
 
+// LoadedCost is like Cost for a database whose load is known.
+func (p *Pools) LoadedCost(id string, expected time.Duration, local, primary bool) (cost float64, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Clock.Elapsed()
+	c := &p.pool(id).candidate
+	return c.LoadedCost(now, expected, local, primary), !c.IsDown(now)
+}
+
 // LacksPosition reports whether a database is known not to have applied a position.
 func (p *Pools) LacksPosition(id string, position coltsfootloft.Position) bool {
 	p.mu.Lock()
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -203,7 +203,6 @@
 		Metrics:       e.metrics,
 		Memory:        e.messages,
 		StateMemory:   e.values,
-		EstimateWaits: platform.RulesPressure(e.settings.Policies),
 	}
 	e.groups = &groups.Groups{
 		Mirror: e.mirror,
@@ -226,6 +225,12 @@
 		CheckStatement: platform.CheckStatement,
 		CheckCommand:   platform.CheckCommand,
 	}
+	if platform.RulesPressure(e.settings.Policies) {
+		e.pools.EstimateWaits = true
+		e.pools.SlotShare = owners.SlotShare
+		e.groups.Expect = e.relay.Expect
+		e.groups.Metrics = e.metrics
+	}
 	e.relay.Register()
 }
 
--- a/io/entry/choose.go
+++ b/io/entry/choose.go
@@ -80,7 +80,10 @@
 		return n.choosePrimary(o)
 	}
 	after, fresh := n.requiredPosition(o)
-	for _, r := range n.server.Groups.Readers(o.route.Group) {
+	for _, r := range n.server.Groups.Readers(o.route.Group, n.read(o, len(tried) > 0 || o.tries > 0)) {
+		if r.IsAbroad && o.useless > 0 {
+			continue // the load of the host's domain is no reason to leave it
+		}
 		if tried[r.Target.ID] || !r.IsPrimary && (!fresh || n.server.Groups.Pools.LacksPosition(r.Target.ID, after)) {
 			continue
 		}
@@ -93,6 +96,16 @@
 	return destination{}, false
 }
 
+// read returns what the choice of a database for a read depends on.
+func (n *session) read(o *operation, again bool) groups.Read {
+	return groups.Read{
+		Account:       n.account,
+		Priority:      o.route.Priority,
+		TargetLatency: o.route.TargetLatency,
+		IsAgain:       again,
+	}
+}
+
 // requiredPosition returns the position that a replica must have applied to satisfy
 // the route's consistency level; ok is false if it is not known.
 func (n *session) requiredPosition(o *operation) (p coltsfootloft.Position, ok bool) {
--- a/io/entry/single.go
+++ b/io/entry/single.go
@@ -60,7 +60,7 @@
 	sent := s.Clock.Elapsed()
 	final := o.wall.Add(o.route.Timeout)
 	deadline := final
-	retryAt := time.Now().Add(time.Duration(float64(o.route.TargetLatency) * readRetryShare))
+	retryAt := time.Now().Add(n.answerTime(o, d))
 	if !writes && retryAt.Before(final) && s.retries.Available(n.account) {
 		deadline = retryAt
 	}
@@ -104,6 +104,19 @@
 	return reply, true
 }
 
+// answerTime returns the time after which an unanswered read is sent again: readRetryShare of the
+// target latency, or more if the load of the database explains that it is not answered yet.
+func (n *session) answerTime(o *operation, d destination) time.Duration {
+	const margin = 2 // of the mean time until the answer
+	t := time.Duration(float64(o.route.TargetLatency) * readRetryShare)
+	if expect := n.server.Groups.Expect; expect != nil {
+		if e, ok := expect(d.reader.Target, n.account, o.route.Priority); ok {
+			t = max(t, margin*e.Total())
+		}
+	}
+	return t
+}
+
 // primaryNotConfirmed handles an answer of a primary that may have been replaced before
 // it ran the statement, for example because the host was suspended in between. A read
 // is tried again; the outcome of a write is unknown.
--- a/io/entry/useless.go
+++ b/io/entry/useless.go
@@ -33,7 +33,13 @@
 	if writes || o.route.Kind == coltsfootloft.RoutePrimary {
 		return true
 	}
-	return o.useless >= len(n.server.Groups.Readers(o.route.Group))
+	may := 0
+	for _, r := range n.server.Groups.Readers(o.route.Group, n.read(o, true)) {
+		if !r.IsAbroad {
+			may++
+		}
+	}
+	return o.useless >= may
 }
 
 // refuseUseless refuses an operation that is hopeless.
--- a/io/groups/groups.go
+++ b/io/groups/groups.go
@@ -10,13 +10,16 @@
 package groups
 
 import (
-	"cmp"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"coltsfootloft"
+	"coltsfootloft/core/load"
 	"coltsfootloft/core/marks"
+	"coltsfootloft/core/spill"
 	"coltsfootloft/io/dbpool"
 	"coltsfootloft/io/lease"
 	"coltsfootloft/io/mirror"
@@ -51,8 +54,15 @@
 	// Drain is how long a leaving database may still get work.
 	Drain time.Duration
 
-	mu    sync.Mutex
-	marks map[string]*marks.Marks
+	// Expect returns what a statement of an account with a priority is expected to take at a
+	// database, if its load is known. It is nil if loads are not measured.
+	Expect func(t dbpool.Target, account string, priority int) (load.Estimate, bool)
+	// Metrics receives what leaves the domain for its load. It is unused if Expect is nil.
+	Metrics *metrics.Set
+
+	mu     sync.Mutex
+	marks  map[string]*marks.Marks
+	spills map[string]*spill.Spill
 }
 
 // Primary is the primary of a group in one epoch. The host may send it work while MaySend
@@ -116,16 +126,14 @@
 	Primary Primary
 	// IsPrimary is set if the database is the primary that the record names.
 	IsPrimary bool
+	// IsAbroad is set if the database is in another failure domain, to which the read is not sent
+	// for the load of the host's own.
+	IsAbroad bool
 }
 
 // Readers returns the databases that may serve a read, in the order of increasing cost.
 // Databases that could not be reached recently come last.
-func (g *Groups) Readers(group string) []Reader {
-	type ranked struct {
-		reader Reader
-		cost   float64
-		up     bool
-	}
+func (g *Groups) Readers(group string, q Read) []Reader {
 	primary, hasPrimary := g.Primary(group)
 	v := g.Mirror.View()
 	var candidates []ranked
@@ -139,22 +147,12 @@
 		case id == v.Groups[group].Primary || u.Leaving || u.Removed && g.Clock.Elapsed()-u.Since > removedGrace:
 			continue
 		}
-		cost, up := g.Pools.Cost(id, u.Upstream.Domain() == g.Domain, r.IsPrimary)
-		candidates = append(candidates, ranked{
-			reader: r,
-			cost:   cost,
-			up:     up,
-		})
+		candidates = append(candidates, g.rank(r, u.Upstream.Domain(), q))
 	}
-	slices.SortFunc(candidates, func(a, b ranked) int {
-		if a.up != b.up {
-			if a.up {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Compare(a.cost, b.cost)
-	})
+	if g.Expect != nil {
+		g.spill(v, group, candidates, q)
+	}
+	slices.SortFunc(candidates, compare)
 	readers := make([]Reader, len(candidates))
 	for i, r := range candidates {
 		readers[i] = r.reader
--- /dev/null
+++ b/io/groups/readers.go
@@ -0,0 +1,90 @@
+package groups
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"time"
+
+	"coltsfootloft/core/load"
+	"coltsfootloft/io/mirror"
+)
+
+// Read is a read that needs a database.
+type Read struct {
+	// Account is the client account, Priority that of the route.
+	Account  string
+	Priority int
+	// TargetLatency is that of the route.
+	TargetLatency time.Duration
+	// IsAgain is set if a database was chosen for the read before.
+	IsAgain bool
+}
+
+// ranked is a candidate for a read.
+type ranked struct {
+	reader   Reader
+	domain   string
+	cost     float64
+	up       bool
+	estimate load.Estimate
+	known    bool          // the load is
+	expected time.Duration // until the answer, as it counts in the cost
+	leaves   bool          // for the load of the host's own domain
+}
+
+// rank returns a candidate with its cost, by its load if that is known.
+func (g *Groups) rank(r Reader, domain string, q Read) ranked {
+	c := ranked{
+		reader: r,
+		domain: domain,
+	}
+	id, local := r.Target.ID, domain == g.Domain
+	if g.Expect != nil {
+		c.estimate, c.known = g.Expect(r.Target, q.Account, q.Priority)
+	}
+	if c.known {
+		c.expected = c.estimate.Spread(rand.Float64())
+		c.cost, c.up = g.Pools.LoadedCost(id, c.expected, local, r.IsPrimary)
+	} else {
+		c.cost, c.up = g.Pools.Cost(id, local, r.IsPrimary)
+	}
+	return c
+}
+
+func compare(a, b ranked) int {
+	if a.up != b.up {
+		if a.up {
+			return -1
+		}
+		return 1
+	}
+	if a.leaves != b.leaves {
+		if a.leaves {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(a.cost, b.cost)
+}
+
+// spill decides whether a read leaves the host's failure domain for the load of its databases. If not,
+// the time that the best of them is expected to take does not count, so that another domain is chosen
+// only for what went wrong at these before.
+func (g *Groups) spill(v *mirror.View, group string, candidates []ranked, q Read) {
+	home, away := g.sides(candidates)
+	if home.known == 0 {
+		return // as without the feature
+	}
+	leaves := !q.IsAgain && away.domain != "" && g.leaves(group, g.spillView(v, home, away, q))
+	for i := range candidates {
+		c := &candidates[i]
+		switch {
+		case leaves && c.domain == away.domain:
+			c.leaves = true
+		case c.domain == g.Domain && c.known:
+			c.cost -= milliseconds(home.expected)
+		case c.domain != g.Domain:
+			c.reader.IsAbroad = true
+		}
+	}
+}
--- /dev/null
+++ b/io/groups/spill.go
@@ -0,0 +1,113 @@
+package groups
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"coltsfootloft/core/pick"
+	"coltsfootloft/core/spill"
+	"coltsfootloft/io/mirror"
+)
+
+// side sums up the candidates of one failure domain.
+type side struct {
+	domain string
+	known  int           // candidates whose load is known
+	wait   time.Duration // least expected wait
+	trip   time.Duration // round trip to the owner of that candidate
+	free   float64       // reads per second for other domains
+
+	expected time.Duration // least time until the answer, as it counts in the cost
+}
+
+func (s *side) add(c ranked) {
+	if !c.known {
+		return
+	}
+	if s.known == 0 || c.estimate.Wait+c.estimate.RoundTrip < s.wait+s.trip {
+		s.wait = c.estimate.Wait
+		s.trip = c.estimate.RoundTrip
+	}
+	if s.known == 0 || c.expected < s.expected {
+		s.expected = c.expected
+	}
+	s.known++
+	s.free += c.estimate.Free
+}
+
+// sides returns the host's own failure domain, and the other one to which reads may leave: of those
+// with known loads the one with the least wait, or a random one if no load is known.
+func (g *Groups) sides(candidates []ranked) (home, away side) {
+	others := make(map[string]*side)
+	home.domain = g.Domain
+	for _, c := range candidates {
+		switch {
+		case !c.up:
+		case c.domain == g.Domain:
+			home.add(c)
+		default:
+			s := others[c.domain]
+			if s == nil {
+				s = &side{domain: c.domain}
+				others[c.domain] = s
+			}
+			s.add(c)
+		}
+	}
+	for _, s := range others {
+		isLess := s.known > 0 && (away.known == 0 || s.wait+s.trip < away.wait+away.trip)
+		if away.domain == "" || isLess {
+			away = *s
+		}
+	}
+	return home, away
+}
+
+// spillView returns what is known for a read.
+func (g *Groups) spillView(v *mirror.View, home, away side, q Read) spill.View {
+	w := spill.View{
+		Home:      home.wait,
+		Away:      away.wait,
+		Cost:      max(away.trip-home.trip, 0) + time.Duration(pick.TrafficCost*float64(time.Millisecond)),
+		Target:    q.TargetLatency,
+		AwayKnown: away.known > 0,
+		Free:      away.free,
+		Room:      home.free,
+	}
+	for _, h := range v.Hosts {
+		if h.Domain != away.domain {
+			w.Senders++
+		}
+		if h.Domain == g.Domain {
+			w.Mates++
+		}
+	}
+	return w
+}
+
+// leaves reports whether a read leaves the domain, and counts it.
+func (g *Groups) leaves(group string, w spill.View) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.spills[group]
+	if s == nil {
+		s = &spill.Spill{}
+		if g.spills == nil {
+			g.spills = make(map[string]*spill.Spill)
+		}
+		g.spills[group] = s
+		g.Metrics.GetOrCreateGauge("coltsfootloft_spill_share{group="+strconv.Quote(group)+"}", func() float64 {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			return s.Share()
+		})
+	}
+	leaves := s.Leaves(g.Clock.Elapsed(), w, rand.Float64())
+	if leaves {
+		g.Metrics.GetOrCreateCounter("coltsfootloft_spilled_total").Inc()
+	}
+	return leaves
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/io/relay/owners.go
+++ b/io/relay/owners.go
@@ -135,12 +135,22 @@
 // Outstanding returns the maximum number of statements that this host may have
 // outstanding at a database.
 func (o *Owners) Outstanding(t dbpool.Target) int {
-	slots := t.Slots
-	if slots <= 0 {
-		slots = defaultSlots
-	}
 	n := o.ownerCount(t.ID)
-	return (queueDepth*slots + n - 1) / n
+	return (queueDepth*slotsOf(t) + n - 1) / n
+}
+
+// SlotShare returns the part of a database's slots that falls to each of its owners, and how
+// many owners there are.
+func (o *Owners) SlotShare(t dbpool.Target) (slots float64, owners int) {
+	owners = o.ownerCount(t.ID)
+	return float64(slotsOf(t)) / float64(owners), owners
+}
+
+func slotsOf(t dbpool.Target) int {
+	if t.Slots <= 0 {
+		return defaultSlots
+	}
+	return t.Slots
 }
 
 // ownerCount returns how many hosts own connections to a database, at least 1.
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -21,6 +21,7 @@
 	"github.com/pkg/errors"
 
 	"coltsfootloft"
+	"coltsfootloft/core/load"
 	"coltsfootloft/core/pick"
 	"coltsfootloft/io/dbpool"
 	"coltsfootloft/io/dial"
@@ -66,6 +67,7 @@
 	mu         sync.Mutex
 	avoidUntil map[string]time.Duration
 	held       map[uint64]*heldConn
+	loads      load.Table
 	serving    int  // statements of other hosts that are being run
 	leaving    bool // other hosts get no further connections
 }
--- a/io/relay/remote.go
+++ b/io/relay/remote.go
@@ -44,6 +44,7 @@
 	started := r.Clock.Elapsed()
 	r.Pools.Observe(n.target.ID, func(c *pick.Candidate, _ time.Duration) { c.Start() })
 	defer r.Pools.Observe(n.target.ID, func(c *pick.Candidate, _ time.Duration) { c.End() })
+	r.noteSent(n.target.ID, n.owner)
 	ctx, cancel := context.WithDeadline(context.Background(), q.Deadline.Add(linkDelayMax))
 	defer cancel()
 	b, err = r.Peers.Call(ctx, n.owner, dutyName, b)
@@ -54,6 +55,7 @@
 	if err := proto.Unmarshal(b, &a); err != nil {
 		return coltsfootloft.Reply{}, errors.Wrap(err, "answer of the keeper")
 	}
+	r.noteLoad(n.target.ID, n.owner, started, a.GetLoad())
 	before := coltsfootloft.TxIdle
 	if n.handle != 0 {
 		before = coltsfootloft.TxOpen
--- a/io/relay/serve.go
+++ b/io/relay/serve.go
@@ -40,12 +40,14 @@
 	if err := decode.Message(body, &q); err != nil {
 		return nil, errors.Wrap(err, "statement")
 	}
+	received := r.Clock.Elapsed()
 	a := &relaypb.Response{}
 	switch {
 	case q.GetExchange() != nil:
 		var taken int
 		a, taken = r.exchangeBody(from, q.GetExchange(), body)
 		defer r.give(taken)
+		r.addLoad(a, q.GetExchange(), received)
 	case q.GetDrop() != nil:
 		if h := r.take(q.GetDrop().GetHandle(), from); h != nil {
 			r.rollback(h.conn)
@@ -145,6 +147,9 @@
 	if err != nil {
 		return nil, busy(err)
 	}
+	if r.Pools.SlotShare != nil && r.isAbroad(from) {
+		conn.LendAbroad()
+	}
 	if x.GetEpoch() != 0 && !r.isPrimary(t, x.GetEpoch()) {
 		r.Pools.Release(conn, true)
 		return nil, &relaypb.Response{Outcome: relaypb.Outcome_OUTCOME_BUSY}
