--- a/io/dbpool/permit.go
+++ b/io/dbpool/permit.go
@@ -10,6 +10,14 @@
 	"coltsfootloft/core/gate"
 )
 
+// Metrics of the gates, if waits are estimated.
+const (
+	// ExpectedWaitMetric records the expected waits of statements.
+	ExpectedWaitMetric = "coltsfootloft_turn_wait_expected_seconds"
+	// RefusedTurnsMetric counts statements refused at a gate since their turn would come too late.
+	RefusedTurnsMetric = "coltsfootloft_turns_refused_total"
+)
+
 // WaitError is the error of Acquire for a statement that is not expected to begin in the time
 // that it may wait. It is an ErrBusy: nothing was sent to the database.
 type WaitError struct {
@@ -40,6 +48,7 @@
 	n.gate.Limit = p.Outstanding(t)
 	if n.gate.TryAcquire() {
 		p.mu.Unlock()
+		p.noteExpected(0)
 		return nil
 	}
 	w := &permitWaiter{granted: make(chan struct{})}
@@ -72,15 +81,22 @@
 	now := p.Clock.Elapsed()
 	left := time.Until(deadline)
 	wait := n.gate.Wait(priority, account, now+left)
-	p.Metrics.GetOrCreateHistogram("coltsfootloft_turn_wait_expected_seconds").Update(wait.Seconds())
+	p.noteExpected(wait)
 	if wait > left {
-		p.Metrics.GetOrCreateCounter("coltsfootloft_turns_refused_total").Inc()
+		p.Metrics.GetOrCreateCounter(RefusedTurnsMetric).Inc()
 		return gate.Ticket[*permitWaiter]{}, &WaitError{Retry: n.gate.RetryAfter(now, priority, wait, left, rand.Float64())}
 	}
 	ticket, ok := n.gate.EnqueueUntil(priority, account, now+left, w)
 	return ticket, busyUnless(ok)
 }
 
+// noteExpected records the expected wait of a statement.
+func (p *Pools) noteExpected(wait time.Duration) {
+	if p.EstimateWaits {
+		p.Metrics.GetOrCreateHistogram(ExpectedWaitMetric).Update(wait.Seconds())
+	}
+}
+
 func busyUnless(ok bool) error {
 	if ok {
 		return nil
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -226,14 +226,23 @@
 		CheckCommand:   platform.CheckCommand,
 	}
 	if platform.RulesPressure(e.settings.Policies) {
-		e.pools.EstimateWaits = true
-		e.pools.SlotShare = owners.SlotShare
-		e.groups.Expect = e.relay.Expect
-		e.groups.Metrics = e.metrics
+		e.followLoads(owners)
 	}
 	e.relay.Register()
 }
 
+// followLoads makes the host measure the loads of databases, and decide by them.
+func (e *Edge) followLoads(owners *relay.Owners) {
+	e.pools.EstimateWaits = true
+	e.pools.SlotShare = owners.SlotShare
+	e.groups.Expect = e.relay.Expect
+	e.groups.Metrics = e.metrics
+	e.metrics.GetOrCreateHistogram(dbpool.ExpectedWaitMetric)
+	for _, name := range []string{dbpool.RefusedTurnsMetric, entry.UselessWaitsMetric, groups.SpilledMetric} {
+		e.metrics.GetOrCreateCounter(name)
+	}
+}
+
 func refusalReason(err error) (coltsfootloft.Reason, bool) {
 	var r *platform.RefusedError
 	if errors.As(err, &r) {
--- a/io/edge/session_test.go
+++ b/io/edge/session_test.go
@@ -175,9 +175,11 @@
 // TestDocumentedMetricsAreExposed checks that an entry host exposes the metrics that
 // docs/SETTINGS.md lists.
 func TestDocumentedMetricsAreExposed(t *testing.T) {
-	f := startFleet(t, 3, nil)
+	f := startFleet(t, 3, func(f *fleet) { f.policies = []string{"pressure"} })
 	c, _ := connect(t, f.hosts[0], "file", "key-arima")
 	c.must("WRITE a b")
+	c, _ = connect(t, f.hosts[0], "board", "key-arima")
+	c.must("READ a")
 	page, err := os.ReadFile("../../docs/SETTINGS.md")
 	assert.NilError(t, err)
 	_, section, ok := strings.Cut(string(page), "### Metrics of an entry host")
--- a/io/entry/useless.go
+++ b/io/entry/useless.go
@@ -8,6 +8,10 @@
 	"coltsfootloft"
 )
 
+// UselessWaitsMetric counts operations refused since their turn would come too late at each
+// database that may serve them.
+const UselessWaitsMetric = "coltsfootloft_useless_waits_refused_total"
+
 const (
 	// noDatabaseRetry is when a caller should return that no database could serve. A change
 	// of primary is under way then.
@@ -50,7 +54,7 @@
 // comeBackUseless counts the refusal of an operation that is hopeless, and returns the end of
 // its text.
 func (n *session) comeBackUseless(o *operation) string {
-	n.server.Metrics.GetOrCreateCounter("coltsfootloft_useless_waits_refused_total").Inc()
+	n.server.Metrics.GetOrCreateCounter(UselessWaitsMetric).Inc()
 	return comeBack(o.retry)
 }
 
--- a/io/groups/readers.go
+++ b/io/groups/readers.go
@@ -71,6 +71,7 @@
 // the time that the best of them is expected to take does not count, so that another domain is chosen
 // only for what went wrong at these before.
 func (g *Groups) spill(v *mirror.View, group string, candidates []ranked, q Read) {
+	g.addSpill(group)
 	home, away := g.sides(candidates)
 	if home.known == 0 {
 		return // as without the feature
--- a/io/groups/spill.go
+++ b/io/groups/spill.go
@@ -10,6 +10,10 @@
 	"coltsfootloft/io/mirror"
 )
 
+// SpilledMetric counts the reads that were sent to another failure domain for the load of the
+// host's own.
+const SpilledMetric = "coltsfootloft_spilled_total"
+
 // side sums up the candidates of one failure domain.
 type side struct {
 	domain string
@@ -89,25 +93,31 @@
 // leaves reports whether a read leaves the domain, and counts it.
 func (g *Groups) leaves(group string, w spill.View) bool {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	s := g.spills[group]
-	if s == nil {
-		s = &spill.Spill{}
-		if g.spills == nil {
-			g.spills = make(map[string]*spill.Spill)
-		}
-		g.spills[group] = s
-		g.Metrics.GetOrCreateGauge("coltsfootloft_spill_share{group="+strconv.Quote(group)+"}", func() float64 {
-			g.mu.Lock()
-			defer g.mu.Unlock()
-			return s.Share()
-		})
-	}
-	leaves := s.Leaves(g.Clock.Elapsed(), w, rand.Float64())
+	leaves := g.spills[group].Leaves(g.Clock.Elapsed(), w, rand.Float64())
+	g.mu.Unlock()
 	if leaves {
-		g.Metrics.GetOrCreateCounter("coltsfootloft_spilled_total").Inc()
+		g.Metrics.GetOrCreateCounter(SpilledMetric).Inc()
 	}
 	return leaves
 }
 
+// addSpill begins to decide for a group, and shows its share, unless it has begun.
+func (g *Groups) addSpill(group string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.spills[group] != nil {
+		return
+	}
+	if g.spills == nil {
+		g.spills = make(map[string]*spill.Spill)
+	}
+	s := &spill.Spill{}
+	g.spills[group] = s
+	g.Metrics.GetOrCreateGauge("coltsfootloft_spill_share{group="+strconv.Quote(group)+"}", func() float64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return s.Share()
+	})
+}
+
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
