--- a/core/spill/spill.go
+++ b/core/spill/spill.go
@@ -45,6 +45,9 @@
 	// the reports show that the share can't grow.
 	probeWait    = time.Second
 	probeWaitMax = 4 * time.Second
+	// lostWaitMax bounds it instead after a read that brought no report. The domain may be
+	// cut off, and the reads are lost.
+	lostWaitMax = 16 * time.Second
 )
 
 // View is what the host knows for one read.
@@ -76,6 +79,7 @@
 	mean      inputs
 	probeAt   time.Duration
 	probeWait time.Duration
+	probedAt  time.Duration // when a single read was sent last
 	knownAt   time.Duration // when there was a report last
 }
 
@@ -119,9 +123,14 @@
 	if v.Senders == 0 || float64(v.Home) <= growAbove*float64(v.Target) || now < s.probeAt {
 		return false
 	}
-	s.probeWait = max(s.probeWait, probeWait)
+	longest := probeWaitMax
+	if s.probedAt > s.knownAt {
+		longest = lostWaitMax
+	}
+	s.probeWait = min(max(s.probeWait, probeWait), longest)
 	s.probeAt = now + time.Duration((0.5+random)*float64(s.probeWait))
-	s.probeWait = min(2*s.probeWait, probeWaitMax)
+	s.probedAt = now
+	s.probeWait *= 2
 	return true
 }
 
--- a/io/groups/readers.go
+++ b/io/groups/readers.go
@@ -32,21 +32,17 @@
 	leaves   bool          // for the load of the host's own domain
 }
 
-// rank returns a candidate with its cost, by its load if that is known.
+// rank returns a candidate with its cost by what this host has observed, and with its load if that
+// is known.
 func (g *Groups) rank(r Reader, domain string, q Read) ranked {
 	c := ranked{
 		reader: r,
 		domain: domain,
 	}
-	id, local := r.Target.ID, domain == g.Domain
+	c.cost, c.up = g.Pools.Cost(r.Target.ID, domain == g.Domain, r.IsPrimary)
 	if g.Expect != nil {
 		c.estimate, c.known = g.Expect(r.Target, q.Account, q.Priority)
-	}
-	if c.known {
 		c.expected = c.estimate.Spread(rand.Float64())
-		c.cost, c.up = g.Pools.LoadedCost(id, c.expected, local, r.IsPrimary)
-	} else {
-		c.cost, c.up = g.Pools.Cost(id, local, r.IsPrimary)
 	}
 	return c
 }
@@ -67,9 +63,10 @@
 	return cmp.Compare(a.cost, b.cost)
 }
 
-// spill decides whether a read leaves the host's failure domain for the load of its databases. If not,
-// the time that the best of them is expected to take does not count, so that another domain is chosen
-// only for what went wrong at these before.
+// spill lets candidates compete by their loads, if any of the host's own failure domain is known, and
+// decides whether a read leaves that domain for the load of its databases. If not, the time that the
+// best of them is expected to take does not count, so that another domain is chosen only for what
+// went wrong at these before.
 func (g *Groups) spill(v *mirror.View, group string, candidates []ranked, q Read) {
 	g.addSpill(group)
 	home, away := g.sides(candidates)
@@ -79,12 +76,21 @@
 	leaves := !q.IsAgain && away.domain != "" && g.leaves(group, g.spillView(v, home, away, q))
 	for i := range candidates {
 		c := &candidates[i]
+		isHome := c.domain == g.Domain
+		if isHome && !c.known {
+			// It counts like the best one, and the first answer makes its load known.
+			c.known = true
+			c.expected = home.best.Spread(rand.Float64())
+		}
+		if c.known {
+			c.cost, _ = g.Pools.LoadedCost(c.reader.Target.ID, c.expected, isHome, c.reader.IsPrimary)
+		}
 		switch {
+		case isHome:
+			c.cost -= milliseconds(home.expected)
 		case leaves && c.domain == away.domain:
 			c.leaves = true
-		case c.domain == g.Domain && c.known:
-			c.cost -= milliseconds(home.expected)
-		case c.domain != g.Domain:
+		default:
 			c.reader.IsAbroad = true
 		}
 	}
--- a/io/groups/spill.go
+++ b/io/groups/spill.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"coltsfootloft/core/load"
 	"coltsfootloft/core/pick"
 	"coltsfootloft/core/spill"
 	"coltsfootloft/io/mirror"
@@ -18,8 +19,7 @@
 type side struct {
 	domain string
 	known  int           // candidates whose load is known
-	wait   time.Duration // least expected wait
-	trip   time.Duration // round trip to the owner of that candidate
+	best   load.Estimate // of the candidate with the least wait, with the way there
 	free   float64       // reads per second for other domains
 
 	expected time.Duration // least time until the answer, as it counts in the cost
@@ -29,9 +29,8 @@
 	if !c.known {
 		return
 	}
-	if s.known == 0 || c.estimate.Wait+c.estimate.RoundTrip < s.wait+s.trip {
-		s.wait = c.estimate.Wait
-		s.trip = c.estimate.RoundTrip
+	if s.known == 0 || reach(c.estimate) < reach(s.best) {
+		s.best = c.estimate
 	}
 	if s.known == 0 || c.expected < s.expected {
 		s.expected = c.expected
@@ -40,6 +39,9 @@
 	s.free += c.estimate.Free
 }
 
+// reach returns the expected time until a statement runs, and for the way there and back.
+func reach(e load.Estimate) time.Duration { return e.Wait + e.RoundTrip }
+
 // sides returns the host's own failure domain, and the other one to which reads may leave: of those
 // with known loads the one with the least wait, or a random one if no load is known.
 func (g *Groups) sides(candidates []ranked) (home, away side) {
@@ -60,7 +62,7 @@
 		}
 	}
 	for _, s := range others {
-		isLess := s.known > 0 && (away.known == 0 || s.wait+s.trip < away.wait+away.trip)
+		isLess := s.known > 0 && (away.known == 0 || reach(s.best) < reach(away.best))
 		if away.domain == "" || isLess {
 			away = *s
 		}
@@ -71,9 +73,9 @@
 // spillView returns what is known for a read.
 func (g *Groups) spillView(v *mirror.View, home, away side, q Read) spill.View {
 	w := spill.View{
-		Home:      home.wait,
-		Away:      away.wait,
-		Cost:      max(away.trip-home.trip, 0) + time.Duration(pick.TrafficCost*float64(time.Millisecond)),
+		Home:      home.best.Wait,
+		Away:      away.best.Wait,
+		Cost:      max(away.best.RoundTrip-home.best.RoundTrip, 0) + time.Duration(pick.TrafficCost*float64(time.Millisecond)),
 		Target:    q.TargetLatency,
 		AwayKnown: away.known > 0,
 		Free:      away.free,
