--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -233,7 +233,6 @@
 		Memory:        e.messages,
 		StateMemory:   e.values,
 		IsClosed:      e.evac.IsClosed,
-		EstimateWaits: platform.RulesPressure(e.settings.Policies),
 	}
 	e.groups = &groups.Groups{
 		Mirror: e.mirror,
@@ -261,9 +260,23 @@
 		CheckStatement: platform.CheckStatement,
 		CheckCommand:   platform.CheckCommand,
 	}
+	if platform.RulesPressure(e.settings.Policies) {
+		e.followLoads(owners)
+	}
 	e.relay.Register()
 }
 
+// followLoads makes the host measure the loads of databases, and decide by them.
+func (e *Edge) followLoads(owners *relay.Owners) {
+	e.pools.EstimateWaits = true
+	e.pools.SlotShare = owners.SlotShare
+	e.groups.Expect = e.relay.Expect
+	e.metrics.GetOrCreateHistogram(dbpool.ExpectedWaitMetric)
+	for _, name := range []string{dbpool.RefusedTurnsMetric, entry.UselessWaitsMetric, groups.SpilledMetric} {
+		e.metrics.GetOrCreateCounter(name)
+	}
+}
+
 func refusalReason(err error) (coltsfootloft.Reason, bool) {
 	var r *platform.RefusedError
 	if errors.As(err, &r) {
--- a/io/entry/evacuation.go
+++ b/io/entry/evacuation.go
@@ -22,7 +22,7 @@
 		return false
 	}
 	if !writes && o.route.Kind != coltsfootloft.RoutePrimary {
-		if _, fresh := n.requiredPosition(o); fresh && len(g.Readers(o.route.Group)) > 0 {
+		if _, fresh := n.requiredPosition(o); fresh && len(g.Readers(o.route.Group, n.read(o, true))) > 0 {
 			return false
 		}
 	}
--- a/io/entry/useless.go
+++ b/io/entry/useless.go
@@ -8,6 +8,10 @@
 	"coltsfootloft"
 )
 
+// UselessWaitsMetric counts operations refused since their turn would come too late at each
+// database that may serve them.
+const UselessWaitsMetric = "coltsfootloft_useless_waits_refused_total"
+
 const (
 	// noDatabaseRetry is when a caller should return that no database could serve. A change
 	// of primary is under way then.
@@ -33,7 +37,13 @@
 	if writes || o.route.Kind == coltsfootloft.RoutePrimary {
 		return true
 	}
-	return o.useless >= len(n.server.Groups.Readers(o.route.Group))
+	may := 0
+	for _, r := range n.server.Groups.Readers(o.route.Group, n.read(o, true)) {
+		if !r.IsAbroad {
+			may++
+		}
+	}
+	return o.useless >= may
 }
 
 // refuseUseless refuses an operation that is hopeless.
@@ -44,7 +54,7 @@
 // comeBackUseless counts the refusal of an operation that is hopeless, and returns the end of
 // its text.
 func (n *session) comeBackUseless(o *operation) string {
-	n.server.Metrics.GetOrCreateCounter("coltsfootloft_useless_waits_refused_total").Inc()
+	n.server.Metrics.GetOrCreateCounter(UselessWaitsMetric).Inc()
 	return comeBack(o.retry)
 }
 
--- a/io/groups/groups.go
+++ b/io/groups/groups.go
@@ -10,7 +10,6 @@
 package groups
 
 import (
-	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -19,7 +18,10 @@
 
 	"coltsfootloft"
 	"coltsfootloft/core/evac"
+	"coltsfootloft/core/homes"
+	"coltsfootloft/core/load"
 	"coltsfootloft/core/marks"
+	"coltsfootloft/core/spill"
 	"coltsfootloft/io/dbpool"
 	"coltsfootloft/io/lease"
 	"coltsfootloft/io/mirror"
@@ -54,15 +56,22 @@
 	Domain string
 	// Drain is how long a leaving database may still get work.
 	Drain time.Duration
-	// Metrics receives the counter of statements that go elsewhere because of an evacuation.
+	// Metrics receives the counters of statements that go elsewhere because of an evacuation, and of
+	// reads that leave the domain for its load.
 	Metrics *metrics.Set
 	// Regions is the region of each failure domain.
 	Regions map[string]string
 	// Cold limits the requests to cold databases; nil if none are limited.
 	Cold *warmup.Limiter
 
-	mu    sync.Mutex
-	marks map[string]*marks.Marks
+	// Expect returns what a statement of an account with a priority is expected to take at a
+	// database, through an owner that the homes allow, if its load is known. It is nil if loads are
+	// not measured.
+	Expect func(t dbpool.Target, account string, priority int, h homes.Homes) (load.Estimate, bool)
+
+	mu     sync.Mutex
+	marks  map[string]*marks.Marks
+	spills map[string]*spill.Spill
 }
 
 // Primary is the primary of a group in one epoch. The host may send it work while MaySend
@@ -126,19 +135,15 @@
 	Primary Primary
 	// IsPrimary is set if the database is the primary that the record names.
 	IsPrimary bool
+	// IsAbroad is set if the database is in another failure domain, to which the read is not sent
+	// for the load of the host's own.
+	IsAbroad bool
 }
 
-// Readers returns the databases that may serve a read, in the order of increasing cost.
+// Readers returns the databases that may serve a read where its homes allow, in the order of increasing cost.
 // Databases that could not be reached recently come last, and before them those of evacuated domains,
 // and of domains whose evacuation has just ended, which return with a growing share of the reads.
-func (g *Groups) Readers(group string) []Reader {
-	type ranked struct {
-		reader Reader
-		cost   float64
-		up     bool
-		state  evac.State
-		last   bool
-	}
+func (g *Groups) Readers(group string, q Read) []Reader {
 	primary, hasPrimary := g.Primary(group)
 	v := g.Mirror.View()
 	var candidates []ranked
@@ -152,24 +157,26 @@
 		case id == v.Groups[group].Primary || u.Leaving || u.Removed && g.Clock.Elapsed()-u.Since > removedGrace:
 			continue
 		}
-		cost, up := g.Pools.Cost(id, u.Upstream.Domain() == g.Domain, r.IsPrimary)
-		cost = g.coldCost(id, cost, r.IsPrimary)
-		candidates = append(candidates, ranked{
-			reader: r,
-			cost:   cost,
-			up:     up,
-			state:  g.evacuation(v, u),
-			last:   g.isLast(v, u),
-		})
+		if !q.Homes.Allows(u.Upstream.Domain()) {
+			continue
+		}
+		c := g.rank(r, u.Upstream.Domain(), q)
+		c.state = g.evacuation(v, u)
+		c.last = g.isLast(v, u)
+		candidates = append(candidates, c)
 	}
-	byCost := func(a, b ranked) int { return cmp.Or(first(a.up, b.up), cmp.Compare(a.cost, b.cost)) }
-	if len(candidates) > 0 && slices.MinFunc(candidates, byCost).last {
+	if len(candidates) > 0 && slices.MinFunc(candidates, compareCost).last {
 		g.countElsewhere()
 	}
 	candidates = slices.DeleteFunc(candidates, func(r ranked) bool { return r.state == evac.Closed })
-	slices.SortFunc(candidates, func(a, b ranked) int {
-		return cmp.Or(first(a.up, b.up), first(b.last, a.last), cmp.Compare(a.cost, b.cost))
-	})
+	if g.Expect != nil {
+		g.spill(v, group, candidates, q)
+	}
+	for i := range candidates {
+		r := candidates[i].reader
+		candidates[i].cost = g.coldCost(r.Target.ID, candidates[i].cost, r.IsPrimary)
+	}
+	slices.SortFunc(candidates, compare)
 	readers := make([]Reader, len(candidates))
 	for i, r := range candidates {
 		readers[i] = r.reader
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -22,6 +22,7 @@
 
 	"coltsfootloft"
 	"coltsfootloft/core/homes"
+	"coltsfootloft/core/load"
 	"coltsfootloft/core/pick"
 	"coltsfootloft/io/dbpool"
 	"coltsfootloft/io/dial"
@@ -70,6 +71,7 @@
 	mu         sync.Mutex
 	avoidUntil map[string]time.Duration
 	held       map[uint64]*heldConn
+	loads      load.Table
 	serving    int  // statements of other hosts that are being run
 	leaving    bool // other hosts get no further connections
 }
