--- a/core/cold/cold_test.go
+++ b/core/cold/cold_test.go
@@ -25,8 +25,17 @@
 // what arrives in one second is lent, more than the bound of the database.
 func TestAccountsKeepTheBound(t *testing.T) {
 	for _, l := range []Limit{
-		{20, 1.5, 5}, {4, 1.5, 5}, {1, 1.5, 5}, {300, 1.5, 5}, {0.2, 1.5, 5},
-		{20, 1, 0}, {20, 1.1, 1}, {1, 1, 1}, {0.1, 1, 0}, {3, 5, 40}, {20, 0.5, 0},
+		{20, 1.5, 5},
+		{4, 1.5, 5},
+		{1, 1.5, 5},
+		{300, 1.5, 5},
+		{0.2, 1.5, 5},
+		{20, 1, 0},
+		{20, 1.1, 1},
+		{1, 1, 1},
+		{0.1, 1, 0},
+		{3, 5, 40},
+		{20, 0.5, 0},
 	} {
 		rate, burst := 0.0, 0.0
 		for _, name := range []string{StatementAccount(database), StatusAccount(database)} {
@@ -53,6 +62,15 @@
 	cut   bool // can't reach the quota keeper
 }
 
+// phase is the period in which the hosts of a fleet are quiet for a while, so that the quota keeper may
+// lend a whole burst, and then send as much as they may. The quota keeper changes right after that.
+const (
+	phase  = 6 * time.Second
+	quiet  = 4 * time.Second
+	change = quiet + 200*time.Millisecond
+	held   = quiet + lentLifetime - 10*time.Millisecond // until then, all hosts hold back what they were lent
+)
+
 // fleet has hosts that send as much as they may to one cold database.
 type fleet struct {
 	limit    Limit
@@ -60,6 +78,8 @@
 	random   *rand.Rand
 	keeper   *grant.Allocator
 	arrivals []time.Duration
+	started  time.Duration
+	phases   bool
 }
 
 // ask borrows operations in a call that takes a while. The answer counts from when it was sent, and is
@@ -83,24 +103,35 @@
 			panic("a rate of an account that is only lent")
 		}
 		if took < callTimeout {
-			h.lent = g.Lent
+			h.lent += g.Lent
 			h.until = now + lentLifetime
 		}
 	}
 }
 
+// inPhase returns how much of the present phase has passed.
+func (f *fleet) inPhase(now time.Duration) time.Duration { return (now - f.started) % phase }
+
 // step lets a host send what it may at a moment, or ask for more.
 func (f *fleet) step(now time.Duration, i int) {
 	h := &f.hosts[i]
+	delay := time.Duration(f.random.Int64N(int64(toDatabase)))
+	if at := f.inPhase(now); f.phases && at < held+toDatabase {
+		delay = held + toDatabase - at // what was held back arrives as late as it may, together with what follows
+	} else if f.phases {
+		delay = 0
+	}
 	switch {
 	case now >= h.until || h.lent < 1:
 		h.lent = 0
 		if !h.cut {
 			f.ask(now, i)
 		}
-	case f.random.IntN(3) > 0: // otherwise it holds them back, as long as they are valid
+	case f.phases && f.inPhase(now) < held:
+		f.ask(now, i)
+	case f.phases || f.random.IntN(3) > 0: // otherwise it holds them back, as long as they are valid
 		for ; h.lent >= 1; h.lent-- {
-			f.arrivals = append(f.arrivals, now+time.Duration(f.random.Int64N(int64(toDatabase))))
+			f.arrivals = append(f.arrivals, now+delay)
 		}
 	}
 }
@@ -128,23 +159,27 @@
 		random := rand.New(rand.NewPCG(seed, 37))
 		f := &fleet{
 			limit: Limit{
-				Rate:    []float64{1, 4, 20, 100}[seed%4],
+				Rate:    []float64{1, 4, 20, 100}[seed/2%4],
 				Overage: 1.5,
-				Slack:   5,
+				Slack:   []float64{5, 60}[seed%2],
 			},
-			hosts:  make([]borrower, []int{1, 3, 15, 136}[seed/4%4]),
+			hosts:  make([]borrower, []int{1, 3, 15, 136}[seed/3%4]),
 			random: random,
 			keeper: &grant.Allocator{Started: 100 * time.Second},
+
+			started: 100 * time.Second,
+			phases:  seed%3 > 0,
 		}
 		const length = 12 * time.Second
 		start := 100 * time.Second
-		changeAt := start
 		for now := start; now < start+length; now += 5 * time.Millisecond {
-			if seed%3 > 0 && now >= changeAt {
+			if f.phases && f.inPhase(now) == change {
 				f.keeper = &grant.Allocator{Started: now}
-				changeAt = now + time.Duration(2+random.IntN(5))*time.Second
 			}
 			for i := range f.hosts {
+				if f.phases && f.inPhase(now) < quiet {
+					break
+				}
 				f.step(now, i)
 			}
 			if h := &f.hosts[random.IntN(len(f.hosts))]; random.IntN(100) == 0 {
@@ -153,9 +188,35 @@
 		}
 		got := most(f.arrivals)
 		assert.Assert(t, float64(got) <= f.limit.Bound(), "seed %d: %d in a second, bound %v", seed, got, f.limit.Bound())
-		if seed%3 == 0 {
+		if !f.phases {
 			perSecond := float64(len(f.arrivals)) / length.Seconds()
 			assert.Assert(t, perSecond >= 0.5*f.limit.Rate, "seed %d: %.1f of %v a second", seed, perSecond, f.limit.Rate)
 		}
 	}
 }
+
+// TestNewKeeperLendsNothingAtFirst guards against a new quota keeper that lends at once, just after its
+// predecessor has lent the whole burst.
+func TestNewKeeperLendsNothingAtFirst(t *testing.T) {
+	name := StatementAccount(database)
+	limit := Limit{
+		Rate:    100,
+		Overage: 1.5,
+		Slack:   60,
+	}.Account(name)
+	report := []grant.Line{{
+		Account: name,
+		Want:    1000,
+	}}
+	al := &grant.Allocator{Started: time.Second}
+	lent := 0.0
+	for now := time.Second; now <= 2*time.Second; now += 10 * time.Millisecond {
+		for _, g := range al.Report(now, "h", report, []string{"h"}, map[string]coltsfootloft.Account{name: limit}) {
+			lent += g.Lent
+		}
+		if now == time.Second {
+			assert.Equal(t, lent, 0.0)
+		}
+	}
+	assert.Assert(t, lent > 0.9*limit.Rate() && lent <= limit.Rate(), "%v lent in the first second", lent)
+}
--- a/core/leader/leader_test.go
+++ b/core/leader/leader_test.go
@@ -150,3 +150,24 @@
 		}
 	}
 }
+
+// TestWarmSuccessorIsPreferred guards against a cold replica that is promoted although a warm one has
+// received as much or may still, and against commits that are lost for a warm one.
+func TestWarmSuccessorIsPreferred(t *testing.T) {
+	cold := status("b", coltsfootloft.Replica, 1, 48)
+	cold.Cold = true
+	r := Record{Primary: "old"}
+	warm := status("c", coltsfootloft.Replica, 1, 48)
+	best, ok := r.Successor([]Status{cold, warm}, 0)
+	assert.Assert(t, ok && best.ID == "c", best.ID)
+	assert.Assert(t, !r.HasWarmer([]Status{cold, warm}, best))
+	behind := status("c", coltsfootloft.Replica, 1, 40)
+	best, ok = r.Successor([]Status{cold, behind}, 0)
+	assert.Assert(t, ok && best.ID == "b", best.ID)
+	assert.Assert(t, r.HasWarmer([]Status{cold, behind}, best), "it may catch up")
+	old := status("old", coltsfootloft.Primary, 1, 48)
+	leaving := status("d", coltsfootloft.Replica, 1, 48)
+	leaving.Leaving = true
+	best, ok = r.Successor([]Status{old, cold, leaving, {ID: "e"}}, 0)
+	assert.Assert(t, ok && best.ID == "b" && !r.HasWarmer([]Status{old, cold, leaving, {ID: "e"}}, best), "there is no warm one")
+}
--- a/io/dbpool/open.go
+++ b/io/dbpool/open.go
@@ -74,9 +74,13 @@
 		return
 	}
 	p.count("opened")
+	if n.established() == 1 && p.FirstOpened != nil {
+		p.FirstOpened(t.ID)
+	}
 	n.exhaustedFor = 0
 	if n.isDown {
 		n.isDown = false
+		p.noteLost(t.ID)
 		p.Log.Info("database reachable again", "database", t.ID, "group", t.Group)
 	}
 	p.handOver(n, &Conn{
@@ -93,6 +97,15 @@
 	})
 }
 
+// established returns how many connections there are, without those being opened.
+func (n *pool) established() int {
+	count := n.open
+	for _, opening := range n.opening {
+		count -= opening
+	}
+	return count
+}
+
 // dialFailed handles a connection that could not be opened. If the database has none
 // free, opening is retried later, since connections may become free; otherwise all
 // waiters get ErrDown. If the name of the account can't be sent, only its own waiters fail.
@@ -116,6 +129,7 @@
 		return
 	}
 	n.candidate.Down(now)
+	p.noteLost(t.ID)
 	if !n.isDown {
 		n.isDown = true
 		p.Log.Info("database unreachable", "database", t.ID, "group", t.Group, "address", t.Address, "reason", err.Error())
--- a/io/dbpool/pools.go
+++ b/io/dbpool/pools.go
@@ -76,6 +76,12 @@
 	// Charge charges n requests to a database, for which it waits a while, and reports whether
 	// they may be sent. No database is limited if it is nil.
 	Charge func(database string, n int, wait time.Duration) bool
+	// Lost is called when a connection to a database was lost, or could be opened again; it may be
+	// nil.
+	Lost func(database string)
+	// FirstOpened is called when a connection was opened to a database to which there was none;
+	// it may be nil.
+	FirstOpened func(database string)
 	// Log receives a line when a database becomes unreachable or reachable again.
 	Log logr.Logger
 	// Metrics receives the counters and histograms.
@@ -207,6 +213,7 @@
 			return c, unusable
 		}
 		p.forget(n, c)
+		p.noteLost(n.id)
 		unusable = append(unusable, c)
 	}
 	return nil, unusable
@@ -360,6 +367,12 @@
 	f(&p.pool(id).candidate, p.Clock.Elapsed())
 }
 
+func (p *Pools) noteLost(id string) {
+	if p.Lost != nil {
+		p.Lost(id)
+	}
+}
+
 func (p *Pools) count(event string) {
 	p.Metrics.GetOrCreateCounter(`coltsfootloft_database_connections_total{event="` + event + `"}`).Inc()
 }
--- a/io/edge/cold_test.go
+++ b/io/edge/cold_test.go
@@ -12,6 +12,7 @@
 
 	"coltsfootloft/core/conf"
 	"coltsfootloft/io/mirror"
+	"coltsfootloft/stand/keyval"
 	"coltsfootloft/stand/opset"
 )
 
@@ -157,13 +158,16 @@
 // refused although others can serve them.
 func TestColdDatabaseGetsItsRate(t *testing.T) {
 	f := startFleet(t, 3, coldFleet)
+	f.announceCold(1, 30_000) // the quota keeper is in the domain of at most one of them
 	f.announceCold(2, 30_000)
 	time.Sleep(coldNotice)
 	from := time.Now()
 	stop := f.load(8, "board", "READ x", "BEGIN READ", "READ y", "READ z", "COMMIT")
 	time.Sleep(4 * time.Second)
-	rate := f.checkBound("db-3", from, time.Now())
-	assert.Assert(t, rate >= coldRate/2, "only %.1f a second of %d", rate, coldRate)
+	for _, id := range []string{"db-2", "db-3"} {
+		rate := f.checkBound(id, from, time.Now())
+		assert.Assert(t, rate >= coldRate/2, "only %.1f a second of %d", rate, coldRate)
+	}
 	keeper := f.quotaKeeper()
 	for i := range f.hosts {
 		if i != keeper {
@@ -180,6 +184,7 @@
 	f.restart(keeper)
 	time.Sleep(4 * time.Second)
 	served, refused := stop()
+	f.checkBound("db-2", from, time.Now())
 	f.checkBound("db-3", from, time.Now())
 	t.Logf("%d statements served, %d refused", served, refused)
 	assert.Assert(t, served > 20*refused, "%d refused of %d", refused, served)
@@ -248,3 +253,35 @@
 	f.await("another primary", 5*time.Second, func() bool { return f.group.Primary() != "db-1" })
 	assert.Equal(t, f.group.Primary(), "db-3")
 }
+
+// TestDatabaseThatMayBeColdIsLimited guards against hosts that send a database which has started again as
+// much as before, because they are cut off from the store and can't know that it is cold.
+func TestDatabaseThatMayBeColdIsLimited(t *testing.T) {
+	f := startFleet(t, 3, func(f *fleet) {
+		coldFleet(f)
+		f.withdrawalLimit = 5 * time.Second // keys are served on without the store
+		cold := f.change
+		twoRegions(f)
+		regions := f.change
+		f.change = func(s *conf.EntrySettings) {
+			cold(s)
+			regions(s)
+		}
+	})
+	f.setRegions("board", []string{"south"}) // only db-3 can serve it
+	stop := f.load(4, "board", "READ x")
+	time.Sleep(time.Second)
+	f.store.SetFaults(keyval.Faults{Down: true})
+	f.group.SetDown("db-3", true)
+	time.Sleep(500 * time.Millisecond)
+	from := time.Now()
+	f.group.SetDown("db-3", false)
+	time.Sleep(1500 * time.Millisecond)
+	f.checkBound("db-3", from, time.Now())
+	f.store.SetFaults(keyval.Faults{})
+	f.await("a database that is used as before", 5*time.Second, func() bool {
+		_, rate := f.requestsBetween("db-3", time.Now().Add(-time.Second), time.Now())
+		return rate > 4*coldRate
+	})
+	stop()
+}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -197,7 +197,9 @@
 		Clock:   e.clock,
 		Overage: e.settings.ColdOverage,
 		Slack:   e.settings.ColdSlack,
-		Metrics: e.metrics,
+
+		InContact: func() bool { return e.storeAge() < storeSilenceLimit },
+		Metrics:   e.metrics,
 	}
 	e.cold.Expose()
 	owners := &relay.Owners{
@@ -211,6 +213,8 @@
 		Limit:         owners.Limit,
 		Outstanding:   owners.Outstanding,
 		Charge:        e.cold.Admit,
+		Lost:          e.cold.Lost,
+		FirstOpened:   e.cold.FirstOpened,
 		Log:           e.log.WithName("lanes"),
 		Metrics:       e.metrics,
 		Memory:        e.messages,
--- a/io/groups/cold.go
+++ b/io/groups/cold.go
@@ -8,11 +8,9 @@
 // long as it gets requests, since it warms up by them, and last once it has refused one.
 func (g *Groups) coldCost(id string, cost float64, primary bool) float64 {
 	switch {
-	case !g.Cold.IsCold(id):
-		return cost
 	case g.Cold.IsAvoided(id):
 		return cost + refusedCost
-	case primary:
+	case primary || !g.Cold.IsCold(id):
 		return cost
 	}
 	return 0
--- a/io/warmup/warmup.go
+++ b/io/warmup/warmup.go
@@ -6,6 +6,9 @@
 // host that is does not matter, nor which hosts know of each other: only what the quota keeper has
 // lent is sent. A host that can't reach the quota keeper sends nothing.
 //
+// A host that has lost its connections to a database charges its statements too until it must have
+// seen the entry of a database that has started again, as it may be cut off from the store.
+//
 // Requests to other databases are not charged, and none are in groups without a limit.
 package warmup
 
@@ -51,13 +54,27 @@
 	// Overage and Slack are the deployment's bounds (cold.Limit). Nothing is limited if Overage
 	// is 0.
 	Overage, Slack float64
+	// InContact reports whether the platform's store has answered this host recently.
+	InContact func() bool
 	// Metrics receives the counters.
 	Metrics *metrics.Set
 
 	mu    sync.Mutex
 	avoid map[string]time.Duration
+	lost  map[string]loss
+}
+
+// loss is when a connection to a database was last lost or regained, and the revision of the
+// database's entry then.
+type loss struct {
+	at       time.Duration
+	revision uint64
 }
 
+// entryDelay is how long after its start a database's entry may take to reach a host in contact with
+// the platform: it is written at the start, and watches collect changes for 100 ms twice.
+const entryDelay = 300 * time.Millisecond
+
 // Names of the metrics.
 const (
 	requestsMetric   = `coltsfootloft_cold_requests_total`
@@ -97,7 +114,7 @@
 	}, u, ok
 }
 
-// IsCold reports whether requests to a database are limited now.
+// IsCold reports whether a database says that it is cold, and is limited.
 func (l *Limiter) IsCold(id string) bool {
 	if l == nil {
 		return false
@@ -106,6 +123,59 @@
 	return ok && u.ColdFor > 0
 }
 
+// Lost records that the host has lost a connection to a database, or has one again. The database may
+// have started again since, and be cold without the host's knowledge.
+func (l *Limiter) Lost(id string) {
+	_, u, ok := l.limitOf(id)
+	if !ok {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.lost == nil {
+		l.lost = make(map[string]loss)
+	}
+	l.lost[id] = loss{
+		at:       l.Clock.Elapsed(),
+		revision: u.Revision,
+	}
+}
+
+// FirstOpened records that the host has a connection to a database to which it had none. If it is not in
+// contact with the platform, the database may have started since without its knowledge.
+func (l *Limiter) FirstOpened(id string) {
+	if !l.InContact() {
+		l.Lost(id)
+	}
+}
+
+// isLimited reports whether statements to a database are charged: while it is cold, and while it may
+// be. That ends with a new entry, once the host has had contact with the platform for long enough to
+// have seen one, or when a database that started then is warm.
+func (l *Limiter) isLimited(id string) bool {
+	if l == nil {
+		return false
+	}
+	_, u, ok := l.limitOf(id)
+	if !ok || u.ColdFor > 0 {
+		return ok
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	x, suspect := l.lost[id]
+	if !suspect {
+		return false
+	}
+	now := l.Clock.Elapsed()
+	age, known := l.Mirror.Horizon().Age(now)
+	start := l.Mirror.View().Settings.ColdStarts[u.Group]
+	if u.Revision > x.revision || known && now-age >= x.at+entryDelay || now-x.at >= start.Duration {
+		delete(l.lost, id)
+		return false
+	}
+	return true
+}
+
 // Account returns the limit of an internal account. The quota keeper knows those of all databases
 // that may be cold, as hosts may learn that one is before it does.
 func (l *Limiter) Account(name string) (coltsfootloft.Account, bool) {
@@ -120,6 +190,9 @@
 // IsAvoided reports whether reads should go to other databases, as this one is cold and has
 // refused a request a moment ago.
 func (l *Limiter) IsAvoided(id string) bool {
+	if l == nil {
+		return false
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.Clock.Elapsed() < l.avoid[id]
@@ -128,7 +201,7 @@
 // Avoid records that a request to a cold database was not granted, here or on the host that owns
 // the connection.
 func (l *Limiter) Avoid(id string) {
-	if !l.IsCold(id) {
+	if !l.isLimited(id) {
 		return
 	}
 	l.Metrics.GetOrCreateCounter(redirectedMetric).Inc()
@@ -144,7 +217,7 @@
 // Admit charges n requests to a database, and reports whether they may be sent now. It waits for at
 // most AtOnce or wait if that is longer. Requests to databases that are not cold are not charged.
 func (l *Limiter) Admit(id string, n int, wait time.Duration) bool {
-	if !l.IsCold(id) {
+	if !l.isLimited(id) {
 		return true
 	}
 	if l.borrow(cold.StatementAccount(id), id, n, max(wait, AtOnce)) {
--- a/stand/linedb/judge.go
+++ b/stand/linedb/judge.go
@@ -43,6 +43,7 @@
 
 const (
 	wordCommit   = "COMMIT"
+	wordPrepare  = "PREPARE"
 	wordRollback = "ROLLBACK"
 )
 
@@ -62,7 +63,7 @@
 	"WRITE":      {least: 2, most: 2, forwarded: true},
 	"EXEC":       {least: 2, most: 3, forwarded: true},
 	"SET":        {least: 2, most: 2},
-	"PREPARE":    {least: 3, most: 3},
+	wordPrepare:  {least: 3, most: 3},
 	"DEALLOC":    {least: 1, most: 1},
 	"RESET":      {own: true},
 	"STATUS":     {own: true},
@@ -127,7 +128,7 @@
 		if n > 0 && first != "READ" {
 			return "kind"
 		}
-	case "PREPARE":
+	case wordPrepare:
 		if second != "READ" && second != "WRITE" {
 			return "kind"
 		}
--- a/stand/linedb/serve.go
+++ b/stand/linedb/serve.go
@@ -136,7 +136,7 @@
 // noteRequest records a request if that is asked for.
 func (s *session) noteRequest(q request) {
 	g := s.database.group
-	if !g.CountRequests || q.word == "PREPARE" && q.fields[0] == "mark" {
+	if !g.CountRequests || q.word == wordPrepare && q.fields[0] == "mark" {
 		return
 	}
 	if g.requests == nil {
--- a/stand/linedb/session.go
+++ b/stand/linedb/session.go
@@ -122,7 +122,7 @@
 	case "SET":
 		s.values[name] = detail
 		return done
-	case "PREPARE":
+	case wordPrepare:
 		s.prepared[name] = detail + " " + q.fields[2]
 		return done
 	case "DEALLOC":
