--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -162,6 +162,7 @@
 		return reply, nil
 	}
 	if errors.Is(err, dbpool.ErrCold) {
+		n.relay.Cold.Refused(n.target.ID)
 		n.Release(!isInTransaction(q.Statement, keep))
 		return reply, err
 	}
--- a/io/relay/remote.go
+++ b/io/relay/remote.go
@@ -82,7 +82,7 @@
 		if a.GetLeaving() {
 			n.relay.avoid(n.owner, errLeaving)
 		}
-		n.relay.Cold.Avoid(n.target.ID)
+		n.relay.Cold.Refused(n.target.ID)
 		return dbpool.ErrBusy
 	case relaypb.Outcome_OUTCOME_DOWN:
 		n.relay.Pools.Observe(n.target.ID, func(c *pick.Candidate, now time.Duration) { c.Down(now) })
--- a/io/warmup/warmup.go
+++ b/io/warmup/warmup.go
@@ -198,13 +198,16 @@
 	return l.Clock.Elapsed() < l.avoid[id]
 }
 
-// Avoid records that a request to a cold database was not granted, here or on the host that owns
-// the connection.
-func (l *Limiter) Avoid(id string) {
-	if !l.isLimited(id) {
-		return
+// Refused records that a statement of this host's callers was not sent to a database, here or on the
+// host that owns the connection. It does nothing if the database is not limited.
+func (l *Limiter) Refused(id string) {
+	if l.isLimited(id) {
+		l.Metrics.GetOrCreateCounter(redirectedMetric).Inc()
+		l.startAvoiding(id)
 	}
-	l.Metrics.GetOrCreateCounter(redirectedMetric).Inc()
+}
+
+func (l *Limiter) startAvoiding(id string) {
 	hosts := len(l.Mirror.View().Hosts)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -223,7 +226,7 @@
 	if l.borrow(cold.StatementAccount(id), id, n, max(wait, AtOnce)) {
 		return true
 	}
-	l.Avoid(id)
+	l.startAvoiding(id)
 	return false
 }
 
