--- a/io/dbpool/pools.go
+++ b/io/dbpool/pools.go
@@ -87,6 +87,12 @@
 	// SlotShare returns the part of a database's slots that falls to each host that owns
 	// connections, and how many do. It is nil if loads are not measured.
 	SlotShare func(t Target) (slots float64, owners int)
+	// Lost is called when a connection to a database was lost, or could be opened again; it may be
+	// nil.
+	Lost func(database string)
+	// FirstOpened is called when a connection was opened to a database to which there was none;
+	// it may be nil.
+	FirstOpened func(database string)
 	// Log receives a line when a database becomes unreachable or reachable again.
 	Log logr.Logger
 	// Metrics receives the counters and histograms.
@@ -228,6 +234,7 @@
 			return c, unusable
 		}
 		p.forget(n, c)
+		p.noteLost(n.id)
 		unusable = append(unusable, c)
 	}
 	return nil, unusable
@@ -390,6 +397,12 @@
 	f(&p.pool(id).candidate, p.Clock.Elapsed())
 }
 
+func (p *Pools) noteLost(id string) {
+	if p.Lost != nil {
+		p.Lost(id)
+	}
+}
+
 func (p *Pools) count(event string) {
 	p.Metrics.GetOrCreateCounter(`coltsfootloft_database_connections_total{event="` + event + `"}`).Inc()
 }
--- a/io/relay/remote.go
+++ b/io/relay/remote.go
@@ -90,7 +90,7 @@
 		if a.GetRetryMs() > 0 && n.relay.Pools.EstimateWaits {
 			return &dbpool.WaitError{Retry: span(a.GetRetryMs())}
 		}
-		n.relay.Cold.Avoid(n.target.ID)
+		n.relay.Cold.Refused(n.target.ID)
 		return dbpool.ErrBusy
 	case relaypb.Outcome_OUTCOME_DOWN:
 		n.relay.Pools.Observe(n.target.ID, func(c *pick.Candidate, now time.Duration) { c.Down(now) })
