lender, grant, quota: deputies of failure domains lend rates without a keeper

Cause: hosts that use an account sparsely hold no rate of it and borrow each operation from the quota keeper. When a domain is cut off, or the keeper is lost for its lease of 2 s, operations within the limit are refused. Change: in domains of 8 or more hosts each shard of the accounts has a deputy, the first host in rendezvous order by size (core/lender). It is granted rates by the keeper like any host, for what its domain uses sparsely, and lends single operations. A host that has run out asks it first, and the keeper if it has none or does not answer. Each operation is counted once, as the deputy's demand; hosts leave out of their reports what the deputy reports, and reports without accounts (not those to the first keeper, which carry more). Deputies are granted up to 0.75 of a rate and 1.2 times their demand. A new keeper that has not heard of a recent deputy counts all that may be granted as rates as in use, for the validity of a grant. Hosts of the previous version have no deputy's duty and are passed over; as borrowers they ask the keeper as before. Metrics: coltsfootloft_quota_lent_total{by}, coltsfootloft_quota_refusals_total{keeper}.

--- a/core/grant/allocator.go
+++ b/core/grant/allocator.go
@@ -18,6 +18,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"coltsfootloft"
@@ -42,12 +43,12 @@
 	// less than one operation for each host, the hosts with the greatest demand get one
 	// each, and the others borrow.
 	hostBurstShare = 0.5
-	// minOperations is the least demand, in operations within Validity, of a host that
+	// MinOperations is the least demand, in operations within Validity, of a host that
 	// gets a bucket. The tokens of a bucket that is used less often are missing
 	// elsewhere.
-	minOperations = 5
+	MinOperations = 5
 	// denseOperations is the least average demand, in operations within Validity, of
-	// the hosts that use an account for all of them to get a bucket: then a host does not
+	// the hosts with demand for an account for all of them to get a bucket: then a host does not
 	// get one only because its callers came together by chance.
 	denseOperations = 2
 	// shallowDepth is the bucket depth, in operations, below which a bucket often
@@ -55,6 +56,11 @@
 	// arrivals at twice the rate, a depth of one loses a third of the tokens, a
 	// depth of four a few percent.
 	shallowDepth = 4
+	// deputyShare takes the place of rateShare for deputies, and deputyHeadroom is how much more
+	// than its demand a deputy is granted: without a keeper a bucket that fills at the
+	// rate of the demand refuses many operations by chance.
+	deputyShare    = 0.75
+	deputyHeadroom = 1.2
 	// initialShare is the part of the rate, or of the burst if that is less, that
 	// a new allocator may lend at once. Its predecessor may have lent the whole
 	// burst just before. A window of five seconds contains at most two new
@@ -96,6 +102,9 @@
 type Allocator struct {
 	// Started is when this host became the allocator.
 	Started time.Duration
+	// Deputies are the hosts that are or were lately deputies of their failure domains
+	// (package lender). Each may hold most of what is granted as rates.
+	Deputies []string
 
 	accounts map[string]*account
 	reported map[string]bool
@@ -135,7 +144,7 @@
 }
 
 // hasBucket reports whether the demand of the host is enough for a bucket of its own.
-func (h *allocation) hasBucket() bool { return h.demand*Validity.Seconds() >= minOperations }
+func (h *allocation) hasBucket() bool { return h.demand*Validity.Seconds() >= MinOperations }
 
 // Accept reports whether a report is the latest of its host, so that what it says of the
 // grants in use may be recorded. A report that was held up is not, nor is one of an earlier
@@ -196,13 +205,14 @@
 		al.recordReport(now, host, l)
 	}
 	unreported := al.unreportedShare(now, hosts)
+	isDeputySilent := now-al.Started < Validity && slices.ContainsFunc(al.Deputies, func(h string) bool { return !al.reported[h] })
 	grants := make([]Line, 0, len(lines))
 	for _, l := range lines {
 		limit, ok := limits[l.Account]
 		if !ok {
 			continue
 		}
-		grants = append(grants, al.grant(now, host, l, limit, unreported))
+		grants = append(grants, al.grant(now, host, l, limit, unreported, isDeputySilent))
 	}
 	return grants
 }
@@ -243,14 +253,20 @@
 	return float64(n) / float64(len(hosts))
 }
 
-func (al *Allocator) grant(now time.Duration, host string, l Line, limit coltsfootloft.Account, unreported float64) Line {
+func (al *Allocator) grant(now time.Duration, host string, l Line, limit coltsfootloft.Account, unreported float64, isDeputySilent bool) Line {
 	a := al.accounts[l.Account]
 	a.setLimit(now, limit)
 	h := a.hosts[host]
 	others := a.sumOthers(now, host)
 	others.held.rate += limit.Rate() * rateShare * unreported
 	others.held.depth += limit.Burst() * hostBurstShare * unreported
-	h.granted = a.bucketOf(host, others)
+	if isDeputySilent {
+		// It may hold all that the predecessor has granted as rates, but for what others report to hold.
+		mine := h.previous
+		others.held.rate = max(others.held.rate, limit.Rate()*deputyShare-mine.rate)
+		others.held.depth = max(others.held.depth, limit.Burst()*hostBurstShare-mine.depth)
+	}
+	h.granted = a.bucketOf(host, others, slices.Contains(al.Deputies, host))
 	h.until = max(h.until, now+Validity)
 	g := Line{
 		Account: l.Account,
@@ -274,6 +290,8 @@
 	demand, bucketDemand float64
 	// buckets is the number of hosts with enough demand for a bucket.
 	buckets int
+	// users is the number of hosts with any demand.
+	users int
 	// dense is set if all hosts that use the account get a bucket.
 	dense bool
 }
@@ -293,22 +311,25 @@
 		s.held.rate += held.rate
 		s.held.depth += held.depth
 		s.demand += h.demand
+		if h.demand > 0 {
+			s.users++
+		}
 		if h.hasBucket() {
 			s.buckets++
 			s.bucketDemand += h.demand
 		}
 	}
 	operations := (a.hosts[host].demand + s.demand) * Validity.Seconds()
-	if operations >= denseOperations*float64(len(a.hosts)) {
+	if operations >= denseOperations*float64(s.users+1) {
 		s.dense = true
-		s.buckets = len(a.hosts) - 1
+		s.buckets = s.users
 		s.bucketDemand = s.demand
 	}
 	return s
 }
 
 // bucketOf returns the rate and the depth of the bucket of a host, zero if it gets none.
-func (a *account) bucketOf(host string, others sum) part {
+func (a *account) bucketOf(host string, others sum, isDeputy bool) part {
 	h := a.hosts[host]
 	free := a.burst*hostBurstShare - others.held.depth
 	depth := min(a.bucketDepth(host, others.buckets+1), free)
@@ -316,12 +337,15 @@
 		return part{}
 	}
 	usable := a.rate * usableShare
-	granted := a.rate * rateShare
+	granted, headroom := a.rate*rateShare, 1.
+	if isDeputy {
+		granted, headroom = a.rate*deputyShare, deputyHeadroom
+	}
 	if depth < shallowDepth && len(a.hosts) > 1 {
 		// The rest of the rate covers the demand even if all that is granted is lost.
 		granted = min(granted, max(usable-h.demand-others.demand, 0))
 	}
-	rate := min(share(granted, h.demand, others.bucketDemand), max(usable-others.held.rate, 0))
+	rate := min(share(granted, h.demand*headroom, others.bucketDemand*headroom), max(usable-others.held.rate, 0))
 	if rate == 0 {
 		return part{}
 	}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -284,6 +284,9 @@
 		Clock:    e.clock,
 		Log:      e.log.WithName("quota"),
 		StoreAge: e.storeAge,
+		Metrics:  e.metrics,
+
+		ReportsAlways: i == 0, // settings are confirmed, and the store's outages judged, by its answers
 	}
 	q.Register()
 	return q
--- a/io/quota/keeper.go
+++ b/io/quota/keeper.go
@@ -79,6 +79,7 @@
 		l.allocatorSince = since
 		l.allocator = grant.Allocator{Started: since}
 	}
+	l.allocator.Deputies = l.recentDeputies()
 	if !l.allocator.Accept(from, r.GetRun(), r.GetNumber()) {
 		l.Log.Info("report is late", "host", from, "run", r.GetRun(), "number", r.GetNumber())
 		return nil
--- a/io/quota/quota.go
+++ b/io/quota/quota.go
@@ -7,6 +7,9 @@
 // bucket empty. The keeper then lends single operations. If it has none left, the host
 // asks again for that account only after a pause, while others are not delayed.
 //
+// In large failure domains a host that has run out first asks the deputy of its domain
+// (package lender), which goes on while the keeper is out of reach.
+//
 // Large numbers of accounts are divided among several keepers (Shards).
 package quota
 
@@ -17,13 +20,13 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
-	"github.com/pkg/errors"
-	"google.golang.org/protobuf/proto"
 
 	"coltsfootloft"
 	"coltsfootloft/core/bucket"
 	"coltsfootloft/core/grant"
+	"coltsfootloft/core/lender"
 	"coltsfootloft/io/duty"
 	"coltsfootloft/io/mirror"
 	"coltsfootloft/io/pause"
@@ -48,9 +51,6 @@
 	callTimeout = 300 * time.Millisecond
 	// accountRetention is how long after its last operation an account is still reported.
 	accountRetention = 6 * time.Second
-	// smoothing is the weight of the latest period in the moving average of the demand,
-	// which so covers about three seconds.
-	smoothing = 0.25
 	// lentLifetime is how long lent or returned operations can be used.
 	lentLifetime = 500 * time.Millisecond
 	// borrowAhead is how much expected demand a host that has run out borrows for.
@@ -77,6 +77,11 @@
 	Log logr.Logger
 	// StoreAge returns how long ago the store last answered this host.
 	StoreAge func() time.Duration
+	// Metrics receives the metrics; nil for none.
+	Metrics *metrics.Set
+	// ReportsAlways is set if the keeper's answers are needed for more than rates, so that no
+	// report is left out for want of accounts.
+	ReportsAlways bool
 
 	mu           sync.Mutex
 	accounts     map[string]*account
@@ -89,6 +94,8 @@
 	lastAnswer   time.Duration // when the keeper last answered
 	heardAt      time.Duration // when the host named as the keeper last answered
 	news         StoreNews
+	deputy       deputy
+	lastKeeper   mirror.Duty // to which all accounts were last reported
 	once         sync.Once
 
 	allocator      grant.Allocator
@@ -100,8 +107,7 @@
 // account is the state of one client account on this host.
 type account struct {
 	bucket     bucket.Bucket
-	operations float64 // since the last update of demand
-	demand     float64
+	usage      lender.Usage
 	waiting    int
 	lastUsed   time.Duration
 	rate       float64
@@ -109,6 +115,8 @@
 	granted    bool
 	// askAt is when the keeper may be asked again to lend operations.
 	askAt time.Duration
+	// deputyAt is when the deputy may be asked again.
+	deputyAt time.Duration
 	// lent is the number of operations lent by the keeper or returned unused. They can be
 	// used until lentUntil.
 	lent      float64
@@ -119,6 +127,8 @@
 func (l *Limiter) Register() {
 	l.lazyInit()
 	l.Peers.Register(l.Duty.Name, l.handle)
+	l.Peers.Register(l.loanDuty(), l.handleLoan)
+	l.createMetrics()
 }
 
 func (l *Limiter) lazyInit() {
@@ -126,6 +136,7 @@
 		l.accounts = make(map[string]*account)
 		l.changed = make(chan struct{})
 		l.urgent = make(chan struct{}, 1)
+		l.deputy.wake = make(chan struct{}, 1)
 		l.run = rand.Uint64() | 1 // 0 stands for none
 	})
 }
@@ -135,8 +146,11 @@
 func (l *Limiter) Admit(ctx context.Context, name string) bool {
 	l.mu.Lock()
 	a := l.account(name)
-	a.operations++
-	if a.take(l.Clock.Elapsed()) {
+	now := l.Clock.Elapsed()
+	isLent := a.hasLent(now)
+	isTaken := a.take(now)
+	a.usage.Add(isTaken && !isLent)
+	if isTaken {
 		l.mu.Unlock()
 		return true
 	}
@@ -168,7 +182,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.accounts[name]
-	return a == nil || !a.granted
+	return a == nil || !a.granted && a.lentUntil == 0
 }
 
 // Return gives back an operation that was admitted but not sent to any database.
@@ -187,11 +201,12 @@
 // logRefusal logs the state on which a refusal is based; mu is held.
 func (l *Limiter) logRefusal(name string, a *account) {
 	now := l.Clock.Elapsed()
+	l.countRefusal()
 	limit := coltsfootloft.Account{}
 	if c := l.Mirror.View().Settings; c != nil {
 		limit = c.Accounts[name]
 	}
-	l.Log.Info("account over its rate here", "account", name, "limit", limit.Rate(), "burst", limit.Burst(), "demand", a.demand,
+	l.Log.Info("account over its rate here", "account", name, "limit", limit.Rate(), "burst", limit.Burst(), "demand", a.usage.Demand(),
 		"granted", a.rate, "tokens", a.bucket.Available(bucket.At(now)), "valid", (a.validUntil - now).String(),
 		"keeper_silent", (now - l.lastAnswer).String(), "waiting", a.waiting, "lent", a.lent)
 }
@@ -218,14 +233,19 @@
 	if missing <= 0 {
 		return 0
 	}
-	return missing + math.Floor(a.demand*borrowAhead.Seconds())
+	return missing + math.Floor(a.usage.Demand()*borrowAhead.Seconds())
 }
 
-// isShort reports whether the keeper is to be asked for operations of the account now.
-func (a *account) isShort(now time.Duration) bool { return now >= a.askAt && a.wanted(now) > 0 }
+// isShort reports whether the keeper is to be asked for operations of the account now; hasDeputy
+// is set if the deputy is asked first.
+func (a *account) isShort(now time.Duration, hasDeputy bool) bool {
+	return now >= a.askAt && a.wanted(now) > 0 && (!hasDeputy || now < a.deputyAt)
+}
+
+func (a *account) hasLent(now time.Duration) bool { return now < a.lentUntil && a.lent >= 1 }
 
 func (a *account) take(now time.Duration) bool {
-	if now < a.lentUntil && a.lent >= 1 {
+	if a.hasLent(now) {
 		a.lent--
 		return true
 	}
@@ -240,6 +260,10 @@
 	case l.urgent <- struct{}{}:
 	default:
 	}
+	select {
+	case l.deputy.wake <- struct{}{}:
+	default:
+	}
 }
 
 // Run reports to the keeper until ctx ends.
@@ -250,8 +274,16 @@
 	short := time.NewTimer(maxBucketWait)
 	defer short.Stop()
 	keeper := mirror.Duty{}
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		l.runBorrower(ctx)
+	}()
 	for {
 		changed := l.Mirror.Changed()
+		l.updateDeputies()
 		if now := l.Mirror.View().Duties[l.Duty.Name]; now != keeper {
 			keeper = now
 			l.report(ctx, false)
@@ -279,8 +311,9 @@
 	defer l.mu.Unlock()
 	now := l.Clock.Elapsed()
 	wait := maxBucketWait
+	hasDeputy := l.deputy.isAsked(now)
 	for _, a := range l.accounts {
-		if a.wanted(now) > 0 {
+		if a.wanted(now) > 0 && (!hasDeputy || now < a.deputyAt) {
 			wait = min(wait, max(a.askAt-now, 0))
 		}
 	}
@@ -294,96 +327,6 @@
 	return max(minUrgentPeriod, time.Duration(float64(len(v.Hosts))*float64(urgentTimePerHost)/size))
 }
 
-// report reports the demand to the keeper and applies its grants; onlyShort leaves out
-// the accounts that are not short of operations.
-func (l *Limiter) report(ctx context.Context, onlyShort bool) {
-	sent := l.Clock.Elapsed()
-	r := l.buildReport(sent, onlyShort)
-	fresh := l.Mirror.Freshness()
-	l.reports++
-	r.Run = l.run
-	r.Number = l.reports
-	if l.StoreAge != nil {
-		r.StoreAgeMs = proto.Int64(l.StoreAge().Milliseconds())
-	}
-	r.StoreEra = coltsfootloft.EraOf(fresh.Revision)
-	r.SettingsEra = coltsfootloft.EraOf(fresh.SettingsRevision)
-	r.SettingsRevision = coltsfootloft.NumberOf(fresh.SettingsRevision)
-	r.SettingsVersion = fresh.SettingsVersion
-	keeper, ok := l.Duty.Holder()
-	if !ok {
-		l.noteKeeperSilent("no host holds the quota duty")
-		return
-	}
-	b, err := proto.Marshal(r)
-	if err != nil { // the name of an account is not UTF-8
-		l.noteKeeperSilent(err.Error())
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	b, err = l.Peers.Call(ctx, keeper, l.Duty.Name, b)
-	var g quotapb.Grants
-	if err == nil {
-		err = proto.Unmarshal(b, &g)
-	}
-	if err == nil {
-		l.mu.Lock()
-		l.observeNews(sent, &g)
-		l.mu.Unlock()
-	}
-	if err == nil && !g.GetKeeper() {
-		err = errors.Errorf("%s is not the quota keeper", keeper)
-	}
-	if err != nil {
-		l.noteKeeperSilent(err.Error())
-		return
-	}
-	l.applyGrants(sent, &g)
-}
-
-// buildReport returns the report for the accounts used recently, and updates their
-// demand.
-func (l *Limiter) buildReport(now time.Duration, onlyShort bool) *quotapb.Report {
-	pause := urgentPause(l.Mirror.View(), l.Duty.Name)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	period := max((now - l.lastReport).Seconds(), minUrgentPeriod.Seconds())
-	fullPeriod := !onlyShort && now-l.lastReport >= reportPeriod/2
-	r := &quotapb.Report{Some: onlyShort}
-	for name, a := range l.accounts {
-		if now-a.lastUsed > accountRetention && now >= a.validUntil {
-			delete(l.accounts, name)
-			continue
-		}
-		if fullPeriod {
-			a.demand += smoothing * (a.operations/period - a.demand)
-			a.operations = 0
-		}
-		if onlyShort && !a.isShort(now) {
-			continue
-		}
-		line := &quotapb.Line{
-			Account: name,
-			Demand:  a.demand,
-		}
-		if a.isShort(now) {
-			line.Want = a.wanted(now)
-			a.askAt = now + pause
-		}
-		if now < a.validUntil {
-			line.Held = a.rate
-			line.HeldBurst = a.bucket.Burst()
-			line.HeldMs = (a.validUntil - now).Milliseconds() + 1
-		}
-		r.Lines = append(r.Lines, line)
-	}
-	if fullPeriod {
-		l.lastReport = now
-	}
-	return r
-}
-
 func (l *Limiter) applyGrants(sent time.Duration, g *quotapb.Grants) {
 	l.Mirror.ObservePeer(mirror.Freshness{
 		Sent:             sent,
@@ -410,13 +353,7 @@
 			a.bucket = bucket.New(0, 0, bucket.At(now))
 		}
 		a.bucket.Resize(bucket.At(now), amount(x.GetRate()), amount(x.GetBurst()))
-		if now >= a.lentUntil {
-			a.lent = 0
-		}
-		if lent := amount(x.GetLent()); lent > 0 {
-			a.lent += lent
-			a.lentUntil = sent + lentLifetime
-		}
+		l.addLent(a, sent, now, amount(x.GetLent()), byKeeper)
 		if a.wanted(now) == 0 {
 			a.askAt = 0
 		}
