--- a/io/edge/fleet_test.go
+++ b/io/edge/fleet_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -39,6 +40,8 @@
 	// hasHostLinks puts a switch of hostLinks before each host; without it, hosts reach each other directly.
 	hasHostLinks bool
 	hostLinks    hostlink.Links
+	// domains is the number of failure domains among which hosts are divided; 3 if it is 0.
+	domains int
 	// withdrawalLimit is how soon a withdrawn key must stop working.
 	withdrawalLimit time.Duration
 	// grace is the time that hosts have to shut down, in seconds.
@@ -208,7 +211,7 @@
 	ip := fmt.Sprintf("127.0.62.%d", n)
 	s := conf.EntrySettings{
 		Name:         fmt.Sprintf("host-%d", n),
-		Domain:       fmt.Sprintf("domain-%d", (n-1)%3+1),
+		Domain:       fmt.Sprintf("domain-%d", (n-1)%cmp.Or(f.domains, 3)+1),
 		Listen:       freeAddress(f.t, ip),
 		Ready:        freeAddress(f.t, ip),
 		Peer:         freeAddress(f.t, ip),
