--- a/io/mirror/follow.go
+++ b/io/mirror/follow.go
@@ -65,21 +65,23 @@
 // chooseSource selects the source: the first hosts of a failure domain watch the store,
 // and the others poll the first of those that is not being avoided. Without a source to
 // poll, a candidate watches at once and any other host after noSourceTimeout. A host
-// that is not registered yet watches the store, since no other host ranks it.
+// that is not registered yet watches the store, since no other host ranks it. A host that the store
+// does not answer polls another one in either case: the store may turn away some hosts only, and
+// without the changes they would not learn of new holders of duties.
 func (m *Mirror) chooseSource() source {
 	v := m.View()
-	if _, registered := v.Hosts[m.Self]; !registered {
+	reached := m.RecentlyReached()
+	if _, registered := v.Hosts[m.Self]; !registered && reached {
 		return source{direct: true}
 	}
 	order := m.watchCandidates(v)
 	pos := slices.Index(order, m.Self)
-	before := order
-	if pos >= 0 {
-		before = order[:pos]
-	}
 	now := m.Clock.Elapsed()
-	if pos < 0 || pos >= primaryWatchers {
-		for _, h := range before {
+	if pos < 0 || pos >= primaryWatchers || !reached {
+		for i, h := range order {
+			if h == m.Self || i > pos && pos >= 0 && reached {
+				continue
+			}
 			if now >= m.avoidUntil[h] {
 				m.noSourceSince = 0
 				return source{host: h}
--- a/io/mirror/follow_test.go
+++ b/io/mirror/follow_test.go
@@ -25,6 +25,8 @@
 		Clock:  c,
 		Log:    logr.Discard(),
 		Domain: "a",
+
+		RecentlyReached: func() bool { return true },
 	}
 	m.lazyInit()
 	v := emptyView()
@@ -97,6 +99,40 @@
 	assert.Equal(t, m.chooseSource(), source{direct: true})
 }
 
+// TestHostWithoutTheStorePolls guards against a host that the store turns away and that goes on to call it: it
+// does not learn of changes, such as a new quota keeper, though other hosts of its failure domain do. A host
+// whose registration has ended is one of them, and so is one that should watch the store.
+func TestHostWithoutTheStorePolls(t *testing.T) {
+	for _, pos := range []int{0, 1, maxWatchers} {
+		m, c := newRankedMirror(t, pos)
+		self := m.Self
+		m.RecentlyReached = func() bool { return false }
+		for _, registered := range []bool{true, false} {
+			m.Self = self
+			if !registered {
+				m.Self = "unregistered"
+			}
+			for range m.candidates {
+				if s := m.chooseSource(); s.host != "" {
+					assert.Assert(t, s.host != m.Self && !s.direct)
+					m.avoid(s.host, errNotWatching)
+				}
+			}
+			c.now += noSourceTimeout
+			assert.Assert(t, m.chooseSource().host != "", "those that were avoided are asked again")
+			for range m.candidates {
+				if s := m.chooseSource(); s.host != "" {
+					m.avoid(s.host, errors.New("no answer"))
+				}
+			}
+			m.chooseSource()
+			c.now += noSourceTimeout
+			assert.Equal(t, m.chooseSource(), source{direct: true}, "nobody to poll")
+			c.now += unreachableAvoidance
+		}
+	}
+}
+
 func TestMaxRetryDelayGrowsWithFleet(t *testing.T) {
 	m, _ := newRankedMirror(t, 0)
 	assert.Equal(t, m.MaxRetryDelay(time.Second), time.Second)
--- a/io/mirror/watch_test.go
+++ b/io/mirror/watch_test.go
@@ -34,9 +34,10 @@
 func TestFutileListingsAreNotRepeatedAtOnce(t *testing.T) {
 	s := &compactedStore{}
 	m := &Mirror{
-		Store: s,
-		Clock: &manualClock{now: time.Hour},
-		Log:   logr.Discard(),
+		RecentlyReached: func() bool { return true },
+		Store:           s,
+		Clock:           &manualClock{now: time.Hour},
+		Log:             logr.Discard(),
 	}
 	m.lazyInit()
 	m.wakeWatch()
