--- a/io/failov/evacuation.go
+++ b/io/failov/evacuation.go
@@ -25,15 +25,28 @@
 		return
 	}
 	_, err := c.status(ctx, u.Target())
-	if err == nil {
+	switch {
+	case err == nil && c.syncReplicas(name) == 0 && c.evacuationLeft(u) < minEvacuationLeft:
+		c.notePartial(name, "too little time is left to see that another database has all commits")
+		pause.For(ctx, checkPeriod)
+	case err == nil:
 		c.changePrimary(ctx, name, evacuatedPrimary)
-		return
-	}
-	if c.evacuationState(u) != evac.Closed {
+	case c.evacuationState(u) != evac.Closed:
 		c.checkPrimary(ctx, name, u.Target())
 	}
 }
 
+// minEvacuationLeft is how much time must be left to begin the change of a primary without synchronous
+// replicas. It is demoted after a write to the store and the confirmations of the hosts; once its
+// domain is closed, nothing shows any more what it has acknowledged.
+const minEvacuationLeft = time.Second
+
+// evacuationLeft returns how much time is left until the domain of a database is closed.
+func (c *Controller) evacuationLeft(u mirror.Upstream) time.Duration {
+	e, _ := c.Mirror.View().Evacuations.Get(u.Upstream.Domain())
+	return e.Deadline - c.Clock.Elapsed()
+}
+
 // closedPrimary is the cause for replacing a primary to which nothing may be sent any more.
 const closedPrimary = "the primary's domain is closed by an evacuation"
 
--- a/io/mirror/evacuations.go
+++ b/io/mirror/evacuations.go
@@ -114,9 +114,30 @@
 	m.evacuationsKnown = max(m.evacuationsKnown, sent)
 }
 
+// viewDomains are the failure domains of a published view.
+type viewDomains struct {
+	view    *View
+	domains []string
+}
+
 // knownDomains returns the failure domains that databases, hosts or the process settings name,
-// sorted.
+// sorted. Those of the published view are kept, since the quota keeper needs them for each answer.
+// They must not be modified.
 func (m *Mirror) knownDomains(v *View) []string {
+	if known := m.domains.Load(); known != nil && known.view == v {
+		return known.domains
+	}
+	domains := m.findDomains(v)
+	if v == m.view.Load() { // another one may still change
+		m.domains.Store(&viewDomains{
+			view:    v,
+			domains: domains,
+		})
+	}
+	return domains
+}
+
+func (m *Mirror) findDomains(v *View) []string {
 	domains := append([]string{m.Domain}, m.Domains...)
 	for _, u := range v.Upstreams {
 		domains = append(domains, u.Upstream.Domain())
@@ -223,14 +244,14 @@
 		return nil
 	}
 	domains := slices.Concat(v.Evacuations.Domains(), v.Evacuations.EndedDomains(), m.knownDomains(v))
-	slices.Sort(domains)
-	domains = slices.Compact(domains)
-	domains = domains[:min(len(domains), maxConditions)]
 	now := m.Clock.Elapsed()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	states := make([]DomainState, 0, len(domains))
+	var states []DomainState
 	for _, domain := range domains {
+		if len(states) >= maxConditions || slices.ContainsFunc(states, func(s DomainState) bool { return s.Domain == domain }) {
+			continue
+		}
 		e, _ := v.Evacuations.Get(domain)
 		s := DomainState{
 			Domain:   domain,
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -116,6 +116,7 @@
 	// this host last knew which ones are. Both are guarded by mu.
 	absence          evac.Absence
 	evacuationsKnown time.Duration
+	domains          atomic.Pointer[viewDomains]
 	// history is guarded by mu. retryDelay, compactedAt, noSourceSince, avoidUntil,
 	// candidates and candidatesVersion are used by the watch loop only.
 	history           history
