--- a/io/mirror/evacuations.go
+++ b/io/mirror/evacuations.go
@@ -231,14 +231,14 @@
 		return nil
 	}
 	domains := slices.Concat(v.Evacuations.Domains(), v.Evacuations.EndedDomains(), m.knownDomains(v))
-	slices.Sort(domains)
-	domains = slices.Compact(domains)
-	domains = domains[:min(len(domains), maxConditions)]
 	now := m.Clock.Elapsed()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	states := make([]DomainState, 0, len(domains))
+	var states []DomainState
 	for _, domain := range domains {
+		if len(states) >= maxConditions || slices.ContainsFunc(states, func(s DomainState) bool { return s.Domain == domain }) {
+			continue
+		}
 		e, _ := v.Evacuations.Get(domain)
 		s := DomainState{
 			Domain:   domain,
