--- a/core/spill/spill.go
+++ b/core/spill/spill.go
@@ -5,9 +5,9 @@
 // exceeds that elsewhere plus the cost of going there by a margin and a quarter of the
 // target latency. It shrinks once the wait at home is under an eighth of the target and the
 // databases at home have room for what comes back, so that it does not swing with their
-// queue. It does not grow towards a domain that makes reads wait itself. It never exceeds what the other domain reports as free, divided by the hosts
-// that could send there. Without reports nothing is sent, except single reads that
-// bring one.
+// queue. It does not grow towards a domain that makes reads wait itself, and never exceeds
+// what that domain reports as free, divided by the hosts that could send there. Without
+// reports nothing is sent, except single reads that bring one.
 package spill
 
 import (
