--- a/io/edge/cold_test.go
+++ b/io/edge/cold_test.go
@@ -254,9 +254,9 @@
 	assert.Equal(t, f.group.Primary(), "db-3")
 }
 
-// TestDatabaseThatMayBeColdIsLimited guards against hosts that send a database which has started again as
-// much as before, because they are cut off from the store and can't know that it is cold.
-func TestDatabaseThatMayBeColdIsLimited(t *testing.T) {
+// startColdInTheSouth starts a fleet in which only db-3 can serve the route "board".
+func startColdInTheSouth(t *testing.T) *fleet {
+	t.Helper()
 	f := startFleet(t, 3, func(f *fleet) {
 		coldFleet(f)
 		f.withdrawalLimit = 5 * time.Second // keys are served on without the store
@@ -268,7 +268,36 @@
 			regions(s)
 		}
 	})
-	f.setRegions("board", []string{"south"}) // only db-3 can serve it
+	f.setRegions("board", []string{"south"})
+	return f
+}
+
+// TestDatabaseThatStartsAgainIsNotOverrun guards against a database that gets more than its bound right
+// after it has started again, before its entry has reached the hosts.
+func TestDatabaseThatStartsAgainIsNotOverrun(t *testing.T) {
+	f := startColdInTheSouth(t)
+	stop := f.load(8, "board", "READ x")
+	time.Sleep(500 * time.Millisecond)
+	f.group.SetDown("db-3", true)
+	time.Sleep(time.Second)
+	from := time.Now()
+	f.group.SetDown("db-3", false)
+	f.await("a request", 2*time.Second, func() bool {
+		at, _ := f.requestsBetween("db-3", from, time.Now())
+		return len(at) > 0
+	})
+	time.Sleep(200 * time.Millisecond)
+	f.announceCold(2, 30_000)
+	time.Sleep(3 * time.Second)
+	stop()
+	rate := f.checkBound("db-3", from, time.Now())
+	assert.Assert(t, rate >= coldRate/2, "only %.1f a second of %d", rate, coldRate)
+}
+
+// TestDatabaseThatMayBeColdIsLimited guards against hosts that send a database which has started again as
+// much as before, because they are cut off from the store and can't know that it is cold.
+func TestDatabaseThatMayBeColdIsLimited(t *testing.T) {
+	f := startColdInTheSouth(t)
 	stop := f.load(4, "board", "READ x")
 	time.Sleep(time.Second)
 	f.store.SetFaults(keyval.Faults{Down: true})
--- a/io/relay/cold.go
+++ b/io/relay/cold.go
@@ -16,7 +16,7 @@
 // no other database can serve waits, and the primary is checked again after the wait.
 func (n *Conn) patient(q dbpool.Request, keep bool) dbpool.Request {
 	if n.primary != nil || isInTransaction(q.Statement, keep) {
-		q.ChargeWait = time.Duration(chargeShare * float64(time.Until(q.Deadline)))
+		q.ChargeWait = min(n.wait, time.Duration(chargeShare*float64(time.Until(q.Deadline))))
 	}
 	if n.primary != nil {
 		q.MaySend = func() bool { return n.relay.Groups.MaySend(n.target.Group, *n.primary) }
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -86,7 +86,7 @@
 	conn     *dbpool.Conn // connection of this host, or nil
 	owner    string       // host that owns the connection, if conn is nil
 	handle   uint64
-	wait     time.Duration // for a connection, at the owner
+	wait     time.Duration // for a connection at the owner, or for a cold database, at most
 }
 
 // Borrow lends a connection for statements with a priority, where 0 is the most urgent.
@@ -101,10 +101,10 @@
 		priority: priority,
 		primary:  primary,
 	}
+	deadline, _ := ctx.Deadline()
+	n.wait = time.Until(deadline)
 	if owner, ok := r.remoteOwner(t.ID, account, h); ok {
 		n.owner = owner
-		deadline, _ := ctx.Deadline()
-		n.wait = time.Until(deadline)
 		return n, nil
 	}
 	conn, err := r.Pools.Acquire(ctx, t, account, priority)
