--- a/core/conf/defaults.go
+++ b/core/conf/defaults.go
@@ -14,6 +14,8 @@
 	retryBudget      float64
 	heldBytes        int
 	messageLimit     int
+	callerWait       time.Duration
+	idleTransaction  time.Duration
 	requestTable     string
 	requestRetention time.Duration
 }
@@ -30,6 +32,8 @@
 	DefaultRetryBudget      = 0.1
 	DefaultHeldBytes        = 1 << 20
 	DefaultMessageLimit     = 16 << 20
+	DefaultCallerWait       = time.Duration(0)
+	DefaultIdleTransaction  = time.Duration(0)
 	DefaultRequestTable     = "coltsfootloft_requests"
 	DefaultRequestRetention = 24 * time.Hour
 )
@@ -70,6 +74,13 @@
 // MessageLimit is the maximum size in bytes of a message from a caller.
 func (d Defaults) MessageLimit() int { return d.messageLimit }
 
+// CallerWait is how long a caller may take to send the next 32 KiB of a message that has begun, or to
+// receive the next 32 KiB of an answer; 0 for no limit.
+func (d Defaults) CallerWait() time.Duration { return d.callerWait }
+
+// IdleTransaction is how long a transaction may wait for its caller's next message; 0 for no limit.
+func (d Defaults) IdleTransaction() time.Duration { return d.idleTransaction }
+
 // RequestTable is the name of the database table in which request ids are recorded.
 func (d Defaults) RequestTable() string { return d.requestTable }
 
@@ -89,6 +100,8 @@
 		retryBudget:      take(o, fraction("retry_budget", 0, 1).orDefault(DefaultRetryBudget)),
 		heldBytes:        take(o, sizeField("held_bytes", "4KiB", "64MiB").orDefault(DefaultHeldBytes)),
 		messageLimit:     take(o, sizeField("message_limit", "64KiB", "512MiB").orDefault(DefaultMessageLimit)),
+		callerWait:       take(o, duration("caller_wait", 0, time.Hour).orDefault(DefaultCallerWait)),
+		idleTransaction:  take(o, duration("idle_transaction", 0, 24*time.Hour).orDefault(DefaultIdleTransaction)),
 		requestTable:     take(o, text("request_table", acceptedTable, parseTable).orDefault(DefaultRequestTable)),
 		requestRetention: take(o, duration("request_retention", time.Minute, 366*24*time.Hour).orDefault(DefaultRequestRetention)),
 	}
--- a/core/conf/host.go
+++ b/core/conf/host.go
@@ -21,6 +21,8 @@
 	upstreamAnyName bool
 	peerTLS         TLSFiles
 	memoryLimit     int64
+	messageMemory   int64
+	maxSessions     int
 	logFormat       string
 	logLevel        string
 	trace           string
@@ -114,6 +116,13 @@
 // MemoryLimit is the soft memory limit of the process in bytes; 0 for no limit.
 func (h *Host) MemoryLimit() int64 { return h.memoryLimit }
 
+// MessageMemory is how many bytes of messages, prepared statements and settings all callers together
+// may make the process hold; 0 for no limit.
+func (h *Host) MessageMemory() int64 { return h.messageMemory }
+
+// MaxSessions is the greatest number of connections from callers.
+func (h *Host) MaxSessions() int { return h.maxSessions }
+
 // LogFormat is text or json.
 func (h *Host) LogFormat() string { return h.logFormat }
 
--- a/core/conf/hostset.go
+++ b/core/conf/hostset.go
@@ -187,6 +187,28 @@
 			return err == nil && (n == 0 || n >= 64)
 		}),
 	},
+	{
+		name:         "message_memory",
+		usage:        "memory in MiB for what callers make the process hold; 0 for no limit",
+		accepted:     "a whole number of MiB, 0 or at least 16",
+		defaultValue: "0",
+		set: single(func(h *Host, s string) bool {
+			n, err := strconv.Atoi(s)
+			h.messageMemory = int64(n) << 20
+			return err == nil && (n == 0 || n >= 16)
+		}),
+	},
+	{
+		name:         "max_sessions",
+		usage:        "greatest number of connections from callers",
+		accepted:     "a whole number from 1 to 65536",
+		defaultValue: "65536",
+		set: single(func(h *Host, s string) bool {
+			n, err := strconv.Atoi(s)
+			h.maxSessions = n
+			return err == nil && n >= 1 && n <= 65536
+		}),
+	},
 	{
 		name:         "log_format",
 		usage:        "text or json",
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -32,6 +32,8 @@
 	RequireTLS bool
 	// Peers forwards cancel requests to other hosts; nil disables forwarding.
 	Peers coltsfootloft.Peers
+	// MaxSessions is the greatest number of sessions; as many as there are numbers for them if 0.
+	MaxSessions int
 	// Clock is the source of time.
 	Clock clockwork.Clock
 	// Log receives log messages.
@@ -120,7 +122,7 @@
 	if s.draining {
 		return coltsfootloft.Refuse(coltsfootloft.CodeShutdown, "the host is shutting down")
 	}
-	if len(s.conns) > int(sequenceMask) {
+	if len(s.conns) >= s.maxSessions() {
 		return coltsfootloft.Refuse(coltsfootloft.CodeConnections, "too many sessions on this host")
 	}
 	for {
@@ -134,6 +136,14 @@
 	}
 }
 
+// maxSessions returns the greatest number of sessions.
+func (s *Server) maxSessions() int {
+	if s.MaxSessions == 0 {
+		return int(sequenceMask) + 1
+	}
+	return s.MaxSessions
+}
+
 func (s *Server) unregister(cc *callerConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/host/provide.go
+++ b/io/host/provide.go
@@ -241,14 +241,15 @@
 
 func provideFront(settings *conf.Host, certs certificates, env *caller.Env, l *peer.Links, clock clockwork.Clock, log logr.Logger) *front.Server {
 	return &front.Server{
-		Name:       settings.Name(),
-		Listen:     settings.Listen(),
-		Env:        env,
-		TLS:        certs.callerTLS(),
-		RequireTLS: settings.RequireTLS(),
-		Peers:      l,
-		Clock:      clock,
-		Log:        log.WithName("front"),
+		Name:        settings.Name(),
+		Listen:      settings.Listen(),
+		Env:         env,
+		TLS:         certs.callerTLS(),
+		RequireTLS:  settings.RequireTLS(),
+		Peers:       l,
+		MaxSessions: settings.MaxSessions(),
+		Clock:       clock,
+		Log:         log.WithName("front"),
 	}
 }
 
