--- a/cmd/coltsfootloft/serve.go
+++ b/cmd/coltsfootloft/serve.go
@@ -65,7 +65,7 @@
 		debug.SetGCPercent(gcPercent)
 	}
 	if os.Getenv("GOMEMLIMIT") == "" && settings.MemoryLimit() > 0 {
-		debug.SetMemoryLimit(settings.MemoryLimit())
+		debug.SetMemoryLimit(settings.MemoryLimit() / 4 * 3) // the rest is for what the runtime does not count or collects too late
 	}
 	h, err := host.Build(settings, clockwork.NewRealClock(), log)
 	if err != nil {
--- a/core/conf/defaults.go
+++ b/core/conf/defaults.go
@@ -32,8 +32,8 @@
 	DefaultRetryBudget      = 0.1
 	DefaultHeldBytes        = 1 << 20
 	DefaultMessageLimit     = 16 << 20
-	DefaultCallerWait       = time.Duration(0)
-	DefaultIdleTransaction  = time.Duration(0)
+	DefaultCallerWait       = 30 * time.Second
+	DefaultIdleTransaction  = 10 * time.Minute
 	DefaultRequestTable     = "coltsfootloft_requests"
 	DefaultRequestRetention = 24 * time.Hour
 )
--- a/core/conf/hostset.go
+++ b/core/conf/hostset.go
@@ -191,7 +191,7 @@
 		name:         "message_memory",
 		usage:        "memory in MiB for what callers make the process hold; 0 for no limit",
 		accepted:     "a whole number of MiB, 0 or at least 16",
-		defaultValue: "0",
+		defaultValue: "128",
 		set: single(func(h *Host, s string) bool {
 			n, err := strconv.Atoi(s)
 			h.messageMemory = int64(n) << 20
--- a/io/admin/server.go
+++ b/io/admin/server.go
@@ -83,28 +83,31 @@
 // Handler returns the handler of all paths. Run serves it too.
 func (s *Server) Handler() http.Handler {
 	m := http.NewServeMux()
-	m.HandleFunc("GET /metrics", s.metrics)
-	m.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
-	m.HandleFunc("GET /debug/pprof/", pprof.Index)
 	m.HandleFunc("GET /live", func(w http.ResponseWriter, _ *http.Request) { writeText(w, http.StatusOK, "live") })
 	if s.Ready != nil {
 		m.HandleFunc("GET /ready", s.ready)
 	}
-	if s.Status != nil {
-		m.HandleFunc("GET /v1/status", s.status)
-	}
-	if s.Journal != nil {
-		m.HandleFunc("GET /v1/explain", s.explain)
-	}
 	if s.Drain != nil {
 		m.HandleFunc("POST /v1/drain", s.drain)
 	}
 	if s.DrainUpstream != nil {
 		m.HandleFunc("POST /v1/upstreams/{name}/drain", s.drainUpstream)
 	}
+	m.Handle("GET /metrics", bounded(s.metrics))
+	m.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	m.Handle("GET /debug/pprof/", bounded(pprof.Index))
+	if s.Status != nil {
+		m.Handle("GET /v1/status", bounded(s.status))
+	}
+	if s.Journal != nil {
+		m.Handle("GET /v1/explain", bounded(s.explain))
+	}
 	return m
 }
 
+// bounded bounds the answers of one path, which are large.
+func bounded(h http.HandlerFunc) http.Handler { return bound.Handler(h) }
+
 func (s *Server) metrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
 	metrics.WritePrometheus(w, true)
--- a/io/caller/batch.go
+++ b/io/caller/batch.go
@@ -38,6 +38,8 @@
 // query.
 type batch struct {
 	steps []step
+	// bytes is the size of the first counted steps.
+	bytes, counted int
 	// cost is the number of statements that the batch runs.
 	cost int
 	// writes is set unless the batch is known to only read.
--- a/io/caller/change.go
+++ b/io/caller/change.go
@@ -22,10 +22,14 @@
 }
 
 func (s *Session) putStatement(name string, t *statement) {
+	if old, ok := s.prepared[name]; ok {
+		s.preparedBytes -= old.size()
+	}
 	if t == nil {
 		delete(s.prepared, name)
 		return
 	}
+	s.preparedBytes += t.size()
 	s.prepared[name] = t
 }
 
--- a/io/caller/env.go
+++ b/io/caller/env.go
@@ -34,6 +34,9 @@
 	Pool func(database string) (*pool.Pool, bool)
 	// RetryBudget is the retry budget of each client account.
 	RetryBudget Budget
+	// Messages bounds the messages and batches that sessions hold, Values their prepared statements
+	// and settings, which are held as long as the session; nil means no bound.
+	Messages, Values coltsfootloft.Memory
 	// Trace decides which requests are traced; nil traces none.
 	Trace *trace.Tracer
 	// Journal records the events of routing decisions; nil drops them.
--- a/io/caller/extended.go
+++ b/io/caller/extended.go
@@ -25,6 +25,10 @@
 		s.batch.refuse(coltsfootloft.Refuse("53400", "too many prepared statements in one session"))
 		return
 	}
+	if !s.growForParse(m.Query) {
+		s.batch.refuse(coltsfootloft.NoMemory(len(m.Query)))
+		return
+	}
 	t := newStatement(m)
 	s.batch.check(t.script)
 	c := s.setStatement(m.Name, t)
@@ -49,6 +53,9 @@
 		s.batch.refuse(unknownStatement(m.PreparedStatement))
 		return
 	}
+	if _, known := s.portals[m.DestinationPortal]; !known {
+		s.portalBytes += portalBytes + len(m.DestinationPortal)
+	}
 	s.portals[m.DestinationPortal] = t
 	if isHostStatement(t.script) {
 		s.batch.steps = append(s.batch.steps, answer(atBind, &pgproto3.BindComplete{}))
@@ -123,6 +130,9 @@
 		return
 	}
 	t, ok := s.portals[m.Name]
+	if ok {
+		s.portalBytes -= portalBytes + len(m.Name)
+	}
 	delete(s.portals, m.Name)
 	if !ok || isHostStatement(t.script) || s.pinned == nil && len(s.batch.steps) == 0 {
 		s.batch.steps = append(s.batch.steps, answer(atClose, &pgproto3.CloseComplete{}))
--- a/io/caller/lifetime.go
+++ b/io/caller/lifetime.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"coltsfootloft"
 	"coltsfootloft/io/dial"
 	"coltsfootloft/io/pool"
 )
@@ -32,6 +33,9 @@
 		}
 		err := s.peek()
 		s.setBusy(true)
+		if err != nil && dial.IsTimeout(err) && s.isIdleTooLong() {
+			return s.rejectMalformed(errIdleTransaction)
+		}
 		if err == nil || !s.isEnding() || !dial.IsTimeout(err) {
 			return err
 		}
@@ -46,9 +50,23 @@
 	s.busy = busy
 	if busy {
 		_ = s.Conn.SetReadDeadline(time.Time{})
+		return
+	}
+	s.idleUntil = time.Time{}
+	if s.idleLimit > 0 && !s.isIdle() {
+		s.idleUntil = time.Now().Add(s.idleLimit)
+		_ = s.Conn.SetReadDeadline(s.idleUntil)
 	}
 }
 
+// errIdleTransaction ends a session whose transaction or batch has waited too long for its caller.
+var errIdleTransaction = coltsfootloft.Refuse("25P03", "the transaction waited too long for its next message")
+
+// isIdleTooLong reports whether the limit of the present wait has passed.
+func (s *Session) isIdleTooLong() bool {
+	return !s.idleUntil.IsZero() && !time.Now().Before(s.idleUntil)
+}
+
 // peek waits for a byte without consuming it.
 func (s *Session) peek() error {
 	p, ok := s.Conn.(interface{ Peek() error })
@@ -92,6 +110,7 @@
 // sendShutdown tells the caller why the session ends.
 func (s *Session) sendShutdown() error {
 	_ = s.Conn.SetDeadline(s.now().Add(time.Second))
+	s.out.wait = 0 // it would replace this deadline
 	if err := s.out.add(ShutdownResponse(s.shutdown.Load().message)); err != nil {
 		return err
 	}
--- a/io/caller/output.go
+++ b/io/caller/output.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/pkg/errors"
@@ -21,6 +22,8 @@
 	held     bool
 	heldFrom int
 	limit    int
+	// wait is how long the caller may take for flushBytes; 0 for no limit.
+	wait time.Duration
 }
 
 // add appends a message. It flushes the buffer if that has reached flushBytes and is
@@ -88,7 +91,7 @@
 		return nil
 	}
 	o.sent = true
-	_, err := o.conn.Write(o.bytes[:n])
+	err := o.write(o.bytes[:n])
 	rest := copy(o.bytes, o.bytes[n:])
 	o.bytes = o.bytes[:rest]
 	o.heldFrom = 0
@@ -97,3 +100,23 @@
 	}
 	return err
 }
+
+// write sends b. The deadline moves on with each part of it, so that a large answer may take longer than
+// a small one.
+func (o *output) write(b []byte) error {
+	if o.wait == 0 {
+		_, err := o.conn.Write(b)
+		return err
+	}
+	for len(b) > 0 {
+		part := b[:min(len(b), flushBytes)]
+		if err := o.conn.SetWriteDeadline(time.Now().Add(o.wait)); err != nil {
+			return err
+		}
+		if _, err := o.conn.Write(part); err != nil {
+			return err
+		}
+		b = b[len(part):]
+	}
+	return nil
+}
--- a/io/caller/receive.go
+++ b/io/caller/receive.go
@@ -163,11 +163,15 @@
 	s.tx = m.TxStatus
 	s.beginSQL = ""
 	x.conn.SetSettings(s.connectionSettings())
-	if s.tx != txIdle || x.rolledBack || isRolledBack || t.script.MayChangeSettings() {
+	if len(x.conn.Settings()) > maxKeptSettings || s.tx != txIdle || x.rolledBack || isRolledBack || t.script.MayChangeSettings() {
 		x.conn.SetSettings(unknownSettings)
 	}
 }
 
+// maxKeptSettings is the size in bytes of the longest settings that a connection stays known to have.
+// The text of longer ones would be held as long as the connection.
+const maxKeptSettings = 16 << 10
+
 // unknownSettings matches no settings, so that the next session resets the
 // connection.
 const unknownSettings = "?"
--- a/io/caller/run.go
+++ b/io/caller/run.go
@@ -65,6 +65,9 @@
 	if b.refusal != nil {
 		return b.refusal
 	}
+	if err := s.growForSettings(b); err != nil {
+		return err
+	}
 	if s.tx == txFailed && s.pinned == nil {
 		return s.answerFailed(b)
 	}
@@ -258,7 +261,9 @@
 	case b.single.Kind() == stmt.Discard:
 		s.settings = nil
 		clear(s.prepared)
+		s.preparedBytes = 0
 		clear(s.portals)
+		s.portalBytes = 0
 		return s.answerAll(b, "DISCARD ALL")
 	case s.tx == txIdle:
 		s.startTransaction(b.single)
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -13,6 +13,7 @@
 	"coltsfootloft"
 	"coltsfootloft/core/conf"
 	"coltsfootloft/core/events"
+	"coltsfootloft/core/hold"
 	"coltsfootloft/core/route"
 	"coltsfootloft/core/stmt"
 	"coltsfootloft/core/token"
@@ -43,6 +44,12 @@
 	// Settings holds the settings from the startup message, value by name.
 	Settings map[string]string
 
+	// Working is what the session holds of Env.Messages, or nil.
+	Working *hold.Hold
+
+	values        hold.Hold
+	portalBytes   int
+	preparedBytes int
 	out           output
 	batch         batch
 	prepared      map[string]*statement
@@ -71,6 +78,11 @@
 	pinned    *pool.Conn
 	onPrimary bool
 
+	// idleLimit is how long a transaction may wait for the caller; 0 for no limit. idleUntil is when
+	// the present wait ends; zero if it has no limit.
+	idleLimit time.Duration
+	idleUntil time.Time
+
 	mu       sync.Mutex
 	current  *pool.Conn
 	busy     bool
@@ -91,6 +103,7 @@
 // Run serves the caller until it disconnects, ctx ends, or End or Kill is called.
 func (s *Session) Run(ctx context.Context) error {
 	s.start()
+	defer s.releaseMemory()
 	defer s.abortPinned()
 	if err := s.sendReady(); err != nil {
 		return err
@@ -109,6 +122,9 @@
 		if err := s.handle(ctx, m); err != nil {
 			return err
 		}
+		if err := s.fitMemory(); err != nil {
+			return s.rejectMalformed(err)
+		}
 	}
 }
 
@@ -125,6 +141,9 @@
 	}
 	s.reportedToken = s.Token.String()
 	s.out.limit = s.Env.Fleet().Defaults().HeldBytes()
+	s.out.wait = s.Env.Fleet().Defaults().CallerWait()
+	s.idleLimit = s.Env.Fleet().Defaults().IdleTransaction()
+	s.startMemory()
 }
 
 // handle processes one message.
@@ -164,6 +183,10 @@
 
 // simpleQuery runs a simple query, which is a batch by itself.
 func (s *Session) simpleQuery(ctx context.Context, sql string) error {
+	if !s.growForParse(sql) {
+		s.batch.refuse(coltsfootloft.NoMemory(len(sql)))
+		return s.run(ctx)
+	}
 	p := stmt.Parse(sql)
 	if s.midBatch || len(s.batch.steps) > 0 || s.batch.refusal != nil {
 		s.batch.refuse(unsupported("a simple query inside of a batch of the extended protocol"))
@@ -211,7 +234,11 @@
 	if s.isEnding() || isClosed(err) {
 		return err
 	}
-	r := response(coltsfootloft.Refuse(coltsfootloft.CodeProtocol, "malformed message"))
+	var refusal *coltsfootloft.RefusalError
+	if !errors.As(err, &refusal) {
+		refusal = coltsfootloft.Refuse(coltsfootloft.CodeProtocol, "malformed message")
+	}
+	r := response(refusal)
 	r.Severity = "FATAL"
 	if err := s.out.add(r); err != nil {
 		return err
--- a/io/edge/ready.go
+++ b/io/edge/ready.go
@@ -112,10 +112,10 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+	mux.Handle("GET /metrics", bound.Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		e.metrics.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
-	})
+	})))
 	server := &http.Server{
 		Handler:           mux,
 		ReadHeaderTimeout: headerTimeout,
--- a/io/edge/run.go
+++ b/io/edge/run.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"coltsfootloft/io/bound"
 	"coltsfootloft/io/port"
 )
 
@@ -54,7 +56,7 @@
 // an outgoing connection from the same IP could take one of the ports. The ready address is
 // served at once, so that the balancer gets an answer while the others are awaited.
 func (e *Edge) bind(ctx context.Context, run func(func(context.Context))) error {
-	ready, err := port.TCP(ctx, nil, e.log.WithName("ready"), e.settings.Ready)
+	ready, err := port.TCP(ctx, &net.ListenConfig{Control: port.Buffers(bound.ReceiveBuffer, bound.SendBuffer)}, e.log.WithName("ready"), e.settings.Ready)
 	if err != nil {
 		return errors.Wrap(err, "ready address")
 	}
--- a/io/edge/unruly_test.go
+++ b/io/edge/unruly_test.go
@@ -185,6 +185,50 @@
 	u.crowd(500, func(i int) { u.send(u.settings.Listen, pieces[i%2], start, small) })
 }
 
+// TestUnrulyDrips guards against callers that send or read a byte at a time and so hold a session or memory
+// for as long as they like.
+func TestUnrulyDrips(t *testing.T) {
+	var f *fleet
+	u := startUnruly(t, func(started *fleet) { f = started })
+	c, code := connect(t, u.testHost, "file", "key-arima")
+	assert.Equal(t, code, "")
+	c.must("WRITE large " + strings.Repeat("x", 900_000))
+	long := strings.Repeat("x", 1000)
+	var drips sync.WaitGroup
+	u.crowd(300, func(i int) {
+		texts := [][]string{
+			{"START ", long},
+			{start + "QUERY q-1 WRITE k " + strings.Repeat("x", 500_000), long},
+			{start + "QUERY q-1 READ large\r\n", ""},
+		}[i%3]
+		c := u.send(u.settings.Listen, pieces[i%2], texts[0])
+		if c == nil {
+			return
+		}
+		drips.Go(func() { drip(c, texts[1]) })
+	})
+	u.assertServed(f)
+	drips.Wait()
+}
+
+// drip writes or, without a text, reads a byte at a time for a while.
+func drip(c net.Conn, text string) {
+	one := make([]byte, 1)
+	for n := range 100 {
+		var err error
+		if text == "" {
+			_ = c.SetReadDeadline(time.Now().Add(time.Second))
+			_, err = c.Read(one)
+		} else {
+			_, err = c.Write([]byte(text[n : n+1]))
+		}
+		if err != nil {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
 // TestUnrulySilence guards against connections without number that send nothing.
 func TestUnrulySilence(t *testing.T) {
 	u := startUnruly(t, nil)
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -102,7 +102,7 @@
 
 // Bind listens on the address, and waits until ctx ends while the address is taken.
 func (s *Server) Bind(ctx context.Context) error {
-	listener, err := port.TCP(ctx, &net.ListenConfig{Control: boundBuffers}, s.Log, s.Listen)
+	listener, err := port.TCP(ctx, &net.ListenConfig{Control: port.Buffers(receiveBuffer, sendBuffer)}, s.Log, s.Listen)
 	if err != nil {
 		return errors.Wrap(err, "callers")
 	}
--- a/io/front/conn.go
+++ b/io/front/conn.go
@@ -16,6 +16,10 @@
 // session.
 const handshakeTimeout = 10 * time.Second
 
+// maxHandshake is the size in bytes of the largest message before the start of the session, so that
+// it fits the buffer of the protocol library.
+const maxHandshake = smallMessage - headerBytes
+
 // codeAuthorization is the SQLSTATE for a caller that is refused before it is
 // authenticated.
 const codeAuthorization = "28000"
@@ -23,6 +27,7 @@
 // callerConn is one connection from a caller.
 type callerConn struct {
 	server   *Server
+	raw      net.Conn // as it was accepted
 	conn     *messageConn
 	backend  *pgproto3.Backend
 	isSecure bool
@@ -34,7 +39,16 @@
 func (cc *callerConn) setConn(c net.Conn) {
 	cc.conn = newMessageConn(c)
 	cc.backend = pgproto3.NewBackend(cc.conn, c)
-	cc.backend.SetMaxBodyLen(cc.server.Env.Fleet().Defaults().MessageLimit())
+	cc.backend.SetMaxBodyLen(maxHandshake)
+}
+
+// setLimits sets the limits of a session's messages in place of those of the handshake.
+func (cc *callerConn) setLimits() {
+	d := cc.server.Env.Fleet().Defaults()
+	cc.conn.limit = d.MessageLimit()
+	cc.conn.wait = d.CallerWait()
+	cc.conn.hold.Memory = cc.server.Env.Messages
+	cc.backend.SetMaxBodyLen(d.MessageLimit())
 }
 
 // serve handles the connection until its end.
@@ -58,6 +72,8 @@
 	}
 	defer cc.server.unregister(cc)
 	_ = cc.conn.SetDeadline(time.Time{})
+	cc.setLimits()
+	cc.backend = nil // the session replaces its own after large messages, with their buffers
 	return cc.session.Run(ctx)
 }
 
@@ -84,6 +100,7 @@
 		Route:    cc.grant.route,
 		Token:    st.token,
 		Settings: st.settings,
+		Working:  cc.conn.hold,
 	}
 	if err := cc.server.register(cc); err != nil {
 		return err
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"crypto/tls"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +19,13 @@
 	"coltsfootloft/io/port"
 )
 
+// The sizes of the kernel's buffers for a caller's connection, in bytes, which the kernel doubles. It
+// would otherwise let them grow to megabytes for each caller that sends ahead or does not read.
+const (
+	receiveBuffer = 32 << 10
+	sendBuffer    = 32 << 10
+)
+
 // Server accepts connections from callers. Its exported fields are set before Start.
 type Server struct {
 	// Name is the name of this entry host.
@@ -32,16 +40,19 @@
 	RequireTLS bool
 	// Peers forwards cancel requests to other hosts; nil disables forwarding.
 	Peers coltsfootloft.Peers
-	// MaxSessions is the greatest number of sessions; as many as there are numbers for them if 0.
+	// MaxSessions is the greatest number of connections; as many as there are numbers of sessions
+	// if 0.
 	MaxSessions int
 	// Clock is the source of time.
 	Clock clockwork.Clock
 	// Log receives log messages.
 	Log logr.Logger
 
-	mu        sync.Mutex
-	listener  net.Listener
-	conns     map[uint32]*callerConn
+	mu       sync.Mutex
+	listener net.Listener
+	conns    map[uint32]*callerConn
+	// pending are the connections without a session, the oldest first.
+	pending   []net.Conn
 	sequence  uint32
 	draining  bool
 	running   sync.WaitGroup
@@ -58,7 +69,7 @@
 	if s.Peers != nil {
 		s.Peers.Register(duty, s.cancelFromPeer)
 	}
-	l, err := port.TCP(ctx, nil, s.Log, s.Listen)
+	l, err := port.TCP(ctx, &net.ListenConfig{Control: port.Buffers(receiveBuffer, sendBuffer)}, s.Log, s.Listen)
 	if err != nil {
 		return nil, errors.Wrap(err, "listening for callers")
 	}
@@ -85,6 +96,10 @@
 			s.Clock.Sleep(10 * time.Millisecond)
 			continue
 		}
+		if !s.admit(c) {
+			c.Close()
+			continue
+		}
 		s.running.Go(func() { s.serve(ctx, c) })
 	}
 }
@@ -103,13 +118,49 @@
 
 func (s *Server) serve(ctx context.Context, c net.Conn) {
 	defer c.Close()
-	cc := &callerConn{server: s}
+	defer s.endPending(c)
+	cc := &callerConn{
+		server: s,
+		raw:    c,
+	}
 	cc.setConn(c)
 	if err := cc.serve(ctx); err != nil {
 		s.Log.V(1).Info("session ended", "remote", c.RemoteAddr().String(), "reason", err.Error())
 	}
 }
 
+// admit counts an accepted connection. If there are as many as there may be, it closes the oldest
+// that has no session yet, so that connections which send nothing keep nobody out. It reports false
+// if all have sessions.
+func (s *Server) admit(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.conns)+len(s.pending) >= s.maxSessions() {
+		if len(s.pending) == 0 {
+			return false
+		}
+		s.pending[0].Close()
+		s.pending = slices.Delete(s.pending, 0, 1)
+	}
+	s.pending = append(s.pending, c)
+	return true
+}
+
+// endPending removes a connection that has ended, or whose session has started, from those without
+// one.
+func (s *Server) endPending(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dropPending(c)
+}
+
+// dropPending is endPending with s.mu held.
+func (s *Server) dropPending(c net.Conn) {
+	if i := slices.Index(s.pending, c); i >= 0 {
+		s.pending = slices.Delete(s.pending, i, i+1)
+	}
+}
+
 // register assigns an id and a secret to the session. It refuses the session while
 // the host shuts down, and when all session numbers are in use.
 func (s *Server) register(cc *callerConn) error {
@@ -131,6 +182,7 @@
 		if _, taken := s.conns[id]; !taken {
 			cc.session.ID = id
 			s.conns[id] = cc
+			s.dropPending(cc.raw)
 			return nil
 		}
 	}
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -16,6 +16,7 @@
 	"coltsfootloft/core/conf"
 	"coltsfootloft/core/events"
 	"coltsfootloft/io/admin"
+	"coltsfootloft/io/bound"
 	"coltsfootloft/io/elect"
 	"coltsfootloft/io/feed"
 	"coltsfootloft/io/front"
@@ -200,7 +201,7 @@
 
 // startAdmin listens on the admin port. The task "admin" serves it.
 func (h *Host) startAdmin(ctx context.Context) error {
-	l, err := port.TCP(ctx, nil, h.Log.WithName("admin"), h.Settings.Admin())
+	l, err := port.TCP(ctx, &net.ListenConfig{Control: port.Buffers(bound.ReceiveBuffer, bound.SendBuffer)}, h.Log.WithName("admin"), h.Settings.Admin())
 	if err != nil {
 		return errors.Wrap(err, "admin port")
 	}
--- a/io/host/provide.go
+++ b/io/host/provide.go
@@ -16,6 +16,7 @@
 	"coltsfootloft"
 	"coltsfootloft/core/conf"
 	"coltsfootloft/core/events"
+	"coltsfootloft/core/memory"
 	"coltsfootloft/io/caller"
 	"coltsfootloft/io/dbops"
 	"coltsfootloft/io/dial"
@@ -53,21 +54,42 @@
 
 func (r *peerResolver) resolve(host string) (address string, ok bool) { return r.view.Resolve(host) }
 
+// hosts returns the number of live hosts.
+func (r *peerResolver) hosts() int { return len(r.view.Alive()) }
+
 func providePeerResolver() *peerResolver { return &peerResolver{} }
 
 func provideLinks(settings *conf.Host, certs certificates, resolver *peerResolver, clock clockwork.Clock, log logr.Logger) *peer.Links {
 	return &peer.Links{
-		Self:    settings.Name(),
-		Listen:  settings.PeerListen(),
-		Resolve: resolver.resolve,
-		Dial:    dial.From(settings.Peer(), 0),
-		TLS:     certs.peerTLS(),
-		Clock:   clock,
-		Log:     log.WithName("peer"),
-		Metrics: metrics.GetDefaultSet(),
+		Self:       settings.Name(),
+		MaxHeld:    linkMemory(settings.MemoryLimit()),
+		MaxAnswers: linkMemory(settings.MemoryLimit()),
+		Hosts:      resolver.hosts,
+		Listen:     settings.PeerListen(),
+		Resolve:    resolver.resolve,
+		Dial:       dial.From(settings.Peer(), 0),
+		TLS:        certs.peerTLS(),
+		Clock:      clock,
+		Log:        log.WithName("peer"),
+		Metrics:    metrics.GetDefaultSet(),
 	}
 }
 
+const (
+	// linkMemoryPart is the part of memory_limit that requests of other hosts may take, and again that
+	// answers to this host's own may take; at least minLinkMemory bytes each, for two of the largest.
+	linkMemoryPart = 16
+	minLinkMemory  = 2 * peer.DefaultMaxFrame
+)
+
+// linkMemory returns how many bytes of requests, and of answers, the links may hold.
+func linkMemory(limit int64) int {
+	if limit == 0 {
+		return 0 // the default of the links
+	}
+	return max(int(limit/linkMemoryPart), minLinkMemory)
+}
+
 func provideMembers(settings *conf.Host, self coltsfootloft.HostRecord, resolver *peerResolver, l *peer.Links, s *store.Consul, c *currentSettings, clock clockwork.Clock, log logr.Logger) *member.View {
 	resolver.view = &member.View{
 		Host:      self,
@@ -223,7 +245,10 @@
 }
 
 func provideEnv(settings *conf.Host, t *trace.Tracer, c *currentSettings, w *watch.Watcher, m *member.View, l *share.Limiter, p *pools, r *retryBudgets, j *events.Journal, clock clockwork.Clock, log logr.Logger) *caller.Env {
+	messages, values := callerBudgets(settings.MessageMemory())
 	return &caller.Env{
+		Messages:    messages,
+		Values:      values,
 		Domain:      settings.Domain(),
 		PrimaryOnly: naive,
 		Groups:      w,
@@ -239,6 +264,28 @@
 	}
 }
 
+// valuePart is the part of message_memory that prepared statements and settings may take. They are held as
+// long as their sessions, and could otherwise take the room of all messages for good.
+const valuePart = 5
+
+// callerBudgets returns the budgets for what callers make the process hold, or nil for no limit.
+func callerBudgets(total int64) (messages, values coltsfootloft.Memory) {
+	if total == 0 {
+		return nil, nil
+	}
+	b, v := memory.New(total-total/valuePart), memory.New(total/valuePart)
+	for what, b := range map[string]*memory.Budget{
+		"messages": b,
+		"values":   v,
+	} {
+		label := `{what="` + what + `"}`
+		metrics.GetOrCreateGauge("coltsfootloft_memory_used_bytes"+label, func() float64 { return float64(b.Used()) })
+		metrics.GetOrCreateGauge("coltsfootloft_memory_limit_bytes"+label, func() float64 { return float64(b.Limit()) })
+		metrics.GetOrCreateGauge("coltsfootloft_memory_refusals_total"+label, func() float64 { return float64(b.Refused()) })
+	}
+	return b, v
+}
+
 func provideFront(settings *conf.Host, certs certificates, env *caller.Env, l *peer.Links, clock clockwork.Clock, log logr.Logger) *front.Server {
 	return &front.Server{
 		Name:        settings.Name(),
--- a/io/peer/links.go
+++ b/io/peer/links.go
@@ -64,6 +64,9 @@
 	// their answers, and how many of answers to its own calls; DefaultMaxHeld if 0. Requests
 	// beyond that fail with ErrBusy at their sender.
 	MaxHeld int
+	// MaxAnswers is how many bytes of large answers to other hosts this host holds at a time, besides
+	// one; 0 for no limit. Requests whose answer finds no room fail at their sender.
+	MaxAnswers int
 	// Hosts returns the number of other hosts, which bounds the number of links;
 	// DefaultHosts is assumed if nil.
 	Hosts func() int
@@ -76,6 +79,7 @@
 	ids      atomic.Uint64
 	requests room // requests of other hosts, and the answers to them
 	answers  room // answers of other hosts
+	unread   room // large answers to other hosts
 	streams  atomic.Int64
 	serving  atomic.Int64
 	base     context.Context
@@ -174,6 +178,7 @@
 		}
 		l.requests.limit = int64(l.MaxHeld)
 		l.answers.limit = int64(l.MaxHeld)
+		l.unread.limit = int64(l.MaxAnswers)
 	})
 }
 
--- a/io/peer/room.go
+++ b/io/peer/room.go
@@ -17,6 +17,16 @@
 	return false
 }
 
+// begin takes n bytes unless the room was used up before, and reports whether it did. So the largest
+// message fits a small room too.
+func (r *room) begin(n int) bool {
+	if r.used.Add(int64(n))-int64(n) <= r.limit {
+		return true
+	}
+	r.give(n)
+	return false
+}
+
 // force takes n bytes that are held already.
 func (r *room) force(n int) { r.used.Add(int64(n)) }
 
--- a/io/peer/serve.go
+++ b/io/peer/serve.go
@@ -117,6 +117,8 @@
 	default:
 		result = l.run(ctx, k, s, &request, h, body, answer)
 	}
+	result, held := l.holdAnswer(answer, result)
+	defer l.unread.give(held)
 	b, err := encodeFrame(answer, result)
 	if err != nil {
 		return
@@ -130,6 +132,28 @@
 	_, _ = s.Write(b)
 }
 
+const (
+	// smallAnswer is the size in bytes of the largest answer that needs no room.
+	smallAnswer = 16 << 10
+	// answerCopies is how often an answer is in memory: as its handler made it, and with its header.
+	answerCopies = 2
+)
+
+// holdAnswer takes room for a large answer. If there is none, it drops the result and turns the answer
+// into a failure: answers pile up if other hosts do not read them.
+func (l *Links) holdAnswer(answer *peerpb.Answer, result []byte) (kept []byte, held int) {
+	if l.MaxAnswers == 0 || len(result) <= smallAnswer {
+		return result, 0
+	}
+	held = answerCopies * len(result)
+	if l.unread.begin(held) {
+		return result, held
+	}
+	answer.Status = peerpb.Status_STATUS_FAILED
+	answer.Message = []byte("no room for the answer")
+	return nil, 0
+}
+
 // isMalformed reports whether a request could not be read though its sender has not given up on it.
 func isMalformed(err error) bool {
 	for _, e := range []error{io.EOF, io.ErrUnexpectedEOF, yamux.ErrConnectionReset, yamux.ErrStreamClosed, yamux.ErrSessionShutdown} {
--- a/outcome.go
+++ b/outcome.go
@@ -1,6 +1,10 @@
 package coltsfootloft
 
-import "github.com/pkg/errors"
+import (
+	"strconv"
+
+	"github.com/pkg/errors"
+)
 
 // ErrFenced is returned by a [Database] for an operation whose term is lower than
 // its fence term.
@@ -25,6 +29,11 @@
 	}
 }
 
+// NoMemory returns the refusal of n bytes for which the host has no memory.
+func NoMemory(n int) *RefusalError {
+	return Refuse(CodeMemory, "no memory for "+strconv.Itoa(n)+" bytes").WithHint("try again later, or with less")
+}
+
 // OutcomeUnknown returns the error of a request whose outcome is unknown: it may or may not
 // have run. Its SQLSTATE is CodeUnknown.
 func OutcomeUnknown(message string) *RefusalError {
@@ -105,6 +114,8 @@
 	CodeRoute = "3D000"
 	// CodeReadOnly: the route accepts no writes.
 	CodeReadOnly = "25006"
+	// CodeMemory: the host has no memory for what the caller sent.
+	CodeMemory = "53200"
 	// CodeProtocol: the message is malformed or out of order.
 	CodeProtocol = "08P01"
 )
--- a/stand/badlink/badlink.go
+++ b/stand/badlink/badlink.go
@@ -2,6 +2,7 @@
 package badlink
 
 import (
+	"context"
 	"encoding/binary"
 	"io"
 	"net"
@@ -24,7 +25,7 @@
 
 // Open opens a link to the host of that name at address, under the name from.
 func Open(address, from, to string) (*Link, error) {
-	c, err := net.DialTimeout("tcp", address, 5*time.Second)
+	c, err := (&net.Dialer{Timeout: 5 * time.Second}).DialContext(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
--- a/test/unruly_test.go
+++ b/test/unruly_test.go
@@ -423,6 +423,63 @@
 	u.assertServed()
 }
 
+// TestUnrulyDrips guards against callers that send or read a byte at a time and so hold a session, memory
+// or a connection to a database for as long as they like.
+func TestUnrulyDrips(t *testing.T) {
+	u := startUnruly(t)
+	c := u.connect(u.host)
+	mustExec(t, c, "CREATE TABLE large (id int4, body text)")
+	for i := range 16 {
+		_, err := c.Exec(context.Background(), "INSERT INTO large VALUES ($1, $2)", i, strings.Repeat("x", 500_000))
+		assert.NilError(t, err)
+	}
+	startup := encoded(&pgproto3.StartupMessage{
+		ProtocolVersion: pgproto3.ProtocolVersion30,
+		Parameters:      map[string]string{"user": strings.Repeat("x", 5000)},
+	})
+	b := query(legalMessage)
+	q := encoded(&pgproto3.Query{String: "SELECT id, body FROM large"})
+	var drips sync.WaitGroup
+	u.crowd(150, func(i int) {
+		switch i % 3 {
+		case 0:
+			c := u.dialUnruly(u.host.address)
+			drips.Go(func() { drip(c, startup) })
+		case 1:
+			if c := u.session(); write(c, pieces[1], b[:len(b)/2]) {
+				drips.Go(func() { drip(c, b[len(b)/2:]) })
+			}
+		default:
+			if c := u.session(); write(c, len(q), q) {
+				drips.Go(func() { drip(c, nil) })
+			}
+		}
+	})
+	u.assertServed()
+	drips.Wait()
+}
+
+// drip writes or, without b, reads a byte at a time for a while.
+func drip(c net.Conn, b []byte) {
+	if c == nil {
+		return
+	}
+	one := make([]byte, 1)
+	for n := range 100 {
+		var err error
+		if b == nil {
+			_ = c.SetReadDeadline(time.Now().Add(time.Second))
+			_, err = c.Read(one)
+		} else {
+			_, err = c.Write(b[n : n+1])
+		}
+		if err != nil {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
 // TestUnrulyPipelines guards against statements that are sent ahead without reading their answers.
 func TestUnrulyPipelines(t *testing.T) {
 	u := startUnruly(t)
