--- a/io/edge/unruly_test.go
+++ b/io/edge/unruly_test.go
@@ -152,7 +152,7 @@
 	}
 }
 
-const start = "START file key-arima\r\n"
+const startLine = "START file key-arima\r\n"
 
 var pieces = []int{8 << 20, 5000}
 
@@ -160,14 +160,14 @@
 func TestUnrulyLargeLines(t *testing.T) {
 	u := startUnruly(t, nil)
 	line := "QUERY q-1 WRITE k " + strings.Repeat("x", 1<<20-1000) + "\r\n"
-	u.crowd(300, func(i int) { u.send(u.settings.Listen, pieces[i%2], start, line) })
+	u.crowd(300, func(i int) { u.send(u.settings.Listen, pieces[i%2], startLine, line) })
 }
 
 // TestUnrulyEndlessLines guards against lines far over the largest size.
 func TestUnrulyEndlessLines(t *testing.T) {
 	u := startUnruly(t, nil)
 	line := "QUERY q-1 WRITE k " + strings.Repeat("x", 5<<20)
-	u.crowd(200, func(i int) { u.send(u.settings.Listen, pieces[i%2], start, line) })
+	u.crowd(200, func(i int) { u.send(u.settings.Listen, pieces[i%2], startLine, line) })
 }
 
 // TestUnrulyEndlessStarts guards against START messages far over the largest size, and ones that stop
@@ -182,7 +182,7 @@
 func TestUnrulyPipelines(t *testing.T) {
 	u := startUnruly(t, nil)
 	small := strings.Repeat("QUERY q-1 READ k\r\n", 100_000)
-	u.crowd(500, func(i int) { u.send(u.settings.Listen, pieces[i%2], start, small) })
+	u.crowd(500, func(i int) { u.send(u.settings.Listen, pieces[i%2], startLine, small) })
 }
 
 // TestUnrulyDrips guards against callers that send or read a byte at a time and so hold a session or memory
@@ -198,8 +198,8 @@
 	u.crowd(300, func(i int) {
 		texts := [][]string{
 			{"START ", long},
-			{start + "QUERY q-1 WRITE k " + strings.Repeat("x", 500_000), long},
-			{start + "QUERY q-1 READ large\r\n", ""},
+			{startLine + "QUERY q-1 WRITE k " + strings.Repeat("x", 500_000), long},
+			{startLine + "QUERY q-1 READ large\r\n", ""},
 		}[i%3]
 		c := u.send(u.settings.Listen, pieces[i%2], texts[0])
 		if c == nil {
@@ -241,7 +241,7 @@
 	var f *fleet
 	u := startUnruly(t, func(started *fleet) { f = started })
 	u.crowd(200, func(int) {
-		u.send(u.settings.Listen, 100, start, "QUERY q-1 BEGIN\r\nQUERY q-2 READ k\r\nQUERY q-3 RE")
+		u.send(u.settings.Listen, 100, startLine, "QUERY q-1 BEGIN\r\nQUERY q-2 READ k\r\nQUERY q-3 RE")
 	})
 	u.assertServed(f)
 }
