--- a/io/entry/transaction.go
+++ b/io/entry/transaction.go
@@ -148,15 +148,9 @@
 			return last, nil
 		}
 		d, ok := n.choose(&t.operation, !t.readOnly, tried)
-		if !ok && n.isOutsideRegions(&t.operation, !t.readOnly) {
-			return last, errOutsideRegions
-		}
 		if !ok {
-			if n.isCutOff(&t.operation, !t.readOnly, tried) {
-				return last, nil
-			}
-			if !n.awaitDatabase(&t.operation, tried) {
-				return last, nil
+			if again, err := n.awaitChoice(t, tried); !again {
+				return last, err
 			}
 			continue
 		}
@@ -187,6 +181,16 @@
 	}
 }
 
+// awaitChoice waits while no database can be chosen for the transaction. It reports false if none will
+// be in time, with errOutsideRegions if none is allowed.
+func (n *session) awaitChoice(t *transaction, tried map[string]bool) (bool, error) {
+	o := &t.operation
+	if n.isOutsideRegions(o, !t.readOnly) {
+		return false, errOutsideRegions
+	}
+	return !n.isCutOff(o, !t.readOnly, tried) && n.awaitDatabase(o, tried), nil
+}
+
 // commitWaits waits for another try to begin a transaction whose COMMIT is its first statement,
 // since a COMMIT is not refused for its wait alone. It reports false for other statements, and
 // once the COMMIT has waited long enough.
--- a/io/quota/deputy.go
+++ b/io/quota/deputy.go
@@ -41,6 +41,7 @@
 	version     uint64                   // of the hosts in the view from which the deputies follow
 	current     []string                 // of all domains
 	recent      map[string]time.Duration // when each was last current
+	retired     bool                     // the host was a deputy, and has not reported since
 	wake        chan struct{}
 }
 
@@ -61,11 +62,15 @@
 	d := &l.deputy
 	if d.recent == nil || v.HostsVersion != d.version {
 		d.version = v.HostsVersion
+		wasSelf := d.isSelf
 		d.name, d.current = deputies(v, l.Duty.Name, l.Duty.Self)
 		d.isSelf = d.name == l.Duty.Self && d.name != ""
 		if d.isSelf {
 			d.name = ""
 		}
+		if wasSelf && !d.isSelf {
+			l.retire()
+		}
 		d.silentUntil = 0
 		if d.recent == nil {
 			d.recent = make(map[string]time.Duration)
@@ -77,6 +82,28 @@
 	maps.DeleteFunc(d.recent, func(_ string, at time.Duration) bool { return now-at > deputyMemory })
 }
 
+// retire gives up the grants of a host that is no deputy any more: nobody borrows of them, and the keeper
+// counts them as in use until they expire, unless the next report says that they are not. mu is held.
+func (l *Limiter) retire() {
+	l.deputy.retired = true
+	for _, a := range l.accounts {
+		if a.rate > 0 {
+			a.isGivenUp = true
+		}
+		a.rate = 0
+		a.validUntil = 0
+	}
+}
+
+// hasRetired reports whether the host has to report that it has given up its grants.
+func (l *Limiter) hasRetired() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	retired := l.deputy.retired
+	l.deputy.retired = false
+	return retired
+}
+
 // deputies returns the deputy for a shard in the domain of a host, and those in all domains.
 func deputies(v *mirror.View, shard, self string) (mine string, all []string) {
 	domains := make(map[string][]string)
--- a/io/quota/deputy_test.go
+++ b/io/quota/deputy_test.go
@@ -200,3 +200,26 @@
 	host.ReportsAlways = true
 	assert.Assert(t, !host.mayLeaveOut(&quotapb.Report{}, host.lastKeeper))
 }
+
+// TestFormerDeputyGivesUpItsGrants guards against a part of the limit that nobody uses until its grant
+// expires, because the host that holds it is no deputy any more: the keeper has to learn that it is free.
+func TestFormerDeputyGivesUpItsGrants(t *testing.T) {
+	limiters, _, clock := newDomains(t)
+	var deputy *Limiter
+	for _, l := range limiters {
+		if l.deputy.isSelf {
+			deputy = l
+		}
+	}
+	grantTo(deputy, clock, 10, 5)
+	assert.Assert(t, !deputy.hasRetired())
+	deputy.deputy.version++ // the hosts have changed
+	deputy.deputy.recent = nil
+	deputy.Duty.Self = "h-elsewhere"
+	deputy.updateDeputies()
+	assert.Assert(t, deputy.hasRetired())
+	assert.Assert(t, !deputy.accounts["arima"].take(clock.now))
+	lines := deputy.buildReport(clock.now, false).GetLines()
+	assert.Equal(t, len(lines), 1)
+	assert.Equal(t, lines[0].GetHeld(), 0.0)
+}
--- a/io/quota/quota.go
+++ b/io/quota/quota.go
@@ -115,6 +115,7 @@
 	rate       float64
 	validUntil time.Duration
 	granted    bool
+	isGivenUp  bool // the grant, which the next report has to say
 	// askAt is when the keeper may be asked again to lend operations.
 	askAt time.Duration
 	// deputyAt is when the deputy may be asked again.
@@ -311,7 +312,7 @@
 	for {
 		changed := l.Mirror.Changed()
 		l.updateDeputies()
-		if now := l.Mirror.View().Duties[l.Duty.Name]; now != keeper {
+		if now := l.Mirror.View().Duties[l.Duty.Name]; now != keeper || l.hasRetired() {
 			keeper = now
 			l.report(ctx, false)
 		}
--- a/io/quota/report.go
+++ b/io/quota/report.go
@@ -107,7 +107,9 @@
 			line.Want = a.wanted(now)
 			a.askAt = now + pause
 		}
-		if l.deputy.exists() && line.GetDemand() == 0 && line.GetHeld() == 0 && line.GetWant() == 0 {
+		isGivenUp := a.isGivenUp
+		a.isGivenUp = false
+		if l.deputy.exists() && !isGivenUp && line.GetDemand() == 0 && line.GetHeld() == 0 && line.GetWant() == 0 {
 			continue
 		}
 		r.Lines = append(r.Lines, line)
