--- a/io/groups/groups.go
+++ b/io/groups/groups.go
@@ -72,6 +72,10 @@
 	mu     sync.Mutex
 	marks  map[string]*marks.Marks
 	spills map[string]*spill.Spill
+	// counts are the hosts by failure domain in the view with countsVersion. The map is replaced, never
+	// changed, once it is published.
+	counts        map[string]int
+	countsVersion uint64
 }
 
 // Primary is the primary of a group in one epoch. The host may send it work while MaySend
--- a/io/groups/spill.go
+++ b/io/groups/spill.go
@@ -81,15 +81,25 @@
 		Free:      away.free,
 		Room:      home.free,
 	}
-	for _, h := range v.Hosts {
-		if h.Domain != away.domain {
-			w.Senders++
-		}
-		if h.Domain == g.Domain {
-			w.Mates++
+	counts := g.hostCounts(v)
+	w.Senders = len(v.Hosts) - counts[away.domain]
+	w.Mates = counts[g.Domain]
+	return w
+}
+
+// hostCounts returns the number of hosts of each failure domain. They are counted once for each set of
+// hosts, as every read needs them.
+func (g *Groups) hostCounts(v *mirror.View) map[string]int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.counts == nil || g.countsVersion != v.HostsVersion {
+		g.counts = make(map[string]int)
+		g.countsVersion = v.HostsVersion
+		for _, h := range v.Hosts {
+			g.counts[h.Domain]++
 		}
 	}
-	return w
+	return g.counts
 }
 
 // leaves reports whether a read leaves the domain, and counts it.
