--- a/core/gate/wait_test.go
+++ b/core/gate/wait_test.go
@@ -10,10 +10,10 @@
 )
 
 const (
-	tick     = time.Millisecond
-	service  = 20 * tick
-	seconds  = 20
-	patience = 72 * tick // 0.6 of a target latency of 120 ms
+	tick    = time.Millisecond
+	service = 20 * tick
+	seconds = 20
+	maxWait = 72 * tick // 0.6 of a target latency of 120 ms
 )
 
 // waiter is a statement in a simulated queue.
@@ -39,7 +39,7 @@
 	var running [][2]time.Duration // when they end and when they began
 	queued := make(map[*waiter]Ticket[*waiter])
 	begin := func(w *waiter, now time.Duration) {
-		w.waited = now - w.until + patience
+		w.waited = now - w.until + maxWait
 		r.served = append(r.served, w)
 		end := now + service/2 + time.Duration(random.Int64N(int64(service)))
 		running = append(running, [2]time.Duration{end, now})
@@ -69,13 +69,13 @@
 			}
 			w := &waiter{
 				level: level,
-				until: now + patience,
+				until: now + maxWait,
 			}
 			w.expected = g.Wait(level, "a", w.until)
 			switch {
 			case g.TryAcquire():
 				begin(w, now)
-			case refuse && w.expected > patience:
+			case refuse && w.expected > maxWait:
 				r.refused[level]++
 			default:
 				queued[w], _ = g.EnqueueUntil(level, "a", w.until, w)
@@ -134,12 +134,12 @@
 	g.TryAcquire()
 	g.Observe(service)
 	for i := range 50 {
-		g.EnqueueUntil(2, "large", patience, i)
+		g.EnqueueUntil(2, "large", maxWait, i)
 	}
-	assert.Assert(t, g.Wait(2, "large", patience) > 50*service)
-	assert.Assert(t, g.Wait(2, "small", patience) <= 2*service)
-	assert.Assert(t, g.Wait(1, "small", patience) <= 2*service)
-	assert.Equal(t, g.WaitOfLevel(2), g.Wait(2, "large", patience))
+	assert.Assert(t, g.Wait(2, "large", maxWait) > 50*service)
+	assert.Assert(t, g.Wait(2, "small", maxWait) <= 2*service)
+	assert.Assert(t, g.Wait(1, "small", maxWait) <= 2*service)
+	assert.Equal(t, g.WaitOfLevel(2), g.Wait(2, "large", maxWait))
 }
 
 // TestLeastTimeLeftIsFirst guards against a statement that runs out of time behind one of its
@@ -167,20 +167,20 @@
 	g.TryAcquire()
 	g.Observe(service)
 	for i := range 20 {
-		g.EnqueueUntil(2, "a", patience, i)
+		g.EnqueueUntil(2, "a", maxWait, i)
 	}
-	wait := g.Wait(2, "a", patience)
+	wait := g.Wait(2, "a", maxWait)
 	var returns []time.Duration
 	for range 60 {
-		returns = append(returns, g.RetryAfter(time.Minute, 2, wait, patience, random.Float64()))
+		returns = append(returns, g.RetryAfter(time.Minute, 2, wait, maxWait, random.Float64()))
 	}
 	slices.Sort(returns)
 	const window = 10
 	for i := range len(returns) - 2*window {
 		assert.Assert(t, returns[i+2*window]-returns[i] >= window*service/2, "%d: %v", i, returns[i:i+2*window+1])
 	}
-	assert.Assert(t, returns[0] >= (wait-patience)/2)
+	assert.Assert(t, returns[0] >= (wait-maxWait)/2)
 	assert.Assert(t, returns[len(returns)-1] <= maxRetryQueues*wait*3/2)
-	urgent := g.RetryAfter(time.Minute, 0, wait, patience, 0.5)
+	urgent := g.RetryAfter(time.Minute, 0, wait, maxWait, 0.5)
 	assert.Assert(t, urgent <= wait, "urgent statements return behind less urgent ones")
 }
--- a/core/grant/partask_test.go
+++ b/core/grant/partask_test.go
@@ -184,7 +184,7 @@
 	w := waiting{
 		account: a,
 		host:    h.number,
-		until:   f.now + patience,
+		until:   f.now + maxWait,
 		within:  a.single.Take(bucket.At(f.now), 1),
 		counted: f.now >= partFault && f.now < partFault+partWatch,
 	}
--- a/core/grant/parts_test.go
+++ b/core/grant/parts_test.go
@@ -26,9 +26,9 @@
 	partEnd      = partFault + 12*second
 	// partWatch is how long refusals are counted after the fault.
 	partWatch = 2500 * time.Millisecond
-	// patience is how long an operation waits for the rate, and askPause the time between two
+	// maxWait is how long an operation waits for the rate, and askPause the time between two
 	// questions to the keeper.
-	patience = 50 * time.Millisecond
+	maxWait  = 50 * time.Millisecond
 	askPause = 25 * time.Millisecond
 	// wrongful is the project's target for operations within the limits that are refused.
 	wrongful = 0.005
--- a/core/grant/partsim_test.go
+++ b/core/grant/partsim_test.go
@@ -198,7 +198,7 @@
 	if f.now == partFault+leaseFor {
 		f.registered = nil
 		maps.DeleteFunc(f.known, func(key string, _ string) bool {
-			return !strings.HasSuffix(key, fmt.Sprint(" ", f.trouble.cut)) // its hosts hear of nothing
+			return !strings.HasSuffix(key, fmt.Sprint(" ", f.trouble.cut)) // its hosts receive no changes
 		})
 		for _, h := range f.hosts {
 			if !h.ended && (f.trouble.cut != h.domain || f.trouble.cutFor <= leaseFor) {
--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -1,6 +1,6 @@
 // Package reach decides whether the store is silent to one host alone or to all hosts.
 //
-// At the start of an outage every host has heard of answers that others got just before it, and
+// At the start of an outage every host knows of answers that others got just before it, and
 // at its end some hosts get answers before others do. So an answer to another host counts only
 // if it was to a call made between two calls of this host that got none.
 package reach
--- a/core/spill/sim_test.go
+++ b/core/spill/sim_test.go
@@ -10,15 +10,15 @@
 )
 
 const (
-	tick     = time.Millisecond
-	work     = 20 * time.Millisecond
-	target   = 400 * time.Millisecond
-	patience = target * 6 / 10
-	slots    = 4 // of each database
-	owners   = 2 // of each database
-	perSite  = 2 // databases in each domain
-	hosts    = 10
-	trip     = 3 * time.Millisecond
+	tick    = time.Millisecond
+	work    = 20 * time.Millisecond
+	target  = 400 * time.Millisecond
+	maxWait = target * 6 / 10
+	slots   = 4 // of each database
+	owners  = 2 // of each database
+	perSite = 2 // databases in each domain
+	hosts   = 10
+	trip    = 3 * time.Millisecond
 	// capacity is how many reads per second the databases of one domain can run: a read takes
 	// 20 ms on average, and 2 ms pass in the steps of the simulation.
 	capacity = perSite * slots * 1000 / 22
@@ -314,7 +314,7 @@
 		db:      db,
 		owner:   db.owners[o],
 		sent:    s.now,
-		until:   s.now + patience,
+		until:   s.now + maxWait,
 		foreign: db.site != h.site,
 	}
 	if s.cut && r.foreign {
@@ -326,7 +326,7 @@
 	switch wait := g.Wait(2, "a", r.until); {
 	case g.TryAcquire():
 		s.send(r)
-	case wait > patience:
+	case wait > maxWait:
 		s.refused[h.site]++
 		s.reply(r)
 	default:
--- a/io/edge/ready.go
+++ b/io/edge/ready.go
@@ -102,7 +102,7 @@
 }
 
 // isCutOff reports whether the store answers other hosts but not this one, or whether the host
-// can't tell: it hears of no keeper, or of one to which most hosts do not report.
+// can't tell: no keeper answers it, or one to which most hosts do not report.
 func (e *Edge) isCutOff() bool {
 	hosts := len(e.mirror.View().Hosts)
 	if e.storeAge() <= storeSilenceLimit || hosts <= 1 {
--- a/io/evac/evac.go
+++ b/io/evac/evac.go
@@ -1,4 +1,4 @@
-// Package evac takes a host off the databases of failure domains that operators evacuate: it tells
+// Package evac takes a host off the databases of failure domains that operators evacuate: it reports
 // which databases are closed to the host, closes the connections to them and ends the transactions
 // there, and shows operators how far it is.
 package evac
--- a/io/front/frame.go
+++ b/io/front/frame.go
@@ -121,7 +121,7 @@
 		return
 	}
 	mc.timed = true
-	_ = mc.SetReadDeadline(time.Now().Add(mc.wait)) // fails if the connection is closed, which reading tells
+	_ = mc.SetReadDeadline(time.Now().Add(mc.wait)) // fails if the connection is closed; the read then fails too
 }
 
 // unfinished converts a time-out within a message.
--- a/io/mirror/evacuations_test.go
+++ b/io/mirror/evacuations_test.go
@@ -135,7 +135,7 @@
 	}
 }
 
-// TestEvacuationsAreInEffectInTime guards against a host that has heard from the store since an evacuation
+// TestEvacuationsAreInEffectInTime guards against a host that has received an answer of the store since an evacuation
 // was acknowledged and yet uses the domain after the bound, and against evacuations that stay after the
 // operators have cancelled them, with answers that arrive in any order and keys that can't be read.
 func TestEvacuationsAreInEffectInTime(t *testing.T) {
@@ -200,7 +200,7 @@
 }
 
 // TestEvacuationSurvivesRestore guards against an evacuation that a host forgets, or another one never
-// hears of, because the store came back from a backup without the key.
+// knows of, because the store came back from a backup without the key.
 func TestEvacuationSurvivesRestore(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		e := &evacuationModel{
--- a/io/quota/reach.go
+++ b/io/quota/reach.go
@@ -12,8 +12,8 @@
 	"coltsfootloft/io/quota/quotapb"
 )
 
-// heardLifetime is how long after its report a host counts as heard: one report may be late.
-const heardLifetime = 1500 * time.Millisecond
+// reportLifetime is how long after its report a host counts as reporting: one report may be late.
+const reportLifetime = 1500 * time.Millisecond
 
 // transitAllowance is how long a report may have been on the way. The age that it states is
 // counted from its arrival, so that the store would otherwise seem to have answered later.
@@ -28,8 +28,8 @@
 
 // reports is what the keeper knows of the store by the reports of other hosts.
 type reports struct {
-	// heard is when each registered host last reported.
-	heard map[string]time.Duration
+	// reported is when each registered host last reported.
+	reported map[string]time.Duration
 	// reached is the latest time at which the store was asked by another host and answered it.
 	reached time.Duration
 }
@@ -40,13 +40,13 @@
 	if _, ok := v.Hosts[from]; !ok {
 		return
 	}
-	if r.heard == nil {
-		r.heard = make(map[string]time.Duration)
+	if r.reported == nil {
+		r.reported = make(map[string]time.Duration)
 	}
-	r.heard[from] = now
-	for host, at := range r.heard {
-		if now-at > heardLifetime {
-			delete(r.heard, host)
+	r.reported[from] = now
+	for host, at := range r.reported {
+		if now-at > reportLifetime {
+			delete(r.reported, host)
 		}
 	}
 	reached := now
@@ -59,8 +59,8 @@
 // count returns how many hosts reported recently.
 func (r *reports) count(now time.Duration) int {
 	n := 0
-	for _, at := range r.heard {
-		if now-at <= heardLifetime {
+	for _, at := range r.reported {
+		if now-at <= reportLifetime {
 			n++
 		}
 	}
--- a/io/quota/reach_test.go
+++ b/io/quota/reach_test.go
@@ -27,7 +27,7 @@
 	assert.Equal(t, keeper.StoreNews().Reached, clock.now-700*time.Millisecond-transitAllowance)
 	assert.Equal(t, observe("h02", proto.Int64(1500)).GetStoreAgeMs(), 700+transitAllowance.Milliseconds())
 	assert.Equal(t, observe("h03", nil).GetStoreAgeMs(), int64(0), "previous version")
-	clock.now += heardLifetime + time.Millisecond
+	clock.now += reportLifetime + time.Millisecond
 	assert.Equal(t, observe("h00", nil).GetHeard(), uint32(1))
 
 	host := limiters["h04"]
