--- a/core/spill/sim_test.go
+++ b/core/spill/sim_test.go
@@ -272,7 +272,7 @@
 		Away:    time.Hour,
 		Target:  target,
 		Senders: hosts,
-		Mates:   hosts,
+		Peers:   hosts,
 		Cost:    trip - tick + 5*time.Millisecond,
 	}
 	best := [2]*database{}
--- a/core/spill/spill.go
+++ b/core/spill/spill.go
@@ -64,9 +64,9 @@
 	Free    float64
 	Senders int
 	// Room is how many reads per second the databases of the host's domain have free, and
-	// Mates the number of hosts in it.
+	// Peers the number of hosts in it.
 	Room  float64
-	Mates int
+	Peers int
 }
 
 // Spill decides for the reads of one group on one host. The zero value is ready to use. It is
@@ -138,7 +138,7 @@
 	target := math.Max(v.Target.Seconds(), time.Millisecond.Seconds())
 	n.reads++
 	n.pressure += v.Home.Seconds() / target
-	n.room += v.Room / float64(max(v.Mates, 1))
+	n.room += v.Room / float64(max(v.Peers, 1))
 	if v.AwayKnown {
 		n.known++
 		n.gain += (v.Home - v.Away - v.Cost).Seconds()
--- a/io/bound/bound.go
+++ b/io/bound/bound.go
@@ -34,8 +34,8 @@
 
 // Sizes of the kernel's buffers of a connection.
 const (
-	// ReceiveBuffer is that of what is received, in bytes, which the kernel doubles. It would otherwise let them grow to megabytes for each peer that
-	// sends ahead or does not read.
+	// ReceiveBuffer is that of what is received, in bytes, which the kernel doubles. It would otherwise
+	// let them grow to megabytes for each peer that sends ahead or does not read.
 	ReceiveBuffer = 16 << 10
 	// SendBuffer is that of what is sent.
 	SendBuffer = 64 << 10
--- a/io/edge/ready.go
+++ b/io/edge/ready.go
@@ -109,7 +109,7 @@
 		return false
 	}
 	n := e.quota.First().StoreNews()
-	if n.Silence > keeperSilenceLimit || n.KeeperSilence > lostKeeperLimit || n.Heard > 0 && 2*n.Heard < hosts {
+	if n.Silence > keeperSilenceLimit || n.KeeperSilence > lostKeeperLimit || n.Reporters > 0 && 2*n.Reporters < hosts {
 		return true
 	}
 	first, last, ok := e.lease.Unanswered()
--- a/io/entry/choose.go
+++ b/io/entry/choose.go
@@ -84,7 +84,7 @@
 		after, fresh = n.requiredPosition(o)
 	}
 	for _, r := range n.server.Groups.Readers(o.route.Group, n.read(o, len(tried) > 0 || o.tries > 0)) {
-		if r.IsAbroad && o.useless > 0 {
+		if r.IsAbroad && o.tooLate > 0 {
 			continue // the load of the host's domain is no reason to leave it
 		}
 		if tried[r.Target.ID] || !r.IsPrimary && (!fresh || n.server.Groups.Pools.LacksPosition(r.Target.ID, after)) {
@@ -135,7 +135,7 @@
 		wait = o.shareLeft(now, noDatabaseShare)
 	}
 	clear(tried)
-	o.useless = 0
+	o.tooLate = 0
 	return n.pauseFor(wait)
 }
 
@@ -195,7 +195,7 @@
 func (n *session) noteNotSent(o *operation, d destination, err error) {
 	var refused *dbpool.WaitError
 	if errors.As(err, &refused) {
-		o.noteUseless(refused.Retry)
+		o.noteTooLate(refused.Retry)
 	}
 	if errors.Is(err, dbpool.ErrDown) && d.reader.IsPrimary {
 		n.server.ReportUnreachable(o.route.Group, d.reader.Target.ID)
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -114,9 +114,9 @@
 	wall    time.Time     // when it, or the current statement of a transaction, arrived
 	sent    bool          // whether a database may have received it
 	tries   int
-	// useless counts the databases, since the first was tried again, at which its turn would
+	// tooLate counts the databases, since the first was tried again, at which its turn would
 	// come too late; retry is the least time after which one of them expects it again.
-	useless int
+	tooLate int
 	retry   time.Duration
 	homes   homes.Homes // where it may run
 }
--- a/io/entry/single.go
+++ b/io/entry/single.go
@@ -21,8 +21,8 @@
 func (n *session) serveSingle(o *operation, st coltsfootloft.Statement, shape *prep.Shape, writes bool) coltsfootloft.Reply {
 	tried := make(map[string]bool)
 	for {
-		if n.isHopeless(o, writes) {
-			return n.refuseUseless(o, st)
+		if n.isTooLate(o, writes) {
+			return n.refuseTooLate(o, st)
 		}
 		d, ok := n.choose(o, writes, tried)
 		if !ok && n.isOutsideRegions(o, writes) {
--- a/io/entry/useless.go
+++ b/io/entry/toolate.go
@@ -20,18 +20,18 @@
 	noConnectionRetry = 50 * time.Millisecond
 )
 
-// noteUseless records that a database expects the operation's turn too late.
-func (o *operation) noteUseless(retry time.Duration) {
-	o.useless++
+// noteTooLate records that a database expects the operation's turn too late.
+func (o *operation) noteTooLate(retry time.Duration) {
+	o.tooLate++
 	if o.retry == 0 || retry < o.retry {
 		o.retry = retry
 	}
 }
 
-// isHopeless reports whether the operation's turn would come too late at each database that
+// isTooLate reports whether the operation's turn would come too late at each database that
 // may serve it.
-func (n *session) isHopeless(o *operation, writes bool) bool {
-	if o.useless == 0 {
+func (n *session) isTooLate(o *operation, writes bool) bool {
+	if o.tooLate == 0 {
 		return false
 	}
 	if writes || o.route.Kind == coltsfootloft.RoutePrimary {
@@ -43,17 +43,17 @@
 			may++
 		}
 	}
-	return o.useless >= may
+	return o.tooLate >= may
 }
 
-// refuseUseless refuses an operation that is hopeless.
-func (n *session) refuseUseless(o *operation, st coltsfootloft.Statement) coltsfootloft.Reply {
-	return n.refuseOperation(o, st, coltsfootloft.ReasonBusy, "no turn at a database in time"+n.comeBackUseless(o))
+// refuseTooLate refuses an operation whose turn would come too late.
+func (n *session) refuseTooLate(o *operation, st coltsfootloft.Statement) coltsfootloft.Reply {
+	return n.refuseOperation(o, st, coltsfootloft.ReasonBusy, "no turn at a database in time"+n.comeBackTooLate(o))
 }
 
-// comeBackUseless counts the refusal of an operation that is hopeless, and returns the end of
+// comeBackTooLate counts the refusal of an operation whose turn would come too late, and returns the end of
 // its text.
-func (n *session) comeBackUseless(o *operation) string {
+func (n *session) comeBackTooLate(o *operation) string {
 	n.server.Metrics.GetOrCreateCounter(UselessWaitsMetric).Inc()
 	return comeBack(o.retry)
 }
--- a/io/entry/transaction.go
+++ b/io/entry/transaction.go
@@ -84,8 +84,8 @@
 			return n.abort(st, err.Error())
 		}
 		text := n.comeBack(noConnectionRetry)
-		if n.isHopeless(&t.operation, !t.readOnly) {
-			text = n.comeBackUseless(&t.operation)
+		if n.isTooLate(&t.operation, !t.readOnly) {
+			text = n.comeBackTooLate(&t.operation)
 		}
 		return n.failTransaction(st, reason, "no database took the transaction"+text)
 	}
@@ -144,7 +144,7 @@
 	tried := make(map[string]bool)
 	last := coltsfootloft.ReasonBusy
 	for {
-		if n.isHopeless(&t.operation, !t.readOnly) && !n.commitWaits(t, st, tried) {
+		if n.isTooLate(&t.operation, !t.readOnly) && !n.commitWaits(t, st, tried) {
 			return last, nil
 		}
 		d, ok := n.choose(&t.operation, !t.readOnly, tried)
--- a/io/groups/spill.go
+++ b/io/groups/spill.go
@@ -83,7 +83,7 @@
 	}
 	counts := g.hostCounts(v)
 	w.Senders = len(v.Hosts) - counts[away.domain]
-	w.Mates = counts[g.Domain]
+	w.Peers = counts[g.Domain]
 	return w
 }
 
--- a/io/quota/reach.go
+++ b/io/quota/reach.go
@@ -76,9 +76,9 @@
 	// Reached is the latest time, on this host's clock, at which another host is known to have
 	// asked the store and got an answer.
 	Reached time.Duration
-	// Heard is the number of hosts that had reported to the keeper at its last answer; 0 if it
+	// Reporters is the number of hosts that had reported to the keeper at its last answer; 0 if it
 	// does not state it.
-	Heard int
+	Reporters int
 }
 
 // StoreNews returns what is known about whether other hosts reach the store.
@@ -99,7 +99,7 @@
 // observeNews records what an answer says of the store; mu is held.
 func (l *Limiter) observeNews(sent time.Duration, g *quotapb.Grants) {
 	l.heardAt = l.Clock.Elapsed()
-	l.news.Heard = int(g.GetHeard())
+	l.news.Reporters = int(g.GetHeard())
 	l.observeReached(sent, g)
 }
 
--- a/io/quota/reach_test.go
+++ b/io/quota/reach_test.go
@@ -39,6 +39,6 @@
 	})
 	n := host.StoreNews()
 	assert.Equal(t, n.Reached, sent-301*time.Millisecond)
-	assert.Equal(t, n.Heard, 5)
+	assert.Equal(t, n.Reporters, 5)
 	assert.Equal(t, n.Silence, time.Duration(0))
 }
