--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -57,6 +57,7 @@
 	ways   []*relay.Switch // to the databases
 
 	mu      sync.Mutex
+	down    map[string]time.Time // since when databases are down
 	roles   map[string]string
 	seq     int
 	leaders []Leader
@@ -87,6 +88,7 @@
 		net:     fmt.Sprintf("127.%d", 64+os.Getpid()%128),
 		begun:   time.Now(),
 		record:  record,
+		down:    make(map[string]time.Time),
 		roles:   make(map[string]string),
 	}
 	if err := r.startPlatform(ctx); err != nil {
@@ -184,6 +186,25 @@
 	}
 }
 
+// silence is how long a database is down before its entry is removed: three of its heartbeats.
+const silence = 3 * 1200 * time.Millisecond
+
+// Crash ends a database without a word. It comes back with its log after a time.
+func (r *Rig) Crash(database string, d time.Duration) {
+	r.Note("%s crashes", database)
+	r.mu.Lock()
+	r.down[database] = time.Now()
+	r.mu.Unlock()
+	r.Group.SetDown(database, true)
+	time.AfterFunc(d, func() {
+		r.Group.Rejoin(database)
+		r.Note("%s is back with its log", database)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.down, database)
+	})
+}
+
 // announce writes the entries of the databases as they change, until ctx ends.
 func (r *Rig) announce(ctx context.Context) {
 	const period = 20 * time.Millisecond
@@ -204,7 +225,12 @@
 		if id == primary {
 			role = "primary"
 		}
-		if r.roles[id] == role {
+		since, down := r.down[id]
+		if down && time.Since(since) > silence && r.roles[id] != "" {
+			r.roles[id] = ""
+			r.Store.Remove("servers/" + id)
+		}
+		if down || r.roles[id] == role {
 			continue
 		}
 		r.roles[id] = role
