--- a/review/rig/host.go
+++ b/review/rig/host.go
@@ -89,6 +89,24 @@
 	return r.startProcess(h)
 }
 
+// restartDelay is how long the platform waits before it starts a process again.
+const restartDelay = 450 * time.Millisecond
+
+// Kill ends the process of a host with SIGKILL. The platform starts it again after a short delay.
+func (r *Rig) Kill(name string) {
+	for _, h := range r.Hosts {
+		if h.Name != name {
+			continue
+		}
+		r.Note("%s is killed, and started again %s later", name, restartDelay)
+		h.kill()
+		time.Sleep(restartDelay)
+		if err := r.startProcess(h); err != nil {
+			r.Note("%s not started: %v", name, err)
+		}
+	}
+}
+
 // kill ends the process.
 func (h *Host) kill() {
 	if h.process == nil {
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -37,6 +37,8 @@
 	// Cores and MemoryMB are those of a host.
 	Cores    float64
 	MemoryMB int
+	// Ordered, if not nil, is called once the platform has taken an order to promote a database.
+	Ordered func(database, holder string)
 }
 
 // Rig is a running deployment.
@@ -58,6 +60,7 @@
 
 	mu      sync.Mutex
 	down    map[string]time.Time // since when databases are down
+	leaving map[string]bool
 	roles   map[string]string
 	seq     int
 	leaders []Leader
@@ -89,6 +92,7 @@
 		begun:   time.Now(),
 		record:  record,
 		down:    make(map[string]time.Time),
+		leaving: make(map[string]bool),
 		roles:   make(map[string]string),
 	}
 	if err := r.startPlatform(ctx); err != nil {
@@ -205,6 +209,15 @@
 	})
 }
 
+// Leave has a database report that it is draining. It goes on to serve.
+func (r *Rig) Leave(database string) {
+	r.Note("%s reports draining", database)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving[database] = true
+	r.roles[database] = ""
+}
+
 // announce writes the entries of the databases as they change, until ctx ends.
 func (r *Rig) announce(ctx context.Context) {
 	const period = 20 * time.Millisecond
@@ -237,6 +250,9 @@
 		r.seq++
 		entry := opset.Entry(r.Group.Name, r.ways[i].Listener.Addr().String(), role, r.DatabaseDomains[i], "ready", r.seq)
 		entry["Slots"] = r.Slots
+		if r.leaving[id] {
+			entry["State"] = "draining"
+		}
 		r.Store.Put("servers/"+id, entry)
 	}
 }
@@ -261,6 +277,9 @@
 	ordered := time.Now()
 	r.Note("POST /failover %s by %s, fence %d: %d", database, holder, fence, code)
 	go r.awaitLeader(database, ordered)
+	if r.Options.Ordered != nil {
+		go r.Options.Ordered(database, holder)
+	}
 	return code
 }
 
