--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -277,8 +277,8 @@
 	ordered := time.Now()
 	r.Note("POST /failover %s by %s, fence %d: %d", database, holder, fence, code)
 	go r.awaitLeader(database, ordered)
-	if r.Options.Ordered != nil {
-		go r.Options.Ordered(database, holder)
+	if r.Ordered != nil {
+		go r.Ordered(database, holder)
 	}
 	return code
 }
