--- a/review/7/main.go
+++ b/review/7/main.go
@@ -48,8 +48,8 @@
 	clockSlack = 2 * time.Millisecond
 	// sessions is the number of callers at each host, homeSessions that at those in the domain of the primary. Of
 	// either, transactions send transactions.
-	sessions     = 3
-	homeSessions = 20
+	sessions     = 1
+	homeSessions = 26
 	transactions = 1
 )
 
