--- a/core/leader/leader.go
+++ b/core/leader/leader.go
@@ -10,9 +10,10 @@
 //  2. Every live host confirms that it has seen the closing record, or its lease
 //     ends, which ends its right to use any primary. From then on no host uses
 //     the old primary.
-//  3. The replica that has received most is promoted.
-//  4. Once that replica reports that it is primary, the record is opened for it in
-//     a new epoch.
+//  3. The replica that has received most is ordered to be promoted, after the record names it as
+//     the candidate.
+//  4. Once that replica reports that it is primary, and no other promotion that was ordered can take
+//     effect any more, the record is opened for it in a new epoch.
 package leader
 
 import (
@@ -38,8 +39,13 @@
 	// Closing is set while a failover is in progress.
 	Closing bool `json:"closing,omitempty"`
 	// Candidate is the database that has been, or may have been, told to become
-	// primary.
+	// primary last.
 	Candidate string `json:"candidate,omitempty"`
+	// Pending are the databases that have been, or may have been, told to become primary and whose promotion
+	// may still take effect, in the order of their last calls.
+	Pending []string `json:"pending,omitempty"`
+	// Calls is how many calls told, or may have told, these databases so.
+	Calls uint64 `json:"calls,omitempty"`
 	// Era is the era of the store in which the record was written. In a later one it
 	// may be older than what the store held before it was restored. 0 if the host that
 	// wrote the record did not know eras.
@@ -54,7 +60,7 @@
 	if r.Closing != q.Closing {
 		return r.Closing
 	}
-	return r.Candidate != "" && q.Candidate == ""
+	return r.calls() > q.calls()
 }
 
 // Encode returns the record in JSON, the form that the store holds.
@@ -76,7 +82,7 @@
 	if err := json.Unmarshal(b, &r); err != nil {
 		return Record{}, errors.Wrap(err, "record of a group")
 	}
-	if r.Epoch == 0 || r.Primary == "" || max(r.Epoch, r.Term, r.Start, r.Era) > maxFigure {
+	if r.Epoch == 0 || r.Primary == "" || max(r.Epoch, r.Term, r.Start, r.Calls, r.Era) > maxFigure {
 		return Record{}, errors.Errorf("record of a group with epoch %d, primary %q, term %d, start %d, era %d", r.Epoch, r.Primary, r.Term, r.Start, r.Era)
 	}
 	return r, nil
--- a/core/leader/leader_test.go
+++ b/core/leader/leader_test.go
@@ -31,7 +31,7 @@
 	}
 	got, err := Decode(r.Encode())
 	assert.NilError(t, err)
-	assert.Equal(t, got, r)
+	assert.DeepEqual(t, got, r)
 	assert.Assert(t, !r.IsOpen())
 	assert.Assert(t, !Record{}.IsOpen(), "a record that was never opened")
 	_, err = Decode([]byte("{"))
--- a/io/failov/change.go
+++ b/io/failov/change.go
@@ -25,15 +25,9 @@
 	// fail to reach. The confirmations of the hosts, which are collected meanwhile, take
 	// about as long.
 	unreachableDemoteTimeout = 150 * time.Millisecond
-	// promoteTimeout is how long a promoted database may take to lead: 600 ms to 1 s in
-	// users' deployments, plus a slow call of the platform.
-	promoteTimeout = 2500 * time.Millisecond
 	// catchUpTimeout is how long a change of a primary that still answers waits for a
 	// replica to receive all that the old primary has.
 	catchUpTimeout = 1500 * time.Millisecond
-	// minLeaseLeft is the minimum remaining time of the holder's lease for a call to the
-	// platform.
-	minLeaseLeft = 800 * time.Millisecond
 )
 
 // errNotHolder ends a change on a host that no longer holds the duty.
@@ -141,7 +135,7 @@
 		if _, ok := r.Successor(c.readStatuses(ctx, name, unreachable...), c.syncReplicas(name)); !ok {
 			return "", errNoSuccessor
 		}
-		r.Closing = true
+		r = r.Closed(c.hasSettled(name, g))
 		v, err := c.writeRecord(ctx, name, r, version)
 		if err != nil {
 			return "", err
@@ -155,16 +149,20 @@
 	if <-demoted {
 		unreachable = nil
 	}
-	primary, err := c.promote(ctx, name, r, &version, unreachable)
+	p := &promotion{
+		Controller:  c,
+		group:       name,
+		record:      r,
+		version:     version,
+		unreachable: unreachable,
+		failed:      make(map[string]bool),
+		ordered:     make(map[string]time.Duration),
+	}
+	primary, err := p.run(ctx)
 	if err != nil {
 		return "", err
 	}
-	_, err = c.writeRecord(ctx, name, leader.Record{
-		Epoch:   r.Epoch + 1,
-		Primary: primary.ID,
-		Term:    primary.Health.Term,
-		Start:   primary.Health.Received.Offset(),
-	}, version)
+	_, err = c.writeRecord(ctx, name, p.record.Opened(primary), p.version)
 	return primary.ID, err
 }
 
@@ -191,53 +189,6 @@
 	return done
 }
 
-// promote promotes a replica and waits until it leads. Replicas that the platform refuses
-// to promote are skipped until none is left.
-func (c *Controller) promote(ctx context.Context, name string, r leader.Record, version *uint64, unreachable []string) (leader.Status, error) {
-	refused := make(map[string]bool)
-	for ctx.Err() == nil {
-		statuses := c.demoteAndCatchUp(ctx, name, r, unreachable)
-		if primary, ok := leader.FindPrimary(statuses); ok && primary.ID != r.Primary && primary.Health.Term > r.Term {
-			return primary, nil
-		}
-		candidate, ok := r.Successor(excludeRefused(statuses, refused), c.syncReplicas(name))
-		if !ok {
-			clear(refused)
-			pause.For(ctx, 4*pollPeriod)
-			continue
-		}
-		if r.Candidate != candidate.ID {
-			r.Candidate = candidate.ID
-			v, err := c.writeRecord(ctx, name, r, *version)
-			if err != nil {
-				return leader.Status{}, err
-			}
-			*version = v
-		}
-		err := c.callPromote(ctx, name, candidate)
-		if errors.Is(err, coltsfootloft.ErrPromotionRefused) {
-			refused[candidate.ID] = true
-			continue
-		}
-		if errors.Is(err, errNotHolder) {
-			return leader.Status{}, err
-		}
-		if primary, ok := c.awaitLeader(ctx, name, candidate.ID, r.Term); ok {
-			return primary, nil
-		}
-	}
-	return leader.Status{}, errors.Wrap(ctx.Err(), "no database leads")
-}
-
-// excludeRefused returns the statuses with those of refused databases as not answered.
-func excludeRefused(statuses []leader.Status, refused map[string]bool) []leader.Status {
-	r := slices.Clone(statuses)
-	for i := range r {
-		r[i].Answered = r[i].Answered && !refused[r[i].ID]
-	}
-	return r
-}
-
 // syncReplicas returns how many replicas have received a commit of the group before it is
 // acknowledged.
 func (c *Controller) syncReplicas(name string) int {
@@ -299,6 +250,9 @@
 	deadline := c.Clock.Elapsed() + catchUpTimeout
 	for {
 		statuses := c.readStatuses(ctx, name)
+		if _, ok := r.Leader(statuses); ok {
+			return statuses
+		}
 		candidate, ok := r.Successor(statuses, 0)
 		if ok && candidate.Health.Received.Compare(last.Received) >= 0 && !r.HasWarmer(statuses, candidate) {
 			return statuses
@@ -310,51 +264,3 @@
 		pause.For(ctx, pollPeriod)
 	}
 }
-
-// callPromote makes the platform's call, which must end before the holder's lease does.
-func (c *Controller) callPromote(ctx context.Context, name string, candidate leader.Status) error {
-	fence, ok := c.Duty.Holds()
-	left := c.Lease.Left()
-	if !ok {
-		return errNotHolder
-	}
-	if left < minLeaseLeft {
-		pause.For(ctx, 4*pollPeriod)
-		return errors.New("lease too short for a call")
-	}
-	callCtx, cancel := context.WithTimeout(ctx, left-pollPeriod)
-	defer cancel()
-	err := c.Promoter.Promote(callCtx, name, candidate.ID, c.Self, fence)
-	c.Log.Info("promotion ordered", "group", name, "database", candidate.ID, "fence", fence, "received", candidate.Health.Received.Offset(),
-		"answer", errorText(err))
-	return err
-}
-
-func errorText(err error) string {
-	if err == nil {
-		return "ok"
-	}
-	return err.Error()
-}
-
-// awaitLeader waits until a database calls itself primary in a later term.
-func (c *Controller) awaitLeader(ctx context.Context, name, id string, term uint64) (leader.Status, bool) {
-	deadline := c.Clock.Elapsed() + promoteTimeout
-	for ctx.Err() == nil && c.Clock.Elapsed() < deadline {
-		u, ok := c.Mirror.View().Upstreams[id]
-		if !ok {
-			return leader.Status{}, false
-		}
-		h, err := c.status(ctx, u.Target())
-		if err == nil && h.Role == coltsfootloft.Primary && h.Term > term {
-			return leader.Status{
-				ID:       id,
-				Answered: true,
-				Health:   h,
-			}, true
-		}
-		pause.For(ctx, pollPeriod)
-	}
-	c.Log.Info("promoted database does not lead", "group", name, "database", id)
-	return leader.Status{}, false
-}
--- a/io/failov/failov.go
+++ b/io/failov/failov.go
@@ -125,6 +125,10 @@
 	lastVote       time.Duration
 	lastChange     time.Duration // 0 if not yet
 	partial        uint64        // revision of the evacuation that can't be carried out in full, or 0
+	slowest        time.Duration // promotion seen by this host
+	// givenUp is since when databases of the closing record of epoch are not ordered any more.
+	epoch   uint64
+	givenUp map[string]time.Duration
 }
 
 // Register sets the handler for requests of other hosts. It is called before Run.
@@ -222,10 +226,31 @@
 }
 
 // checkPrimary asks the primary for its status. It replaces a primary that repeatedly
-// calls itself a replica, or that a vote of the hosts finds lost.
+// calls itself a replica, that another database has superseded, or that a vote of the hosts finds lost.
 func (c *Controller) checkPrimary(ctx context.Context, name string, t dbpool.Target) {
 	h, err := c.status(ctx, t)
+	vote, demoted := c.noteStatus(name, h, err)
+	switch {
+	case demoted:
+		c.changePrimary(ctx, name, "the primary calls itself a replica")
+	case err == nil && h.Role == coltsfootloft.Primary && c.isSuperseded(ctx, name, t.ID, h.Term):
+		c.changePrimary(ctx, name, "another database leads in a later term")
+	case vote:
+		reason := "hosts can't reach the primary"
+		if err != nil {
+			reason = err.Error()
+		}
+		if c.isLost(ctx, name, t, reason) {
+			c.changePrimary(ctx, name, lostPrimary)
+		}
+	}
+}
+
+// noteStatus notes the answer of a primary to a request for its status. It reports whether the hosts are to vote
+// on the primary, and whether it has called itself a replica often enough to be replaced.
+func (c *Controller) noteStatus(name string, h coltsfootloft.Health, err error) (vote, demoted bool) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	s := c.stateOf(name)
 	switch {
 	case errors.Is(err, probe.ErrOverloaded):
@@ -240,28 +265,27 @@
 		s.replicaAnswers = 0
 	}
 	now := c.Clock.Elapsed()
-	vote := (s.failures > 0 || s.reported) && now-s.lastVote > votePeriod
+	vote = (s.failures > 0 || s.reported) && now-s.lastVote > votePeriod
 	if vote {
 		s.reported = false
 		s.lastVote = now
 	}
-	demoted := s.replicaAnswers >= replicaAnswersToChange
 	recent := s.failures == 0 && s.lastChange > 0 && now-s.lastChange < recentChangePeriod
-	c.mu.Unlock()
-	if demoted {
-		c.changePrimary(ctx, name, "the primary calls itself a replica")
-		return
-	}
-	if !vote || recent {
-		return
-	}
-	reason := "hosts can't reach the primary"
-	if err != nil {
-		reason = err.Error()
-	}
-	if c.isLost(ctx, name, t, reason) {
-		c.changePrimary(ctx, name, lostPrimary)
+	return vote && !recent, s.replicaAnswers >= replicaAnswersToChange
+}
+
+// isSuperseded reports whether another database of the group, which announces itself as the primary, leads
+// in a later term than the primary of the record.
+func (c *Controller) isSuperseded(ctx context.Context, group, primary string, term uint64) bool {
+	for _, u := range c.Mirror.View().Members(group) {
+		if u.Upstream.Name() == primary || u.Removed || u.Role != coltsfootloft.Primary || c.evacuationState(u) == evac.Closed {
+			continue
+		}
+		if h, err := c.status(ctx, u.Target()); err == nil && h.Role == coltsfootloft.Primary && h.Term > term {
+			return true
+		}
 	}
+	return false
 }
 
 // stateOf returns the state of a group's primary; mu is held.
--- /dev/null
+++ b/io/failov/promotion.go
@@ -0,0 +1,197 @@
+package failov
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"coltsfootloft"
+	"coltsfootloft/core/leader"
+	"coltsfootloft/io/mirror"
+	"coltsfootloft/io/pause"
+)
+
+const (
+	// promoteTimeout is how long a promoted database is awaited before it is ordered again, or given up if
+	// it does not answer either.
+	promoteTimeout = 2500 * time.Millisecond
+	// minLeaseLeft is the minimum remaining time of the holder's lease for a call to the
+	// platform.
+	minLeaseLeft = 800 * time.Millisecond
+	// settleFactor is how many times as long as the slowest promotion that this host has seen in a group an
+	// earlier one may take. No page of the platform bounds it.
+	settleFactor = 4
+)
+
+// promotion is the part of a change that follows once no host uses the old primary.
+type promotion struct {
+	*Controller
+	group       string
+	record      leader.Record // as in the store
+	version     uint64        // the store's, of record
+	unreachable []string
+	// failed are the databases that the platform refuses to promote, or that neither answer nor lead.
+	failed map[string]bool
+	// ordered is when this host first ordered a database.
+	ordered map[string]time.Duration
+}
+
+// run has a database promoted and waits until it leads and no other one can take the lead any more.
+func (p *promotion) run(ctx context.Context) (leader.Status, error) {
+	p.noteOrders(p.group, p.record)
+	for ctx.Err() == nil {
+		statuses := p.demoteAndCatchUp(ctx, p.group, p.record, p.unreachable)
+		step := p.record.Next(statuses, p.syncReplicas(p.group), p.failed, func(id string) bool { return p.isSettled(p.group, id) })
+		switch step.Action {
+		case leader.Open:
+			p.Log.Info("database leads", "group", p.group, "database", step.Database.ID, "term", step.Database.Health.Term,
+				"candidate", p.record.Candidate, "pending", p.record.Pending, "calls", p.record.Calls, "term_before", p.record.Term)
+			return step.Database, nil
+		case leader.Order:
+			if err := p.order(ctx, step.Database); err != nil {
+				return leader.Status{}, err
+			}
+		case leader.Wait:
+			primary, ok := p.record.Leader(statuses)
+			if ok {
+				p.Log.V(1).Info("earlier promotions awaited", "group", p.group, "leads", primary.ID, "pending", p.record.Pending)
+			} else {
+				clear(p.failed)
+			}
+			pause.For(ctx, 4*pollPeriod)
+		}
+	}
+	return leader.Status{}, errors.Wrap(ctx.Err(), "no database leads")
+}
+
+// order tells a database to become primary, once the record names it, and waits until it leads.
+func (p *promotion) order(ctx context.Context, candidate leader.Status) error {
+	if p.Lease.Left() < minLeaseLeft {
+		pause.For(ctx, 4*pollPeriod)
+		return ctx.Err()
+	}
+	before := p.record
+	r := before.Ordered(candidate.ID)
+	v, err := p.writeRecord(ctx, p.group, r, p.version)
+	if err != nil {
+		return err
+	}
+	p.record = r
+	p.version = v
+	p.noteOrders(p.group, r)
+	if _, ok := p.ordered[candidate.ID]; !ok {
+		p.ordered[candidate.ID] = p.Clock.Elapsed()
+	}
+	err = p.callPromote(ctx, p.group, candidate)
+	switch {
+	case errors.Is(err, coltsfootloft.ErrPromotionRefused):
+		p.record = before // the call has no effect
+		p.failed[candidate.ID] = true
+		return nil
+	case errors.Is(err, errNotHolder):
+		return err
+	}
+	answered, leads := p.awaitLeader(ctx, candidate.ID)
+	if leads {
+		p.notePromotion(p.group, p.Clock.Elapsed()-p.ordered[candidate.ID])
+		return nil
+	}
+	p.Log.Info("promoted database does not lead", "group", p.group, "database", candidate.ID, "answers", answered)
+	p.failed[candidate.ID] = !answered
+	return nil
+}
+
+// callPromote makes the platform's call, which must end before the holder's lease does.
+func (c *Controller) callPromote(ctx context.Context, name string, candidate leader.Status) error {
+	fence, ok := c.Duty.Holds()
+	left := c.Lease.Left()
+	if !ok {
+		return errNotHolder
+	}
+	if left < minLeaseLeft {
+		pause.For(ctx, 4*pollPeriod)
+		return errors.New("lease too short for a call")
+	}
+	callCtx, cancel := context.WithTimeout(ctx, left-pollPeriod)
+	defer cancel()
+	err := c.Promoter.Promote(callCtx, name, candidate.ID, c.Self, fence)
+	c.Log.Info("promotion ordered", "group", name, "database", candidate.ID, "fence", fence, "received", candidate.Health.Received.Offset(),
+		"answer", errorText(err))
+	return err
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return "ok"
+	}
+	return err.Error()
+}
+
+// awaitLeader waits until a database calls itself primary in a later term than that of the record. It also
+// reports whether the database has answered at last.
+func (p *promotion) awaitLeader(ctx context.Context, id string) (answered, leads bool) {
+	deadline := p.Clock.Elapsed() + promoteTimeout
+	for ctx.Err() == nil && p.Clock.Elapsed() < deadline {
+		u, ok := p.Mirror.View().Upstreams[id]
+		if !ok {
+			return false, false
+		}
+		h, err := p.status(ctx, u.Target())
+		if err == nil && h.Role == coltsfootloft.Primary && h.Term > p.record.Term {
+			return true, true
+		}
+		answered = err == nil
+		pause.For(ctx, pollPeriod)
+	}
+	return answered, false
+}
+
+// notePromotion notes how long a promotion took.
+func (c *Controller) notePromotion(group string, took time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.stateOf(group)
+	s.slowest = max(s.slowest, took)
+	c.Metrics.GetOrCreateHistogram("coltsfootloft_promotion_seconds").Update(took.Seconds())
+}
+
+// settleTime returns how long after its call a promotion may take effect, as far as this host can tell.
+// mu is held.
+func (c *Controller) settleTime(group string) time.Duration {
+	return max(promoteTimeout, settleFactor*c.stateOf(group).slowest)
+}
+
+// hasSettled reports whether all promotions that were ordered before an open record was written have taken
+// effect or never will.
+func (c *Controller) hasSettled(group string, g mirror.Group) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.Clock.Elapsed()-g.FirstSeen >= c.settleTime(group)
+}
+
+// noteOrders notes which databases of a closing record are not ordered any more.
+func (c *Controller) noteOrders(group string, r leader.Record) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.stateOf(group)
+	if s.epoch != r.Epoch || s.givenUp == nil {
+		s.epoch = r.Epoch
+		s.givenUp = make(map[string]time.Duration)
+	}
+	now := c.Clock.Elapsed()
+	for _, id := range r.Pending {
+		if _, known := s.givenUp[id]; !known {
+			s.givenUp[id] = now
+		}
+	}
+	delete(s.givenUp, r.Candidate)
+}
+
+// isSettled reports whether a database which is not ordered any more can't take the lead by an earlier order.
+func (c *Controller) isSettled(group, id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	since, ok := c.stateOf(group).givenUp[id]
+	return ok && c.Clock.Elapsed()-since >= c.settleTime(group)
+}
--- a/io/mirror/records_test.go
+++ b/io/mirror/records_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
 
 	"coltsfootloft"
 	"coltsfootloft/core/leader"
@@ -43,7 +44,7 @@
 				m.applyAll(odd, coltsfootloft.RevisionAt(1, 7))
 			}
 			v := m.View()
-			assert.Equal(t, v.Groups["notices"].Record, good, "%q, listed %t", value, listed)
+			assert.Check(t, cmp.DeepEqual(v.Groups["notices"].Record, good), "%q, listed %t", value, listed)
 			o, ok := v.OddRecords["notices"]
 			assert.Assert(t, ok && (o.Version == 0) == (value == "") && o.Revision == coltsfootloft.RevisionAt(1, 7), "%q: %+v", value, o)
 			m.applyAll([]coltsfootloft.Event{record(8, string(good.Encode()))}, coltsfootloft.RevisionAt(1, 8))
--- a/stand/linedb/group.go
+++ b/stand/linedb/group.go
@@ -54,8 +54,9 @@
 	Lag time.Duration
 	// MaxConns is the maximum number of connections to each database; unlimited if 0.
 	MaxConns int
-	// PromoteTime is the duration of a promotion.
-	PromoteTime time.Duration
+	// PromoteTime is the duration of a promotion. If DrawPromoteTime is not nil, it returns that of each one.
+	PromoteTime     time.Duration
+	DrawPromoteTime func() time.Duration
 	// CountRequests makes databases record all requests that they receive, for [Group.Requests].
 	CountRequests bool
 
@@ -227,7 +228,7 @@
 	g.Lag = d
 }
 
-// Promote makes a database the primary after PromoteTime, with the commits that it
+// Promote makes a database the primary after the duration of a promotion, with the commits that it
 // has received by then. It returns the HTTP status of the platform's answer: 409 if
 // the database is unknown or down, else 200. A fence below the greatest one so far
 // is not refused; [Group.Promotions] lists it.
@@ -247,7 +248,11 @@
 		return ok
 	}
 	g.promotions = append(g.promotions, id)
-	time.AfterFunc(g.PromoteTime, func() { g.finishPromotion(b) })
+	takes := g.PromoteTime
+	if g.DrawPromoteTime != nil {
+		takes = g.DrawPromoteTime()
+	}
+	time.AfterFunc(takes, func() { g.finishPromotion(b) })
 	return ok
 }
 
