--- a/core/leader/leader.go
+++ b/core/leader/leader.go
@@ -46,6 +46,9 @@
 	Pending []string `json:"pending,omitempty"`
 	// Calls is how many calls told, or may have told, these databases so.
 	Calls uint64 `json:"calls,omitempty"`
+	// Demoted is the last primary that was replaced or is being replaced, if it was demoted before any database
+	// was told to take its place. What it has committed, it committed before another one led.
+	Demoted string `json:"demoted,omitempty"`
 	// Era is the era of the store in which the record was written. In a later one it
 	// may be older than what the store held before it was restored. 0 if the host that
 	// wrote the record did not know eras.
--- a/core/leader/promotion.go
+++ b/core/leader/promotion.go
@@ -35,8 +35,12 @@
 // calls returns the number of promotions that may still take effect.
 func (r Record) calls() uint64 { return max(r.Calls, uint64(len(r.pending()))) }
 
-// Ordered returns the record to write before a database is told to become primary.
-func (r Record) Ordered(id string) Record {
+// Ordered returns the record to write before a database is told to become primary. demoted is set if the primary
+// is known to be demoted now, which counts only before the first such call.
+func (r Record) Ordered(id string, demoted bool) Record {
+	if demoted && len(r.pending()) == 0 {
+		r.Demoted = r.Primary
+	}
 	r.Calls = r.calls() + 1
 	others := slices.DeleteFunc(slices.Clone(r.pending()), func(p string) bool { return p == id })
 	r.Pending = slices.Concat(others, []string{id})
@@ -65,6 +69,9 @@
 		Term:    primary.Health.Term,
 		Start:   primary.Health.Received.Offset(),
 	}
+	if r.Demoted == r.Primary {
+		next.Demoted = r.Primary
+	}
 	if left := r.calls(); left > 1 {
 		next.Pending = []string{primary.ID}
 		next.Calls = left - 1
--- a/core/leader/promotion_test.go
+++ b/core/leader/promotion_test.go
@@ -160,7 +160,7 @@
 
 func (m *model) order(id string) {
 	before := m.record
-	m.record = before.Ordered(id)
+	m.record = before.Ordered(id, false)
 	m.stored = m.record
 	m.noteGivenUp()
 	if m.random.IntN(5) == 0 { // it ends before its call
@@ -232,7 +232,7 @@
 	assert.Equal(t, s.Database.ID, "b")
 	s = r.Next(all, 0, map[string]bool{"b": true}, never)
 	assert.Equal(t, s.Database.ID, "c")
-	r = r.Ordered("c")
+	r = r.Ordered("c", false)
 	all[2] = status("c", coltsfootloft.Primary, 2, 4)
 	s = r.Next(all, 0, map[string]bool{"b": true}, never)
 	assert.Equal(t, s.Action, Open)
@@ -248,6 +248,6 @@
 	s := r.Next(all, 0, nil, func(string) bool { return true })
 	assert.Equal(t, s.Action, Order)
 	assert.Equal(t, s.Database.ID, "b")
-	assert.Equal(t, r.Ordered("c").Calls, uint64(2))
-	assert.DeepEqual(t, r.Ordered("c").Pending, []string{"b", "c"})
+	assert.Equal(t, r.Ordered("c", false).Calls, uint64(2))
+	assert.DeepEqual(t, r.Ordered("c", false).Pending, []string{"b", "c"})
 }
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"coltsfootloft"
+	"coltsfootloft/core/accept"
 	"coltsfootloft/core/conf"
 	"coltsfootloft/core/memory"
 	"coltsfootloft/core/reach"
@@ -239,12 +240,13 @@
 		IsClosed:      e.evac.IsClosed,
 	}
 	e.groups = &groups.Groups{
-		Mirror: e.mirror,
-		Lease:  e.lease,
-		Pools:  e.pools,
-		Clock:  e.clock,
-		Domain: e.settings.Domain,
-		Drain:  e.settings.Drain(),
+		Mirror:  e.mirror,
+		Lease:   e.lease,
+		Pools:   e.pools,
+		Answers: &accept.Answers{},
+		Clock:   e.clock,
+		Domain:  e.settings.Domain,
+		Drain:   e.settings.Drain(),
 
 		Metrics: e.metrics,
 		Regions: e.settings.Regions,
@@ -313,6 +315,7 @@
 		Lease:    e.lease,
 		Store:    client,
 		Mirror:   e.mirror,
+		Answers:  e.groups.Answers,
 		Promoter: client,
 		Prober: &probe.Prober{
 			Opener:        opener,
--- a/io/entry/commit.go
+++ b/io/entry/commit.go
@@ -74,7 +74,7 @@
 		t.conn.Release(reply.State == coltsfootloft.TxIdle)
 		t.conn = nil
 		if t.dest.reader.IsPrimary {
-			if t.wrote && !s.Groups.MayAccept(t.route.Group, t.dest.reader.Primary) {
+			if t.wrote && !s.Groups.AwaitAccept(t.route.Group, t.dest.reader.Primary, final) {
 				return n.outcomeUnknown(st, "the primary was replaced meanwhile")
 			}
 			s.Groups.Marks(t.route.Group).Add(t.dest.reader.Primary.Epoch, sent, reply.Position)
--- a/io/entry/single.go
+++ b/io/entry/single.go
@@ -99,7 +99,7 @@
 		return n.handleRefusal(o, d, st, reply, writes)
 	}
 	if d.reader.IsPrimary {
-		if !s.Groups.MayAccept(o.route.Group, d.reader.Primary) {
+		if !n.mayAccept(o, d, writes, final) {
 			return n.primaryNotConfirmed(o, st, d, writes)
 		}
 		s.Groups.Marks(o.route.Group).Add(d.reader.Primary.Epoch, sent, reply.Position)
@@ -110,6 +110,15 @@
 	return reply, true
 }
 
+// mayAccept reports whether the success of a primary may be passed on. For a write it waits for that until the
+// deadline.
+func (n *session) mayAccept(o *operation, d destination, writes bool, deadline time.Time) bool {
+	if writes {
+		return n.server.Groups.AwaitAccept(o.route.Group, d.reader.Primary, deadline)
+	}
+	return n.server.Groups.MayAccept(o.route.Group, d.reader.Primary)
+}
+
 // answerTime returns the time after which an unanswered read is sent again: readRetryShare of the
 // target latency, or more if the load of the database explains that it is not answered yet.
 func (n *session) answerTime(o *operation, d destination) time.Duration {
--- a/io/failov/change.go
+++ b/io/failov/change.go
@@ -231,36 +231,3 @@
 		pause.For(ctx, pollPeriod)
 	}
 }
-
-// demoteAndCatchUp demotes the old primary, if it answers, and then waits for a replica
-// that has received all that the old primary has.
-func (c *Controller) demoteAndCatchUp(ctx context.Context, name string, r leader.Record, unreachable []string) []leader.Status {
-	old, ok := c.Mirror.View().Upstreams[r.Primary]
-	if !ok || slices.Contains(unreachable, r.Primary) {
-		return c.readStatuses(ctx, name, unreachable...)
-	}
-	demoteCtx, cancel := context.WithTimeout(ctx, statusTimeout)
-	last, err := c.Prober.Demote(demoteCtx, old.Target(), r.Term+1)
-	cancel()
-	if err != nil {
-		c.Log.Info("old primary not demoted", "group", name, "database", r.Primary, "reason", err.Error())
-		return c.readStatuses(ctx, name)
-	}
-	c.Log.Info("old primary demoted", "group", name, "database", r.Primary, "term", last.Term, "received", last.Received.Offset())
-	deadline := c.Clock.Elapsed() + catchUpTimeout
-	for {
-		statuses := c.readStatuses(ctx, name)
-		if _, ok := r.Leader(statuses); ok {
-			return statuses
-		}
-		candidate, ok := r.Successor(statuses, 0)
-		if ok && candidate.Health.Received.Compare(last.Received) >= 0 && !r.HasWarmer(statuses, candidate) {
-			return statuses
-		}
-		if ctx.Err() != nil || c.Clock.Elapsed() > deadline {
-			c.Log.Info("no replica has caught up with the old primary", "group", name, "found", ok, "received", candidate.Health.Received.Offset(), "of", last.Received.Offset())
-			return statuses
-		}
-		pause.For(ctx, pollPeriod)
-	}
-}
--- a/io/failov/failov.go
+++ b/io/failov/failov.go
@@ -27,6 +27,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"coltsfootloft"
+	"coltsfootloft/core/accept"
 	"coltsfootloft/core/evac"
 	"coltsfootloft/io/dbpool"
 	"coltsfootloft/io/duty"
@@ -93,6 +94,8 @@
 	Store coltsfootloft.KeyValue
 	// Mirror is the host's copy of the store.
 	Mirror *mirror.Mirror
+	// Answers learns which closing records this host confirms.
+	Answers *accept.Answers
 	// Promoter promotes replicas through the platform.
 	Promoter coltsfootloft.Promoter
 	// Prober reads the status of databases and demotes them.
--- a/io/failov/promotion.go
+++ b/io/failov/promotion.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"coltsfootloft"
 	"coltsfootloft/core/leader"
+	"coltsfootloft/io/dbpool"
 	"coltsfootloft/io/mirror"
 	"coltsfootloft/io/pause"
+	"coltsfootloft/io/probe"
 )
 
 const (
@@ -33,6 +36,8 @@
 	unreachable []string
 	// failed are the databases that the platform refuses to promote, or that neither answer nor lead.
 	failed map[string]bool
+	// demoted is set once the old primary was seen demoted.
+	demoted bool
 	// ordered is when this host first ordered a database.
 	ordered map[string]time.Duration
 }
@@ -41,7 +46,7 @@
 func (p *promotion) run(ctx context.Context) (leader.Status, error) {
 	p.noteOrders(p.group, p.record)
 	for ctx.Err() == nil {
-		statuses := p.demoteAndCatchUp(ctx, p.group, p.record, p.unreachable)
+		statuses := p.demoteAndCatchUp(ctx)
 		step := p.record.Next(statuses, p.syncReplicas(p.group), p.failed, func(id string) bool { return p.isSettled(p.group, id) })
 		switch step.Action {
 		case leader.Open:
@@ -65,6 +70,62 @@
 	return leader.Status{}, errors.Wrap(ctx.Err(), "no database leads")
 }
 
+// demoteAndCatchUp demotes the old primary, if it answers, and then waits for a replica
+// that has received all that the old primary has.
+func (p *promotion) demoteAndCatchUp(ctx context.Context) []leader.Status {
+	old, ok := p.Mirror.View().Upstreams[p.record.Primary]
+	if !ok || slices.Contains(p.unreachable, p.record.Primary) {
+		return p.readStatuses(ctx, p.group, p.unreachable...)
+	}
+	last, err := p.demote(ctx, old.Target())
+	if err != nil {
+		p.Log.Info("old primary not demoted", "group", p.group, "database", p.record.Primary, "reason", err.Error())
+		return p.readStatuses(ctx, p.group)
+	}
+	p.demoted = true
+	p.Log.Info("old primary demoted", "group", p.group, "database", p.record.Primary, "term", last.Term, "received", last.Received.Offset())
+	deadline := p.Clock.Elapsed() + catchUpTimeout
+	for {
+		statuses := p.readStatuses(ctx, p.group)
+		if _, ok := p.record.Leader(statuses); ok {
+			return statuses
+		}
+		candidate, ok := p.record.Successor(statuses, 0)
+		if ok && candidate.Health.Received.Compare(last.Received) >= 0 && !p.record.HasWarmer(statuses, candidate) {
+			return statuses
+		}
+		if ctx.Err() != nil || p.Clock.Elapsed() > deadline {
+			p.Log.Info("no replica has caught up with the old primary", "group", p.group, "found", ok,
+				"received", candidate.Health.Received.Offset(), "of", last.Received.Offset())
+			return statuses
+		}
+		pause.For(ctx, pollPeriod)
+	}
+}
+
+// demote demotes the old primary, again while it has no room to answer, and with a higher term if it leads a later
+// one than the record's.
+func (p *promotion) demote(ctx context.Context, old dbpool.Target) (coltsfootloft.Health, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	term := p.record.Term + 1
+	for {
+		h, err := p.Prober.Demote(ctx, old, term)
+		switch {
+		case err == nil && h.Role == coltsfootloft.Replica:
+			return h, nil
+		case err == nil:
+			err = errors.Errorf("still primary in term %d", h.Term)
+			term = h.Term + 1
+		case !errors.Is(err, probe.ErrOverloaded):
+			return h, err
+		}
+		if !pause.For(ctx, pollPeriod) {
+			return h, err
+		}
+	}
+}
+
 // order tells a database to become primary, once the record names it, and waits until it leads.
 func (p *promotion) order(ctx context.Context, candidate leader.Status) error {
 	if p.Lease.Left() < minLeaseLeft {
@@ -72,7 +133,7 @@
 		return ctx.Err()
 	}
 	before := p.record
-	r := before.Ordered(candidate.ID)
+	r := before.Ordered(candidate.ID, p.demoted)
 	v, err := p.writeRecord(ctx, p.group, r, p.version)
 	if err != nil {
 		return err
--- a/io/failov/serve.go
+++ b/io/failov/serve.go
@@ -24,6 +24,7 @@
 		if err := c.Mirror.Await(ctx, c.revisionOf(r.GetConfirm())); err != nil {
 			return nil, err
 		}
+		c.confirmClosing()
 		answer.Yes = true
 	case r.GetReach() != nil:
 		id := r.GetReach().GetDatabase()
@@ -70,3 +71,12 @@
 	}
 	c.stateOf(m.GetGroup()).reported = true
 }
+
+// confirmClosing notes that this host is about to confirm all closing records that it has seen.
+func (c *Controller) confirmClosing() {
+	for name, g := range c.Mirror.View().Groups {
+		if g.Closing {
+			c.Answers.Confirm(name, g.Epoch)
+		}
+	}
+}
--- a/io/groups/groups.go
+++ b/io/groups/groups.go
@@ -10,6 +10,7 @@
 package groups
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -17,6 +18,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"coltsfootloft"
+	"coltsfootloft/core/accept"
 	"coltsfootloft/core/evac"
 	"coltsfootloft/core/homes"
 	"coltsfootloft/core/load"
@@ -25,6 +27,7 @@
 	"coltsfootloft/io/dbpool"
 	"coltsfootloft/io/lease"
 	"coltsfootloft/io/mirror"
+	"coltsfootloft/io/pause"
 	"coltsfootloft/io/warmup"
 )
 
@@ -36,9 +39,6 @@
 	// drainMargin is the last part of Drain, in which a leaving primary gets no
 	// new work.
 	drainMargin = 1500 * time.Millisecond
-	// closingGrace is how long answers of the old primary are still accepted after
-	// the host saw the record as closing. The promotion that follows takes 600 ms.
-	closingGrace = 400 * time.Millisecond
 )
 
 // Groups selects databases for statements. Its exported fields are set before use. It
@@ -50,6 +50,8 @@
 	Lease *lease.Lease
 	// Pools estimates the cost of reads at each database.
 	Pools *dbpool.Pools
+	// Answers decides on answers of primaries that are being replaced.
+	Answers *accept.Answers
 	// Clock measures time including suspensions of the host.
 	Clock coltsfootloft.Clock
 	// Domain is the host's failure domain.
@@ -120,15 +122,37 @@
 
 // MayAccept reports whether an answer of p that has just arrived may be accepted, because
 // no other database can have become primary before the answer was made.
-func (g *Groups) MayAccept(group string, p Primary) bool {
+func (g *Groups) MayAccept(group string, p Primary) bool { return g.judge(group, p) == accept.All }
+
+// AwaitAccept reports whether the success of a write or of the commit of writes, which has just arrived from p, may
+// be accepted, because it was committed before another database became primary. While p is being replaced, it waits
+// until it is known whether p was demoted, but not after the deadline.
+func (g *Groups) AwaitAccept(group string, p Primary, deadline time.Time) bool {
+	for {
+		changed := g.Mirror.Changed()
+		verdict := g.judge(group, p)
+		left := time.Until(deadline)
+		if verdict != accept.Undecided || left <= 0 {
+			return verdict >= accept.Writes
+		}
+		pause.Until(context.Background(), changed, left)
+	}
+}
+
+// judge decides on an answer of p that has arrived.
+func (g *Groups) judge(group string, p Primary) accept.Verdict {
 	if !g.Lease.Valid() {
-		return false
+		return accept.None
 	}
 	r, ok := g.Mirror.View().Groups[group]
-	if !ok || !r.IsCurrent() || r.Epoch != p.Epoch || r.Primary != p.Target.ID {
-		return false
+	if !ok || !r.IsCurrent() {
+		return accept.None
 	}
-	return !r.Closing || g.Clock.Elapsed()-r.FirstSeen < closingGrace
+	return g.Answers.Judge(accept.Source{
+		Group:   group,
+		Primary: p.Target.ID,
+		Epoch:   p.Epoch,
+	}, r.Record, g.Lease.Revision() > r.Revision)
 }
 
 // Reader is a database that may serve a read.
--- a/io/lease/lease.go
+++ b/io/lease/lease.go
@@ -100,6 +100,13 @@
 	return l.session
 }
 
+// Revision returns the store's revision of the host's registration; 0 if the host has had none.
+func (l *Lease) Revision() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.revision
+}
+
 // Run acquires and renews the lease until ctx ends, and then releases it. It waits before it
 // registers again soon after it has, as another writer may write again each time.
 func (l *Lease) Run(ctx context.Context) {
