--- a/core/leader/leader.go
+++ b/core/leader/leader.go
@@ -49,6 +49,9 @@
 	// Demoted is the last primary that was replaced or is being replaced, if it was demoted before any database
 	// was told to take its place. What it has committed, it committed before another one led.
 	Demoted string `json:"demoted,omitempty"`
+	// Members are the databases that may have acknowledged commits, with the times of their starts, where commits are
+	// acknowledged only once replicas have received them.
+	Members map[string]int64 `json:"members,omitempty"`
 	// Era is the era of the store in which the record was written. In a later one it
 	// may be older than what the store held before it was restored. 0 if the host that
 	// wrote the record did not know eras.
@@ -106,8 +109,10 @@
 	// Leaving databases still receive commits. They are candidates only for commits that
 	// no other database may have.
 	Leaving bool
-	// Gone databases are not candidates, and nothing is expected from them any more.
+	// Gone databases are not candidates: their entries have been missing for some time.
 	Gone bool
+	// Started is when the database started, in Unix milliseconds; 0 if that is not known.
+	Started int64
 	// Evacuated databases are no candidates. They still receive commits.
 	Evacuated bool
 	// SameDomain is set for databases in the failure domain of the old primary. They
@@ -142,47 +147,56 @@
 //
 // If commits are acknowledged only once sync replicas have received them, none may be
 // lost. A replica that leaves is chosen then if it has received more than the others, and
-// none is chosen while so many replicas are silent that they alone may have a commit,
-// unless the best one has all that the old primary has. An evacuated replica that has received
-// more than the best one counts as silent.
+// none is chosen while so many replicas may have what it lacks that they alone may have a commit,
+// unless it has all that the old primary has. A replica that is gone may return with its log, so it counts
+// until the record no longer lists it: see [Record.Known].
 func (r Record) Successor(all []Status, sync int) (Status, bool) {
 	var best, old Status
 	found := false
-	silent := 0
-	var evacuated []Status
 	for _, s := range all {
 		switch {
 		case s.ID == r.Primary:
 			old = s
-		case s.Gone:
-		case !s.Answered:
-			silent++
-		case s.Evacuated:
-			evacuated = append(evacuated, s)
+		case s.Gone, !s.Answered, s.Evacuated:
 		case s.Leaving && sync == 0:
 		case !found || r.isBetter(s, best):
 			best = s
 			found = true
 		}
 	}
-	silent += best.countAhead(evacuated)
-	if found && sync > 0 && silent >= sync {
-		found = old.Answered && best.hasAllOf(old)
+	if found && sync > 0 && r.countAhead(all, best) >= sync {
+		found = old.Answered && !r.hasRestarted(old) && best.hasAllOf(old)
 	}
 	return best, found
 }
 
-// countAhead returns how many of the others have received what s has not.
-func (s Status) countAhead(others []Status) int {
+// countAhead returns how many replicas may have received a commit that best lacks. One that has restarted may
+// have lost it and have been, with the old primary, the only one.
+func (r Record) countAhead(all []Status, best Status) int {
 	count := 0
-	for _, t := range others {
-		if !s.hasAllOf(t) {
+	for _, s := range all {
+		if s.ID == r.Primary || s.Gone && r.hasLeft(s) {
+			continue
+		}
+		if !s.Answered || s.Gone || r.hasRestarted(s) || !best.hasAllOf(s) {
 			count++
 		}
 	}
 	return count
 }
 
+// hasLeft reports whether a database that is gone can't be the only one with an acknowledged commit.
+func (r Record) hasLeft(s Status) bool {
+	_, listed := r.Members[s.ID]
+	return len(r.Members) > 0 && !listed
+}
+
+// hasRestarted reports whether a database has started since the record listed it.
+func (r Record) hasRestarted(s Status) bool {
+	started, listed := r.Members[s.ID]
+	return listed && started != s.Started
+}
+
 // HasWarmer reports whether s is cold and a warm replica, which stays, may still catch up with it.
 func (r Record) HasWarmer(all []Status, s Status) bool {
 	return s.Cold && slices.ContainsFunc(all, func(o Status) bool {
--- a/core/leader/promotion.go
+++ b/core/leader/promotion.go
@@ -1,6 +1,11 @@
 package leader
 
-import "slices"
+import (
+	"maps"
+	"slices"
+
+	"coltsfootloft"
+)
 
 // Action is the kind of a [Step].
 type Action int
@@ -68,8 +73,9 @@
 		Primary: primary.ID,
 		Term:    primary.Health.Term,
 		Start:   primary.Health.Received.Offset(),
+		Members: maps.Clone(r.Members),
 	}
-	if r.Demoted == r.Primary {
+	if r.Demoted == r.Primary && primary.ID != r.Primary {
 		next.Demoted = r.Primary
 	}
 	if left := r.calls(); left > 1 {
@@ -122,6 +128,16 @@
 	}
 }
 
+// MayKeep returns the old primary if it leads, no database has been told to take its place, and none may, as it would
+// lack an acknowledged commit.
+func (r Record) MayKeep(all []Status, sync int) (Status, bool) {
+	old := find(all, r.Primary)
+	if _, ok := r.Successor(all, sync); ok || sync == 0 || len(r.pending()) > 0 || !old.Answered {
+		return Status{}, false
+	}
+	return old, old.Health.Role == coltsfootloft.Primary && old.Health.Term >= r.Term
+}
+
 // mayOpen reports whether no other database can take the lead from one that leads.
 func (r Record) mayOpen(primary Status, isSettled func(id string) bool) bool {
 	return !slices.ContainsFunc(r.pending(), func(id string) bool {
--- a/io/edge/sync_test.go
+++ b/io/edge/sync_test.go
@@ -46,3 +46,39 @@
 	})
 	readAll()
 }
+
+// TestCommitsOfReplicasThatAreGoneSurvive guards against the promotion of a replica that lacks acknowledged commits,
+// once the entry of the only one that has them is gone: all hosts have started since, and never knew of it.
+func TestCommitsOfReplicasThatAreGoneSurvive(t *testing.T) {
+	f := startFleet(t, 3, func(f *fleet) { f.config.Services[0].SyncReplicas = 1 })
+	f.await("the members recorded", 3*time.Second, func() bool { return len(f.hosts[0].edge.mirror.View().Groups["notices"].Members) == 3 })
+	f.group.PauseReplication("db-3", true)
+	c, _ := connect(t, f.hosts[0], "file", "key-arima")
+	for n := range 20 {
+		c.must(fmt.Sprintf("WRITE page-%d %d", n, n))
+	}
+	for _, id := range []string{"db-1", "db-2"} {
+		f.group.SetDown(id, true)
+		f.store.Remove("servers/" + id)
+	}
+	for i := range f.hosts { // one after the other, so that the duty to change primaries moves
+		f.hosts[i].stop()
+		assert.NilError(t, <-f.hosts[i].ended)
+		f.hosts[i] = f.startHost(f.hosts[i].settings)
+		time.Sleep(time.Second)
+	}
+	time.Sleep(3 * time.Second) // an entry counts as gone after 2.5 s
+	assert.Equal(t, len(f.group.Promotions()), 0, "db-3 has none of the commits")
+	for i, id := range []string{"db-1", "db-2"} {
+		f.group.Rejoin(id)
+		f.announce(i, "ready")
+	}
+	f.await("a primary", 8*time.Second, func() bool {
+		_, ok := f.hosts[0].edge.groups.Primary("notices")
+		return ok
+	})
+	c, _ = connect(t, f.hosts[0], "file", "key-arima")
+	for n := range 20 {
+		assert.DeepEqual(t, c.must(fmt.Sprintf("READ page-%d", n)).rows, []string{fmt.Sprint(n)})
+	}
+}
--- a/io/failov/change.go
+++ b/io/failov/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -41,7 +42,8 @@
 func (c *Controller) readStatuses(ctx context.Context, name string, unreachable ...string) []leader.Status {
 	v := c.Mirror.View()
 	members := v.Members(name)
-	primary := v.Upstreams[v.Groups[name].Primary].Upstream
+	record := v.Groups[name].Record
+	primary := v.Upstreams[record.Primary].Upstream
 	statuses := make([]leader.Status, len(members))
 	var wg sync.WaitGroup
 	now := c.Clock.Elapsed()
@@ -54,6 +56,7 @@
 			Evacuated:  state != evac.None,
 			SameDomain: u.Upstream.Domain() == primary.Domain(),
 			Cold:       c.IsCold != nil && c.IsCold(u.Upstream.Name()),
+			Started:    u.Started,
 		}
 		if slices.Contains(unreachable, statuses[i].ID) || state == evac.Closed {
 			continue
@@ -67,7 +70,22 @@
 		}()
 	}
 	wg.Wait()
-	return statuses
+	return slices.Concat(statuses, forgottenMembers(v, record))
+}
+
+// forgottenMembers returns the members of a record whose entries this host does not know any more.
+func forgottenMembers(v *mirror.View, r leader.Record) []leader.Status {
+	var gone []leader.Status
+	for _, id := range slices.Sorted(maps.Keys(r.Members)) {
+		if _, ok := v.Upstreams[id]; !ok {
+			gone = append(gone, leader.Status{
+				ID:      id,
+				Gone:    true,
+				Started: r.Members[id],
+			})
+		}
+	}
+	return gone
 }
 
 // writeRecord replaces the record of a group, provided that this host still holds the
--- a/io/failov/failov.go
+++ b/io/failov/failov.go
@@ -129,6 +129,7 @@
 	lastChange     time.Duration // 0 if not yet
 	partial        uint64        // revision of the evacuation that can't be carried out in full, or 0
 	slowest        time.Duration // promotion seen by this host
+	membersRead    time.Duration // 0 if not yet
 	// givenUp is since when databases of the closing record of epoch are not ordered any more.
 	epoch   uint64
 	givenUp map[string]time.Duration
@@ -246,6 +247,10 @@
 		if c.isLost(ctx, name, t, reason) {
 			c.changePrimary(ctx, name, lostPrimary)
 		}
+	case err == nil && h.Role == coltsfootloft.Primary:
+		if g := c.Mirror.View().Groups[name]; g.IsOpen() && g.Primary == t.ID {
+			c.keepMembers(ctx, name, g, h.Received)
+		}
 	}
 }
 
--- a/io/failov/promotion.go
+++ b/io/failov/promotion.go
@@ -46,6 +46,10 @@
 func (p *promotion) run(ctx context.Context) (leader.Status, error) {
 	p.noteOrders(p.group, p.record)
 	for ctx.Err() == nil {
+		if old, ok := p.keepPrimary(ctx); ok {
+			p.Log.Info("change of primary taken back, no other database has all commits", "group", p.group, "primary", old.ID)
+			return old, nil
+		}
 		statuses := p.demoteAndCatchUp(ctx)
 		step := p.record.Next(statuses, p.syncReplicas(p.group), p.failed, func(id string) bool { return p.isSettled(p.group, id) })
 		switch step.Action {
@@ -70,6 +74,23 @@
 	return leader.Status{}, errors.Wrap(ctx.Err(), "no database leads")
 }
 
+// keepPrimary returns the old primary if it leads, and if no replica has caught up with it within
+// catchUpTimeout. It is not demoted then: it could not be promoted again.
+func (p *promotion) keepPrimary(ctx context.Context) (leader.Status, bool) {
+	sync := p.syncReplicas(p.group)
+	if sync == 0 {
+		return leader.Status{}, false
+	}
+	deadline := p.Clock.Elapsed() + catchUpTimeout
+	for {
+		old, ok := p.record.MayKeep(p.readStatuses(ctx, p.group), sync)
+		if !ok || ctx.Err() != nil || p.Clock.Elapsed() > deadline {
+			return old, ok && ctx.Err() == nil
+		}
+		pause.For(ctx, pollPeriod)
+	}
+}
+
 // demoteAndCatchUp demotes the old primary, if it answers, and then waits for a replica
 // that has received all that the old primary has.
 func (p *promotion) demoteAndCatchUp(ctx context.Context) []leader.Status {
