--- a/cmd/soak/group.go
+++ b/cmd/soak/group.go
@@ -39,10 +39,10 @@
 func (s *soak) startGroup(ctx context.Context, number int) error {
 	g := &group{
 		Group: &linedb.Group{
-			Name:        fmt.Sprintf("group-%d", number+1),
-			Lag:         lag,
-			MaxConns:    connections,
-			PromoteTime: promotion,
+			Name:            fmt.Sprintf("group-%d", number+1),
+			Lag:             lag,
+			MaxConns:        connections,
+			DrawPromoteTime: drawPromotions(s.seed + uint64(number)),
 		},
 		soak:    s,
 		down:    make(map[string]time.Time),
@@ -70,10 +70,12 @@
 }
 
 // promote answers the platform's call that promotes a database.
-func (s *soak) promote(name, database, _ string, fence uint64) int {
+func (s *soak) promote(name, database, holder string, fence uint64) int {
 	for _, g := range s.groups {
 		if g.Name == name {
-			return g.Promote(database, fence)
+			code := g.Promote(database, fence)
+			s.ordered(g, database, holder)
+			return code
 		}
 	}
 	const unknown = 404
@@ -137,9 +139,22 @@
 func (g *group) kill(id string, d time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if len(g.down) > 0 {
-		return
+	if len(g.down) == 0 {
+		g.takeDown(id, d)
 	}
+}
+
+// crash takes a database down for a time, also if another one of the group is down.
+func (g *group) crash(id string, d time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, down := g.down[id]; !down {
+		g.takeDown(id, d)
+	}
+}
+
+// takeDown takes a database down for a time; mu is held.
+func (g *group) takeDown(id string, d time.Duration) {
 	g.down[id] = time.Now()
 	g.SetDown(id, true)
 	time.AfterFunc(d, func() {
--- a/cmd/soak/moves.go
+++ b/cmd/soak/moves.go
@@ -44,6 +44,7 @@
 		"herd":     sendHerd,
 		"odd":      writeOddEntry,
 		"evacuate": evacuate,
+		"takeover": takeOver,
 	}
 }
 
--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -25,7 +25,6 @@
 	grace       = 6 * time.Second
 	evacuation  = 5 * time.Second // until nothing more reaches an evacuated domain
 	recovery    = 12 * time.Second
-	promotion   = 600 * time.Millisecond
 	lag         = 60 * time.Millisecond // of replicas
 	timeoutMS   = 2000
 	targetMS    = 400
@@ -46,6 +45,8 @@
 	hosts  []*host
 	links  hostlink.Links // between the first hosts
 
+	takeovers takeovers
+
 	mu        sync.Mutex
 	settings  opset.Settings
 	record    audit.Record
--- a/core/leader/promotion_test.go
+++ b/core/leader/promotion_test.go
@@ -27,11 +27,11 @@
 	opened  int
 
 	// What a steward knows.
-	record  Record
-	failed  map[string]bool
-	givenUp map[string]int
-	cut     map[string]bool
-	waits   int // until when the candidate is awaited
+	record Record
+	failed map[string]bool
+	called map[string]int // when the last call for a database was made, at the latest
+	cut    map[string]bool
+	waits  int // until when the candidate is awaited
 }
 
 // call is a promotion that takes effect at a time.
@@ -100,27 +100,20 @@
 func (m *model) take() {
 	m.record = m.stored
 	m.failed = make(map[string]bool)
-	m.givenUp = make(map[string]int)
+	m.called = make(map[string]int)
 	m.cut = make(map[string]bool)
 	m.waits = 0
 	for _, id := range ids {
 		m.cut[id] = m.random.IntN(12) == 0
 	}
-	m.noteGivenUp()
-}
-
-func (m *model) noteGivenUp() {
 	for _, id := range m.record.Pending {
-		if _, ok := m.givenUp[id]; !ok {
-			m.givenUp[id] = m.now
-		}
+		m.called[id] = m.now
 	}
-	delete(m.givenUp, m.record.Candidate)
 }
 
 func (m *model) isSettled(id string) bool {
-	since, ok := m.givenUp[id]
-	return ok && m.now-since >= settleTime
+	called, ok := m.called[id]
+	return ok && m.now-called >= settleTime
 }
 
 func (m *model) statuses() []Status {
@@ -162,7 +155,6 @@
 	before := m.record
 	m.record = before.Ordered(id, false)
 	m.stored = m.record
-	m.noteGivenUp()
 	if m.random.IntN(5) == 0 { // it ends before its call
 		m.take()
 		return
@@ -172,6 +164,7 @@
 		m.failed[id] = true
 		return
 	}
+	m.called[id] = m.now
 	if m.primary != id {
 		m.calls = append(m.calls, call{
 			id: id,
--- a/io/failov/change.go
+++ b/io/failov/change.go
@@ -149,7 +149,9 @@
 func (c *Controller) replacePrimary(ctx context.Context, name string, g mirror.Group, unreachable []string) (string, error) {
 	r := g.Record
 	version := g.Revision
+	called := c.Clock.Elapsed()
 	if !r.Closing {
+		called = g.FirstSeen
 		if _, ok := r.Successor(c.readStatuses(ctx, name, unreachable...), c.syncReplicas(name)); !ok {
 			return "", errNoSuccessor
 		}
@@ -175,6 +177,7 @@
 		unreachable: unreachable,
 		failed:      make(map[string]bool),
 		ordered:     make(map[string]time.Duration),
+		since:       called,
 	}
 	primary, err := p.run(ctx)
 	if err != nil {
--- a/io/failov/failov.go
+++ b/io/failov/failov.go
@@ -130,9 +130,9 @@
 	partial        uint64        // revision of the evacuation that can't be carried out in full, or 0
 	slowest        time.Duration // promotion seen by this host
 	membersRead    time.Duration // 0 if not yet
-	// givenUp is since when databases of the closing record of epoch are not ordered any more.
-	epoch   uint64
-	givenUp map[string]time.Duration
+	// called is when the last calls were made for databases that the closing record of version names, or later.
+	called  map[string]time.Duration
+	version uint64
 }
 
 // Register sets the handler for requests of other hosts. It is called before Run.
--- a/io/failov/promotion.go
+++ b/io/failov/promotion.go
@@ -40,18 +40,20 @@
 	demoted bool
 	// ordered is when this host first ordered a database.
 	ordered map[string]time.Duration
+	// since is when, at the latest, the calls were made that the record names as this begins.
+	since time.Duration
 }
 
 // run has a database promoted and waits until it leads and no other one can take the lead any more.
 func (p *promotion) run(ctx context.Context) (leader.Status, error) {
-	p.noteOrders(p.group, p.record)
+	p.noteCalls()
 	for ctx.Err() == nil {
 		if old, ok := p.keepPrimary(ctx); ok {
 			p.Log.Info("change of primary taken back, no other database has all commits", "group", p.group, "primary", old.ID)
 			return old, nil
 		}
 		statuses := p.demoteAndCatchUp(ctx)
-		step := p.record.Next(statuses, p.syncReplicas(p.group), p.failed, func(id string) bool { return p.isSettled(p.group, id) })
+		step := p.record.Next(statuses, p.syncReplicas(p.group), p.failed, p.isSettled)
 		switch step.Action {
 		case leader.Open:
 			p.Log.Info("database leads", "group", p.group, "database", step.Database.ID, "term", step.Database.Health.Term,
@@ -161,11 +163,11 @@
 	}
 	p.record = r
 	p.version = v
-	p.noteOrders(p.group, r)
 	if _, ok := p.ordered[candidate.ID]; !ok {
 		p.ordered[candidate.ID] = p.Clock.Elapsed()
 	}
 	err = p.callPromote(ctx, p.group, candidate)
+	p.noteCall(candidate.ID, !errors.Is(err, coltsfootloft.ErrPromotionRefused))
 	switch {
 	case errors.Is(err, coltsfootloft.ErrPromotionRefused):
 		p.record = before // the call has no effect
@@ -211,19 +213,19 @@
 }
 
 // awaitLeader waits until a database calls itself primary in a later term than that of the record. It also
-// reports whether the database has answered at last.
+// reports whether the database has answered.
 func (p *promotion) awaitLeader(ctx context.Context, id string) (answered, leads bool) {
 	deadline := p.Clock.Elapsed() + promoteTimeout
 	for ctx.Err() == nil && p.Clock.Elapsed() < deadline {
 		u, ok := p.Mirror.View().Upstreams[id]
 		if !ok {
-			return false, false
+			return answered, false
 		}
 		h, err := p.status(ctx, u.Target())
 		if err == nil && h.Role == coltsfootloft.Primary && h.Term > p.record.Term {
 			return true, true
 		}
-		answered = err == nil
+		answered = answered || err == nil || errors.Is(err, probe.ErrOverloaded)
 		pause.For(ctx, pollPeriod)
 	}
 	return answered, false
@@ -252,28 +254,38 @@
 	return c.Clock.Elapsed()-g.FirstSeen >= c.settleTime(group)
 }
 
-// noteOrders notes which databases of a closing record are not ordered any more.
-func (c *Controller) noteOrders(group string, r leader.Record) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	s := c.stateOf(group)
-	if s.epoch != r.Epoch || s.givenUp == nil {
-		s.epoch = r.Epoch
-		s.givenUp = make(map[string]time.Duration)
+// noteCalls notes the calls that the record names. Of those that this host has made or noted before, it knows the
+// times, unless another steward has written the record since.
+func (p *promotion) noteCalls() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.stateOf(p.group)
+	if s.called == nil || s.version != p.version {
+		s.called = make(map[string]time.Duration)
 	}
-	now := c.Clock.Elapsed()
-	for _, id := range r.Pending {
-		if _, known := s.givenUp[id]; !known {
-			s.givenUp[id] = now
+	s.version = p.version
+	for _, id := range p.record.Pending {
+		if _, known := s.called[id]; !known {
+			s.called[id] = p.since
 		}
 	}
-	delete(s.givenUp, r.Candidate)
 }
 
-// isSettled reports whether a database which is not ordered any more can't take the lead by an earlier order.
-func (c *Controller) isSettled(group, id string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	since, ok := c.stateOf(group).givenUp[id]
-	return ok && c.Clock.Elapsed()-since >= c.settleTime(group)
+// noteCall notes that this host has written the record, and made the call that it names if made is set.
+func (p *promotion) noteCall(id string, made bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.stateOf(p.group)
+	s.version = p.version
+	if made {
+		s.called[id] = p.Clock.Elapsed()
+	}
+}
+
+// isSettled reports whether a database can't take the lead any more by the calls made for it.
+func (p *promotion) isSettled(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	called, ok := p.stateOf(p.group).called[id]
+	return ok && p.Clock.Elapsed()-called >= p.settleTime(p.group)
 }
