--- a/io/failov/failov.go
+++ b/io/failov/failov.go
@@ -153,6 +153,7 @@
 // Run checks all groups while this host holds the duty, until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
 	c.lazyInit()
+	c.promotionSeconds() // is shown from the start
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	wg.Go(func() { c.settleEras(ctx) })
--- a/io/failov/promotion.go
+++ b/io/failov/promotion.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 
 	"coltsfootloft"
@@ -231,13 +232,18 @@
 	return answered, false
 }
 
+// promotionSeconds counts the time that promotions took which this host has ordered.
+func (c *Controller) promotionSeconds() *metrics.FloatCounter {
+	return c.Metrics.GetOrCreateFloatCounter("coltsfootloft_promotion_seconds_total")
+}
+
 // notePromotion notes how long a promotion took.
 func (c *Controller) notePromotion(group string, took time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.stateOf(group)
 	s.slowest = max(s.slowest, took)
-	c.Metrics.GetOrCreateHistogram("coltsfootloft_promotion_seconds").Update(took.Seconds())
+	c.promotionSeconds().Add(took.Seconds())
 }
 
 // settleTime returns how long after its call a promotion may take effect, as far as this host can tell.
--- a/stand/linedb/group.go
+++ b/stand/linedb/group.go
@@ -264,8 +264,11 @@
 	return append([]string(nil), g.promotions...)
 }
 
+// formerTime is how long a former primary goes on once it can reach the new one.
+const formerTime = time.Second
+
 // finishPromotion makes b the primary of a new term and copies its log to
-// the replicas whose replication is not stopped.
+// the replicas whose replication is not stopped. Former primaries follow it after formerTime.
 func (g *Group) finishPromotion(b *Database) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -283,6 +286,15 @@
 			x.term = term
 		}
 	}
+	time.AfterFunc(formerTime, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		for _, x := range g.databases {
+			if x.id != g.primary && x.role == rolePrimary && !x.down {
+				x.follow()
+			}
+		}
+	})
 }
 
 func (b *Database) closeConns() {
