--- a/core/accept/accept_test.go
+++ b/core/accept/accept_test.go
@@ -100,7 +100,7 @@
 	assert.Assert(t, passed > 10_000 && demoted > 1000, "%d and %d passed", passed, demoted)
 }
 
-// TestAnswersBeforeTheConfirmationAreAccepted guards against writes that are left in doubt although no
+// TestAnswersBeforeTheConfirmationAreAccepted guards against writes that are answered INDOUBT although no
 // promotion can have been ordered.
 func TestAnswersBeforeTheConfirmationAreAccepted(t *testing.T) {
 	a := &Answers{}
--- a/core/leader/leader.go
+++ b/core/leader/leader.go
@@ -41,13 +41,13 @@
 	// Candidate is the database that has been, or may have been, told to become
 	// primary last.
 	Candidate string `json:"candidate,omitempty"`
-	// Pending are the databases that have been, or may have been, told to become primary and whose promotion
+	// Pending are the databases whose promotion has been ordered, or may have been, and
 	// may still take effect, in the order of their last calls.
 	Pending []string `json:"pending,omitempty"`
-	// Calls is how many calls told, or may have told, these databases so.
+	// Calls is how many of these calls there may have been.
 	Calls uint64 `json:"calls,omitempty"`
 	// Demoted is the last primary that was replaced or is being replaced, if it was demoted before any database
-	// was told to take its place. What it has committed, it committed before another one led.
+	// was ordered to take its place. What it has committed, it committed before another one led.
 	Demoted string `json:"demoted,omitempty"`
 	// Members are the databases that may have acknowledged commits, with the times of their starts, where commits are
 	// acknowledged only once replicas have received them.
@@ -149,7 +149,7 @@
 // lost. A replica that leaves is chosen then if it has received more than the others, and
 // none is chosen while so many replicas may have what it lacks that they alone may have a commit,
 // unless it has all that the old primary has. A replica that is gone may return with its log, so it counts
-// until the record no longer lists it: see [Record.Known].
+// until the record no longer lists it: see [Record.UpdatedMembers].
 func (r Record) Successor(all []Status, sync int) (Status, bool) {
 	var best, old Status
 	found := false
--- a/core/leader/leader_test.go
+++ b/core/leader/leader_test.go
@@ -144,6 +144,7 @@
 		{Epoch: 1, Primary: "a"},
 		{Epoch: 1, Primary: "a", Closing: true},
 		{Epoch: 1, Primary: "a", Closing: true, Candidate: "b"},
+		{Epoch: 1, Primary: "a", Closing: true, Candidate: "c", Pending: []string{"b", "c"}, Calls: 2},
 		{Epoch: 2, Primary: "b"},
 	}
 	for i, earlier := range steps {
--- a/core/leader/members.go
+++ b/core/leader/members.go
@@ -6,13 +6,13 @@
 	"coltsfootloft"
 )
 
-// Known returns the members to record while the primary answers, given the statuses of all databases, read after the
+// UpdatedMembers returns the members to record while the primary answers, given the statuses of all databases, read after the
 // primary had the position received, and how many replicas receive a commit before it is acknowledged.
 //
 // Databases that are announced are members. One that is gone, or has started anew, may have been the only replica
 // with an acknowledged commit, so it is kept with its former start until all others have received what the primary had
 // since.
-func (r Record) Known(all []Status, received coltsfootloft.Position, sync int) map[string]int64 {
+func (r Record) UpdatedMembers(all []Status, received coltsfootloft.Position, sync int) map[string]int64 {
 	known := make(map[string]int64)
 	caught := 0
 	behind := false
@@ -37,5 +37,5 @@
 	return known
 }
 
-// IsKnown reports whether the record lists exactly these databases, with their starts.
-func (r Record) IsKnown(announced map[string]int64) bool { return maps.Equal(r.Members, announced) }
+// HasMembers reports whether the record lists exactly these databases, with their starts.
+func (r Record) HasMembers(announced map[string]int64) bool { return maps.Equal(r.Members, announced) }
--- a/core/leader/members_test.go
+++ b/core/leader/members_test.go
@@ -28,7 +28,7 @@
 	down     int // until when
 	downFrom int
 	empties  bool // comes back without its log
-	deaf     int  // until when
+	paused   int  // until when it receives nothing
 }
 
 // forgets is how long a steward knows a database whose entry is gone, and gone how long after a crash it is gone.
@@ -67,7 +67,7 @@
 			m.down = f.now + 1 + f.random.IntN(3*forgets)
 			m.empties = id != f.record.Primary && f.random.IntN(4) == 0
 		case 1:
-			m.deaf = f.now + f.random.IntN(forgets)
+			m.paused = f.now + f.random.IntN(forgets)
 		}
 	}
 	if !f.isUp(f.record.Primary) {
@@ -77,7 +77,7 @@
 	p.log++
 	received := false
 	for _, id := range ids {
-		if m := f.members[id]; id != f.record.Primary && f.isUp(id) && m.deaf <= f.now {
+		if m := f.members[id]; id != f.record.Primary && f.isUp(id) && m.paused <= f.now {
 			m.log = p.log
 			received = true
 		}
@@ -119,13 +119,13 @@
 	promoted, waited := 0, 0
 	for seed := range uint64(2000) {
 		f := newGroup(seed)
-		f.record.Members = f.record.Known(f.statuses(false), coltsfootloft.Position{}, 1)
+		f.record.Members = f.record.UpdatedMembers(f.statuses(false), coltsfootloft.Position{}, 1)
 		for range 600 {
 			f.step()
 			all := f.statuses(f.random.IntN(3) == 0)
 			if f.isUp(f.record.Primary) {
 				p := f.members[f.record.Primary]
-				f.record.Members = f.record.Known(all, coltsfootloft.NewPosition(coltsfootloft.NewTerm(1, ""), p.log), 1)
+				f.record.Members = f.record.UpdatedMembers(all, coltsfootloft.NewPosition(coltsfootloft.NewTerm(1, ""), p.log), 1)
 				continue
 			}
 			s, ok := f.record.Successor(all, 1)
@@ -156,10 +156,10 @@
 	stays := status("c", coltsfootloft.Replica, 1, 9)
 	primary.Started = 1
 	stays.Started = 1
-	known := r.Known([]Status{primary, left, stays}, primary.Health.Received, 1)
+	known := r.UpdatedMembers([]Status{primary, left, stays}, primary.Health.Received, 1)
 	assert.DeepEqual(t, slices.Sorted(maps.Keys(known)), []string{"a", "b", "c"}) // "c" is behind
 	stays.Health.Received = primary.Health.Received
-	known = r.Known([]Status{primary, left, stays}, primary.Health.Received, 1)
+	known = r.UpdatedMembers([]Status{primary, left, stays}, primary.Health.Received, 1)
 	assert.DeepEqual(t, slices.Sorted(maps.Keys(known)), []string{"a", "c"})
 	r.Members = known
 	_, ok := r.Successor([]Status{{ID: "a"}, left, stays}, 1)
--- a/core/leader/promotion.go
+++ b/core/leader/promotion.go
@@ -14,7 +14,7 @@
 const (
 	// Wait is to read the statuses again later.
 	Wait Action = iota
-	// Order is to tell the database of the step to become primary.
+	// Order is to have the platform promote the database of the step.
 	Order
 	// Open is to open the record for the database of the step, which leads.
 	Open
@@ -40,7 +40,7 @@
 // calls returns the number of promotions that may still take effect.
 func (r Record) calls() uint64 { return max(r.Calls, uint64(len(r.pending()))) }
 
-// Ordered returns the record to write before a database is told to become primary. demoted is set if the primary
+// Ordered returns the record to write before the call that makes a database the primary. demoted is set if the primary
 // is known to be demoted now, which counts only before the first such call.
 func (r Record) Ordered(id string, demoted bool) Record {
 	if demoted && len(r.pending()) == 0 {
@@ -128,7 +128,7 @@
 	}
 }
 
-// MayKeep returns the old primary if it leads, no database has been told to take its place, and none may, as it would
+// MayKeep returns the old primary if it leads, no promotion has been ordered, and none may, as each replica might
 // lack an acknowledged commit.
 func (r Record) MayKeep(all []Status, sync int) (Status, bool) {
 	old := find(all, r.Primary)
--- a/io/edge/late_commit_test.go
+++ b/io/edge/late_commit_test.go
@@ -56,7 +56,7 @@
 	})
 }
 
-// TestCommitBeforeTheDemotionIsAcknowledged guards against a write that is left in doubt although its answer, however
+// TestCommitBeforeTheDemotionIsAcknowledged guards against a write that is answered INDOUBT although its answer, however
 // late, can only be of a commit before another database led.
 func TestCommitBeforeTheDemotionIsAcknowledged(t *testing.T) {
 	f := startFleet(t, 3, func(f *fleet) { f.addLinks(t.Context()) })
--- a/io/failov/members.go
+++ b/io/failov/members.go
@@ -16,12 +16,12 @@
 // host that starts has never known them. received is a position that the primary has just had.
 func (c *Controller) keepMembers(ctx context.Context, name string, g mirror.Group, received coltsfootloft.Position) {
 	sync := c.syncReplicas(name)
-	if sync == 0 || g.IsKnown(c.announced(name)) || !c.mayReadMembers(name) {
+	if sync == 0 || g.HasMembers(c.announced(name)) || !c.mayReadMembers(name) {
 		return
 	}
 	r := g.Record
-	r.Members = g.Known(c.readStatuses(ctx, name), received, sync)
-	if g.IsKnown(r.Members) {
+	r.Members = g.UpdatedMembers(c.readStatuses(ctx, name), received, sync)
+	if g.HasMembers(r.Members) {
 		return
 	}
 	c.Log.Info("members of a group", "group", name, "epoch", r.Epoch, "members", r.Members)
--- a/io/failov/promotion.go
+++ b/io/failov/promotion.go
@@ -150,7 +150,7 @@
 	}
 }
 
-// order tells a database to become primary, once the record names it, and waits until it leads.
+// order has the platform promote a database, once the record names it, and waits until it leads.
 func (p *promotion) order(ctx context.Context, candidate leader.Status) error {
 	if p.Lease.Left() < minLeaseLeft {
 		pause.For(ctx, 4*pollPeriod)
--- a/io/groups/groups.go
+++ b/io/groups/groups.go
@@ -128,15 +128,15 @@
 // be accepted, because it was committed before another database became primary. While p is being replaced, it waits
 // until it is known whether p was demoted, but not after the deadline.
 func (g *Groups) AwaitAccept(group string, p Primary, deadline time.Time) bool {
-	for {
+	verdict := g.judge(group, p)
+	for verdict == accept.Undecided && time.Now().Before(deadline) {
 		changed := g.Mirror.Changed()
-		verdict := g.judge(group, p)
-		left := time.Until(deadline)
-		if verdict != accept.Undecided || left <= 0 {
-			return verdict >= accept.Writes
+		if verdict = g.judge(group, p); verdict == accept.Undecided {
+			pause.Until(context.Background(), changed, time.Until(deadline))
+			verdict = g.judge(group, p)
 		}
-		pause.Until(context.Background(), changed, left)
 	}
+	return verdict >= accept.Writes
 }
 
 // judge decides on an answer of p that has arrived.
