--- a/io/mirror/freshness.go
+++ b/io/mirror/freshness.go
@@ -72,23 +72,22 @@
 // was sent, so its settings were confirmed no earlier than Sent less SettingsAge. This
 // advances the horizon only if this host's settings are at least as new.
 func (m *Mirror) ObservePeer(f Freshness) {
-	v := m.View()
 	m.observeReport(f.Sent, f)
 	if f.SettingsVersion > 0 && f.SettingsRevision > 0 && f.SettingsAge < unconfirmedAge {
 		m.advanceHorizon(f.Sent-f.SettingsAge, coltsfootloft.Event{Settings: f.settings()})
 	}
-	if v.Revision < f.Revision && m.checkingLag.CompareAndSwap(false, true) {
-		time.AfterFunc(lagTolerance, func() { m.checkLag(f.Revision) })
-	}
 }
 
 // ObserveReport uses the Freshness that another host has sent of its own accord. Without Sent, it
-// shows what the store lost when it was restored, but confirms nothing.
+// shows what the store lost when it was restored and what this host's watch has missed, but confirms nothing.
 func (m *Mirror) ObserveReport(f Freshness) { m.observeReport(0, f) }
 
 func (m *Mirror) observeReport(sent time.Duration, f Freshness) {
 	m.observeEvacuations(sent, f)
 	m.ObserveEra(coltsfootloft.EraOf(f.Revision))
+	if m.View().Revision < f.Revision && m.checkingLag.CompareAndSwap(false, true) {
+		time.AfterFunc(lagTolerance, func() { m.checkLag(f.Revision) })
+	}
 	if f.SettingsVersion > 0 && f.SettingsRevision > 0 {
 		m.noteNewestAtPeer(f.settings())
 	}
--- a/io/mirror/watch_test.go
+++ b/io/mirror/watch_test.go
@@ -47,3 +47,21 @@
 	const most = 8 // the first, one at once, and those after 150, 300, 600 ms and so on
 	assert.Assert(t, s.listings.Load() <= most, "%d listings in 2 s", s.listings.Load())
 }
+
+// TestReportedRevisionIsListed guards against hosts that learn of a new primary seconds late: their watches receive
+// nothing, and the only host that knows of it is not the quota keeper, but reports to it.
+func TestReportedRevisionIsListed(t *testing.T) {
+	s := &compactedStore{}
+	m := newMirror(t)
+	m.Store = s
+	m.replaceAll(nil, coltsfootloft.RevisionAt(1, 35))
+	m.ObserveReport(Freshness{Revision: coltsfootloft.RevisionAt(1, 35)})
+	time.Sleep(2 * lagTolerance)
+	assert.Equal(t, s.listings.Load(), int64(0))
+	for range 3 {
+		m.ObserveReport(Freshness{Revision: coltsfootloft.RevisionAt(1, 36)})
+	}
+	time.Sleep(2 * lagTolerance)
+	assert.Equal(t, s.listings.Load(), int64(1))
+	assert.Equal(t, m.View().Revision, coltsfootloft.RevisionAt(1, 36))
+}
--- a/io/quota/keeper.go
+++ b/io/quota/keeper.go
@@ -24,7 +24,7 @@
 	l.Mirror.ObserveReport(mirror.Freshness{
 		SettingsRevision: coltsfootloft.RevisionAt(r.GetSettingsEra(), r.GetSettingsRevision()),
 		SettingsVersion:  r.GetSettingsVersion(),
-		Revision:         coltsfootloft.RevisionAt(r.GetStoreEra(), 0),
+		Revision:         coltsfootloft.RevisionAt(r.GetStoreEra(), r.GetStoreRevision()),
 		Domains:          decodeEvacuations(r.GetEvacuations()),
 	})
 	answer := l.observeReporter(from, &r)
--- a/io/quota/keeper_test.go
+++ b/io/quota/keeper_test.go
@@ -93,6 +93,7 @@
 	var r quotapb.Report
 	assert.NilError(t, proto.Unmarshal(peers.body, &r))
 	assert.Equal(t, r.GetStoreEra(), uint64(2))
+	assert.Equal(t, coltsfootloft.RevisionAt(2, r.GetStoreRevision()), m.View().Revision)
 	assert.Equal(t, r.GetSettingsEra(), uint64(2))
 	assert.Equal(t, r.GetSettingsRevision(), uint64(36))
 	assert.Equal(t, r.GetSettingsVersion(), uint64(12))
@@ -132,6 +133,34 @@
 	assert.Equal(t, m.LatestVersion(), uint64(12))
 }
 
+// changedStore has changed since it was listed.
+type changedStore struct{ storeInEra }
+
+func (s changedStore) Snapshot(ctx context.Context) ([]coltsfootloft.Event, uint64, error) {
+	events, revision, err := s.storeInEra.Snapshot(ctx)
+	return events, revision + 1, err
+}
+
+// TestKeeperListsWhatAReportIsAheadOf guards against a keeper, and all hosts that ask it, without a revision of the store
+// that only another host has seen.
+func TestKeeperListsWhatAReportIsAheadOf(t *testing.T) {
+	l, _ := newKeeper(t)
+	l.Mirror.Store = changedStore{storeInEra{era: 1}}
+	ahead := coltsfootloft.RevisionAt(1, 37)
+	assert.Assert(t, l.Mirror.View().Revision < ahead)
+	body, err := proto.Marshal(&quotapb.Report{
+		StoreEra:      1,
+		StoreRevision: coltsfootloft.NumberOf(ahead),
+	})
+	assert.NilError(t, err)
+	_, err = l.handle(t.Context(), "other", body)
+	assert.NilError(t, err)
+	for deadline := time.Now().Add(3 * time.Second); l.Mirror.View().Revision < ahead; {
+		assert.Assert(t, time.Now().Before(deadline), "not listed")
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // TestLateReportChangesNothing guards against a keeper that takes a report which was held up for the
 // latest one, and grants to others what the host still uses.
 func TestLateReportChangesNothing(t *testing.T) {
--- a/io/quota/report.go
+++ b/io/quota/report.go
@@ -67,6 +67,7 @@
 		r.StoreAgeMs = proto.Int64(l.StoreAge().Milliseconds())
 	}
 	r.StoreEra = coltsfootloft.EraOf(fresh.Revision)
+	r.StoreRevision = coltsfootloft.NumberOf(fresh.Revision)
 	r.SettingsEra = coltsfootloft.EraOf(fresh.SettingsRevision)
 	r.SettingsRevision = coltsfootloft.NumberOf(fresh.SettingsRevision)
 	r.SettingsVersion = fresh.SettingsVersion
