--- a/core/bucket/bucket.go
+++ b/core/bucket/bucket.go
@@ -24,6 +24,7 @@
 	rate   float64
 	burst  float64
 	tokens float64
+	held   float64
 	at     time.Time
 }
 
@@ -66,15 +67,23 @@
 	return true
 }
 
-// Credit adds n tokens, or as many as the burst allows, and returns the number
+// Credit adds n tokens, or as many as there is room for, and returns the number
 // added.
 func (b *Bucket) Credit(now time.Time, n float64) float64 {
 	b.advance(now)
-	n = max(min(n, b.burst-b.tokens), 0)
+	n = max(min(n, b.burst-b.held-b.tokens), 0)
 	b.tokens += n
 	return n
 }
 
+// Hold records that n tokens were taken and are not used yet, or fewer than before if n is
+// negative. They take room in the bucket, so that it does not fill in their place: they and the
+// tokens in it together exceed the burst only if there were more of them already.
+func (b *Bucket) Hold(now time.Time, n float64) {
+	b.advance(now)
+	b.held = max(b.held+n, 0)
+}
+
 // Debit removes n tokens, or all if there are fewer, and returns the number
 // removed.
 func (b *Bucket) Debit(now time.Time, n float64) float64 {
@@ -116,7 +125,7 @@
 		return
 	}
 	b.at = now
-	if b.tokens < b.burst {
-		b.tokens = min(b.tokens+b.rate*d.Seconds(), b.burst)
+	if room := b.burst - b.held; b.tokens < room {
+		b.tokens = min(b.tokens+b.rate*d.Seconds(), room)
 	}
 }
--- a/core/grant/allocator.go
+++ b/core/grant/allocator.go
@@ -23,6 +23,7 @@
 
 	"coltsfootloft"
 	"coltsfootloft/core/bucket"
+	"coltsfootloft/core/expiry"
 )
 
 const (
@@ -30,6 +31,8 @@
 	// a lost allocator and choose another (a lease of 2 s), so that service
 	// continues.
 	Validity = 3 * time.Second
+	// LoanLifetime is how long an operation can be used after it was lent.
+	LoanLifetime = 500 * time.Millisecond
 	// usableShare is the part of the rate of an account that is given out. The
 	// rest allows for clock drift: host clocks are within 100 ppm, which is a
 	// twentieth of it.
@@ -97,6 +100,7 @@
 type account struct {
 	hosts map[string]*allocation
 	pool  bucket.Bucket
+	lent  expiry.Tokens // from the pool, and perhaps not used yet
 	rate  float64
 	burst float64
 }
@@ -258,12 +262,24 @@
 	}
 	mine := h.granted.max(h.previous)
 	a.pool.Resize(bucket.At(now), max(a.rate*usableShare-mine.rate-others.held.rate, 0), max(a.burst-mine.depth-others.held.depth, 0))
+	if !limit.IsLentOnly() {
+		a.takeBack(now, l.Unused)
+	}
 	if l.Want > 0 {
 		g.Lent = a.pool.Debit(bucket.At(now), math.Floor(min(l.Want, a.pool.Available(bucket.At(now)))))
+		a.lent.Add(g.Lent, now+LoanLifetime)
 	}
 	return g
 }
 
+// takeBack returns operations to the pool that were lent and not used. The pool has filled since it lent
+// them, so they are taken back only as far as it and what hosts may still use of it do not exceed its depth.
+func (a *account) takeBack(now time.Duration, unused float64) {
+	a.lent.Expire(now)
+	room := a.pool.Burst() - a.pool.Available(bucket.At(now)) - a.lent.Count(now)
+	a.pool.Credit(bucket.At(now), max(min(unused, room), 0))
+}
+
 // sum is what several hosts together hold and ask for.
 type sum struct {
 	// held is what they may use.
--- a/core/grant/line.go
+++ b/core/grant/line.go
@@ -18,6 +18,9 @@
 	HeldFor time.Duration
 	// Want is the number of operations that wait to be lent.
 	Want float64
+	// Unused is the number of operations lent before that the host gives back, as they expired
+	// unused.
+	Unused float64
 	// Rate is the granted rate, in operations per second.
 	Rate float64
 	// Burst is the depth of the host's bucket, in operations.
--- a/io/entry/choose.go
+++ b/io/entry/choose.go
@@ -213,8 +213,11 @@
 // refuseUnsent refuses a statement that can't be sent to any database.
 func (n *session) refuseUnsent(o *operation, st coltsfootloft.Statement, err error) coltsfootloft.Reply {
 	reason := coltsfootloft.ReasonMalformed
-	if errors.Is(err, coltsfootloft.ErrTooLarge) {
+	switch {
+	case errors.Is(err, coltsfootloft.ErrTooLarge):
 		reason = coltsfootloft.ReasonTooLarge
+	case errors.Is(err, errOverRate):
+		reason = coltsfootloft.ReasonBusy
 	}
 	return n.refuseOperation(o, st, reason, err.Error())
 }
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -119,6 +119,10 @@
 	tooLate int
 	retry   time.Duration
 	homes   homes.Homes // where it may run
+	// admittedUntil is when its admission to the account's rate expires, and isHeld whether
+	// that is held for it.
+	admittedUntil time.Duration
+	isHeld        bool
 }
 
 // admit checks the key, the route and the account's rate for a new operation. It
@@ -145,11 +149,14 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(float64(route.TargetLatency)*share))
 	defer cancel()
-	if !n.server.Quota.Admit(ctx, n.account) {
-		r := refuse(coltsfootloft.ReasonBusy, "account over its rate; come back in 1000 ms")
+	until, ok := n.server.Quota.Admit(ctx, n.account)
+	if !ok {
+		r := refuse(coltsfootloft.ReasonBusy, overRate)
 		n.server.recordRefusal(st.Verb().String(), st.ID(), n, r.Reason, r.Text)
 		return o, r
 	}
+	o.admittedUntil = until
+	o.isHeld = true
 	return o, nil
 }
 
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -55,14 +55,22 @@
 // Admitter enforces the rates of client accounts.
 type Admitter interface {
 	// Admit takes one operation from the account's rate and waits for it until ctx
-	// ends. It reports false if none became available.
-	Admit(ctx context.Context, account string) bool
+	// ends. It reports false if none became available. The operation is held until Send,
+	// and to be sent by the time until.
+	Admit(ctx context.Context, account string) (until time.Duration, ok bool)
+	// Send reports whether an operation that was admitted until a time may be sent now, and
+	// no longer holds it. If the time has passed, it takes another one, without waiting, and
+	// returns the time of that.
+	Send(account string, until time.Duration) (time.Duration, bool)
+	// Hold records that an operation could not be sent after Send.
+	Hold(account string, until time.Duration)
 	// IsNew reports whether the host has not had a rate for the account yet.
 	IsNew(account string) bool
 	// AwaitKeeper waits until the host can learn the account's rate, or until ctx ends.
 	AwaitKeeper(ctx context.Context, account string)
-	// Return gives back an operation that was not sent to any database.
-	Return(account string)
+	// Return gives back an operation that is held, after Admit or Hold, and was not sent to
+	// any database.
+	Return(account string, until time.Duration)
 }
 
 // Server accepts callers and serves their sessions. Its exported fields are set before
--- a/io/entry/single.go
+++ b/io/entry/single.go
@@ -38,7 +38,7 @@
 			continue
 		}
 		tried[d.reader.Target.ID] = true
-		conn, err := n.borrow(o, d)
+		conn, err := n.borrowAdmitted(o, d, tried)
 		if err != nil {
 			return n.refuseUnsent(o, st, err)
 		}
@@ -53,6 +53,7 @@
 			n.finish(o, st, d, reply)
 			return reply
 		}
+		n.hold(o)
 		if o.waitLeft(n.server.Clock.Elapsed()) <= 0 {
 			return n.refuseOperation(o, st, coltsfootloft.ReasonBusy, "no connection came free"+n.comeBack(noConnectionRetry))
 		}
@@ -207,14 +208,6 @@
 	return coltsfootloft.RefusedReply(reason, text)
 }
 
-// refund returns the operation to its account's rate if it was not sent to any
-// database.
-func (n *session) refund(o *operation) {
-	if !o.sent && n.account != "" {
-		n.server.Quota.Return(n.account)
-	}
-}
-
 // finish counts an answered statement. It logs failures, retries and a sample of the
 // rest.
 func (n *session) finish(o *operation, st coltsfootloft.Statement, d destination, reply coltsfootloft.Reply) {
--- a/io/entry/transaction.go
+++ b/io/entry/transaction.go
@@ -135,7 +135,8 @@
 
 // ensureBegun begins the transaction at a database, if that has not happened yet. It may
 // try several databases, because a transaction without statements changes nothing. The error is
-// set if it can't be sent to any, as coltsfootloft.ErrNotSent or errOutsideRegions.
+// set if it can't be sent to any, as coltsfootloft.ErrNotSent or errOutsideRegions, or if the account is over its
+// rate, as errOverRate.
 func (n *session) ensureBegun(st coltsfootloft.Statement) (coltsfootloft.Reason, error) {
 	t := n.tx
 	if t.conn != nil {
@@ -155,7 +156,7 @@
 			continue
 		}
 		tried[d.reader.Target.ID] = true
-		conn, err := n.borrow(&t.operation, d)
+		conn, err := n.borrowAdmitted(&t.operation, d, tried)
 		if err != nil {
 			return coltsfootloft.ReasonAborted, err
 		}
@@ -169,6 +170,7 @@
 		if err != nil || reason == coltsfootloft.ReasonNone {
 			return reason, err
 		}
+		n.hold(&t.operation)
 		if isDefinite(reason) {
 			last = reason
 		}
--- a/io/quota/deputy.go
+++ b/io/quota/deputy.go
@@ -237,7 +237,7 @@
 		if a == nil {
 			continue
 		}
-		l.addLent(a, sent, now, amount(x.GetLent()), byDeputy)
+		l.addLent(a, sent, amount(x.GetLent()), byDeputy)
 		if a.wanted(now) == 0 {
 			a.deputyAt = 0
 		}
@@ -246,16 +246,13 @@
 	l.changed = make(chan struct{})
 }
 
-// addLent adds operations that were lent; mu is held.
-func (l *Limiter) addLent(a *account, sent, now time.Duration, lent float64, by string) {
-	if now >= a.lentUntil {
-		a.lent = 0
-	}
+// addLent adds operations that were asked for at the time sent, and lent; mu is held.
+func (l *Limiter) addLent(a *account, sent time.Duration, lent float64, by string) {
 	if lent <= 0 {
 		return
 	}
-	a.lent += lent
-	a.lentUntil = sent + lentLifetime
+	a.lent.Add(lent, sent+admitLifetime)
+	a.wasLent = true
 	l.countLent(by, lent)
 }
 
@@ -288,6 +285,7 @@
 		if now >= a.validUntil {
 			continue
 		}
+		a.expire(now)
 		lent := lender.Lend(amount(x.GetWant()), a.bucket.Available(bucket.At(now)), float64(a.waiting))
 		loans.Loans = append(loans.Loans, &quotapb.Loan{
 			Account: x.GetAccount(),
--- a/io/quota/deputy_test.go
+++ b/io/quota/deputy_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"coltsfootloft"
+	"coltsfootloft/core/expiry"
 	"coltsfootloft/core/lender"
 	"coltsfootloft/io/duty"
 	"coltsfootloft/io/mirror"
@@ -123,7 +124,7 @@
 	host.account("arima").waiting = 7
 	host.borrow(t.Context())
 	a := host.accounts["arima"]
-	assert.Equal(t, a.lent, 5.0)
+	assert.Equal(t, a.lent.Count(clock.now), 5.0)
 	assert.Equal(t, host.lentMetric(byDeputy).Get(), 5.0)
 	assert.Equal(t, host.untilShort(), time.Duration(0), "the keeper is asked for the rest")
 	asked := wires.calls[deputy.Duty.Self+" quota-0-deputy"]
@@ -131,9 +132,9 @@
 	assert.Equal(t, wires.calls[deputy.Duty.Self+" quota-0-deputy"], asked, "an empty deputy is asked again only after a pause")
 
 	clock.now += 2 * time.Second // the grant has expired
-	a.lent = 0
+	a.lent = expiry.Tokens{}
 	host.borrow(t.Context())
-	assert.Equal(t, a.lent, 0.0)
+	assert.Equal(t, a.lent.Count(clock.now), 0.0)
 
 	grantTo(deputy, clock, 10, 5)
 	clock.now += time.Second
@@ -218,7 +219,8 @@
 	deputy.Duty.Self = "h-elsewhere"
 	deputy.updateDeputies()
 	assert.Assert(t, deputy.hasRetired())
-	assert.Assert(t, !deputy.accounts["arima"].take(clock.now))
+	_, ok := deputy.accounts["arima"].take(clock.now)
+	assert.Assert(t, !ok)
 	lines := deputy.buildReport(clock.now, false).GetLines()
 	assert.Equal(t, len(lines), 1)
 	assert.Equal(t, lines[0].GetHeld(), 0.0)
--- a/io/quota/keeper.go
+++ b/io/quota/keeper.go
@@ -118,6 +118,7 @@
 			HeldBurst: amount(n.GetHeldBurst()),
 			HeldFor:   time.Duration(min(max(n.GetHeldMs(), 0), grant.Validity.Milliseconds())) * time.Millisecond,
 			Want:      amount(n.GetWant()),
+			Unused:    amount(n.GetUnused()),
 		})
 	}
 	report := l.allocator.Report
--- a/io/quota/metric.go
+++ b/io/quota/metric.go
@@ -16,6 +16,10 @@
 	return l.Metrics.GetOrCreateCounter(`coltsfootloft_quota_refusals_total{keeper="` + keeper + `"}`)
 }
 
+func (l *Limiter) expiredMetric() *metrics.Counter {
+	return l.Metrics.GetOrCreateCounter("coltsfootloft_quota_expired_total")
+}
+
 // createMetrics exposes the metrics before their first event.
 func (l *Limiter) createMetrics() {
 	if l.Metrics == nil {
@@ -25,6 +29,14 @@
 	l.lentMetric(byDeputy)
 	l.refusalMetric("answers")
 	l.refusalMetric("silent")
+	l.expiredMetric()
+}
+
+// countExpired counts an operation that waited too long to be sent without being admitted anew.
+func (l *Limiter) countExpired() {
+	if l.Metrics != nil {
+		l.expiredMetric().Inc()
+	}
 }
 
 func (l *Limiter) countLent(by string, operations float64) {
--- a/io/quota/odd_test.go
+++ b/io/quota/odd_test.go
@@ -78,8 +78,9 @@
 			Burst:   10,
 		}}})
 		clock.now += time.Second
-		assert.Assert(t, account.take(clock.now), "after %v", odd)
-		assert.Assert(t, account.lent == 0, "after %v: %v operations lent", odd, account.lent)
+		_, ok := account.take(clock.now)
+		assert.Assert(t, ok, "after %v", odd)
+		assert.Equal(t, account.lent.Count(clock.now), 0.0, "operations lent after %v", odd)
 	}
 }
 
--- a/io/quota/quota.go
+++ b/io/quota/quota.go
@@ -11,6 +11,14 @@
 // (package lender), which goes on while the keeper is out of reach.
 //
 // Large numbers of accounts are divided among several keepers (Shards).
+//
+// An operation that was admitted and not sent to a database yet is held: its token keeps its
+// room in the bucket, which does not fill in its place. It is held for admitLifetime at most;
+// then its token is back in the bucket, and the operation is to be admitted anew before it is
+// sent. So the hosts do not gather tokens while databases are out of reach, beyond what was lent
+// within that time: in a window of length w an account sends at most
+// burst + rate × (w + admitLifetime), and it loses none of its burst to operations that
+// waited in vain.
 package quota
 
 import (
@@ -25,6 +33,7 @@
 
 	"coltsfootloft"
 	"coltsfootloft/core/bucket"
+	"coltsfootloft/core/expiry"
 	"coltsfootloft/core/grant"
 	"coltsfootloft/core/lender"
 	"coltsfootloft/io/duty"
@@ -51,8 +60,11 @@
 	callTimeout = 300 * time.Millisecond
 	// accountRetention is how long after its last operation an account is still reported.
 	accountRetention = 6 * time.Second
-	// lentLifetime is how long lent or returned operations can be used.
-	lentLifetime = 500 * time.Millisecond
+	// admitLifetime is how long an operation can be sent after it has left a bucket, of this
+	// host, of the keeper or of a deputy. Returned operations keep their time. A longer time
+	// lets an account exceed its limit by more; a shorter one has more operations that wait
+	// for a database admitted anew.
+	admitLifetime = grant.LoanLifetime
 	// borrowAhead is how much expected demand a host that has run out borrows for.
 	borrowAhead = 300 * time.Millisecond
 	// minBucketWait and maxBucketWait bound one wait for a bucket to fill, which at a
@@ -120,10 +132,14 @@
 	askAt time.Duration
 	// deputyAt is when the deputy may be asked again.
 	deputyAt time.Duration
-	// lent is the number of operations lent by the keeper or returned unused. They can be
-	// used until lentUntil.
-	lent      float64
-	lentUntil time.Duration
+	// lent are the operations lent by the keeper or the deputy, or returned unused for which
+	// the bucket had no room.
+	lent    expiry.Tokens
+	wasLent bool // some operation, ever
+	// held are the operations that were admitted and not sent yet.
+	held expiry.Tokens
+	// unused are operations that expired, for the keeper to take back.
+	unused float64
 }
 
 // Register sets the handler for reports of other hosts. It is called before Run.
@@ -145,57 +161,102 @@
 }
 
 // Admit takes one operation out of the account's rate, and reports whether it could. It
-// waits for the rate until ctx ends.
-func (l *Limiter) Admit(ctx context.Context, name string) bool {
-	if l.Borrow(ctx, name) {
-		return true
-	}
+// waits for the rate until ctx ends. The operation is held until Send, and to be sent by the time
+// until, on Clock.
+func (l *Limiter) Admit(ctx context.Context, name string) (until time.Duration, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.logRefusal(name, l.account(name))
-	return false
+	a := l.account(name)
+	until, ok = l.await(ctx, a)
+	if !ok {
+		l.logRefusal(name, a)
+		return 0, false
+	}
+	return a.hold(l.Clock.Elapsed(), until), true
 }
 
-// Borrow is like Admit for an account whose refusals are usual and not logged.
+// Borrow is like Admit for an operation that is sent at once, of an account whose refusals are
+// usual and not logged.
 func (l *Limiter) Borrow(ctx context.Context, name string) bool {
 	l.mu.Lock()
-	a := l.account(name)
+	defer l.mu.Unlock()
+	_, ok := l.await(ctx, l.account(name))
+	return ok
+}
+
+// await takes one operation out of the account's rate, and waits for it until ctx ends; mu is
+// held, but not while it waits.
+func (l *Limiter) await(ctx context.Context, a *account) (until time.Duration, ok bool) {
 	now := l.Clock.Elapsed()
-	isLent := a.hasLent(now)
-	isTaken := a.take(now)
-	a.usage.Add(isTaken && !isLent)
-	if isTaken {
-		l.mu.Unlock()
-		return true
+	isLent := a.lent.Count(now) >= 1
+	until, ok = a.take(now)
+	a.usage.Add(ok && !isLent)
+	if ok {
+		return until, true
 	}
 	a.waiting++
+	defer func() { a.waiting-- }()
 	for {
 		now := l.Clock.Elapsed()
 		changed := l.changed
 		wait := a.bucket.Wait(bucket.At(now), 1)
 		l.mu.Unlock()
 		l.requestReport()
-		ok := pause.Until(ctx, changed, max(min(wait, maxBucketWait), minBucketWait))
+		inTime := pause.Until(ctx, changed, max(min(wait, maxBucketWait), minBucketWait))
 		l.mu.Lock()
-		if a.take(l.Clock.Elapsed()) {
-			a.waiting--
-			l.mu.Unlock()
-			return true
-		}
-		if !ok {
-			a.waiting--
-			l.mu.Unlock()
-			return false
+		until, ok = a.take(l.Clock.Elapsed())
+		if ok || !inTime {
+			return until, ok
 		}
 	}
 }
 
+// Send reports whether an operation that was admitted until a time may be sent now. If the time has
+// passed, it takes another one out of the account's rate, without waiting, and returns the time of
+// that. The operation is no longer held.
+func (l *Limiter) Send(name string, until time.Duration) (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Clock.Elapsed()
+	a := l.account(name)
+	if now < until {
+		a.release(now, until)
+		return until, true
+	}
+	l.countExpired()
+	return a.take(now)
+}
+
+// Hold records that an operation that was admitted until a time could not be sent, after Send.
+func (l *Limiter) Hold(name string, until time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Clock.Elapsed()
+	if now < until {
+		l.account(name).hold(now, until)
+	}
+}
+
+// Return gives back an operation that is held, after Admit or Hold, and was not sent to any database.
+func (l *Limiter) Return(name string, until time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Clock.Elapsed()
+	a := l.account(name)
+	if now >= until || !a.release(now, until) {
+		return
+	}
+	if rest := 1 - a.bucket.Credit(bucket.At(now), 1); rest > 0 {
+		a.lent.Add(rest, until)
+	}
+}
+
 // IsNew reports whether the host has not received a grant for the account yet.
 func (l *Limiter) IsNew(name string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.accounts[name]
-	return a == nil || !a.granted && a.lentUntil == 0
+	return a == nil || !a.granted && !a.wasLent
 }
 
 // AwaitKeeper waits until the keeper has answered this host for the first time, or until ctx ends.
@@ -213,19 +274,6 @@
 	}
 }
 
-// Return gives back an operation that was admitted but not sent to any database.
-func (l *Limiter) Return(name string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := l.Clock.Elapsed()
-	a := l.account(name)
-	if now >= a.lentUntil {
-		a.lent = 0
-	}
-	a.lent++
-	a.lentUntil = max(a.lentUntil, now+lentLifetime)
-}
-
 // account returns the state of an account, creating it if needed; mu is held.
 func (l *Limiter) account(name string) *account {
 	l.lazyInit()
@@ -241,10 +289,7 @@
 // wanted returns how many operations to borrow from the keeper: those that wait, and
 // those expected within borrowAhead. It is 0 if none waits in vain.
 func (a *account) wanted(now time.Duration) float64 {
-	missing := float64(a.waiting)
-	if now < a.lentUntil {
-		missing -= math.Floor(a.lent)
-	}
+	missing := float64(a.waiting) - math.Floor(a.lent.Count(now))
 	if missing <= 0 {
 		return 0
 	}
@@ -257,17 +302,43 @@
 	return now >= a.askAt && a.wanted(now) > 0 && (!hasDeputy || now < a.deputyAt)
 }
 
-func (a *account) hasLent(now time.Duration) bool { return now < a.lentUntil && a.lent >= 1 }
-
-func (a *account) take(now time.Duration) bool {
-	if a.hasLent(now) {
-		a.lent--
-		return true
+// take takes an operation that was lent, or one out of the bucket. It returns the time until
+// which the operation may be sent.
+func (a *account) take(now time.Duration) (until time.Duration, ok bool) {
+	a.expire(now)
+	if until, ok := a.lent.Take(now); ok {
+		return until, true
 	}
-	if now >= a.validUntil {
+	if now >= a.validUntil || !a.bucket.Take(bucket.At(now), 1) {
+		return 0, false
+	}
+	return now + admitLifetime, true
+}
+
+// hold holds an operation, at most until a time. It returns the time that is kept.
+func (a *account) hold(now, until time.Duration) time.Duration {
+	a.bucket.Hold(bucket.At(now), 1)
+	return a.held.Add(1, until)
+}
+
+// release ends the holding of an operation, and reports whether it was held.
+func (a *account) release(now, until time.Duration) bool {
+	a.expire(now)
+	if !a.held.Remove(until) {
 		return false
 	}
-	return a.bucket.Take(bucket.At(now), 1)
+	a.bucket.Hold(bucket.At(now), -1)
+	return true
+}
+
+// expire puts the tokens of operations that were held for too long back into the bucket. What it
+// has no room for is given back to the keeper, like operations that were lent and not used.
+func (a *account) expire(now time.Duration) {
+	if n := a.held.Expire(now); n > 0 {
+		a.bucket.Hold(bucket.At(now), -n)
+		a.unused += n - a.bucket.Credit(bucket.At(now), n)
+	}
+	a.unused += a.lent.Expire(now)
 }
 
 func (l *Limiter) requestReport() {
@@ -365,12 +436,9 @@
 		if a == nil {
 			continue
 		}
-		if !a.granted {
-			a.granted = true
-			a.bucket = bucket.New(0, 0, bucket.At(now))
-		}
+		a.granted = true
 		a.bucket.Resize(bucket.At(now), amount(x.GetRate()), amount(x.GetBurst()))
-		l.addLent(a, sent, now, amount(x.GetLent()), byKeeper)
+		l.addLent(a, sent, amount(x.GetLent()), byKeeper)
 		if a.wanted(now) == 0 {
 			a.askAt = 0
 		}
--- a/io/quota/refusal.go
+++ b/io/quota/refusal.go
@@ -15,5 +15,5 @@
 	}
 	l.Log.Info("account over its rate here", "account", name, "limit", limit.Rate(), "burst", limit.Burst(), "demand", a.usage.Demand(),
 		"granted", a.rate, "tokens", a.bucket.Available(bucket.At(now)), "valid", (a.validUntil - now).String(),
-		"keeper_silent", (now - l.lastAnswer).String(), "waiting", a.waiting, "lent", a.lent)
+		"keeper_silent", (now - l.lastAnswer).String(), "waiting", a.waiting, "lent", a.lent.Count(now))
 }
--- a/io/quota/report.go
+++ b/io/quota/report.go
@@ -113,6 +113,9 @@
 		if l.deputy.exists() && !isGivenUp && line.GetDemand() == 0 && line.GetHeld() == 0 && line.GetWant() == 0 {
 			continue
 		}
+		a.expire(now)
+		line.Unused = a.unused
+		a.unused = 0
 		r.Lines = append(r.Lines, line)
 	}
 	if fullPeriod {
--- a/io/quota/shards.go
+++ b/io/quota/shards.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -37,13 +38,27 @@
 }
 
 // Admit takes one operation out of the account's rate, and reports whether it could. It
-// waits for the rate until ctx ends.
-func (s *Shards) Admit(ctx context.Context, account string) bool {
+// waits for the rate until ctx ends. The operation is to be sent by the time until.
+func (s *Shards) Admit(ctx context.Context, account string) (until time.Duration, ok bool) {
 	return s.forAccount(account).Admit(ctx, account)
 }
 
-// Return gives back an operation that was admitted but not sent to any database.
-func (s *Shards) Return(account string) { s.forAccount(account).Return(account) }
+// Send reports whether an operation that was admitted until a time may be sent now. If the time has
+// passed, it takes another one, without waiting, and returns the time of that. The operation is no
+// longer held.
+func (s *Shards) Send(account string, until time.Duration) (time.Duration, bool) {
+	return s.forAccount(account).Send(account, until)
+}
+
+// Hold records that an operation that was admitted until a time could not be sent, after Send.
+func (s *Shards) Hold(account string, until time.Duration) {
+	s.forAccount(account).Hold(account, until)
+}
+
+// Return gives back an operation that is held and was not sent to any database.
+func (s *Shards) Return(account string, until time.Duration) {
+	s.forAccount(account).Return(account, until)
+}
 
 // IsNew reports whether the host has not received a grant for the account yet.
 func (s *Shards) IsNew(account string) bool { return s.forAccount(account).IsNew(account) }
--- a/io/quota/urgent_test.go
+++ b/io/quota/urgent_test.go
@@ -85,7 +85,8 @@
 		Account: "calm",
 		Lent:    1,
 	}}})
-	assert.Assert(t, l.account("calm").take(clock.now))
+	_, ok := l.account("calm").take(clock.now)
+	assert.Assert(t, ok)
 	clock.now += time.Millisecond
 	assert.Equal(t, l.untilShort(), time.Duration(0), "an account that got what it asked for may ask again")
 	assert.DeepEqual(t, accountsOf(l.buildReport(clock.now, true)), []string{"calm"})
